Agree the seams: domain, ports, settings, events, peer schema

Domain types, messages of the ports, adapters for the store, the list of workers and the workers, the peer schema with its generated code, the decision interface of a shard, and the catalogue of events.

--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The `verbenahitch-standin` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/verbenahitch/src/config/declarations.rs
@@ -0,0 +1,203 @@
+//! The document that operators keep in version control and apply.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::domain::{Millis, Profile, Resources};
+
+/// Key of the declarations in the store.
+pub const DECLARATIONS_KEY: &str = "verbenahitch/declarations";
+
+/// Everything that operators declare, under one revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Declarations {
+    /// Number of the accepted change; zero before the first.
+    #[serde(default)]
+    pub revision: u64,
+    /// Unique identity of the write that brought this revision.
+    #[serde(default)]
+    pub write_id: String,
+    /// Profiles by name.
+    #[serde(default)]
+    pub profiles: BTreeMap<String, Profile>,
+    /// Request kinds by name.
+    #[serde(default)]
+    pub kinds: BTreeMap<String, Kind>,
+    /// Teams by name.
+    #[serde(default)]
+    pub teams: BTreeMap<String, Team>,
+    /// Availability zones by name.
+    #[serde(default)]
+    pub zones: BTreeMap<String, Zone>,
+}
+
+/// A kind of request that callers send.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Kind {
+    /// Start of the request path, such as `/price-push`.
+    pub path: String,
+    /// Profile that requests of the kind run under.
+    pub profile: String,
+}
+
+/// A team that submits work.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Team {
+    /// What the team's running tasks may commit over all availability zones.
+    pub quota: Resources,
+    /// Hexadecimal SHA-256 digest of the team's bearer token.
+    pub token_digest: String,
+}
+
+/// Whether an availability zone takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ZoneState {
+    /// In service.
+    In,
+    /// Taken out: starts nothing and hands its tasks over.
+    Out,
+}
+
+/// An availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Zone {
+    /// Whether the zone takes work.
+    pub state: ZoneState,
+    /// Number of shards that its workers are divided into, from 1 to 64.
+    #[serde(default = "one")]
+    pub shards: u32,
+    /// Time over which a returning zone is filled, in milliseconds.
+    #[serde(default = "default_ramp")]
+    pub ramp_ms: Millis,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn default_ramp() -> Millis {
+    30_000
+}
+
+/// One fault of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Path of the key, such as `profiles.quote.worth`.
+    pub path: String,
+    /// What was found and what is allowed.
+    pub reason: String,
+}
+
+impl Declarations {
+    /// Request kind whose path is the longest start of `path`, with its name.
+    pub fn kind_of(&self, path: &str) -> Option<(&str, &Kind)> {
+        self.kinds
+            .iter()
+            .filter(|(_, kind)| covers(&kind.path, path))
+            .max_by_key(|(_, kind)| kind.path.len())
+            .map(|(name, kind)| (name.as_str(), kind))
+    }
+
+    /// Whether the zone is declared and takes work.
+    pub fn is_in(&self, zone: &str) -> bool {
+        self.zones
+            .get(zone)
+            .is_some_and(|zone| zone.state == ZoneState::In)
+    }
+
+    /// All faults of the document, in the order of its keys.
+    pub fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for (name, profile) in &self.profiles {
+            self.profile_faults(name, profile, &mut faults);
+        }
+        for (name, kind) in &self.kinds {
+            if !self.profiles.contains_key(&kind.profile) {
+                let reason = format!("profile {:?} is not declared", kind.profile);
+                push(&mut faults, format!("kinds.{name}.profile"), reason);
+            }
+            if !kind.path.starts_with('/') {
+                let reason = format!("found {:?}, a path starts with /", kind.path);
+                push(&mut faults, format!("kinds.{name}.path"), reason);
+            }
+        }
+        for (name, team) in &self.teams {
+            let hex = team
+                .token_digest
+                .bytes()
+                .all(|byte| byte.is_ascii_hexdigit());
+            if team.token_digest.len() != 64 || !hex {
+                let reason = "a SHA-256 digest has 64 hexadecimal digits".to_owned();
+                push(&mut faults, format!("teams.{name}.token-digest"), reason);
+            }
+        }
+        for (name, zone) in &self.zones {
+            if !(1..=64).contains(&zone.shards) {
+                let reason = format!("found {}, allowed are 1 to 64", zone.shards);
+                push(&mut faults, format!("zones.{name}.shards"), reason);
+            }
+        }
+        faults
+    }
+
+    fn profile_faults(&self, name: &str, profile: &Profile, faults: &mut Vec<Fault>) {
+        let mut check = |fine: bool, key: &str, reason: String| {
+            if !fine {
+                push(faults, format!("profiles.{name}.{key}"), reason);
+            }
+        };
+        check(
+            self.teams.contains_key(&profile.team),
+            "team",
+            format!("team {:?} is not declared", profile.team),
+        );
+        check(
+            (1..=1_000).contains(&profile.worth),
+            "worth",
+            format!("found {}, allowed are 1 to 1000", profile.worth),
+        );
+        check(
+            profile.target_ms > 0 && profile.target_ms <= profile.deadline_ms,
+            "target-ms",
+            format!(
+                "found {}, allowed are 1 to deadline-ms ({})",
+                profile.target_ms, profile.deadline_ms
+            ),
+        );
+        check(
+            profile.max_slowdown >= 1.0 && profile.max_slowdown.is_finite(),
+            "max-slowdown",
+            format!("found {}, allowed is 1.0 or more", profile.max_slowdown),
+        );
+        check(
+            profile.min_share > 0.0 && profile.min_share <= 1.0,
+            "min-share",
+            format!("found {}, allowed are above 0.0 to 1.0", profile.min_share),
+        );
+        check(
+            (0.0..=1.0).contains(&profile.pressure),
+            "pressure",
+            format!("found {}, allowed are 0.0 to 1.0", profile.pressure),
+        );
+        check(
+            profile.resources.millicores > 0 && profile.resources.memory_mib > 0,
+            "resources",
+            "a task needs processors and memory above zero".to_owned(),
+        );
+    }
+}
+
+fn covers(prefix: &str, path: &str) -> bool {
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/'))
+}
+
+fn push(faults: &mut Vec<Fault>, path: String, reason: String) {
+    faults.push(Fault { path, reason });
+}
--- /dev/null
+++ b/crates/verbenahitch/src/config/mod.rs
@@ -0,0 +1,8 @@
+//! Declarations of the operators: profiles, request kinds, teams and
+//! availability zones, ordered by one revision.
+
+mod current;
+mod declarations;
+
+pub use current::Current;
+pub use declarations::{DECLARATIONS_KEY, Declarations, Fault, Kind, Team, Zone, ZoneState};
--- /dev/null
+++ b/crates/verbenahitch/src/domain/job.rs
@@ -0,0 +1,141 @@
+//! Jobs, tasks, and what the store keeps of them.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::Millis;
+use crate::collections::HashMap;
+
+/// Identity of a job: team and the caller's own key for the submission.
+///
+/// The same pair names the same job for ever, which makes submission idempotent.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobId(String);
+
+impl JobId {
+    /// Creates the identity from a team's name and its key for the submission.
+    pub fn new(team: &str, key: &str) -> Self {
+        Self(format!("{team}.{key}"))
+    }
+
+    /// Identity as kept in store keys.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<String> for JobId {
+    fn from(text: String) -> Self {
+        Self(text)
+    }
+}
+
+/// Identity of one task on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// Job that the task belongs to.
+    pub job: JobId,
+    /// Index of the task in its job, from zero.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+/// Identity of a shard: a bounded group of one availability zone's workers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ShardId {
+    /// Availability zone of all workers of the shard.
+    pub zone: String,
+    /// Number of the shard in its zone, from zero.
+    pub index: u32,
+}
+
+impl fmt::Display for ShardId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.zone, self.index)
+    }
+}
+
+/// What a caller asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct JobSpec {
+    /// Profile that every task runs under.
+    pub profile: String,
+    /// Number of tasks, at least one.
+    pub tasks: u32,
+    /// Declared run time of one task, in milliseconds.
+    pub run_ms: Millis,
+    /// Input handed to every task.
+    #[serde(default)]
+    pub payload: String,
+}
+
+/// How a task ended, as far as is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TaskOutcome {
+    /// Ran to its end once.
+    Done,
+    /// Ran and failed for good.
+    Failed,
+    /// Cancelled before its end.
+    Cancelled,
+    /// May or may not have run to its end; not run again.
+    Unknown,
+}
+
+/// What the store keeps of a job.
+///
+/// A task may have been started only if its index is in `marked`: the owner
+/// commits the mark before it sends the start.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct JobRecord {
+    /// Identity of the job.
+    pub id: JobId,
+    /// What was asked for.
+    pub spec: JobSpec,
+    /// Wall-clock time of acceptance, in milliseconds since the Unix epoch.
+    pub accepted_ms: Millis,
+    /// Whether the caller cancelled the job.
+    pub cancelled: bool,
+    /// Tasks that may have been started.
+    pub marked: Vec<u32>,
+    /// Tasks that have ended, with their outcome.
+    pub ended: HashMap<u32, TaskOutcome>,
+    /// Newest known checkpoint of each unfinished task: progress in milliseconds of work.
+    #[serde(default)]
+    pub checkpoints: HashMap<u32, Millis>,
+}
+
+impl JobRecord {
+    /// Creates the record of a job that has just been accepted.
+    pub fn new(id: JobId, spec: JobSpec, accepted_ms: Millis) -> Self {
+        Self {
+            id,
+            spec,
+            accepted_ms,
+            cancelled: false,
+            marked: Vec::new(),
+            ended: HashMap::default(),
+            checkpoints: HashMap::default(),
+        }
+    }
+
+    /// Whether every task has ended.
+    pub fn is_finished(&self) -> bool {
+        self.ended.len() >= usize::try_from(self.spec.tasks).unwrap_or(usize::MAX)
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/domain/mod.rs
@@ -0,0 +1,17 @@
+//! Types that every part of the system shares.
+//!
+//! A *job* is what a caller submits; it consists of equal *tasks*, numbered from
+//! zero. Each task runs on one worker at a time. A job belongs to exactly one
+//! shard, and so do all its tasks.
+
+mod job;
+mod key;
+mod profile;
+mod resources;
+mod time;
+
+pub use job::{JobId, JobRecord, JobSpec, ShardId, TaskId, TaskOutcome};
+pub use key::{JobKey, TaskKey, WorkerKey};
+pub use profile::{Class, Eviction, Profile};
+pub use resources::Resources;
+pub use time::{Millis, Monotonic};
--- /dev/null
+++ b/crates/verbenahitch/src/event/logger.rs
@@ -0,0 +1,89 @@
+//! Structured log lines by `fern`: one JSON object a line.
+
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+/// Least level that is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Level {
+    /// Nothing.
+    Off,
+    /// Faults.
+    Error,
+    /// And what needs an operator's eye.
+    Warn,
+    /// And every decision.
+    #[default]
+    Info,
+    /// And details for developers.
+    Debug,
+}
+
+impl From<Level> for log::LevelFilter {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Off => Self::Off,
+            Level::Error => Self::Error,
+            Level::Warn => Self::Warn,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+        }
+    }
+}
+
+/// Why the log could not be set up.
+#[derive(Debug, Snafu)]
+pub enum LogError {
+    /// The file cannot be opened.
+    #[snafu(display("log file {} cannot be opened: {source}", path.display()))]
+    Open {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A log was set up before.
+    #[snafu(display("a log is set up already"))]
+    Twice {
+        /// Cause.
+        source: log::SetLoggerError,
+    },
+}
+
+/// Writes log lines at `level` and above to `file`, or to standard error.
+///
+/// # Errors
+///
+/// When the file cannot be opened, or a log is set up already.
+pub fn start_logging(process: &str, level: Level, file: Option<&Path>) -> Result<(), LogError> {
+    let process = serde_json::Value::from(process).to_string();
+    let dispatch = fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("event", level.into())
+        .level_for("verbenahitch", level.into())
+        .format(move |out, message, record| {
+            let time = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |since| since.as_millis());
+            let level = record.level();
+            if record.target() == "event" {
+                out.finish(format_args!(
+                    r#"{{"time":{time},"level":"{level}","process":{process},"entry":{message}}}"#
+                ));
+            } else {
+                let text = serde_json::Value::from(message.to_string());
+                out.finish(format_args!(
+                    r#"{{"time":{time},"level":"{level}","process":{process},"text":{text}}}"#
+                ));
+            }
+        });
+    let dispatch = match file {
+        Some(path) => dispatch.chain(fern::log_file(path).context(OpenSnafu { path })?),
+        None => dispatch.chain(std::io::stderr()),
+    };
+    dispatch.apply().context(TwiceSnafu)
+}
--- /dev/null
+++ b/crates/verbenahitch/src/event/mod.rs
@@ -0,0 +1,12 @@
+//! Numbered log events.
+//!
+//! Every decision that an operator may ask about is one [`Entry`]: a [`Kind`]
+//! from the closed catalogue and its fields. docs/EVENTS.md lists the catalogue.
+
+mod entry;
+mod kind;
+mod logger;
+
+pub use entry::Entry;
+pub use kind::Kind;
+pub use logger::{Level, LogError, start_logging};
--- /dev/null
+++ b/crates/verbenahitch/src/gateway/mod.rs
@@ -0,0 +1,1 @@
+//! The gateway: admits callers' requests and routes them to upstreams.
--- /dev/null
+++ b/crates/verbenahitch/src/lib.rs
@@ -0,0 +1,32 @@
+//! A scheduler for colocated latency-critical and batch work.
+//!
+//! Operators declare [`domain::Profile`]s; services and jobs pick one. Two
+//! daemons run on every entry host:
+//!
+//! * the [`gateway`] admits callers' requests and routes them to upstreams;
+//! * the [`scheduler`] owns shards of workers and runs batch tasks on them.
+//!
+//! Both learn their addresses and availability zone from [`settings`], follow
+//! the operators' [`config`], and tell each other what they know over
+//! [`peer`]. What must last lives in the platform's key-value service, which
+//! [`adapter::Store`] speaks to.
+//!
+//! The decision logic ([`scheduler`], [`placement`], [`interference`], and the
+//! routing in [`gateway`]) does no I/O and reads no clock, so that tests and
+//! recorded traces drive the very code that the daemons run.
+
+pub mod adapter;
+pub mod collections;
+pub mod config;
+pub mod domain;
+pub mod event;
+pub mod gateway;
+mod generated;
+pub mod interference;
+pub mod peer;
+pub mod placement;
+pub mod port;
+pub mod scheduler;
+pub mod settings;
+
+use generated::peer_capnp;
--- /dev/null
+++ b/crates/verbenahitch/src/main.rs
@@ -0,0 +1,3 @@
+//! The `verbenahitch` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/verbenahitch/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Messages between the system's own processes over `capnp-rpc`.
--- /dev/null
+++ b/crates/verbenahitch/src/port/clock.rs
@@ -0,0 +1,66 @@
+//! Clocks of a process edge.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use crate::domain::{Millis, Monotonic};
+
+/// Source of time for a process edge.
+pub trait Clock: Send + Sync {
+    /// Time since an arbitrary origin; never goes back.
+    fn now(&self) -> Monotonic;
+
+    /// Wall-clock time in milliseconds since the Unix epoch.
+    fn wall_ms(&self) -> Millis;
+}
+
+/// Clock of the operating system.
+#[derive(Clone, Copy, Debug)]
+pub struct SystemClock {
+    origin: Instant,
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Monotonic {
+        Monotonic(u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn wall_ms(&self) -> Millis {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| {
+                u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+            })
+    }
+}
+
+/// Clock that a test or a replay sets by hand.
+#[derive(Debug, Default)]
+pub struct ManualClock {
+    millis: AtomicU64,
+}
+
+impl ManualClock {
+    /// Moves the clock forward by `millis`.
+    pub fn advance(&self, millis: Millis) {
+        self.millis.fetch_add(millis, Ordering::Relaxed);
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Monotonic {
+        Monotonic(self.millis.load(Ordering::Relaxed))
+    }
+
+    fn wall_ms(&self) -> Millis {
+        self.millis.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/port/mod.rs
@@ -0,0 +1,17 @@
+//! Messages between the decision logic and the outside systems.
+//!
+//! The logic sees only these types; the modules under [`crate::adapter`]
+//! translate them to the published protocols.
+
+mod clock;
+mod hosts;
+mod store;
+mod worker;
+
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use hosts::{HostRecord, HostState};
+pub use store::{Entry, Op, StoreError, Txn};
+pub use worker::{
+    Command, EndKind, Ended, LatencyReport, Refusal, Running, SyncError, SyncReply, SyncRequest,
+    TaskUsage, Usage,
+};
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/mod.rs
@@ -0,0 +1,11 @@
+//! The scheduler: owns shards, places their tasks and keeps their state.
+//!
+//! `Shard` is the decision logic of one shard. It does no I/O: the daemon
+//! feeds it `Input`s and carries out its `Action`s.
+
+mod message;
+
+pub use message::{
+    Action, Answer, Batch, CommitError, Input, JobStatus, Request, ShardStatus, SubmitError,
+    WorkerStatus, Write,
+};
--- /dev/null
+++ b/testsuite/src/lib.rs
@@ -0,0 +1,1 @@
+//! The testsuite has no library code; see `tests/`.
--- /dev/null
+++ b/testsuite/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of verbenahitch by feature.
+
+mod placement;
--- /dev/null
+++ b/testsuite/tests/testsuite/placement/mod.rs
@@ -0,0 +1,3 @@
+//! Placement.
+
+mod commitment;
