--- /dev/null
+++ b/testsuite/tests/testsuite/gateway/mod.rs
@@ -0,0 +1,1 @@
+//! Routing, limits, retries and at-most-once of the gateway.
--- /dev/null
+++ b/testsuite/tests/testsuite/interference/mod.rs
@@ -0,0 +1,1 @@
+//! Estimates of interference and measures against it.
--- /dev/null
+++ b/testsuite/tests/testsuite/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Peers, relay of declarations, permits and ownership.
--- /dev/null
+++ b/testsuite/tests/testsuite/scheduler/mod.rs
@@ -0,0 +1,1 @@
+//! Decision logic of a shard: commits, recovery, outages.
--- /dev/null
+++ b/testsuite/tests/testsuite/session/mod.rs
@@ -0,0 +1,1 @@
+//! Whole sessions over separate processes.
--- /dev/null
+++ b/testsuite/tests/testsuite/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings, declarations and the command line.
--- /dev/null
+++ b/testsuite/tests/testsuite/standin/mod.rs
@@ -0,0 +1,1 @@
+//! The stand-ins follow the published protocols.
