Add the request path of the gateway

Callers are served by a Rocket catch-all route: the head and the body are checked whole, the request gets a slot of an upstream by power of two choices over a stable subset, and its whole answer is read before the first byte goes to the caller. Non-idempotent requests with a key claim it in the store first; waiting requests share freed slots by worth.

--- a/crates/verbenahitch/src/adapter/mod.rs
+++ b/crates/verbenahitch/src/adapter/mod.rs
@@ -6,6 +6,7 @@
 mod worker;
 
 pub use hosts::HostList;
+pub(crate) use http::describe;
 pub use http::{CallError, Http};
 pub use store::{Store, Watched};
 pub use worker::Workers;
--- /dev/null
+++ b/crates/verbenahitch/src/gateway/body.rs
@@ -0,0 +1,72 @@
+//! Reading of a request's body within its limits of size and time.
+
+use std::io;
+use std::time::Duration;
+
+use rocket::data::{Data, ToByteUnit};
+use rocket::tokio::io::AsyncReadExt;
+
+use super::answer::{Cause, Refusal};
+use super::head::Head;
+
+/// Size of one read in bytes.
+const READ_SIZE: usize = 64 << 10;
+
+/// Limits of a body.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Largest size in bytes.
+    pub size: u64,
+    /// Longest time without progress.
+    pub silence: Duration,
+    /// Longest time for the whole body.
+    pub whole: Duration,
+}
+
+/// Reads the whole body.
+///
+/// # Errors
+///
+/// The refusal that the caller gets; nothing of a body that ended early is used.
+pub async fn read(data: Data<'_>, head: &Head, limits: Limits) -> Result<Vec<u8>, Refusal> {
+    let whole = rocket::tokio::time::timeout(limits.whole, read_all(data, head, limits));
+    match whole.await {
+        Ok(body) => body,
+        Err(_) => Err(slow()),
+    }
+}
+
+async fn read_all(data: Data<'_>, head: &Head, limits: Limits) -> Result<Vec<u8>, Refusal> {
+    let mut stream = data.open((limits.size + 1).bytes());
+    let expected = usize::try_from(head.length.unwrap_or(0)).unwrap_or(0);
+    let mut body = Vec::with_capacity(expected.min(READ_SIZE));
+    loop {
+        body.reserve(expected.saturating_sub(body.len()).clamp(512, READ_SIZE));
+        let read = rocket::tokio::time::timeout(limits.silence, stream.read_buf(&mut body));
+        match read.await {
+            Err(_) => return Err(slow()),
+            Ok(Err(error)) => return Err(broken(&error)),
+            Ok(Ok(0)) => break,
+            Ok(Ok(_)) if body.len() as u64 > limits.size => {
+                let reason = format!("the body is above the limit of {} bytes", limits.size);
+                return Err(Refusal::new(Cause::BodyTooLarge, reason));
+            }
+            Ok(Ok(_)) => {}
+        }
+    }
+    if head
+        .length
+        .is_some_and(|length| length != body.len() as u64)
+    {
+        return Err(Refusal::new(Cause::Malformed, "the body ended early"));
+    }
+    Ok(body)
+}
+
+fn broken(error: &io::Error) -> Refusal {
+    Refusal::new(Cause::Malformed, format!("the body ended early: {error}"))
+}
+
+fn slow() -> Refusal {
+    Refusal::new(Cause::SlowSender, "the body did not arrive in time")
+}
--- /dev/null
+++ b/crates/verbenahitch/src/gateway/callers.rs
@@ -0,0 +1,194 @@
+//! The callers' listener.
+//!
+//! Rocket's defaults are replaced where they would cut a request or hide one:
+//! its signal handlers are off, since the daemon decides when to stop; its
+//! grace is that of the settings; its default header fields are left out.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rocket::config::{Config, Ident, LogLevel, Shutdown};
+use rocket::fairing::AdHoc;
+use rocket::shield::Shield;
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
+
+use crate::adapter::Store;
+use crate::config::Current;
+use crate::domain::Millis;
+use crate::port::{Clock, HostRecord};
+use crate::settings::Settings;
+
+use super::admission::Admission;
+use super::error::{GatewayError, ListenSnafu};
+use super::once::Once;
+use super::shared::Shared;
+use super::{admission, handler, refresh};
+
+/// Time after the last answer in which idle connections close, in milliseconds.
+const LINGER_MS: Millis = 20;
+/// Time in which connections are closed after the grace, in seconds.
+const MERCY_S: u32 = 1;
+
+/// What the request path depends on.
+pub struct Deps {
+    /// Settings of the entry host.
+    pub settings: Arc<Settings>,
+    /// Declarations in force.
+    pub current: Current,
+    /// Newest list of workers.
+    pub hosts: watch::Receiver<Arc<Vec<HostRecord>>>,
+    /// Store that keeps spent idempotency keys.
+    pub store: Store,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// What the request path does now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stats {
+    /// Callers' requests in progress.
+    pub in_flight: usize,
+    /// Upstreams in the routing table.
+    pub upstreams: usize,
+}
+
+/// The running listener for callers.
+pub struct Callers {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    shutdown: rocket::Shutdown,
+    server: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Starts to listen on the callers' address of the settings.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be listened on.
+    pub async fn start(deps: Deps) -> Result<Self, GatewayError> {
+        let wanted = deps.settings.gateway.callers;
+        let listen = |reason: String| ListenSnafu {
+            address: wanted,
+            reason,
+        };
+        let length = deps.settings.gateway.once_ms;
+        let once = Once::start(deps.store, Arc::clone(&deps.clock), length);
+        let (gate, waiters) = Admission::new(deps.settings.gateway.concurrency);
+        let shared = Arc::new(Shared::new(deps.settings, deps.clock, once, gate));
+        refresh::rebuild(&shared, &deps.hosts.borrow(), deps.current.load());
+
+        let (ready, bound) = oneshot::channel();
+        let ready = Mutex::new(Some(ready));
+        let announce = AdHoc::on_liftoff("address", move |rocket| {
+            let address = SocketAddr::new(rocket.config().address, rocket.config().port);
+            if let Some(ready) = ready.lock().ok().and_then(|mut held| held.take()) {
+                let _ = ready.send(address);
+            }
+            Box::pin(async {})
+        });
+        let linger = AdHoc::on_shutdown("linger", |_| {
+            Box::pin(tokio::time::sleep(Duration::from_millis(LINGER_MS)))
+        });
+        let rocket = rocket::custom(config(&shared.settings))
+            .attach(Shield::new())
+            .attach(announce)
+            .attach(linger)
+            .mount("/", handler::routes(&shared))
+            .register("/", handler::catchers())
+            .ignite()
+            .await
+            .map_err(|error| listen(error.kind().to_string()).build())?;
+        let shutdown = rocket.shutdown();
+        let mut server = tokio::spawn(async move {
+            rocket
+                .launch()
+                .await
+                .map(|_| ())
+                .map_err(|error| error.kind().to_string())
+        });
+        let address = tokio::select! {
+            Ok(address) = bound => address,
+            ended = &mut server => {
+                let reason = match ended {
+                    Ok(Err(reason)) => reason,
+                    Ok(Ok(())) => "the listener ended".to_owned(),
+                    Err(error) => error.to_string(),
+                };
+                return listen(reason).fail();
+            }
+        };
+        let follow = refresh::follow(Arc::clone(&shared), deps.hosts, deps.current);
+        let dispatch = admission::dispatch(Arc::clone(&shared), waiters);
+        let tasks = vec![tokio::spawn(follow), tokio::spawn(dispatch)];
+        Ok(Self {
+            shared,
+            address,
+            shutdown,
+            server: tokio::spawn(finish(server)),
+            tasks,
+        })
+    }
+
+    /// Address that is listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Refuses new requests from now on and closes connections after their answers.
+    pub fn stop_accepting(&self) {
+        self.shared.begin_stop();
+    }
+
+    /// What the request path does now.
+    pub fn stats(&self) -> Stats {
+        Stats {
+            in_flight: self.shared.in_flight(),
+            upstreams: self.shared.table.load().upstreams().count(),
+        }
+    }
+
+    /// Refuses new requests, waits for those in progress, and ends.
+    ///
+    /// Waits at most the grace of the settings.
+    pub async fn stop(self) {
+        self.stop_accepting();
+        let grace = Duration::from_millis(self.shared.settings.gateway.grace_ms);
+        let _ = tokio::time::timeout(grace, self.shared.drained()).await;
+        self.shutdown.notify();
+        let _ = self.server.await;
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+async fn finish(server: JoinHandle<Result<(), String>>) {
+    match server.await {
+        Ok(Ok(())) => {}
+        Ok(Err(reason)) => log::warn!("callers' listener: {reason}"),
+        Err(error) => log::error!("callers' listener: {error}"),
+    }
+}
+
+fn config(settings: &Settings) -> Config {
+    let grace_s = settings.gateway.grace_ms.div_ceil(1_000);
+    Config {
+        address: settings.gateway.callers.ip(),
+        port: settings.gateway.callers.port(),
+        ident: Ident::none(),
+        ip_header: None,
+        shutdown: Shutdown {
+            ctrlc: false,
+            signals: std::collections::HashSet::new(),
+            grace: u32::try_from(grace_s).unwrap_or(u32::MAX),
+            mercy: MERCY_S,
+            force: false,
+            ..Shutdown::default()
+        },
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        ..Config::release_default()
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/gateway/handler.rs
@@ -0,0 +1,223 @@
+//! Rocket's side of the request path: from a request to its answer.
+
+use std::io::Cursor;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use rocket::catcher::{self, Catcher};
+use rocket::data::Data;
+use rocket::http::{Method, Status};
+use rocket::outcome::Outcome;
+use rocket::route::{self, Route};
+use rocket::tokio::io::{AsyncRead, AsyncSeek, ReadBuf};
+use rocket::{Request, Response};
+
+use super::answer::{Answer, Cause, Refusal};
+use super::body;
+use super::forward::Outgoing;
+use super::head::Head;
+use super::header::REQUEST_ID;
+use super::report;
+use super::serve::{self, Call, End};
+use super::shared::{Active, Shared};
+
+/// Size of one piece of an answer's body in bytes.
+const CHUNK_SIZE: usize = 64 << 10;
+
+const METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Put,
+    Method::Post,
+    Method::Delete,
+    Method::Options,
+    Method::Head,
+    Method::Patch,
+];
+
+#[derive(Clone)]
+struct CatchAll {
+    shared: Arc<Shared>,
+}
+
+#[derive(Clone)]
+struct Rejected;
+
+struct Prepared {
+    /// Identity that the caller knows the request by.
+    id: String,
+    call: Call,
+}
+
+/// Body of an answer that keeps its request in progress until it is written.
+struct Whole {
+    body: Cursor<Vec<u8>>,
+    _active: Option<Active>,
+}
+
+/// Routes of the callers' interface.
+pub fn routes(shared: &Arc<Shared>) -> Vec<Route> {
+    let handler = CatchAll {
+        shared: Arc::clone(shared),
+    };
+    METHODS
+        .into_iter()
+        .map(|method| Route::new(method, "/<path..>", handler.clone()))
+        .collect()
+}
+
+/// Catcher of the requests that Rocket itself rejects.
+pub fn catchers() -> Vec<Catcher> {
+    vec![Catcher::new(None, Rejected)]
+}
+
+#[rocket::async_trait]
+impl route::Handler for CatchAll {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> route::Outcome<'r> {
+        let active = self.shared.enter();
+        let started = self.shared.now();
+        let given = request.headers().get_one(REQUEST_ID).unwrap_or_default();
+        let (id, kind, end) = match prepare(&self.shared, request, data).await {
+            Ok(prepared) => {
+                let end = serve::serve(&self.shared, &prepared.call).await;
+                (prepared.id, prepared.call.kind, end)
+            }
+            Err(refusal) => (given.to_owned(), String::new(), End::Refused(refusal)),
+        };
+        let took = self.shared.now().since(started);
+        report::ended(&id, &kind, &end, took);
+        let mut answer = match end {
+            End::Answered(answer) => answer,
+            End::Refused(refusal) => Answer::refused(&refusal),
+            End::Unknown(doubt, reason) => Answer::unknown(doubt, &reason),
+        };
+        answer.headers.push((REQUEST_ID.to_owned(), id));
+        let close = self.shared.is_stopping();
+        Outcome::Success(respond(answer, Some(active), close))
+    }
+}
+
+#[rocket::async_trait]
+impl catcher::Handler for Rejected {
+    async fn handle<'r>(&self, status: Status, _: &'r Request<'_>) -> catcher::Result<'r> {
+        let reason = status.reason_lossy();
+        let refusal = Refusal::new(Cause::Malformed, reason);
+        let answer = Answer {
+            status: status.code,
+            ..Answer::refused(&refusal)
+        };
+        Ok(respond(answer, None, true))
+    }
+}
+
+async fn prepare(
+    shared: &Shared,
+    request: &Request<'_>,
+    data: Data<'_>,
+) -> Result<Prepared, Refusal> {
+    if shared.is_stopping() {
+        return Err(Refusal::new(Cause::Stopping, "this gateway is stopping"));
+    }
+    let settings = &shared.settings.gateway;
+    if shared.in_flight() > settings.concurrency {
+        let reason = "too many requests are in progress";
+        return Err(Refusal::new(Cause::Overloaded, reason));
+    }
+    let started = shared.now();
+    let head = Head::check(request, settings)?;
+    let declarations = Arc::clone(&shared.table.load().declarations);
+    let unknown = || Refusal::new(Cause::UnknownKind, "no request kind has this path");
+    let (name, kind) = declarations.kind_of(&head.path).ok_or_else(unknown)?;
+    let profile = declarations
+        .profiles
+        .get(&kind.profile)
+        .ok_or_else(unknown)?;
+    let allowed = head.deadline_ms.unwrap_or(profile.deadline_ms);
+    let allowed = allowed.min(profile.deadline_ms);
+    let limits = body::Limits {
+        size: settings.body_limit,
+        silence: Duration::from_millis(settings.silence_ms),
+        whole: Duration::from_millis(allowed),
+    };
+    let body = body::read(data, &head, limits).await?;
+    check_override(request, &body)?;
+    let fresh = shared.fresh_id();
+    let id = head.id.unwrap_or_else(|| fresh.clone());
+    let outgoing = Outgoing {
+        method: head.method,
+        target: head.target,
+        headers: head.headers,
+        id: upstream_id(&id, fresh),
+        body,
+    };
+    let call = Call {
+        kind: name.to_owned(),
+        profile: kind.profile.clone(),
+        worth: profile.worth,
+        target_ms: profile.target_ms,
+        idempotent: profile.idempotent,
+        key: head.key,
+        deadline: started + allowed,
+        outgoing,
+    };
+    Ok(Prepared { id, call })
+}
+
+/// Identity towards upstreams: callers may give two requests the same one, but
+/// an answer must be told from that to any other request.
+fn upstream_id(id: &str, fresh: String) -> String {
+    match id == fresh {
+        true => fresh,
+        false => format!("{id}.{fresh}"),
+    }
+}
+
+/// Refuses forms that make Rocket replace the method that the caller sent.
+fn check_override(request: &Request<'_>, body: &[u8]) -> Result<(), Refusal> {
+    let is_form = request.content_type().is_some_and(|kind| kind.is_form());
+    if is_form && body.starts_with(b"_method=") {
+        let reason = "a form must not start with the field _method";
+        return Err(Refusal::new(Cause::Malformed, reason));
+    }
+    Ok(())
+}
+
+fn respond(answer: Answer, active: Option<Active>, close: bool) -> Response<'static> {
+    let size = answer.body.len();
+    let mut response = Response::build();
+    response.status(Status::new(answer.status));
+    for (name, value) in answer.headers {
+        response.raw_header_adjoin(name, value);
+    }
+    if close {
+        response.raw_header("connection", "close");
+    }
+    let body = Whole {
+        body: Cursor::new(answer.body),
+        _active: active,
+    };
+    response.sized_body(size, body);
+    response.max_chunk_size(CHUNK_SIZE);
+    response.finalize()
+}
+
+impl AsyncRead for Whole {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.body).poll_read(cx, buf)
+    }
+}
+
+impl AsyncSeek for Whole {
+    fn start_seek(mut self: Pin<&mut Self>, position: std::io::SeekFrom) -> std::io::Result<()> {
+        Pin::new(&mut self.body).start_seek(position)
+    }
+
+    fn poll_complete(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<u64>> {
+        Pin::new(&mut self.body).poll_complete(cx)
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/gateway/refresh.rs
@@ -0,0 +1,41 @@
+//! Keeps the routing table up to date with the list of workers and the
+//! declarations.
+
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use crate::config::{Current, Declarations};
+use crate::port::HostRecord;
+
+use super::shared::Shared;
+
+/// Publishes a table built from `hosts` and `declarations`.
+pub fn rebuild(shared: &Shared, hosts: &[HostRecord], declarations: Arc<Declarations>) {
+    shared.latency.declare(&declarations);
+    let next = shared
+        .table
+        .load()
+        .next(&shared.place(), hosts, declarations);
+    shared.table.store(Arc::new(next));
+}
+
+/// Follows both sources until they end.
+pub async fn follow(
+    shared: Arc<Shared>,
+    mut hosts: watch::Receiver<Arc<Vec<HostRecord>>>,
+    current: Current,
+) {
+    let mut revision = current.subscribe();
+    loop {
+        let list = Arc::clone(&hosts.borrow_and_update());
+        rebuild(&shared, &list, current.load());
+        let open = tokio::select! {
+            changed = hosts.changed() => changed.is_ok(),
+            changed = revision.changed() => changed.is_ok(),
+        };
+        if !open {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/gateway/subset.rs
@@ -0,0 +1,44 @@
+//! Which upstreams a gateway keeps connections to.
+//!
+//! Rendezvous hashing by the gateway's name gives each gateway a stable subset:
+//! a worker that comes or goes changes one member, and gateways spread over all
+//! workers.
+
+use std::hash::{Hash, Hasher};
+
+use rustc_hash::FxHasher;
+
+use crate::port::HostRecord;
+
+use super::table::Place;
+
+/// Share of the subset that is kept for other zones if they have the upstreams, in percent.
+const FAR_PERCENT: usize = 25;
+
+/// Chooses the subset of `hosts` for the gateway at `place`.
+pub fn choose<'a>(
+    place: &Place,
+    hosts: impl Iterator<Item = &'a HostRecord>,
+) -> Vec<&'a HostRecord> {
+    let (mut near, mut far): (Vec<_>, Vec<_>) = hosts.partition(|host| host.zone == place.zone);
+    let reserved = far.len().min(place.subset * FAR_PERCENT / 100);
+    keep(&mut near, place, place.subset.saturating_sub(reserved));
+    keep(&mut far, place, place.subset.saturating_sub(near.len()));
+    near.append(&mut far);
+    near
+}
+
+fn keep(hosts: &mut Vec<&HostRecord>, place: &Place, count: usize) {
+    hosts.sort_by_cached_key(|host| (weight(&place.name, &host.name), host.name.clone()));
+    hosts.truncate(count);
+}
+
+fn weight(gateway: &str, worker: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    gateway.hash(&mut hasher);
+    worker.hash(&mut hasher);
+    // The low bits of the fast hash depend on few bits of its input; this
+    // spreads them over the whole word.
+    let mixed = hasher.finish().wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93)
+}
--- /dev/null
+++ b/crates/verbenahitch/src/gateway/upstream.rs
@@ -0,0 +1,154 @@
+//! One upstream as this gateway sees it: its slots in use, its health, and the
+//! client that holds its connections.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use reqwest::Client;
+use reqwest::redirect::Policy;
+
+use crate::domain::{Millis, Monotonic};
+use crate::port::HostRecord;
+
+use super::admission::Freed;
+use super::health::Health;
+use super::limit::Limit;
+use super::table::Place;
+
+/// Longest time that an unused connection is kept, in milliseconds.
+const IDLE_LIMIT_MS: Millis = 10_000;
+/// Longest time for opening a connection, in milliseconds.
+const CONNECT_LIMIT_MS: Millis = 500;
+
+/// State of one upstream; shared by all routing tables that list it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Number that tells upstreams of this process apart.
+    pub id: u32,
+    /// Name of its worker.
+    pub name: String,
+    /// Address as `ip:port`.
+    pub address: String,
+    /// Limit of requests in progress from this gateway.
+    pub limit: Limit,
+    /// Outlier ejection.
+    pub health: Health,
+    in_flight: AtomicU32,
+    leaving: AtomicBool,
+    client: ArcSwap<Client>,
+    silence_ms: Millis,
+    freed: Arc<Freed>,
+}
+
+impl Upstream {
+    /// Creates the state of an upstream that was just listed.
+    pub fn new(id: u32, record: &HostRecord, place: &Place) -> Self {
+        Self {
+            id,
+            name: record.name.clone(),
+            address: record.upstream.clone(),
+            limit: Limit::new(record.slots),
+            health: Health::default(),
+            in_flight: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            client: ArcSwap::from_pointee(client(place.silence_ms)),
+            silence_ms: place.silence_ms,
+            freed: Arc::clone(&place.freed),
+        }
+    }
+
+    /// Requests in progress from this gateway.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Whether the upstream may get a request at `now`.
+    pub fn is_open(&self, now: Monotonic) -> bool {
+        !self.is_leaving() && self.in_flight() < self.allowed(now)
+    }
+
+    /// Takes a slot, unless none is free at `now`.
+    pub fn try_take(self: &Arc<Self>, now: Monotonic) -> Option<Slot> {
+        if self.is_leaving() {
+            return None;
+        }
+        let allowed = self.allowed(now);
+        self.in_flight
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |taken| {
+                (taken < allowed).then_some(taken + 1)
+            })
+            .ok()?;
+        Some(Slot {
+            upstream: Arc::clone(self),
+        })
+    }
+
+    /// Whether the upstream has said that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the upstream is leaving; says whether that is new.
+    pub fn set_leaving(&self, leaving: bool) -> bool {
+        self.leaving.swap(leaving, Ordering::Relaxed) != leaving
+    }
+
+    /// Client that holds the upstream's connections.
+    pub fn client(&self) -> Arc<Client> {
+        self.client.load_full()
+    }
+
+    /// Gives up the connections of `suspect`; requests in progress keep theirs.
+    ///
+    /// Says whether `suspect` was still in use, so that many requests on one
+    /// silent pool retire it once.
+    pub fn retire(&self, suspect: &Arc<Client>) -> bool {
+        let fresh = Arc::new(client(self.silence_ms));
+        let found = self.client.compare_and_swap(suspect, fresh);
+        Arc::ptr_eq(&found, suspect)
+    }
+
+    fn allowed(&self, now: Monotonic) -> u32 {
+        self.health.allowed(now, self.limit.current())
+    }
+}
+
+/// One request in progress at an upstream; dropping it frees the slot.
+#[derive(Debug)]
+pub struct Slot {
+    upstream: Arc<Upstream>,
+}
+
+impl Slot {
+    /// Upstream of the slot.
+    pub fn upstream(&self) -> &Arc<Upstream> {
+        &self.upstream
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.upstream.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.upstream.freed.signal();
+    }
+}
+
+fn client(silence_ms: Millis) -> Client {
+    Client::builder()
+        .http1_only()
+        .no_proxy()
+        // A followed redirect or a retry inside the client would put a request
+        // on the wire a second time, unseen.
+        .redirect(Policy::none())
+        .retry(reqwest::retry::never())
+        .referer(false)
+        .tcp_nodelay(true)
+        .connect_timeout(Duration::from_millis(CONNECT_LIMIT_MS))
+        .pool_idle_timeout(Duration::from_millis(IDLE_LIMIT_MS))
+        .tcp_keepalive(Duration::from_millis(silence_ms))
+        .tcp_user_timeout(Duration::from_millis(silence_ms))
+        .build()
+        .expect("a client without TLS and proxies always builds")
+}
