Seam: keep task sets as bitmaps, checkpoints with their run, and announce a release

A job of 20,000 tasks would have needed some hundred kilobytes of JSON per commit. The end of a run now takes its mark away, so that a mark means "may be running" and nothing else.

--- a/crates/verbenahitch/src/domain/job.rs
+++ b/crates/verbenahitch/src/domain/job.rs
@@ -1,11 +1,11 @@
 //! Jobs, tasks, and what the store keeps of them.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
-use super::Millis;
-use crate::collections::HashMap;
+use super::{Checkpoint, EndedTasks, Millis, TaskSet};
 
 /// Identity of a job: team and the caller's own key for the submission.
 ///
@@ -98,8 +98,9 @@
 
 /// What the store keeps of a job.
 ///
-/// A task may have been started only if its index is in `marked`: the owner
-/// commits the mark before it sends the start.
+/// A task may be running, or may have ended unreported, only if its index is in
+/// `marked`: the owner commits the mark before it sends the start, and commits
+/// the end of a run, which takes the mark away, before it starts the task again.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct JobRecord {
@@ -111,13 +112,13 @@
     pub accepted_ms: Millis,
     /// Whether the caller cancelled the job.
     pub cancelled: bool,
-    /// Tasks that may have been started.
-    pub marked: Vec<u32>,
+    /// Tasks that may have been started since the end of their last noted run.
+    pub marked: TaskSet,
     /// Tasks that have ended, with their outcome.
-    pub ended: HashMap<u32, TaskOutcome>,
-    /// Newest known checkpoint of each unfinished task: progress in milliseconds of work.
+    pub ended: EndedTasks,
+    /// Unfinished tasks that ran before, with the end of their last noted run.
     #[serde(default)]
-    pub checkpoints: HashMap<u32, Millis>,
+    pub checkpoints: BTreeMap<u32, Checkpoint>,
 }
 
 impl JobRecord {
@@ -128,14 +129,14 @@
             spec,
             accepted_ms,
             cancelled: false,
-            marked: Vec::new(),
-            ended: HashMap::default(),
-            checkpoints: HashMap::default(),
+            marked: TaskSet::default(),
+            ended: EndedTasks::default(),
+            checkpoints: BTreeMap::new(),
         }
     }
 
     /// Whether every task has ended.
     pub fn is_finished(&self) -> bool {
-        self.ended.len() >= usize::try_from(self.spec.tasks).unwrap_or(usize::MAX)
+        self.ended.len() >= self.spec.tasks
     }
 }
--- a/crates/verbenahitch/src/domain/mod.rs
+++ b/crates/verbenahitch/src/domain/mod.rs
@@ -8,10 +8,12 @@
 mod key;
 mod profile;
 mod resources;
+mod tasks;
 mod time;
 
 pub use job::{JobId, JobRecord, JobSpec, ShardId, TaskId, TaskOutcome};
 pub use key::{JobKey, TaskKey, WorkerKey};
 pub use profile::{Class, Eviction, Profile};
 pub use resources::Resources;
+pub use tasks::{Checkpoint, EndedTasks, TaskSet};
 pub use time::{Millis, Monotonic};
--- a/crates/verbenahitch/src/scheduler/message.rs
+++ b/crates/verbenahitch/src/scheduler/message.rs
@@ -30,6 +30,9 @@
     },
     /// This process no longer owns the shard.
     Lost,
+    /// This process is about to give the shard up: nothing more is started, and
+    /// marks of tasks that were not started are taken back.
+    Release,
     /// Task leases may be renewed until then.
     Authority(Monotonic),
     /// Tasks may be started until then.
