Decide for one shard: submit, commit, mark, start, end, evict, resume, recover

The owner of a shard had no logic. Shard::step now carries a job from its submission to its end, recovers from another owner's records and the workers' reports, and hands jobs over when the zone is out.

--- a/crates/verbenahitch/src/scheduler/mod.rs
+++ b/crates/verbenahitch/src/scheduler/mod.rs
@@ -1,11 +1,13 @@
 //! The scheduler: owns shards, places their tasks and keeps their state.
 //!
-//! `Shard` is the decision logic of one shard. It does no I/O: the daemon
-//! feeds it `Input`s and carries out its `Action`s.
+//! [`Shard`] is the decision logic of one shard. It does no I/O: the daemon
+//! feeds it [`Input`]s and carries out its [`Action`]s.
 
 mod message;
+mod shard;
 
 pub use message::{
     Action, Answer, Batch, CommitError, Input, JobStatus, Request, ShardStatus, SubmitError,
     WorkerStatus, Write,
 };
+pub use shard::{Params, Shard};
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/shard/commit.rs
@@ -0,0 +1,306 @@
+//! Group commit: at most one batch under way, several jobs a batch, all changes
+//! of a job in one write.
+
+use std::collections::VecDeque;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::Shard;
+use super::job::{Effects, Phase, Stage};
+use crate::domain::{JobKey, JobRecord, Millis, Monotonic, TaskKey};
+use crate::event::{Entry, Kind};
+use crate::scheduler::{Action, Answer, Batch, CommitError, Write};
+
+/// One of the store's 64 operations requires the shard's lock.
+const MAX_WRITES: usize = 63;
+/// The store's transactions are at most 512 KiB.
+const MAX_BATCH_BYTES: usize = 360 << 10;
+const FIRST_BACKOFF_MS: Millis = 100;
+const LAST_BACKOFF_MS: Millis = 5_000;
+
+/// State of the group commit.
+#[derive(Debug)]
+pub(super) struct Committer {
+    urgent: VecDeque<JobKey>,
+    other: VecDeque<JobKey>,
+    under_way: Option<(Batch, Vec<JobKey>)>,
+    next_batch: u64,
+    last_sent: Option<Monotonic>,
+    retry_at: Option<Monotonic>,
+    backoff_ms: Millis,
+    rng: ChaCha8Rng,
+}
+
+impl Committer {
+    /// Creates an idle group commit.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            urgent: VecDeque::new(),
+            other: VecDeque::new(),
+            under_way: None,
+            next_batch: 0,
+            last_sent: None,
+            retry_at: None,
+            backoff_ms: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Forgets all that waits; numbers of batches go on rising.
+    pub fn reset(&mut self) {
+        self.urgent.clear();
+        self.other.clear();
+        self.under_way = None;
+        self.retry_at = None;
+        self.backoff_ms = 0;
+    }
+
+    /// When the next commit is due, if any.
+    pub fn due(&self, interval_ms: Millis) -> Option<Monotonic> {
+        if self.under_way.is_some() {
+            return self.retry_at;
+        }
+        let waits = !self.urgent.is_empty() || !self.other.is_empty();
+        waits.then(|| {
+            self.last_sent
+                .map_or(Monotonic::default(), |sent| sent + interval_ms)
+        })
+    }
+
+    /// Whether nothing waits and nothing is under way.
+    pub fn is_quiet(&self) -> bool {
+        self.under_way.is_none() && self.urgent.is_empty() && self.other.is_empty()
+    }
+
+    /// Whether the store refused or missed the last attempt.
+    pub fn is_failing(&self) -> bool {
+        self.backoff_ms > 0
+    }
+
+    fn back_off(&mut self, now: Monotonic) {
+        self.backoff_ms = (self.backoff_ms * 2).clamp(FIRST_BACKOFF_MS, LAST_BACKOFF_MS);
+        let jitter = self.rng.random_range(0..=self.backoff_ms / 4);
+        self.retry_at = Some(now + self.backoff_ms + jitter);
+    }
+}
+
+impl Shard {
+    /// Notes that a job's record has changed; urgent changes go first.
+    pub(super) fn touch(&mut self, key: JobKey, urgent: bool) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if urgent {
+            self.committer.urgent.push_back(key);
+        } else if !job.dirty {
+            self.committer.other.push_back(key);
+        }
+        job.dirty = true;
+    }
+
+    pub(super) fn begin_commit(&mut self, now: Monotonic) {
+        if let Some((batch, _)) = &self.committer.under_way {
+            if self.committer.retry_at.is_some_and(|at| now >= at) {
+                self.committer.retry_at = None;
+                self.out.push(Action::Commit(batch.clone()));
+            }
+            return;
+        }
+        let due = self.committer.due(self.params.commit_ms);
+        if due.is_none_or(|due| now < due) {
+            return;
+        }
+        let (keys, writes) = self.collect_writes();
+        if writes.is_empty() {
+            return;
+        }
+        self.committer.next_batch += 1;
+        let number = self.committer.next_batch;
+        let batch = Batch { number, writes };
+        self.committer.last_sent = Some(now);
+        self.committer.under_way = Some((batch.clone(), keys));
+        self.out.push(Action::Commit(batch));
+    }
+
+    fn collect_writes(&mut self) -> (Vec<JobKey>, Vec<Write>) {
+        let (mut keys, mut writes, mut bytes) = (Vec::new(), Vec::new(), 0);
+        while writes.len() < MAX_WRITES && bytes < MAX_BATCH_BYTES {
+            let next = self.committer.urgent.pop_front();
+            let Some(key) = next.or_else(|| self.committer.other.pop_front()) else {
+                break;
+            };
+            let Some(job) = self.jobs.get_mut(key).filter(|job| job.dirty) else {
+                continue;
+            };
+            job.dirty = false;
+            job.inflight = Some(std::mem::take(&mut job.pending));
+            bytes += estimated_bytes(&job.record);
+            keys.push(key);
+            writes.push(match &job.stage {
+                Stage::New | Stage::Stored => Write::Put(job.record.clone()),
+                Stage::Moving(to) => Write::Move {
+                    record: job.record.clone(),
+                    to: to.clone(),
+                },
+                Stage::Removing => Write::Remove(job.record.id.clone()),
+            });
+        }
+        (keys, writes)
+    }
+
+    pub(super) fn on_committed(
+        &mut self,
+        number: u64,
+        result: Result<(), CommitError>,
+        now: Monotonic,
+    ) {
+        let current = |(batch, _): &mut (Batch, Vec<JobKey>)| batch.number == number;
+        match result {
+            Ok(()) => {
+                let Some((_, keys)) = self.committer.under_way.take_if(current) else {
+                    return;
+                };
+                if self.committer.is_failing() {
+                    self.log(Entry::new(Kind::StoreUp).with("shard", &self.name));
+                }
+                self.committer.retry_at = None;
+                self.committer.backoff_ms = 0;
+                for key in keys {
+                    self.on_durable(key, now);
+                }
+            }
+            Err(CommitError::Unavailable) => {
+                if self.committer.under_way.as_mut().is_some_and(current) {
+                    if !self.committer.is_failing() {
+                        self.log(Entry::new(Kind::StoreDown).with("shard", &self.name));
+                    }
+                    self.committer.back_off(now);
+                }
+            }
+            Err(CommitError::NotOwner) => {
+                if self.committer.under_way.as_mut().is_some_and(current) {
+                    self.stand_down("the store says that another process owns the shard", now);
+                }
+            }
+        }
+    }
+
+    fn on_durable(&mut self, key: JobKey, now: Monotonic) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let effects = job.inflight.take().unwrap_or_default();
+        match job.stage.clone() {
+            Stage::Removing => return self.forget_job(key),
+            Stage::Moving(to) => {
+                let entry = Entry::new(Kind::JobMoved)
+                    .with("job", &job.record.id)
+                    .with_text("to", &to);
+                self.log(entry);
+                return self.forget_job(key);
+            }
+            Stage::New => {
+                job.stage = Stage::Stored;
+                let entry = Entry::new(Kind::JobAccepted)
+                    .with("job", &job.record.id)
+                    .with("profile", &*job.name)
+                    .with("tasks", job.record.spec.tasks);
+                self.log(entry);
+            }
+            Stage::Stored => {}
+        }
+        self.apply(key, effects, now);
+        self.close_finished(key, now);
+    }
+
+    fn apply(&mut self, key: JobKey, effects: Effects, now: Monotonic) {
+        for index in effects.marks {
+            let task = TaskKey { job: key, index };
+            if self.phase(task) == Some(Phase::Marking) {
+                self.set_phase(task, Some(Phase::Ready));
+                self.pass_due = now;
+            }
+        }
+        for (worker, run) in effects.acks {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.ending.remove(&run);
+                worker.acks.push(run);
+            }
+        }
+        for (index, from) in effects.requeues {
+            self.requeue(TaskKey { job: key, index }, from, now);
+        }
+        let Some(status) = self.jobs.get(key).map(|job| job.status(&self.name)) else {
+            return;
+        };
+        let accepted = effects
+            .accepts
+            .into_iter()
+            .map(|request| (request, Answer::Accepted(status.clone())));
+        let answered = effects
+            .answers
+            .into_iter()
+            .map(|request| (request, Answer::Job(status.clone())));
+        for (request, body) in accepted.chain(answered) {
+            self.out.push(Action::Answer { request, body });
+        }
+    }
+
+    fn close_finished(&mut self, key: JobKey, now: Monotonic) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.closed || job.dirty || !job.record.is_finished() {
+            return;
+        }
+        job.closed = true;
+        let status = job.status(&self.name);
+        self.removals.insert((now + self.params.retention_ms, key));
+        let entry = Entry::new(Kind::JobFinished)
+            .with("job", &status.id)
+            .with("done", status.done)
+            .with("failed", status.failed)
+            .with("cancelled", status.cancelled)
+            .with("unknown", status.unknown);
+        self.log(entry);
+    }
+
+    pub(super) fn remove_finished(&mut self, now: Monotonic) {
+        while let Some((at, key)) = self.removals.first().copied().filter(|(at, _)| *at <= now) {
+            self.removals.remove(&(at, key));
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            if job.dirty || job.inflight.is_some() {
+                self.removals.insert((now + self.params.sync_ms, key));
+                continue;
+            }
+            job.stage = Stage::Removing;
+            self.touch(key, false);
+        }
+    }
+
+    fn forget_job(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.remove(key) {
+            self.lanes.file(&job.name, job.order, key, false, false);
+            self.lanes.lane(&job.name).ahead -= job.ready.len();
+            self.by_id.remove(&job.record.id);
+        }
+    }
+
+    pub(super) fn phase(&self, task: TaskKey) -> Option<Phase> {
+        self.jobs.get(task.job)?.phases.get(&task.index).copied()
+    }
+}
+
+fn estimated_bytes(record: &JobRecord) -> usize {
+    const FIXED_BYTES: usize = 512;
+    const CHECKPOINT_BYTES: usize = 48;
+    let tasks = usize::try_from(record.spec.tasks).unwrap_or(usize::MAX);
+    // Each task is a bit in base64 in at most two of the sets.
+    FIXED_BYTES
+        + record.spec.payload.len()
+        + tasks / 2
+        + record.checkpoints.len() * CHECKPOINT_BYTES
+}
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/shard/ends.rs
@@ -0,0 +1,463 @@
+//! Ends of runs, as workers report them or as lapsed leases imply them.
+
+use std::sync::Arc;
+
+use super::job::Phase;
+use super::{Run, Shard};
+use crate::domain::{
+    Checkpoint, Millis, Monotonic, Profile, TaskId, TaskKey, TaskOutcome, WorkerKey,
+};
+use crate::event::{Entry, Kind};
+use crate::placement::Resident;
+use crate::port::{Command, EndKind, Ended, Running};
+
+/// Most failed runs of an idempotent task.
+const MAX_FAILURES: u32 = 5;
+const FIRST_RETRY_MS: Millis = 1_000;
+const LAST_RETRY_MS: Millis = 60_000;
+/// A job that failed on as many workers without a success is to blame itself.
+const SUSPECT_WORKERS: usize = 2;
+
+/// What follows from the end of a run.
+enum Verdict {
+    Final(TaskOutcome),
+    /// Starts again from a time on.
+    Again(Monotonic),
+}
+
+impl Shard {
+    pub(super) fn on_running(&mut self, key: WorkerKey, running: &Running, now: Monotonic) {
+        if let Some(run) = self
+            .runs
+            .get_mut(&running.run)
+            .filter(|run| run.worker == key)
+        {
+            run.seen = true;
+            run.checkpoint_ms = run.checkpoint_ms.max(running.checkpoint_ms);
+            self.hold_found(key, running, now);
+            return self.evict_if_leaving(running.run, now);
+        }
+        if let Some(task) = self.task_key(&running.task)
+            && self.adopt_run(key, task, running, now)
+        {
+            self.hold_found(key, running, now);
+            return self.evict_if_leaving(running.run, now);
+        }
+        self.stop_stray(key, running, now);
+    }
+
+    fn task_key(&self, id: &TaskId) -> Option<TaskKey> {
+        let job = self.by_id.get(&id.job).copied()?;
+        let known = id.index < self.jobs[job].record.spec.tasks;
+        known.then_some(TaskKey {
+            job,
+            index: id.index,
+        })
+    }
+
+    /// Takes over a run that a worker reports and this owner did not start.
+    fn adopt_run(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        running: &Running,
+        now: Monotonic,
+    ) -> bool {
+        let job = &self.jobs[task.job];
+        if job.record.ended.get(task.index).is_some() {
+            return false;
+        }
+        if let Some(Phase::Running(other)) = job.phases.get(&task.index).copied()
+            && (other < running.run || !self.withdraw_or_stop(other, now))
+        {
+            return false;
+        }
+        let job = &mut self.jobs[task.job];
+        job.again.remove(&task.index);
+        let fresh = job.record.marked.insert(task.index);
+        let profile = job.profile.clone();
+        let cancelled = job.record.cancelled;
+        let held = self.occupy_found(key, task, running, profile, now);
+        self.set_phase(task, Some(Phase::Running(running.run)));
+        self.workers[key].runs.insert(running.run);
+        self.runs.insert(
+            running.run,
+            Run {
+                task,
+                worker: key,
+                sent: Some(0),
+                seen: true,
+                held,
+                evicting: false,
+                checkpoint_ms: running.checkpoint_ms,
+                reason: "found on its worker".to_owned(),
+            },
+        );
+        if fresh {
+            self.touch(task.job, true);
+        }
+        if cancelled {
+            self.stop(running.run, now);
+        }
+        true
+    }
+
+    /// Keeps a worker closed while it runs what the placer could not commit there.
+    fn hold_found(&mut self, key: WorkerKey, running: &Running, now: Monotonic) {
+        let found = &self.runs[&running.run];
+        if found.held {
+            return;
+        }
+        let task = found.task;
+        let profile = self.jobs[task.job].profile.clone();
+        if !self.occupy_found(key, task, running, profile, now) {
+            self.workers[key].strays.insert(running.run);
+        } else if let Some(found) = self.runs.get_mut(&running.run) {
+            found.held = true;
+        }
+    }
+
+    /// Commits what a found run holds, by its worker's word.
+    fn occupy_found(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskKey,
+        running: &Running,
+        profile: Option<Arc<Profile>>,
+        now: Monotonic,
+    ) -> bool {
+        let Some(profile) = profile else {
+            return false;
+        };
+        let resident = Resident {
+            task,
+            run: running.run,
+            name: Arc::clone(&self.jobs[task.job].name),
+            profile,
+            resources: running.resources,
+            since: now,
+        };
+        self.placer.occupy(worker, resident).is_ok()
+    }
+
+    /// Has a run that must not go on stopped, or takes its start back.
+    ///
+    /// Says whether the run no longer counts as the one of its task.
+    fn withdraw_or_stop(&mut self, run: u64, now: Monotonic) -> bool {
+        let Some(worker) = self.runs.get(&run).map(|run| run.worker) else {
+            return false;
+        };
+        let sent = self.runs[&run].sent.is_some();
+        self.remove_run(run);
+        if sent {
+            self.command(worker, Command::Stop { run }, now);
+        }
+        true
+    }
+
+    fn stop_stray(&mut self, key: WorkerKey, running: &Running, now: Monotonic) {
+        self.workers[key].strays.insert(running.run);
+        self.command(key, Command::Stop { run: running.run }, now);
+        let entry = Entry::new(Kind::TaskEnded)
+            .with_text("task", &running.task)
+            .with("run", running.run)
+            .with("worker", &self.workers[key].host.name)
+            .with("reason", "superseded run is stopped");
+        self.log(entry);
+    }
+
+    /// Stops a run without a checkpoint.
+    pub(super) fn stop(&mut self, run: u64, now: Monotonic) {
+        let Some(found) = self.runs.get(&run) else {
+            return;
+        };
+        let worker = found.worker;
+        if found.sent.is_none() {
+            return self.withdraw(run, now);
+        }
+        self.command(worker, Command::Stop { run }, now);
+    }
+
+    pub(super) fn on_ended(&mut self, key: WorkerKey, ended: &Ended, now: Monotonic) {
+        if self.workers[key].ending.contains(&ended.run) {
+            return;
+        }
+        let known = self
+            .runs
+            .get(&ended.run)
+            .is_some_and(|run| run.worker == key);
+        if known {
+            return self.finish(ended.run, ended.kind, ended.checkpoint_ms, now);
+        }
+        match self.task_key(&ended.task) {
+            Some(task) => self.on_unexpected_end(key, task, ended, now),
+            None => self.workers[key].acks.push(ended.run),
+        }
+    }
+
+    /// Takes in the end of a run that this owner did not start or has given up.
+    fn on_unexpected_end(&mut self, key: WorkerKey, task: TaskKey, ended: &Ended, now: Monotonic) {
+        let job = &self.jobs[task.job];
+        let noted = job.record.checkpoints.get(&task.index);
+        let stale = noted.is_some_and(|checkpoint| checkpoint.run >= ended.run);
+        let done = ended.kind == EndKind::Done;
+        let outcome = job.record.ended.get(task.index);
+        let phase = job.phases.get(&task.index).copied();
+        match (outcome, phase) {
+            // The worker tells what was not known before.
+            (Some(TaskOutcome::Unknown), _) if done => {
+                self.jobs[task.job].end(task.index, TaskOutcome::Done);
+                self.note_ack(task, key, ended.run);
+            }
+            (Some(_), _) => self.workers[key].acks.push(ended.run),
+            (None, Some(Phase::Unclear)) if !stale => {
+                self.set_phase(task, None);
+                self.conclude(task, key, ended.run, ended.kind, ended.checkpoint_ms, now);
+            }
+            (None, _) if done => {
+                self.supersede(task, now);
+                self.conclude(task, key, ended.run, ended.kind, ended.checkpoint_ms, now);
+            }
+            (None, phase) => {
+                let runs = matches!(phase, Some(Phase::Running(_)));
+                if runs || !self.note_progress(task, ended) {
+                    return self.workers[key].acks.push(ended.run);
+                }
+                self.note_ack(task, key, ended.run);
+            }
+        }
+    }
+
+    /// Notes a newer checkpoint of a run that was given up; says whether it is newer.
+    fn note_progress(&mut self, task: TaskKey, ended: &Ended) -> bool {
+        let record = &mut self.jobs[task.job].record;
+        let Some(noted) = record.checkpoints.get_mut(&task.index) else {
+            return false;
+        };
+        if noted.run != ended.run || ended.checkpoint_ms <= noted.progress_ms {
+            return false;
+        }
+        noted.progress_ms = ended.checkpoint_ms;
+        true
+    }
+
+    /// Stops what a task does now, because an earlier run of it is done.
+    fn supersede(&mut self, task: TaskKey, now: Monotonic) {
+        if let Some(Phase::Running(run)) = self.phase(task) {
+            self.withdraw_or_stop(run, now);
+        }
+        self.set_phase(task, None);
+    }
+
+    /// Takes in the end of a run that this owner knows.
+    pub(super) fn finish(
+        &mut self,
+        run: u64,
+        kind: EndKind,
+        checkpoint_ms: Millis,
+        now: Monotonic,
+    ) {
+        let Some(gone) = self.remove_run(run) else {
+            return;
+        };
+        self.set_phase(gone.task, None);
+        let progress_ms = checkpoint_ms.max(gone.checkpoint_ms);
+        self.conclude(gone.task, gone.worker, run, kind, progress_ms, now);
+    }
+
+    fn conclude(
+        &mut self,
+        task: TaskKey,
+        worker: WorkerKey,
+        run: u64,
+        kind: EndKind,
+        progress_ms: Millis,
+        now: Monotonic,
+    ) {
+        let verdict = self.judge(task, worker, kind, now);
+        self.note_health(task, worker, kind, now);
+        let host = self.workers[worker].host.name.clone();
+        let entry = Entry::new(Kind::TaskEnded)
+            .with_text("task", self.jobs[task.job].task_id(task.index))
+            .with("run", run)
+            .with("worker", host)
+            .with("kind", kind)
+            .with("checkpoint-ms", progress_ms);
+        self.log(entry);
+        match verdict {
+            Verdict::Final(outcome) => self.end_task(task, outcome),
+            Verdict::Again(from) => self.note_requeue(task, run, progress_ms, from),
+        }
+        self.note_ack(task, worker, run);
+        self.pass_due = now;
+    }
+
+    /// Has a run acknowledged once the record's changes are durable.
+    fn note_ack(&mut self, task: TaskKey, worker: WorkerKey, run: u64) {
+        self.workers[worker].ending.insert(run);
+        self.jobs[task.job].pending.acks.push((worker, run));
+        self.touch(task.job, false);
+    }
+
+    fn judge(
+        &mut self,
+        task: TaskKey,
+        worker: WorkerKey,
+        kind: EndKind,
+        now: Monotonic,
+    ) -> Verdict {
+        let job = &mut self.jobs[task.job];
+        let idempotent = job.is_idempotent();
+        match kind {
+            EndKind::Done => Verdict::Final(TaskOutcome::Done),
+            _ if job.record.cancelled => Verdict::Final(TaskOutcome::Cancelled),
+            EndKind::Evicted | EndKind::Lapsed => Verdict::Again(now),
+            EndKind::Stopped if idempotent => Verdict::Again(now),
+            EndKind::Stopped => Verdict::Final(TaskOutcome::Unknown),
+            EndKind::Failed => {
+                let attempts = job.attempts.entry(task.index).or_default();
+                attempts.failures += 1;
+                attempts.avoid = Some(worker);
+                if !idempotent || attempts.failures >= MAX_FAILURES {
+                    return Verdict::Final(TaskOutcome::Failed);
+                }
+                let doubled = FIRST_RETRY_MS << (attempts.failures - 1);
+                Verdict::Again(now + doubled.min(LAST_RETRY_MS))
+            }
+        }
+    }
+
+    pub(super) fn end_task(&mut self, task: TaskKey, outcome: TaskOutcome) {
+        let job = &mut self.jobs[task.job];
+        if outcome == TaskOutcome::Unknown {
+            let entry = Entry::new(Kind::TaskUnknown).with_text("task", job.task_id(task.index));
+            job.end(task.index, outcome);
+            self.log(entry);
+        } else {
+            job.end(task.index, outcome);
+        }
+        self.making_room.remove(&task);
+        self.touch(task.job, false);
+        self.file(task.job);
+    }
+
+    /// Takes a task's mark away; it starts again once that is durable.
+    fn note_requeue(&mut self, task: TaskKey, run: u64, progress_ms: Millis, from: Monotonic) {
+        let job = &mut self.jobs[task.job];
+        let noted = job.record.checkpoints.entry(task.index).or_default();
+        *noted = Checkpoint {
+            run: noted.run.max(run),
+            progress_ms: noted.progress_ms.max(progress_ms),
+        };
+        job.record.marked.remove(task.index);
+        job.pending.requeues.push((task.index, from));
+        let entry = Entry::new(Kind::TaskRequeued)
+            .with_text("task", job.task_id(task.index))
+            .with("checkpoint-ms", noted_progress(job, task.index));
+        self.set_phase(task, Some(Phase::Requeueing(run)));
+        self.touch(task.job, true);
+        self.log(entry);
+    }
+
+    /// Lets a task start again, now that the end of its last run is durable.
+    pub(super) fn requeue(&mut self, task: TaskKey, from: Monotonic, now: Monotonic) {
+        if !matches!(self.phase(task), Some(Phase::Requeueing(_))) {
+            return;
+        }
+        if self.jobs[task.job].record.cancelled {
+            self.set_phase(task, None);
+            return self.end_task(task, TaskOutcome::Cancelled);
+        }
+        if from > now {
+            self.set_phase(task, Some(Phase::Delayed));
+            self.delayed.insert((from, task));
+            return;
+        }
+        self.jobs[task.job].again.insert(task.index);
+        self.set_phase(task, None);
+    }
+
+    pub(super) fn wake_delayed(&mut self, now: Monotonic) {
+        while let Some((at, task)) = self.delayed.first().copied().filter(|(at, _)| *at <= now) {
+            self.delayed.remove(&(at, task));
+            if self.phase(task) == Some(Phase::Delayed) {
+                self.jobs[task.job].again.insert(task.index);
+                self.set_phase(task, None);
+            }
+        }
+    }
+
+    /// Takes in that a worker no longer reports a run.
+    pub(super) fn on_missing(&mut self, run: u64, seq: u64, restarted: bool, now: Monotonic) {
+        let found = &self.runs[&run];
+        match found.sent {
+            None => {}
+            // Its start was in an earlier sync, which the worker refuses from now on.
+            Some(sent) if sent < seq && !found.seen && !restarted => self.withdraw(run, now),
+            Some(_) => self.lose(run, now),
+        }
+    }
+
+    /// Takes in that a run is over and nobody tells how it ended.
+    pub(super) fn lose(&mut self, run: u64, now: Monotonic) {
+        let Some(gone) = self.remove_run(run) else {
+            return;
+        };
+        self.set_phase(gone.task, None);
+        self.pass_due = now;
+        let job = &self.jobs[gone.task.job];
+        if !job.is_idempotent() {
+            self.end_task(gone.task, TaskOutcome::Unknown);
+        } else if job.record.cancelled {
+            self.end_task(gone.task, TaskOutcome::Cancelled);
+        } else {
+            self.note_requeue(gone.task, run, gone.checkpoint_ms, now);
+        }
+    }
+
+    /// Gives up the runs of a silent worker once all their leases have lapsed.
+    pub(super) fn lapse_silent(&mut self, key: WorkerKey, now: Monotonic) {
+        let worker = &self.workers[key];
+        if now < worker.lapse + self.params.lease_margin_ms() {
+            return;
+        }
+        let runs: Vec<u64> = worker.runs.iter().copied().collect();
+        for run in runs {
+            match self.runs[&run].sent {
+                Some(_) => self.lose(run, now),
+                None => self.withdraw(run, now),
+            }
+        }
+    }
+
+    fn note_health(&mut self, task: TaskKey, worker: WorkerKey, kind: EndKind, now: Monotonic) {
+        let job = &mut self.jobs[task.job];
+        let host = &mut self.workers[worker];
+        let changed = match kind {
+            EndKind::Done => {
+                job.succeeded = true;
+                host.health.note_success().then_some(Kind::WorkerRestored)
+            }
+            EndKind::Failed => {
+                job.failed_on.insert(worker);
+                // A job that fails everywhere says nothing of the worker.
+                let suspect = !job.succeeded && job.failed_on.len() >= SUSPECT_WORKERS;
+                let condemned = !suspect && host.health.note_failure(task.job, now);
+                condemned.then_some(Kind::WorkerQuarantined)
+            }
+            EndKind::Evicted | EndKind::Stopped | EndKind::Lapsed => None,
+        };
+        if let Some(kind) = changed {
+            let entry = Entry::new(kind).with("worker", &host.host.name);
+            self.log(entry);
+        }
+        self.refresh(worker, now);
+    }
+}
+
+fn noted_progress(job: &super::Job, index: u32) -> Millis {
+    job.record
+        .checkpoints
+        .get(&index)
+        .map_or(0, |checkpoint| checkpoint.progress_ms)
+}
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/shard/evictions.rs
@@ -0,0 +1,136 @@
+//! Evictions and throttling: for urgent tasks, against interference, and off
+//! workers that leave.
+
+use super::Shard;
+use crate::domain::{Class, Millis, Monotonic, TaskKey, WorkerKey};
+use crate::event::{Entry, Kind};
+use crate::interference::Relief;
+use crate::port::{Command, HostState};
+
+/// Time between two looks at interference.
+const RELIEF_MS: Millis = 500;
+
+impl Shard {
+    /// Evicts tasks of a worker, unless room is being made for the task already.
+    pub(super) fn make_room(
+        &mut self,
+        task: TaskKey,
+        worker: WorkerKey,
+        victims: &[TaskKey],
+        now: Monotonic,
+    ) {
+        if let Some(runs) = self.making_room.get_mut(&task) {
+            runs.retain(|run| self.runs.contains_key(run));
+            if !runs.is_empty() {
+                return;
+            }
+        }
+        let mut evicted = crate::collections::HashSet::default();
+        for victim in victims {
+            let run = self.run_on(worker, *victim);
+            if let Some(run) = run.filter(|run| self.evict(*run, true, "room for urgent work", now))
+            {
+                evicted.insert(run);
+            }
+        }
+        self.making_room.insert(task, evicted);
+    }
+
+    fn run_on(&self, worker: WorkerKey, task: TaskKey) -> Option<u64> {
+        match self.phase(task)? {
+            super::Phase::Running(run) if self.runs[&run].worker == worker => Some(run),
+            _ => None,
+        }
+    }
+
+    /// Carries out what the placer wants done against interference.
+    pub(super) fn relieve(&mut self, now: Monotonic) {
+        if now < self.relief_due {
+            return;
+        }
+        self.relief_due = now + RELIEF_MS;
+        for relief in self.placer.relieve(now) {
+            match relief {
+                Relief::Throttle {
+                    worker,
+                    task,
+                    share,
+                } => self.throttle(worker, task, share, now),
+                Relief::Evict { worker, task } => {
+                    if let Some(run) = self.run_on(worker, task) {
+                        self.evict(run, true, "interference", now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn throttle(&mut self, worker: WorkerKey, task: TaskKey, share: f64, now: Monotonic) {
+        let Some(run) = self.run_on(worker, task) else {
+            return;
+        };
+        self.command(worker, Command::Throttle { run, share }, now);
+        let entry = Entry::new(Kind::Throttled)
+            .with_text("task", self.jobs[task.job].task_id(task.index))
+            .with("run", run)
+            .with("worker", &self.workers[worker].host.name)
+            .with("share", share);
+        self.log(entry);
+    }
+
+    /// Evicts a run with a checkpoint; `counted` evictions keep within the profile's budget.
+    ///
+    /// Says whether the run was told to stop.
+    pub(super) fn evict(&mut self, run: u64, counted: bool, reason: &str, now: Monotonic) -> bool {
+        let Some(found) = self.runs.get(&run) else {
+            return false;
+        };
+        if found.sent.is_none() {
+            self.withdraw(run, now);
+            return false;
+        }
+        let (task, worker) = (found.task, found.worker);
+        let job = &mut self.jobs[task.job];
+        let Some(profile) = job.profile.clone() else {
+            return false;
+        };
+        let attempts = job.attempts.entry(task.index).or_default();
+        let budget = usize::try_from(profile.eviction.hourly_budget).unwrap_or(usize::MAX);
+        let spent = counted && attempts.recent_evictions(now) >= budget;
+        if found.evicting || spent || !profile.eviction.allowed {
+            return false;
+        }
+        attempts.note_eviction(now);
+        job.evictions += 1;
+        let entry = Entry::new(Kind::Evicted)
+            .with_text("task", job.task_id(task.index))
+            .with("run", run)
+            .with("worker", &self.workers[worker].host.name)
+            .with("reason", reason)
+            .with("grace-ms", profile.eviction.grace_ms);
+        self.log(entry);
+        self.workers[worker].evicting += 1;
+        if let Some(found) = self.runs.get_mut(&run) {
+            found.evicting = true;
+        }
+        let grace_ms = profile.eviction.grace_ms;
+        self.command(worker, Command::Evict { run, grace_ms }, now);
+        true
+    }
+
+    /// Evicts a run whose zone is out, or which is batch work on a leaving worker.
+    pub(super) fn evict_if_leaving(&mut self, run: u64, now: Monotonic) {
+        let Some(found) = self.runs.get(&run).filter(|found| !found.evicting) else {
+            return;
+        };
+        if !self.in_service() {
+            self.evict(run, false, "zone out of service", now);
+            return;
+        }
+        let leaving = self.workers[found.worker].host.state == HostState::Leaving;
+        let profile = self.jobs[found.task.job].profile.as_ref();
+        if leaving && profile.is_some_and(|profile| profile.class == Class::Batch) {
+            self.evict(run, false, "worker is leaving", now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/shard/params.rs
@@ -0,0 +1,67 @@
+//! Parameters of a shard.
+
+use crate::domain::{Millis, ShardId};
+use crate::settings::SchedulerSettings;
+
+/// Parameters of one shard's decision logic.
+#[derive(Clone, Debug)]
+pub struct Params {
+    /// Shard.
+    pub shard: ShardId,
+    /// Name of this process.
+    pub owner: String,
+    /// Time between two syncs with a worker that has nothing new, in milliseconds.
+    pub sync_ms: Millis,
+    /// Time limit of a sync, in milliseconds.
+    pub sync_timeout_ms: Millis,
+    /// Lease of a task on its worker, in milliseconds.
+    pub task_lease_ms: Millis,
+    /// Time for which an owner may act while the store cannot be reached, in milliseconds.
+    pub outage_ms: Millis,
+    /// Least time between two commits, in milliseconds.
+    pub commit_ms: Millis,
+    /// Tasks of a profile that are marked ahead of their turn.
+    pub mark_ahead: usize,
+    /// Time for which a finished job can be asked about, in milliseconds.
+    pub retention_ms: Millis,
+    /// Seed of the choices among equals.
+    pub seed: u64,
+}
+
+impl Params {
+    /// Creates the parameters of a shard from the settings.
+    pub fn new(shard: ShardId, owner: &str, settings: &SchedulerSettings, seed: u64) -> Self {
+        Self {
+            shard,
+            owner: owner.to_owned(),
+            sync_ms: settings.sync_ms,
+            sync_timeout_ms: settings.sync_timeout_ms,
+            task_lease_ms: settings.task_lease_ms,
+            outage_ms: settings.outage_ms,
+            commit_ms: settings.commit_ms,
+            mark_ahead: settings.mark_ahead,
+            retention_ms: settings.retention_ms,
+            seed,
+        }
+    }
+
+    /// Time after which a worker refuses a call that was decided on now.
+    pub(super) fn call_bound_ms(&self) -> Millis {
+        self.task_lease_ms / 4
+    }
+
+    /// Time that a worker may take to stop a task whose lease has lapsed.
+    pub(super) fn lease_margin_ms(&self) -> Millis {
+        self.task_lease_ms / 5
+    }
+
+    /// Time for which the list of workers may lack one that a previous owner used.
+    pub(super) fn list_lag_ms(&self) -> Millis {
+        self.task_lease_ms / 5
+    }
+
+    /// Time after which an unanswered sync is given up.
+    pub(super) fn sync_limit_ms(&self) -> Millis {
+        (self.sync_timeout_ms * 2).max(1)
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/shard/starts.rs
@@ -0,0 +1,291 @@
+//! Marks tasks as startable and gives them to workers.
+
+use std::sync::Arc;
+
+use super::job::Phase;
+use super::{Run, Shard};
+use crate::domain::{JobKey, Millis, Monotonic, Profile, TaskKey, WorkerKey};
+use crate::event::{Entry, Kind};
+use crate::placement::{Ask, Choice, Reason, Resident};
+use crate::port::Command;
+
+/// Most tasks started in one step, so that a step stays short.
+const STARTS_PER_STEP: usize = 256;
+/// A task that is not idempotent may end unknown once marked, so few are marked early.
+const UNREPEATABLE_AHEAD: usize = 8;
+/// Time between two passes while nothing changes, for what changes with time alone.
+const PASS_MS: Millis = 250;
+
+/// What became of an attempt to start a task.
+enum Attempt {
+    Started,
+    /// The lane's first task waits.
+    Blocked,
+}
+
+impl Shard {
+    /// Marks the first tasks of each lane, a bounded number ahead of their start.
+    pub(super) fn mark_ahead(&mut self, now: Monotonic) {
+        if self.releasing || !self.in_service() {
+            return;
+        }
+        for name in self.lanes.names() {
+            let budget = self.mark_budget(&name, now);
+            while self.lanes.lane(&name).ahead < budget {
+                let Some((_, key)) = self.lanes.lane(&name).unmarked.first().copied() else {
+                    break;
+                };
+                self.mark_next(key);
+            }
+        }
+    }
+
+    fn mark_budget(&mut self, name: &Arc<str>, now: Monotonic) -> usize {
+        let Some((_, key)) = self.lanes.lane(name).unmarked.first().copied() else {
+            return 0;
+        };
+        let job = &mut self.jobs[key];
+        if job.is_idempotent() {
+            return self.params.mark_ahead;
+        }
+        let Some(index) = job.next_unmarked() else {
+            return 0;
+        };
+        if !self.may_start(now) {
+            return 0;
+        }
+        let task = TaskKey { job: key, index };
+        match self.ask(task, now).map(|ask| self.placer.choose(&ask, now)) {
+            Some(Choice::Place { .. }) => self.params.mark_ahead.min(UNREPEATABLE_AHEAD),
+            // One task is marked, so that room is made for it in its turn.
+            Some(Choice::Evict { .. }) => 1,
+            Some(Choice::Wait(_) | Choice::Never(_)) | None => 0,
+        }
+    }
+
+    fn mark_next(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        let Some(index) = job.next_unmarked() else {
+            return self.file(key);
+        };
+        job.again.remove(&index);
+        job.record.marked.insert(index);
+        job.pending.marks.push(index);
+        self.set_phase(TaskKey { job: key, index }, Some(Phase::Marking));
+        self.touch(key, true);
+    }
+
+    /// Starts tasks in the order of the lanes until none finds room.
+    pub(super) fn start_ready(&mut self, now: Monotonic) {
+        if now < self.pass_due || !self.may_start(now) {
+            return;
+        }
+        self.pass_due = now + PASS_MS;
+        let mut blocked = Vec::new();
+        for _ in 0..STARTS_PER_STEP {
+            let Some((name, key)) = self.lanes.first_ready(&blocked) else {
+                return;
+            };
+            let Some(index) = self.jobs[key].ready.first().copied() else {
+                self.file(key);
+                continue;
+            };
+            match self.try_start(TaskKey { job: key, index }, now) {
+                Attempt::Started => self.lanes.lane(&name).waits = None,
+                Attempt::Blocked => blocked.push(name),
+            }
+        }
+        self.pass_due = now;
+    }
+
+    fn ask(&self, task: TaskKey, now: Monotonic) -> Option<Ask> {
+        let job = self.jobs.get(task.job)?;
+        Some(Ask {
+            task,
+            name: Arc::clone(&job.name),
+            profile: Arc::clone(job.profile.as_ref()?),
+            avoid: job
+                .attempts
+                .get(&task.index)
+                .and_then(|attempts| attempts.avoid),
+            waited_ms: now.since(job.since),
+        })
+    }
+
+    fn try_start(&mut self, task: TaskKey, now: Monotonic) -> Attempt {
+        let Some(ask) = self.ask(task, now) else {
+            return Attempt::Blocked;
+        };
+        match self.placer.choose(&ask, now) {
+            Choice::Place {
+                worker,
+                runner_up,
+                reason,
+            } => self.launch(task, &ask, worker, runner_up, reason, now),
+            Choice::Evict { worker, victims } => {
+                self.make_room(task, worker, &victims, now);
+                self.note_waiting(task, &ask.name, "waits for evictions".to_owned());
+                Attempt::Blocked
+            }
+            Choice::Wait(reason) => {
+                self.note_waiting(task, &ask.name, format!("{reason:?}"));
+                Attempt::Blocked
+            }
+            Choice::Never(reason) => {
+                self.note_waiting(task, &ask.name, reason);
+                Attempt::Blocked
+            }
+        }
+    }
+
+    fn note_waiting(&mut self, task: TaskKey, name: &Arc<str>, reason: String) {
+        let lane = self.lanes.lane(name);
+        if lane.waits.as_ref() == Some(&reason) {
+            return;
+        }
+        lane.waits = Some(reason.clone());
+        let entry = Entry::new(Kind::Waiting)
+            .with_text("task", self.jobs[task.job].task_id(task.index))
+            .with("profile", &**name)
+            .with("reason", reason);
+        self.log(entry);
+    }
+
+    fn launch(
+        &mut self,
+        task: TaskKey,
+        ask: &Ask,
+        worker: WorkerKey,
+        runner_up: Option<WorkerKey>,
+        reason: Reason,
+        now: Monotonic,
+    ) -> Attempt {
+        let Some(run) = self.next_run() else {
+            return Attempt::Blocked;
+        };
+        if !self.occupy(worker, task, run, &ask.name, &ask.profile, now) {
+            return Attempt::Blocked;
+        }
+        let command = self.start_command(task, run, &ask.profile);
+        let checkpoint_ms = self.progress_of(task);
+        self.set_phase(task, Some(Phase::Running(run)));
+        self.making_room.remove(&task);
+        self.runs.insert(
+            run,
+            Run {
+                task,
+                worker,
+                sent: None,
+                seen: false,
+                held: true,
+                evicting: false,
+                checkpoint_ms,
+                reason: format!("{reason:?}"),
+            },
+        );
+        let host = &mut self.workers[worker];
+        host.runs.insert(run);
+        host.commands.push(command);
+        self.wake(worker, now);
+        let entry = Entry::new(Kind::Placed)
+            .with_text("task", self.jobs[task.job].task_id(task.index))
+            .with("run", run)
+            .with("profile", &*ask.name)
+            .with("chosen", &self.workers[worker].host.name)
+            .with(
+                "runner-up",
+                runner_up.map(|key| &self.workers[key].host.name),
+            )
+            .with("reason", format!("{reason:?}"))
+            .with("checkpoint-ms", checkpoint_ms);
+        self.log(entry);
+        Attempt::Started
+    }
+
+    /// Next number of a run, unique in the shard over all epochs.
+    fn next_run(&mut self) -> Option<u64> {
+        let owned = self.owned.as_mut()?;
+        owned.next_run = owned.next_run.checked_add(1)?;
+        Some(owned.epoch << 32 | u64::from(owned.next_run))
+    }
+
+    /// Commits a worker's resources to a run; says whether it had the room.
+    pub(super) fn occupy(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskKey,
+        run: u64,
+        name: &Arc<str>,
+        profile: &Arc<Profile>,
+        now: Monotonic,
+    ) -> bool {
+        let resident = Resident {
+            task,
+            run,
+            name: Arc::clone(name),
+            profile: Arc::clone(profile),
+            resources: profile.resources,
+            since: now,
+        };
+        self.placer.occupy(worker, resident).is_ok()
+    }
+
+    fn start_command(&self, task: TaskKey, run: u64, profile: &Profile) -> Command {
+        let job = &self.jobs[task.job];
+        Command::Start {
+            task: job.task_id(task.index),
+            run,
+            profile: job.name.to_string(),
+            class: profile.class,
+            resources: profile.resources,
+            run_ms: job.record.spec.run_ms,
+            checkpoint_ms: self.progress_of(task),
+            share: 1.0,
+            payload: job.record.spec.payload.clone(),
+        }
+    }
+
+    fn progress_of(&self, task: TaskKey) -> Millis {
+        self.jobs[task.job]
+            .record
+            .checkpoints
+            .get(&task.index)
+            .map_or(0, |checkpoint| checkpoint.progress_ms)
+    }
+
+    /// Takes back a run that provably never started.
+    pub(super) fn withdraw(&mut self, run: u64, now: Monotonic) {
+        let Some(gone) = self.remove_run(run) else {
+            return;
+        };
+        self.set_phase(gone.task, Some(Phase::Ready));
+        self.pass_due = now;
+        let cancelled = self.jobs[gone.task.job].record.cancelled;
+        if cancelled {
+            self.cancel_waiting(gone.task.job);
+            self.touch(gone.task.job, false);
+        }
+    }
+
+    /// Forgets a run and releases what it holds.
+    pub(super) fn remove_run(&mut self, run: u64) -> Option<Run> {
+        let gone = self.runs.remove(&run)?;
+        self.placer.vacate(gone.worker, gone.task);
+        if let Some(worker) = self.workers.get_mut(gone.worker) {
+            worker.runs.remove(&run);
+            worker.evicting -= usize::from(gone.evicting);
+            worker.commands.retain(|command| run_of(command) != run);
+        }
+        Some(gone)
+    }
+}
+
+/// Run that a command is about.
+pub(super) fn run_of(command: &Command) -> u64 {
+    match command {
+        Command::Start { run, .. }
+        | Command::Throttle { run, .. }
+        | Command::Evict { run, .. }
+        | Command::Stop { run } => *run,
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/shard/zone.rs
@@ -0,0 +1,250 @@
+//! Declarations, the list of workers, zones taken out and returning.
+
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use super::Shard;
+use super::job::Stage;
+use super::worker::Worker;
+use crate::collections::HashMap;
+use crate::config::Declarations;
+use crate::domain::{JobId, JobKey, Millis, Monotonic, ShardId, WorkerKey};
+use crate::event::{Entry, Kind};
+use crate::placement::WorkerState;
+use crate::port::{HostRecord, HostState};
+
+/// Time between two looks for jobs to hand over.
+const MOVES_MS: Millis = 100;
+/// Most jobs handed over at a time, so that a look stays short.
+const MOVES_PER_LOOK: usize = 256;
+
+impl Shard {
+    /// Whether the shard's zone takes work.
+    pub(super) fn in_service(&self) -> bool {
+        self.declared.is_in(&self.params.shard.zone)
+    }
+
+    pub(super) fn on_declared(&mut self, declared: Arc<Declarations>, now: Monotonic) {
+        if declared.revision <= self.declared.revision && self.declared.revision > 0 {
+            return;
+        }
+        let first = self.declared.revision == 0;
+        let before = self.in_service();
+        self.declared = declared;
+        let entry = Entry::new(Kind::Declared)
+            .with("shard", &self.name)
+            .with("revision", self.declared.revision);
+        self.log(entry);
+        let share = self.quota_share();
+        self.placer.declare(Arc::clone(&self.declared), share);
+        let keys: Vec<JobKey> = self.jobs.keys().collect();
+        for key in keys {
+            self.profile_job(key);
+        }
+        if !self.in_service() {
+            self.leave_zone(now);
+        } else if !before && !first {
+            self.return_zone(now);
+        }
+        self.pass_due = now;
+    }
+
+    /// This shard's part of the teams' quotas: one of all shards in service.
+    fn quota_share(&self) -> f64 {
+        let shards: u32 = self
+            .declared
+            .zones
+            .iter()
+            .filter(|(name, _)| self.declared.is_in(name))
+            .map(|(_, zone)| zone.shards)
+            .sum();
+        1.0 / f64::from(shards.max(1))
+    }
+
+    fn leave_zone(&mut self, now: Monotonic) {
+        self.moves_due = now;
+        let mut runs: Vec<u64> = self.runs.keys().copied().collect();
+        runs.sort_unstable();
+        for run in runs {
+            self.evict_if_leaving(run, now);
+        }
+    }
+
+    /// Opens the workers one after another over the zone's ramp.
+    fn return_zone(&mut self, now: Monotonic) {
+        self.returning = Some(now);
+        let mut keys: Vec<WorkerKey> = self.workers.keys().collect();
+        keys.sort_by_key(|key| spread(&self.workers[*key].host.name));
+        let ramp_ms = self.ramp_ms();
+        let count = u64::try_from(keys.len()).unwrap_or(u64::MAX).max(1);
+        for (at, key) in (0..).zip(keys) {
+            self.workers[key].opens = now + ramp_ms * at / count;
+            self.refresh(key, now);
+        }
+    }
+
+    fn ramp_ms(&self) -> Millis {
+        let zone = self.declared.zones.get(&self.params.shard.zone);
+        zone.map_or(0, |zone| zone.ramp_ms)
+    }
+
+    /// When a worker that the list shows for the first time takes tasks.
+    fn opening(&self, name: &str, now: Monotonic) -> Monotonic {
+        const PARTS: u64 = 1 << 10;
+        let ramp_ms = self.ramp_ms();
+        match self.returning.filter(|since| now.since(*since) < ramp_ms) {
+            Some(since) => since + ramp_ms * (spread(name) % PARTS) / PARTS,
+            None => now,
+        }
+    }
+
+    pub(super) fn on_hosts(&mut self, hosts: Vec<HostRecord>, now: Monotonic) {
+        self.listed = true;
+        let mut unlisted: HashMap<String, WorkerKey> = self.by_name.clone();
+        for host in hosts {
+            unlisted.remove(&host.name);
+            match self.by_name.get(&host.name).copied() {
+                Some(key) => self.update_host(key, host, now),
+                None => self.add_host(host, now),
+            }
+        }
+        for key in unlisted.into_values() {
+            self.workers[key].listed = false;
+            self.refresh(key, now);
+        }
+    }
+
+    fn add_host(&mut self, host: HostRecord, now: Monotonic) {
+        let key = self
+            .placer
+            .add_worker(host.capacity, &host.rack, WorkerState::Closed);
+        self.by_name.insert(host.name.clone(), key);
+        let opens = self.opening(&host.name, now);
+        self.workers.insert(key, Worker::new(key, host, opens, now));
+        self.timers.insert((now, key));
+    }
+
+    fn update_host(&mut self, key: WorkerKey, host: HostRecord, now: Monotonic) {
+        let worker = &mut self.workers[key];
+        if worker.host == host && worker.listed {
+            return;
+        }
+        worker.listed = true;
+        if worker.host.capacity != host.capacity {
+            self.placer.resize(key, host.capacity);
+        }
+        let leaves = worker.host.state != host.state && host.state == HostState::Leaving;
+        worker.host = host;
+        self.refresh(key, now);
+        if leaves {
+            let mut runs: Vec<u64> = self.workers[key].runs.iter().copied().collect();
+            runs.sort_unstable();
+            for run in runs {
+                self.evict_if_leaving(run, now);
+            }
+        }
+    }
+
+    /// Tells the placer whether a worker takes tasks.
+    pub(super) fn refresh(&mut self, key: WorkerKey, now: Monotonic) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let state = worker.state(now);
+        if std::mem::replace(&mut worker.shown, state) == state {
+            return;
+        }
+        self.placer.set_state(key, state);
+        if state != WorkerState::Closed {
+            self.pass_due = self.pass_due.min(now);
+        }
+    }
+
+    /// Forgets a worker that the list no longer shows and that holds nothing; says whether it did.
+    pub(super) fn drop_unlisted(&mut self, key: WorkerKey) -> bool {
+        let worker = &self.workers[key];
+        let settled = self.is_settled();
+        let holds = !worker.runs.is_empty() || !worker.ending.is_empty();
+        if worker.listed || holds || !settled {
+            return false;
+        }
+        self.timers.remove(&(worker.due, key));
+        self.by_name.remove(&worker.host.name);
+        self.workers.remove(key);
+        self.placer.remove_worker(key);
+        true
+    }
+
+    /// Hands jobs over of which nothing runs here, while the zone is out.
+    pub(super) fn move_jobs(&mut self, now: Monotonic) {
+        if now < self.moves_due || self.in_service() || !self.is_settled() {
+            return;
+        }
+        self.moves_due = now + MOVES_MS;
+        let targets = self.targets();
+        if targets.is_empty() {
+            return;
+        }
+        let idle: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.stage == Stage::Stored && !job.record.is_finished())
+            .filter(|(_, job)| job.is_idle())
+            .map(|(key, _)| key)
+            .take(MOVES_PER_LOOK)
+            .collect();
+        for key in idle {
+            self.move_job(key, &targets);
+        }
+    }
+
+    fn move_job(&mut self, key: JobKey, targets: &[ShardId]) {
+        let tasks: Vec<u32> = self.jobs[key].phases.keys().copied().collect();
+        for index in tasks {
+            self.unmark(crate::domain::TaskKey { job: key, index });
+        }
+        let job = &mut self.jobs[key];
+        for checkpoint in job.record.checkpoints.values_mut() {
+            // Numbers of runs compare within one shard only.
+            checkpoint.run = 0;
+        }
+        let target = targets
+            .iter()
+            .max_by_key(|shard| attraction(&job.record.id, shard));
+        if let Some(target) = target {
+            job.stage = Stage::Moving(target.clone());
+            self.lanes.file(&job.name, job.order, key, false, false);
+            self.touch(key, false);
+        }
+    }
+
+    /// Shards of the zones in service.
+    fn targets(&self) -> Vec<ShardId> {
+        let zones = self.declared.zones.iter();
+        zones
+            .filter(|(name, _)| self.declared.is_in(name))
+            .flat_map(|(name, zone)| {
+                (0..zone.shards).map(|index| ShardId {
+                    zone: name.clone(),
+                    index,
+                })
+            })
+            .collect()
+    }
+}
+
+/// Rank of a worker's name, the same in every process.
+fn spread(name: &str) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish() >> 16
+}
+
+/// How much a job prefers a shard; the highest gets it, whoever reckons.
+fn attraction(id: &JobId, shard: &ShardId) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    hasher.write(id.as_str().as_bytes());
+    hasher.write(shard.zone.as_bytes());
+    hasher.write_u32(shard.index);
+    hasher.finish()
+}
