--- a/crates/verbenahitch/src/settings/schema.rs
+++ b/crates/verbenahitch/src/settings/schema.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::Fault;
 use crate::domain::Millis;
 use crate::event::Level;
 
@@ -208,3 +209,64 @@
     default_mark_ahead: usize = 64;
     default_retention: Millis = 600_000;
 }
+
+impl Settings {
+    /// Faults between keys that are each fine by themselves.
+    pub fn faults(&self) -> Vec<Fault> {
+        let scheduler = &self.scheduler;
+        let mut faults = Vec::new();
+        let mut check = |fine: bool, path: &str, reason: String| {
+            if !fine {
+                let path = path.to_owned();
+                faults.push(Fault { path, reason });
+            }
+        };
+        check(
+            scheduler.sync_ms + scheduler.sync_timeout_ms <= scheduler.task_lease_ms / 2,
+            "scheduler.task-lease-ms",
+            format!(
+                "found {}, allowed is at least twice sync-ms and sync-timeout-ms together ({})",
+                scheduler.task_lease_ms,
+                2 * (scheduler.sync_ms + scheduler.sync_timeout_ms)
+            ),
+        );
+        check(
+            self.peers.heartbeat_ms * 2 <= self.peers.timeout_ms,
+            "peers.timeout-ms",
+            format!(
+                "found {}, allowed is at least twice heartbeat-ms ({})",
+                self.peers.timeout_ms, self.peers.heartbeat_ms
+            ),
+        );
+        check(
+            self.platform.timeout_ms * 2 <= scheduler.shard_lease_ms,
+            "scheduler.shard-lease-ms",
+            format!(
+                "found {}, allowed is at least twice platform.timeout-ms ({})",
+                scheduler.shard_lease_ms, self.platform.timeout_ms
+            ),
+        );
+        self.shared_addresses(&mut check);
+        faults
+    }
+
+    /// Reports addresses that two listeners would share; port 0 is never shared.
+    fn shared_addresses(&self, check: &mut impl FnMut(bool, &str, String)) {
+        let listeners = [
+            ("gateway.callers", self.gateway.callers),
+            ("gateway.operators", self.gateway.operators),
+            ("gateway.metrics", self.gateway.metrics),
+            ("gateway.peers", self.gateway.peers),
+            ("scheduler.metrics", self.scheduler.metrics),
+            ("scheduler.peers", self.scheduler.peers),
+        ];
+        for (index, (path, address)) in listeners.iter().enumerate() {
+            let mut earlier = listeners[..index].iter();
+            let twin = earlier.find(|(_, other)| other == address && address.port() != 0);
+            if let Some((other, _)) = twin {
+                let reason = format!("found {address}, which {other} has already");
+                check(false, path, reason);
+            }
+        }
+    }
+}
