Add the operators' subcommands and hold the manual's tables against the code

The command parses and dispatches only; the library's client speaks to a gateway. The pages of settings, declarations and events are compared with the tables that the program uses.

--- a/crates/verbenahitch/src/adapter/hosts.rs
+++ b/crates/verbenahitch/src/adapter/hosts.rs
@@ -2,8 +2,11 @@
 //! that Consul publishes for the health of a service.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
+use tokio::sync::watch;
 
 use super::http::{CallError, Http};
 use crate::domain::{Millis, Resources};
@@ -78,6 +81,27 @@
         Ok(wire.into_iter().filter_map(record).collect())
     }
 
+    /// Reads the list every `interval_ms` and publishes it, until nobody receives it.
+    ///
+    /// While the list gives no answer, the newest one stays published.
+    pub async fn poll(self, interval_ms: Millis, newest: watch::Sender<Arc<Vec<HostRecord>>>) {
+        while !newest.is_closed() {
+            match self.read().await {
+                Ok(hosts) => {
+                    newest.send_if_modified(|held| {
+                        let changed = **held != hosts;
+                        if changed {
+                            *held = Arc::new(hosts);
+                        }
+                        changed
+                    });
+                }
+                Err(error) => log::warn!("list of workers: {error}"),
+            }
+            tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+        }
+    }
+
     fn failed(&self, error: CallError) -> StoreError {
         match error {
             CallError::NotSent(reason) => StoreError::Unreachable {
--- /dev/null
+++ b/crates/verbenahitch/src/client/mod.rs
@@ -0,0 +1,218 @@
+//! Client of the operators' and submitters' interface of a gateway.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use reqwest::{Method, RequestBuilder, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use snafu::{ResultExt, Snafu};
+
+use crate::adapter::{CallError, Http};
+use crate::config::Declarations;
+use crate::domain::{JobSpec, Millis};
+
+/// Environment variable that holds the bearer token if no file is named.
+pub const TOKEN_VARIABLE: &str = "VERBENAHITCH_TOKEN";
+
+/// Time limit of a call, in milliseconds; a change waits for its confirmations.
+const TIMEOUT_MS: Millis = 20_000;
+
+/// Client with one bearer token.
+#[derive(Clone, Debug)]
+pub struct Client {
+    gateway: SocketAddr,
+    token: String,
+    http: Http,
+}
+
+/// Why a call brought no result.
+#[derive(Debug, Snafu)]
+pub enum ClientError {
+    /// The token file cannot be read.
+    #[snafu(display("token file {}: {source}", path.display()))]
+    TokenFile {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// No token was given.
+    #[snafu(display("no token: name a file by --token-file or set {TOKEN_VARIABLE}"))]
+    NoToken,
+    /// The gateway was not reached; nothing happened.
+    #[snafu(display("gateway {gateway} was not reached, nothing happened: {reason}"))]
+    NotSent {
+        /// Address.
+        gateway: SocketAddr,
+        /// Cause.
+        reason: String,
+    },
+    /// The gateway gave no answer; the call may have taken effect.
+    #[snafu(display("gateway {gateway} gave no answer, the call may have taken effect: {reason}"))]
+    Unanswered {
+        /// Address.
+        gateway: SocketAddr,
+        /// Cause.
+        reason: String,
+    },
+    /// The gateway refused the call.
+    #[snafu(display("refused with status {status}: {reason}"))]
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// Reason given.
+        reason: String,
+        /// Whole answer.
+        body: Value,
+    },
+}
+
+/// State that an operator gives an availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "state")]
+pub enum ZoneOrder {
+    /// Bring it back into service.
+    In,
+    /// Take it out of service.
+    Out,
+}
+
+#[derive(Serialize)]
+struct Submission<'a> {
+    key: &'a str,
+    spec: &'a JobSpec,
+}
+
+impl Client {
+    /// Creates a client of `gateway`; the token comes from `file`, or from the environment.
+    ///
+    /// # Errors
+    ///
+    /// When there is no token or its file cannot be read.
+    pub fn new(gateway: SocketAddr, file: Option<&Path>) -> Result<Self, ClientError> {
+        let token = match file {
+            Some(path) => std::fs::read_to_string(path).context(TokenFileSnafu { path })?,
+            None => std::env::var(TOKEN_VARIABLE).map_err(|_| ClientError::NoToken)?,
+        };
+        Ok(Self {
+            gateway,
+            token: token.trim().to_owned(),
+            http: Http::new(TIMEOUT_MS),
+        })
+    }
+
+    /// Declarations in force.
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`].
+    pub async fn declarations(&self) -> Result<Declarations, ClientError> {
+        self.call(self.request(Method::GET, "declarations")).await
+    }
+
+    /// Applies `document`, which was made from revision `from`.
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`]; a newer revision refuses it with status 409.
+    pub async fn apply(&self, document: &Declarations, from: u64) -> Result<Value, ClientError> {
+        let path = format!("declarations?from={from}");
+        self.call(self.request(Method::PUT, &path).json(document))
+            .await
+    }
+
+    /// Takes a zone out of service or brings it back.
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`].
+    pub async fn order_zone(&self, zone: &str, order: ZoneOrder) -> Result<Value, ClientError> {
+        let path = format!("zones/{zone}");
+        self.call(self.request(Method::POST, &path).json(&order))
+            .await
+    }
+
+    /// How the system stands.
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`].
+    pub async fn status(&self) -> Result<Value, ClientError> {
+        self.call(self.request(Method::GET, "status")).await
+    }
+
+    /// Why a task is where it is.
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`].
+    pub async fn explain(&self, job: &str, index: u32) -> Result<Value, ClientError> {
+        let path = format!("explain/{job}/{index}");
+        self.call(self.request(Method::GET, &path)).await
+    }
+
+    /// Submits a job under the team's own `key`; repeating it is safe.
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`].
+    pub async fn submit(&self, key: &str, spec: &JobSpec) -> Result<Value, ClientError> {
+        let submission = Submission { key, spec };
+        self.call(self.request(Method::POST, "jobs").json(&submission))
+            .await
+    }
+
+    /// How a job stands.
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`].
+    pub async fn job(&self, id: &str) -> Result<Value, ClientError> {
+        let path = format!("jobs/{id}");
+        self.call(self.request(Method::GET, &path)).await
+    }
+
+    /// Cancels a job.
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`].
+    pub async fn cancel(&self, id: &str) -> Result<Value, ClientError> {
+        let path = format!("jobs/{id}");
+        self.call(self.request(Method::DELETE, &path)).await
+    }
+
+    fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("http://{}/v1/{path}", self.gateway);
+        let client = self.http.client();
+        client.request(method, url).bearer_auth(&self.token)
+    }
+
+    async fn call<T: DeserializeOwned>(&self, request: RequestBuilder) -> Result<T, ClientError> {
+        let gateway = self.gateway;
+        let response = self.http.send(request).await.map_err(|error| match error {
+            CallError::NotSent(reason) => ClientError::NotSent { gateway, reason },
+            CallError::Unanswered(reason) => ClientError::Unanswered { gateway, reason },
+        })?;
+        let unanswered = |reason: String| ClientError::Unanswered { gateway, reason };
+        let status = response.status();
+        let bytes = response.bytes().await;
+        let bytes = bytes.map_err(|error| unanswered(error.to_string()))?;
+        if !status.is_success() {
+            return Err(refused(status, &bytes));
+        }
+        serde_json::from_slice(&bytes).map_err(|error| unanswered(error.to_string()))
+    }
+}
+
+fn refused(status: StatusCode, bytes: &[u8]) -> ClientError {
+    let body: Value = serde_json::from_slice(bytes).unwrap_or(Value::Null);
+    let reason = body.get("error").and_then(Value::as_str);
+    ClientError::Refused {
+        status: status.as_u16(),
+        reason: reason.unwrap_or("no reason given").to_owned(),
+        body,
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/cmd/mod.rs
@@ -0,0 +1,92 @@
+//! Subcommands, one a file: its arguments and how it is carried out.
+
+mod apply;
+mod cancel;
+mod check;
+mod diff;
+mod digest;
+mod explain;
+mod job;
+mod remote;
+mod status;
+mod submit;
+mod zone;
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+/// Exit status of a subcommand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// It did what was asked.
+    Success,
+    /// The system said no.
+    Refused,
+    /// The arguments or a file have a fault.
+    Usage,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        match exit {
+            Exit::Success => Self::SUCCESS,
+            Exit::Refused => Self::from(1),
+            Exit::Usage => Self::from(2),
+        }
+    }
+}
+
+/// Schedules latency-critical and batch work on shared hosts.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Check settings or declarations without starting anything
+    #[bpaf(command)]
+    Check(#[bpaf(external(check::args))] check::Args),
+    /// Apply declarations on top of the revision they were made from
+    #[bpaf(command)]
+    Apply(#[bpaf(external(apply::args))] apply::Args),
+    /// Show how a file of declarations differs from those in force
+    #[bpaf(command)]
+    Diff(#[bpaf(external(diff::args))] diff::Args),
+    /// Take an availability zone out of service or bring it back
+    #[bpaf(command)]
+    Zone(#[bpaf(external(zone::args))] zone::Args),
+    /// Show processes, shards and workers
+    #[bpaf(command)]
+    Status(#[bpaf(external(status::args))] status::Args),
+    /// Tell why a task is where it is
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain::args))] explain::Args),
+    /// Submit a job; repeating it under the same key is safe
+    #[bpaf(command)]
+    Submit(#[bpaf(external(submit::args))] submit::Args),
+    /// Show how a job stands
+    #[bpaf(command)]
+    Job(#[bpaf(external(job::args))] job::Args),
+    /// Cancel a job
+    #[bpaf(command)]
+    Cancel(#[bpaf(external(cancel::args))] cancel::Args),
+    /// Print the digest of a team's token, for the declarations
+    #[bpaf(command)]
+    Digest(#[bpaf(external(digest::args))] digest::Args),
+}
+
+impl Command {
+    /// Carries the subcommand out.
+    pub fn execute(self) -> Exit {
+        match self {
+            Self::Check(args) => args.execute(),
+            Self::Apply(args) => args.execute(),
+            Self::Diff(args) => args.execute(),
+            Self::Zone(args) => args.execute(),
+            Self::Status(args) => args.execute(),
+            Self::Explain(args) => args.execute(),
+            Self::Submit(args) => args.execute(),
+            Self::Job(args) => args.execute(),
+            Self::Cancel(args) => args.execute(),
+            Self::Digest(args) => args.execute(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/cmd/status.rs
@@ -0,0 +1,45 @@
+//! `verbenahitch status`: processes, shards and workers.
+
+use bpaf::Bpaf;
+use serde_json::Value;
+
+use super::Exit;
+use super::remote::{Remote, list, remote, text};
+
+/// Arguments.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Args {
+    #[bpaf(external)]
+    remote: Remote,
+}
+
+impl Args {
+    /// Carries the subcommand out.
+    pub fn execute(self) -> Exit {
+        self.remote
+            .call(|client| async move { client.status().await }, summary)
+    }
+}
+
+fn summary(answer: &Value) -> String {
+    let mut lines = vec![format!("revision {}", text(answer, "revision"))];
+    for member in list(answer, "members") {
+        lines.push(format!(
+            "process {} zone {} revision {} heard {} ms ago",
+            text(member, "name"),
+            text(member, "zone"),
+            text(member, "revision"),
+            text(member, "age-ms"),
+        ));
+    }
+    for shard in list(answer, "shards") {
+        lines.push(format!(
+            "shard {} epoch {} queued {} running {}",
+            text(shard, "shard"),
+            text(shard, "epoch"),
+            text(shard, "queued"),
+            text(shard, "running"),
+        ));
+    }
+    lines.join("\n")
+}
--- a/crates/verbenahitch/src/config/declarations.rs
+++ b/crates/verbenahitch/src/config/declarations.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
-use crate::domain::{Millis, Profile, Resources};
+use crate::domain::{Millis, Profile, Resources, ShardId};
 
 /// Key of the declarations in the store.
 pub const DECLARATIONS_KEY: &str = "verbenahitch/declarations";
@@ -111,6 +112,16 @@
             .is_some_and(|zone| zone.state == ZoneState::In)
     }
 
+    /// All shards of all zones, whether in service or not.
+    pub fn shards(&self) -> impl Iterator<Item = ShardId> {
+        self.zones.iter().flat_map(|(name, zone)| {
+            (0..zone.shards).map(|index| ShardId {
+                zone: name.clone(),
+                index,
+            })
+        })
+    }
+
     /// All faults of the document, in the order of its keys.
     pub fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
@@ -201,3 +212,9 @@
 fn push(faults: &mut Vec<Fault>, path: String, reason: String) {
     faults.push(Fault { path, reason });
 }
+
+/// Hexadecimal SHA-256 digest of a bearer token.
+pub fn token_digest(token: &str) -> String {
+    let digest = Sha256::digest(token.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/crates/verbenahitch/src/config/mod.rs
+++ b/crates/verbenahitch/src/config/mod.rs
@@ -3,6 +3,10 @@
 
 mod current;
 mod declarations;
+mod diff;
 
 pub use current::Current;
-pub use declarations::{DECLARATIONS_KEY, Declarations, Fault, Kind, Team, Zone, ZoneState};
+pub use declarations::{
+    DECLARATIONS_KEY, Declarations, Fault, Kind, Team, Zone, ZoneState, token_digest,
+};
+pub use diff::{Change, diff};
--- a/crates/verbenahitch/src/domain/job.rs
+++ b/crates/verbenahitch/src/domain/job.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 use super::Millis;
 use crate::collections::HashMap;
@@ -61,6 +62,23 @@
     pub index: u32,
 }
 
+impl ShardId {
+    /// Shard of `worker` in a zone that is divided into `shards`.
+    ///
+    /// The division rests on a digest that is the same in every version, so
+    /// that two processes never disagree about it.
+    pub fn holding(zone: &str, worker: &str, shards: u32) -> Self {
+        let digest = Sha256::digest(worker.as_bytes());
+        let (head, _) = digest.split_at(size_of::<u64>());
+        let number = head.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte));
+        let index = number % u64::from(shards.max(1));
+        Self {
+            zone: zone.to_owned(),
+            index: u32::try_from(index).expect("an index is below a number of 32 bits"),
+        }
+    }
+}
+
 impl fmt::Display for ShardId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}-{}", self.zone, self.index)
--- a/crates/verbenahitch/src/lib.rs
+++ b/crates/verbenahitch/src/lib.rs
@@ -16,6 +16,7 @@
 //! recorded traces drive the very code that the daemons run.
 
 pub mod adapter;
+pub mod client;
 pub mod collections;
 pub mod config;
 pub mod domain;
--- /dev/null
+++ b/testsuite/tests/testsuite/settings/declared.rs
@@ -0,0 +1,103 @@
+//! Declarations: faults of meaning, differences, and the revision in force.
+
+use std::sync::Arc;
+
+use test_case::test_case;
+use verbenahitch::config::{Current, Declarations, diff, token_digest};
+use verbenahitch::settings::{SettingsError, parse_declarations};
+
+fn text(profile: &str, extra: &str) -> String {
+    let digest = token_digest("secret");
+    format!(
+        r#"{{
+  "profiles": {{"quote": {{
+    "class": "latency-critical", "team": "kilele",
+    "resources": {{"millicores": 500, "memory-mib": 256}},
+    "worth": 10, "target-ms": 50, "deadline-ms": 2000, "idempotent": true{profile}
+  }}}},
+  "kinds": {{"pass-quote": {{"path": "/pass-quote", "profile": "quote"}}{extra}}},
+  "teams": {{"kilele": {{"quota": {{"millicores": 64000, "memory-mib": 65536}}, "token-digest": "{digest}"}}}},
+  "zones": {{"a": {{"state": "in"}}, "b": {{"state": "out", "shards": 2}}}}
+}}"#
+    )
+}
+
+struct Case {
+    profile: &'static str,
+    extra: &'static str,
+    faults: &'static [&'static str],
+}
+
+#[test_case(Case {
+    profile: "",
+    extra: r#", "gate-sync": {"path": "gate", "profile": "gate"}"#,
+    faults: &[
+        r#"7:94: kinds.gate-sync.path: found "gate", a path starts with /"#,
+        r#"7:113: kinds.gate-sync.profile: profile "gate" is not declared"#,
+    ],
+}; "unknown profile and bad path")]
+#[test_case(Case {
+    profile: r#", "max-slowdown": 0.5, "worht": 1"#,
+    extra: "",
+    faults: &[
+        "5:92: profiles.quote.max-slowdown: found 0.5, allowed is a number from 1.0 to 100.0",
+        r#"5:97: profiles.quote.worht: is not a known key, the nearest is "worth""#,
+    ],
+}; "limits and unknown key")]
+fn every_fault_has_its_place(case: Case) {
+    let text = text(case.profile, case.extra);
+    let error = parse_declarations("d.jsonc", &text).expect_err("the text has a fault");
+    let SettingsError::Faulty { faults, .. } = &error else {
+        panic!("unexpected error: {error}");
+    };
+    let found: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert_eq!(found, case.faults);
+}
+
+#[test]
+fn fine_declarations_find_kinds_by_the_longest_path() {
+    let extra = r#", "priced": {"path": "/pass-quote/priced", "profile": "quote"}"#;
+    let declared = parse_declarations("d.jsonc", &text("", extra)).expect("no faults");
+    let kind = |path| declared.kind_of(path).map(|(name, _)| name);
+    assert_eq!(kind("/pass-quote/1"), Some("pass-quote"));
+    assert_eq!(kind("/pass-quote/priced/1"), Some("priced"));
+    assert_eq!(kind("/pass-quotes"), None);
+    assert!(declared.is_in("a") && !declared.is_in("b") && !declared.is_in("c"));
+    let shards: Vec<String> = declared.shards().map(|shard| shard.to_string()).collect();
+    assert_eq!(shards, ["a-0", "b-0", "b-1"]);
+}
+
+#[test]
+fn differences_name_each_key() {
+    let before = parse_declarations("d.jsonc", &text("", "")).expect("no faults");
+    let mut after = before.clone();
+    after.revision = 7;
+    after.profiles.get_mut("quote").expect("declared").worth = 20;
+    after.zones.remove("b");
+    let changes: Vec<String> = diff(&before, &after)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    let expected = [
+        "~ profiles.quote.worth: 10 -> 20",
+        "- zones.b.ramp-ms: 30000",
+        "- zones.b.shards: 2",
+        r#"- zones.b.state: "out""#,
+    ];
+    assert_eq!(changes, expected);
+}
+
+#[test]
+fn a_revision_in_force_never_goes_back() {
+    let current = Current::default();
+    let revision = |revision| {
+        Arc::new(Declarations {
+            revision,
+            ..Declarations::default()
+        })
+    };
+    assert!(current.advance(revision(3)));
+    assert!(!current.advance(revision(2)));
+    assert!(!current.advance(revision(3)));
+    assert_eq!(current.load().revision, 3);
+}
--- a/testsuite/tests/testsuite/settings/mod.rs
+++ b/testsuite/tests/testsuite/settings/mod.rs
@@ -1,1 +1,5 @@
 //! Settings, declarations and the command line.
+
+mod declared;
+mod faults;
+mod manual;
