Start the peer interface, the watch of declarations, permits and changes

Processes need to tell each other what they know while the store is away. A node on its own thread serves and makes calls over capnp-rpc; heartbeats greet a bounded number of processes and pass on records and beats. State is taken from answers only, since a greeting that arrives unasked may have been delayed for any time.

--- a/crates/verbenahitch/schema/peer.capnp
+++ b/crates/verbenahitch/schema/peer.capnp
@@ -7,8 +7,9 @@
 }
 
 interface Node {
-  hello @0 (from :Member, known :List(Member)) -> (self :Member, known :List(Member));
-  # Heartbeat: each side tells the other what it knows of all processes.
+  hello @0 (from :Member)
+      -> (self :Member, known :List(Member), beats :List(Beat));
+  # Heartbeat: the answer tells of all processes by their beats, and of a few whole.
 
   declarations @1 (above :UInt64) -> (revision :UInt64, document :Text);
   # Newest declarations if their revision is above the given one, else revision 0.
@@ -31,7 +32,7 @@
   incarnation @4 :UInt64;
   # Wall-clock start of the process in milliseconds; a restart has a higher one.
   beat @5 :UInt64;
-  # Counts the heartbeats of the incarnation.
+  # Counts the records that the incarnation has made of itself.
   revision @6 :UInt64;
   # Revision of the declarations in force.
   storeAge @7 :UInt64;
@@ -44,6 +45,18 @@
   # Milliseconds since the sender last heard of this beat.
 }
 
+struct Beat {
+  # What changes with every heartbeat of a process that the receiver knows.
+  id @0 :UInt64;
+  # Hash of name, role and incarnation.
+  revision @1 :UInt64;
+  beat @2 :UInt32;
+  age @3 :UInt32;
+  storeAge @4 :UInt32;
+  permitLeft @5 :UInt32;
+  # As in `Member`, in milliseconds, the largest number for never.
+}
+
 struct OwnedShard {
   shard @0 :Text;
   epoch @1 :UInt64;
@@ -63,6 +76,8 @@
     job @2 :Text;
     shard @3 :Void;
     explain @4 :Task;
+    adopt @5 :Text;
+    # JSON form of a job's record.
   }
 }
 
--- /dev/null
+++ b/crates/verbenahitch/src/config/adopt.rs
@@ -0,0 +1,36 @@
+//! Putting newer declarations in force.
+
+use std::sync::Arc;
+
+use super::{Current, Declarations};
+use crate::event::{Entry, Kind};
+
+/// Puts `next` in force unless what is in force is as new; says whether it did.
+pub fn adopt(current: &Current, next: Declarations, source: &str) -> bool {
+    let revision = next.revision;
+    let adopted = current.advance(Arc::new(next));
+    if adopted {
+        Entry::new(Kind::Declared)
+            .with("revision", revision)
+            .with("source", source)
+            .emit();
+    }
+    adopted
+}
+
+/// Parses a document and puts it in force unless what is in force is as new.
+///
+/// # Errors
+///
+/// When the document is malformed; it is logged and changes nothing.
+pub fn adopt_text(
+    current: &Current,
+    document: &str,
+    source: &str,
+) -> Result<bool, serde_json::Error> {
+    let parsed = serde_json::from_str(document);
+    let parsed = parsed.inspect_err(|error| {
+        log::error!("declarations from {source} are malformed: {error}");
+    });
+    parsed.map(|declarations| adopt(current, declarations, source))
+}
--- a/crates/verbenahitch/src/config/mod.rs
+++ b/crates/verbenahitch/src/config/mod.rs
@@ -1,8 +1,14 @@
 //! Declarations of the operators: profiles, request kinds, teams and
 //! availability zones, ordered by one revision.
 
+mod adopt;
+pub mod change;
 mod current;
 mod declarations;
+mod permit;
+pub mod watch;
 
+pub use adopt::{adopt, adopt_text};
 pub use current::Current;
 pub use declarations::{DECLARATIONS_KEY, Declarations, Fault, Kind, Team, Zone, ZoneState};
+pub use permit::{Ground, Permit, Proof};
--- a/crates/verbenahitch/src/lib.rs
+++ b/crates/verbenahitch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod gateway;
 mod generated;
 pub mod interference;
+pub mod membership;
 pub mod peer;
 pub mod placement;
 pub mod port;
--- /dev/null
+++ b/crates/verbenahitch/src/membership/member.rs
@@ -0,0 +1,123 @@
+//! Records of processes.
+
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+
+use rustc_hash::FxHasher;
+use serde::{Deserialize, Serialize};
+
+use crate::domain::{Millis, Monotonic};
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Serves callers and operators.
+    Gateway,
+    /// Owns shards of workers.
+    Scheduler,
+}
+
+/// A shard that a process owns.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct OwnedShard {
+    /// Shard, as `zone-index`.
+    pub shard: String,
+    /// Epoch of the ownership.
+    pub epoch: u64,
+    /// Tasks that wait for a worker.
+    pub queued: u32,
+    /// Tasks that run.
+    pub running: u32,
+}
+
+/// What is known of one process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Member {
+    /// Name, unique among the processes of its role.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// What it does.
+    pub role: Role,
+    /// Address of its peer interface.
+    pub address: SocketAddr,
+    /// Wall-clock start in milliseconds; a restart has a higher one.
+    pub incarnation: u64,
+    /// Number of this record in the incarnation.
+    pub beat: u64,
+    /// Revision of the declarations in force.
+    pub revision: u64,
+    /// Milliseconds since the store last answered it; `None` for never.
+    pub store_age_ms: Option<Millis>,
+    /// Milliseconds for which it may still start tasks.
+    pub permit_left_ms: Millis,
+    /// Shards that it owns.
+    pub shards: Vec<OwnedShard>,
+    /// Whether it was told to stop.
+    pub leaving: bool,
+    /// Milliseconds since this record was last heard.
+    pub age_ms: Millis,
+}
+
+/// What changes with every heartbeat of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Beat {
+    /// Hash of name, role and incarnation.
+    pub id: u64,
+    /// Revision of the declarations in force.
+    pub revision: u64,
+    /// Number of the record in the incarnation.
+    pub beat: u64,
+    /// Milliseconds since the record was last heard.
+    pub age_ms: Millis,
+    /// Milliseconds since the store last answered; `None` for never.
+    pub store_age_ms: Option<Millis>,
+    /// Milliseconds for which it may still start tasks.
+    pub permit_left_ms: Millis,
+}
+
+/// What a process has said of the store, with the time of saying.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Testimony {
+    /// Name of the process.
+    pub name: String,
+    /// Availability zone of the process.
+    pub zone: String,
+    /// Revision that it had in force.
+    pub revision: u64,
+    /// When it was last heard, as told; an underestimate of the age.
+    pub heard: Monotonic,
+    /// Instant after which it certainly said this; `None` if none is known.
+    pub proven: Option<Monotonic>,
+    /// Milliseconds since the store had last answered it; `None` for never.
+    pub store_age_ms: Option<Millis>,
+}
+
+impl Member {
+    /// Whether the process was heard within `timeout_ms`.
+    pub fn is_live(&self, timeout_ms: Millis) -> bool {
+        self.age_ms <= timeout_ms
+    }
+
+    /// Identity of the incarnation in a [`Beat`].
+    pub fn id(&self) -> u64 {
+        let mut hasher = FxHasher::default();
+        (&self.name, self.role, self.incarnation).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// What changes with every heartbeat.
+    pub fn pulse(&self) -> Beat {
+        Beat {
+            id: self.id(),
+            revision: self.revision,
+            beat: self.beat,
+            age_ms: self.age_ms,
+            store_age_ms: self.store_age_ms,
+            permit_left_ms: self.permit_left_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/peer/local.rs
@@ -0,0 +1,334 @@
+//! State of the node's own thread, and the calls that it makes.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::mpsc;
+
+use super::Incoming;
+use super::error::CallError;
+use super::link::{Link, Session};
+use super::shared::Shared;
+use super::wire;
+use crate::collections::HashMap;
+use crate::config;
+use crate::domain::{Millis, Monotonic};
+use crate::event::{Entry, Kind};
+use crate::membership::{Learnt, Member, Table};
+use crate::peer_capnp::node;
+use crate::scheduler::{Answer, Request, SubmitError};
+
+/// Longest time from asking an owner to its answer, in milliseconds.
+pub(super) const ASK_LIMIT_MS: Millis = 5_000;
+
+/// Time after which a refused caller may come back, in milliseconds.
+const RETRY_MS: Millis = 1_000;
+
+/// Most processes that are asked for one renewal.
+const RENEWAL_ATTEMPTS: usize = 3;
+
+/// Accepts a connection whenever it last answered.
+const ANY_TIME: Monotonic = Monotonic(0);
+
+/// State of the node's thread.
+pub(super) struct Local {
+    pub(super) shared: Arc<Shared>,
+    pub(super) table: RefCell<Table>,
+    pub(super) rng: RefCell<ChaCha8Rng>,
+    pub(super) incoming: mpsc::Sender<Incoming>,
+    pub(super) heartbeat_ms: Millis,
+    pub(super) timeout_ms: Millis,
+    links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+}
+
+impl Local {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        table: Table,
+        rng: ChaCha8Rng,
+        incoming: mpsc::Sender<Incoming>,
+        heartbeat_ms: Millis,
+        timeout_ms: Millis,
+    ) -> Self {
+        Self {
+            shared,
+            table: RefCell::new(table),
+            rng: RefCell::new(rng),
+            incoming,
+            heartbeat_ms,
+            timeout_ms,
+            links: RefCell::default(),
+        }
+    }
+
+    /// Link to `address`.
+    pub(super) fn link(&self, address: SocketAddr) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(address);
+        Rc::clone(link.or_insert_with(|| Rc::new(Link::new(address))))
+    }
+
+    /// Gives up the links to addresses that `keep` does not want.
+    pub(super) fn prune(&self, keep: impl Fn(SocketAddr) -> bool) {
+        self.links.borrow_mut().retain(|address, _| keep(*address));
+    }
+
+    /// Connections that have not answered since then may have gone silent.
+    fn lately(&self) -> Monotonic {
+        self.shared.now() - 2 * self.heartbeat_ms
+    }
+
+    /// Time limit of a call that needs no store.
+    fn limit(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms / 3)
+    }
+
+    /// Makes one call over the open connection, or over a new one if that has
+    /// not answered since `since`.
+    pub(super) async fn call<T, F>(
+        &self,
+        address: SocketAddr,
+        since: Monotonic,
+        limit: Duration,
+        send: impl FnOnce(&node::Client) -> F,
+    ) -> Result<T, CallError>
+    where
+        F: Future<Output = capnp::Result<T>>,
+    {
+        let link = self.link(address);
+        let now = self.shared.now();
+        let opened = link
+            .open(&self.shared.token, since, now, self.limit())
+            .await;
+        let session = opened.inspect_err(|_| self.back_off(&link))?;
+        let outcome = tokio::time::timeout(limit, send(session.node())).await;
+        let reason = match outcome {
+            Ok(Ok(answer)) => {
+                link.answered(&session, self.shared.now());
+                return Ok(answer);
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => format!("nothing for {} ms", limit.as_millis()),
+        };
+        self.give_up(&link, &session);
+        Err(CallError::Unanswered {
+            reason: format!("{address}: {reason}"),
+        })
+    }
+
+    fn give_up(&self, link: &Link, session: &Rc<Session>) {
+        link.retire(session);
+        self.back_off(link);
+    }
+
+    fn back_off(&self, link: &Link) {
+        let now = self.shared.now();
+        link.back_off(now, self.heartbeat_ms, &mut *self.rng.borrow_mut());
+    }
+
+    /// Greets the process at `address` and takes in what it knows.
+    pub(super) async fn greet(self: Rc<Self>, address: SocketAddr) {
+        let sent = self.shared.now();
+        let record = self.shared.record();
+        let limit = self.limit();
+        let call = self.call(address, ANY_TIME, limit, |node| {
+            let mut request = node.hello_request();
+            wire::write_member(&record, request.get().init_from());
+            async move {
+                let response = request.send().promise.await?;
+                let response = response.get()?;
+                let mut members = vec![wire::read_member(response.get_self()?)?];
+                for member in response.get_known()? {
+                    members.push(wire::read_member(member)?);
+                }
+                let beats: Vec<_> = response.get_beats()?.iter().map(wire::read_beat).collect();
+                Ok((members, beats))
+            }
+        });
+        let Ok((members, beats)) = call.await else {
+            return;
+        };
+        let revision = members[0].revision;
+        for member in members {
+            self.learn(member, sent);
+        }
+        for beat in beats {
+            let learnt = self.table.borrow_mut().beat(beat, sent);
+            if learnt == Learnt::Arrived {
+                log::debug!("a process is heard again through {address}");
+            }
+        }
+        self.publish();
+        if revision > self.shared.current.load().revision {
+            self.fetch(address).await;
+        }
+    }
+
+    fn learn(&self, member: Member, sent: Monotonic) {
+        let learnt = self.table.borrow_mut().learn(member.clone(), sent);
+        self.note(learnt, &member);
+    }
+
+    /// Logs an arrival, and outlives an earlier process of the own name.
+    pub(super) fn note(&self, learnt: Learnt, member: &Member) {
+        match learnt {
+            Learnt::Nothing | Learnt::Newer => {}
+            Learnt::Arrived => Entry::new(Kind::PeerHeard)
+                .with("peer", &member.name)
+                .with("role", member.role)
+                .with("zone", &member.zone)
+                .with("address", member.address)
+                .emit(),
+            Learnt::Myself => {
+                if member.incarnation > self.shared.incarnation() {
+                    self.shared.outlive(member.incarnation);
+                }
+            }
+        }
+    }
+
+    /// Publishes what the table holds to the rest of the process.
+    pub(super) fn publish(&self) {
+        let table = self.table.borrow();
+        let mut members = table.members(self.shared.now());
+        members.push(self.shared.record());
+        self.shared.members.store(Arc::new(members));
+        self.shared.testimonies.store(Arc::new(table.testimonies()));
+    }
+
+    /// Gets newer declarations from the process at `address`.
+    pub(super) async fn fetch(&self, address: SocketAddr) {
+        let above = self.shared.current.load().revision;
+        let call = self.call(address, ANY_TIME, self.limit(), |node| {
+            let mut request = node.declarations_request();
+            request.get().set_above(above);
+            async move {
+                let response = request.send().promise.await?;
+                Ok(response.get()?.get_document()?.to_string()?)
+            }
+        });
+        match call.await {
+            Ok(document) if document.is_empty() => {}
+            Ok(document) => {
+                let source = address.to_string();
+                // A malformed document is logged and changes nothing.
+                let _ = config::adopt_text(&self.shared.current, &document, &source);
+            }
+            Err(error) => log::debug!("declarations not fetched: {error}"),
+        }
+    }
+
+    /// Hands the declarations in force to every process that is heard.
+    pub(super) async fn announce(self: Rc<Self>) {
+        let declarations = self.shared.current.load();
+        let Ok(document) = serde_json::to_string(&*declarations) else {
+            return;
+        };
+        let members = self.shared.members.load_full();
+        let live = members.iter().filter(|member| self.is_peer(member));
+        let calls = live.map(|member| {
+            let local = Rc::clone(&self);
+            local.hand_over(member.address, declarations.revision, &document)
+        });
+        futures::future::join_all(calls).await;
+    }
+
+    async fn hand_over(self: Rc<Self>, address: SocketAddr, revision: u64, document: &str) {
+        let call = self.call(address, ANY_TIME, self.limit(), |node| {
+            let mut request = node.announce_request();
+            request.get().set_revision(revision);
+            request.get().set_document(document);
+            async move {
+                let response = request.send().promise.await?;
+                Ok(response.get()?.get_in_force())
+            }
+        });
+        if call.await.is_ok() {
+            // The answer to a greeting is what proves the revision there.
+            self.greet(address).await;
+        }
+    }
+
+    /// Whether `member` is another process that was heard lately.
+    pub(super) fn is_peer(&self, member: &Member) -> bool {
+        member.address != self.shared.address && member.is_live(self.timeout_ms)
+    }
+
+    /// Asks the owner of `shard`.
+    pub(super) async fn ask(&self, shard: &str, body: &Request) -> Answer {
+        let Some(owner) = self.owner(shard) else {
+            return unavailable(format!("no owner of shard {shard} is known"));
+        };
+        let limit = Duration::from_millis(ASK_LIMIT_MS);
+        let call = self.call(owner, self.lately(), limit, |node| {
+            let mut request = node.ask_request();
+            request.get().set_shard(shard);
+            let written = wire::write_request(body, request.get().init_request());
+            async move {
+                written?;
+                let response = request.send().promise.await?;
+                Ok(response.get()?.get_answer()?.to_string()?)
+            }
+        });
+        match call.await {
+            Ok(answer) => serde_json::from_str(&answer)
+                .unwrap_or_else(|error| unclear(format!("malformed answer: {error}"))),
+            Err(CallError::NotSent { reason }) => unavailable(reason),
+            Err(CallError::Unanswered { reason }) => unclear(reason),
+        }
+    }
+
+    fn owner(&self, shard: &str) -> Option<SocketAddr> {
+        let members = self.shared.members.load();
+        let owners = members.iter().flat_map(|member| {
+            let owned = member.shards.iter().filter(|owned| owned.shard == shard);
+            owned.map(move |owned| (owned.epoch, member))
+        });
+        let live = owners.filter(|(_, member)| member.is_live(self.timeout_ms));
+        live.max_by_key(|(epoch, _)| *epoch)
+            .map(|(_, member)| member.address)
+    }
+
+    /// Renews a store session through a process that reaches the store.
+    pub(super) async fn renew(&self, session: &str) -> Option<bool> {
+        let members = self.shared.members.load_full();
+        let mut able: Vec<&Member> = members
+            .iter()
+            .filter(|member| self.is_peer(member) && !member.leaving)
+            .filter(|member| {
+                member
+                    .store_age_ms
+                    .is_some_and(|age| age <= self.timeout_ms)
+            })
+            .collect();
+        able.sort_by_key(|member| member.store_age_ms);
+        for member in able.iter().take(RENEWAL_ATTEMPTS) {
+            let call = self.call(member.address, self.lately(), 2 * self.limit(), |node| {
+                let mut request = node.renew_request();
+                request.get().set_session(session);
+                async move {
+                    let response = request.send().promise.await?;
+                    Ok(response.get()?.get_renewed())
+                }
+            });
+            if let Ok(renewed) = call.await {
+                return Some(renewed);
+            }
+        }
+        None
+    }
+}
+
+/// Refusal of a request that had no effect.
+pub(super) fn unavailable(reason: String) -> Answer {
+    let retry_ms = RETRY_MS;
+    Answer::Refused(SubmitError::Unavailable { reason, retry_ms })
+}
+
+fn unclear(reason: String) -> Answer {
+    Answer::Refused(SubmitError::Unclear { reason })
+}
--- a/crates/verbenahitch/src/peer/mod.rs
+++ b/crates/verbenahitch/src/peer/mod.rs
@@ -1,1 +1,25 @@
 //! Messages between the system's own processes over `capnp-rpc`.
+//!
+//! A [`Node`] runs on a thread of its own, because `capnp-rpc` is
+//! single-threaded. The rest of the process uses its [`Handle`], whose reading
+//! methods take no lock and never wait for the node.
+//!
+//! Each heartbeat greets a bounded number of processes, so that the cost of a
+//! process hardly grows with their number; what it learns it passes on. A call
+//! has a time limit, and a connection that let one pass is given up, since open
+//! connections can go silent while new ones work.
+
+mod error;
+mod handle;
+mod link;
+mod local;
+mod node;
+mod server;
+mod shared;
+mod wire;
+
+pub use crate::membership::{Member, OwnedShard, Role, Testimony};
+pub use error::PeerError;
+pub use handle::Handle;
+pub use node::{Identity, Incoming, Node};
+pub use shared::Evidence;
--- /dev/null
+++ b/crates/verbenahitch/src/peer/node.rs
@@ -0,0 +1,274 @@
+//! The node's thread: listens, greets others each heartbeat, carries out orders.
+
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use snafu::ResultExt;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{JoinSet, LocalSet};
+
+use super::error::{ListenSnafu, PeerError, ThreadSnafu};
+use super::handle::{Handle, Order};
+use super::local::Local;
+use super::server;
+use super::shared::Shared;
+use crate::config::Current;
+use crate::domain::Millis;
+use crate::event::{Entry, Kind};
+use crate::membership::{Member, Role, Table};
+use crate::port::Clock;
+use crate::scheduler::{Answer, Request};
+use crate::settings::PeerSettings;
+
+/// Processes of the own availability zone that one heartbeat greets.
+const NEAR_FANOUT: usize = 2;
+
+/// Processes of other availability zones that one heartbeat greets.
+const FAR_FANOUT: usize = 1;
+
+/// Processes that are not heard, to which one heartbeat tries to connect.
+const LOST_FANOUT: usize = 2;
+
+/// Most connections from other processes.
+const CONNECTION_LIMIT: usize = 1_024;
+
+/// Most requests that wait for the process's attention.
+const INCOMING_LIMIT: usize = 1_024;
+
+/// Most orders that wait for the node's thread.
+const ORDER_LIMIT: usize = 1_024;
+
+/// What a process tells the others of itself.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name, unique among the processes of its role.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// What it does.
+    pub role: Role,
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Wall-clock start in milliseconds.
+    pub incarnation: u64,
+}
+
+/// A request to the owner of a shard.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Shard, as `zone-index`.
+    pub shard: String,
+    /// What is asked.
+    pub request: Request,
+    /// Takes the answer.
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// Peer interface of this process.
+#[derive(Debug)]
+pub struct Node;
+
+struct Runner {
+    local: Rc<Local>,
+    seeds: Vec<SocketAddr>,
+}
+
+impl Node {
+    /// Starts the peer interface; it listens when this returns.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be listened on, or the thread cannot be started.
+    pub fn start(
+        identity: Identity,
+        settings: &PeerSettings,
+        token: String,
+        current: Current,
+        clock: Arc<dyn Clock>,
+    ) -> Result<(Handle, mpsc::Receiver<Incoming>), PeerError> {
+        let address = identity.listen;
+        let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        listener
+            .set_nonblocking(true)
+            .context(ListenSnafu { address })?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context(ThreadSnafu)?;
+        let (incoming, requests) = mpsc::channel(INCOMING_LIMIT);
+        let (orders, queue) = mpsc::channel(ORDER_LIMIT);
+        let shared = Arc::new(Shared::new(identity, address, token, current, clock));
+        let handle = Handle::new(Arc::clone(&shared), orders, settings.timeout_ms);
+        let settings = settings.clone();
+        let run = move || {
+            let runner = Runner::new(shared, incoming, &settings);
+            let local = LocalSet::new();
+            local.block_on(&runtime, runner.run(listener, queue, settings.heartbeat_ms));
+        };
+        std::thread::Builder::new()
+            .name("peer".to_owned())
+            .spawn(run)
+            .context(ThreadSnafu)?;
+        Ok((handle, requests))
+    }
+}
+
+impl Runner {
+    fn new(shared: Arc<Shared>, incoming: mpsc::Sender<Incoming>, settings: &PeerSettings) -> Self {
+        let identity = &shared.identity;
+        let table = Table::new(&identity.name, identity.role, settings.timeout_ms);
+        let seed = identity.incarnation ^ u64::from(shared.address.port());
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let seeds = settings.seeds.iter().map(|seed| seed.address);
+        let seeds = seeds.filter(|seed| *seed != shared.address).collect();
+        let heartbeat_ms = settings.heartbeat_ms.max(1);
+        let local = Local::new(
+            shared,
+            table,
+            rng,
+            incoming,
+            heartbeat_ms,
+            settings.timeout_ms,
+        );
+        Self {
+            local: Rc::new(local),
+            seeds,
+        }
+    }
+
+    async fn run(
+        self,
+        listener: TcpListener,
+        mut queue: mpsc::Receiver<Order>,
+        heartbeat_ms: Millis,
+    ) {
+        let listener = tokio::net::TcpListener::from_std(listener)
+            .expect("a listener that was just bound can be polled");
+        let mut ticks = tokio::time::interval(Duration::from_millis(heartbeat_ms.max(1)));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut connections = JoinSet::new();
+        let mut asks = JoinSet::new();
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.heartbeat(),
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, from)) if connections.len() < CONNECTION_LIMIT => {
+                        let local = Rc::clone(&self.local);
+                        connections.spawn_local(server::serve(local, stream, from));
+                    }
+                    Ok((_, from)) => log::warn!("too many connections, {from} was refused"),
+                    Err(error) => log::warn!("a connection could not be accepted: {error}"),
+                },
+                Some(_) = connections.join_next() => {}
+                Some(_) = asks.join_next() => {}
+                order = queue.recv() => match order {
+                    Some(Order::Stop { done }) => {
+                        self.stop(&mut asks).await;
+                        let _ = done.send(());
+                        return;
+                    }
+                    Some(order) => {
+                        asks.spawn_local(carry_out(Rc::clone(&self.local), order));
+                    }
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn heartbeat(&self) {
+        let now = self.local.shared.now();
+        for lost in self.local.table.borrow_mut().sweep(now) {
+            Entry::new(Kind::PeerLost)
+                .with("peer", &lost.name)
+                .with("role", lost.role)
+                .with("zone", &lost.zone)
+                .with("silent-ms", lost.age_ms)
+                .emit();
+        }
+        self.local.publish();
+        for address in self.targets() {
+            tokio::task::spawn_local(Rc::clone(&self.local).greet(address));
+        }
+        self.prune();
+    }
+
+    /// Addresses to greet this time.
+    fn targets(&self) -> BTreeSet<SocketAddr> {
+        let shared = &self.local.shared;
+        let members = shared.members.load_full();
+        let (live, lost): (Vec<&Member>, Vec<&Member>) = members
+            .iter()
+            .filter(|member| member.address != shared.address)
+            .partition(|member| self.local.is_peer(member));
+        let addresses = |members: &[&Member], wanted: &dyn Fn(&Member) -> bool| {
+            let wanted = members.iter().filter(|member| wanted(member));
+            wanted.map(|member| member.address).collect::<Vec<_>>()
+        };
+        let zone = &shared.identity.zone;
+        let near = addresses(&live, &|member| member.zone == *zone);
+        let far = addresses(&live, &|member| member.zone != *zone);
+        let heard: BTreeSet<SocketAddr> = addresses(&live, &|_| true).into_iter().collect();
+        let mut missing = addresses(&lost, &|_| true);
+        missing.extend(self.seeds.iter().filter(|seed| !heard.contains(seed)));
+        missing.retain(|address| {
+            let link = self.local.link(*address);
+            !link.is_backing_off(shared.now())
+        });
+        let rng = &mut *self.local.rng.borrow_mut();
+        let mut targets = BTreeSet::new();
+        for (mut group, count) in [
+            (near, NEAR_FANOUT),
+            (far, FAR_FANOUT),
+            (missing, LOST_FANOUT),
+        ] {
+            group.shuffle(rng);
+            targets.extend(group.into_iter().take(count));
+        }
+        targets
+    }
+
+    fn prune(&self) {
+        let members = self.local.shared.members.load_full();
+        self.local.prune(|address| {
+            self.seeds.contains(&address) || members.iter().any(|m| m.address == address)
+        });
+    }
+
+    /// Finishes what is under way and tells the others.
+    async fn stop(&self, asks: &mut JoinSet<()>) {
+        while asks.join_next().await.is_some() {}
+        let shared = &self.local.shared;
+        shared
+            .leaving
+            .store(true, std::sync::atomic::Ordering::Relaxed);
+        let greetings = self.targets().into_iter();
+        let greetings = greetings.map(|address| Rc::clone(&self.local).greet(address));
+        futures::future::join_all(greetings).await;
+    }
+}
+
+async fn carry_out(local: Rc<Local>, order: Order) {
+    match order {
+        Order::Ask { shard, body, reply } => {
+            let _ = reply.send(local.ask(&shard, &body).await);
+        }
+        Order::Announce { done } => {
+            local.announce().await;
+            let _ = done.send(());
+        }
+        Order::Renew { session, reply } => {
+            let _ = reply.send(local.renew(&session).await);
+        }
+        Order::Stop { done } => {
+            let _ = done.send(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/peer/shared.rs
@@ -0,0 +1,115 @@
+//! State that the node's thread and the handles share without locks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+
+use super::Identity;
+use crate::adapter::Store;
+use crate::config::Current;
+use crate::domain::Monotonic;
+use crate::membership::{Member, OwnedShard, Testimony};
+use crate::port::Clock;
+
+/// What the other processes have said of the store.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    /// Newest word of each process that is known, this one left out.
+    pub testimonies: Arc<Vec<Testimony>>,
+}
+
+pub(super) struct Shared {
+    pub(super) identity: Identity,
+    pub(super) address: SocketAddr,
+    pub(super) token: String,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) current: Current,
+    pub(super) members: ArcSwap<Vec<Member>>,
+    pub(super) testimonies: ArcSwap<Vec<Testimony>>,
+    pub(super) shards: ArcSwap<Vec<OwnedShard>>,
+    pub(super) store: ArcSwapOption<Store>,
+    pub(super) leaving: AtomicBool,
+    /// Sending time of the newest call that the store answered, plus one; zero for never.
+    store_contact: AtomicU64,
+    permit: AtomicU64,
+    incarnation: AtomicU64,
+    beat: AtomicU64,
+}
+
+impl Shared {
+    pub(super) fn new(
+        identity: Identity,
+        address: SocketAddr,
+        token: String,
+        current: Current,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            incarnation: AtomicU64::new(identity.incarnation),
+            identity,
+            address,
+            token,
+            clock,
+            current,
+            members: ArcSwap::default(),
+            testimonies: ArcSwap::default(),
+            shards: ArcSwap::default(),
+            store: ArcSwapOption::empty(),
+            leaving: AtomicBool::new(false),
+            store_contact: AtomicU64::new(0),
+            permit: AtomicU64::new(0),
+            beat: AtomicU64::new(0),
+        }
+    }
+
+    pub(super) fn now(&self) -> Monotonic {
+        self.clock.now()
+    }
+
+    pub(super) fn set_store_contact(&self, sent: Monotonic) {
+        let sent = sent.0.saturating_add(1);
+        self.store_contact.fetch_max(sent, Ordering::Relaxed);
+    }
+
+    pub(super) fn set_permit(&self, until: Monotonic) {
+        self.permit.store(until.0, Ordering::Relaxed);
+    }
+
+    /// Raises the incarnation above that of an earlier process of the same name.
+    pub(super) fn outlive(&self, incarnation: u64) {
+        let above = incarnation.saturating_add(1);
+        self.incarnation.fetch_max(above, Ordering::Relaxed);
+    }
+
+    pub(super) fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::Relaxed)
+    }
+
+    /// New record of this process.
+    pub(super) fn record(&self) -> Member {
+        let now = self.now();
+        let contact = self.store_contact.load(Ordering::Relaxed);
+        let store_age_ms = contact
+            .checked_sub(1)
+            .map(|sent| now.since(Monotonic(sent)));
+        let permit = Monotonic(self.permit.load(Ordering::Relaxed));
+        Member {
+            name: self.identity.name.clone(),
+            zone: self.identity.zone.clone(),
+            role: self.identity.role,
+            address: self.address,
+            incarnation: self.incarnation(),
+            beat: self.beat.fetch_add(1, Ordering::Relaxed),
+            // Read after the age of the contact: a reader must not see a new
+            // contact beside a revision from before it.
+            revision: self.current.load().revision,
+            store_age_ms,
+            permit_left_ms: permit.since(now),
+            shards: self.shards.load().to_vec(),
+            leaving: self.leaving.load(Ordering::Relaxed),
+            age_ms: 0,
+        }
+    }
+}
