--- a/crates/verbenahitch/src/cmd/mod.rs
+++ b/crates/verbenahitch/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod cancel;
 mod check;
+mod daemon;
 mod diff;
 mod digest;
 mod explain;
@@ -71,6 +72,9 @@
     /// Print the digest of a team's token, for the declarations
     #[bpaf(command)]
     Digest(#[bpaf(external(digest::args))] digest::Args),
+    /// Run the scheduler daemon
+    #[bpaf(command)]
+    Scheduler(#[bpaf(external(daemon::args))] daemon::Args),
 }
 
 impl Command {
@@ -87,6 +91,7 @@
             Self::Job(args) => args.execute(),
             Self::Cancel(args) => args.execute(),
             Self::Digest(args) => args.execute(),
+            Self::Scheduler(args) => args.execute(daemon::Role::Scheduler),
         }
     }
 }
--- a/crates/verbenahitch/src/config/watch.rs
+++ b/crates/verbenahitch/src/config/watch.rs
@@ -51,7 +51,8 @@
                 note_failure(failures, &error);
                 failures += 1;
                 let longest = (PAUSE_MS << failures.min(5)).min(MAX_PAUSE_MS);
-                pause(rand::rng().random_range(longest / 2..=longest)).await;
+                let jittered = rand::rng().random_range(longest / 2..=longest);
+                pause(jittered).await;
             }
         }
     }
--- a/crates/verbenahitch/src/peer/handle.rs
+++ b/crates/verbenahitch/src/peer/handle.rs
@@ -87,6 +87,11 @@
         self.shared.set_store_contact(sent);
     }
 
+    /// Sending time of the newest call that the store is known to have answered.
+    pub fn store_contact(&self) -> Option<Monotonic> {
+        self.shared.store_contact()
+    }
+
     /// Tells the others which shards this process owns.
     pub fn set_shards(&self, shards: Vec<OwnedShard>) {
         self.shared.shards.store(Arc::new(shards));
--- a/crates/verbenahitch/src/peer/shared.rs
+++ b/crates/verbenahitch/src/peer/shared.rs
@@ -73,6 +73,11 @@
         self.store_contact.fetch_max(sent, Ordering::Relaxed);
     }
 
+    pub(super) fn store_contact(&self) -> Option<Monotonic> {
+        let contact = self.store_contact.load(Ordering::Relaxed);
+        contact.checked_sub(1).map(Monotonic)
+    }
+
     pub(super) fn set_permit(&self, until: Monotonic) {
         self.permit.store(until.0, Ordering::Relaxed);
     }
@@ -90,10 +95,7 @@
     /// New record of this process.
     pub(super) fn record(&self) -> Member {
         let now = self.now();
-        let contact = self.store_contact.load(Ordering::Relaxed);
-        let store_age_ms = contact
-            .checked_sub(1)
-            .map(|sent| now.since(Monotonic(sent)));
+        let store_age_ms = self.store_contact().map(|sent| now.since(sent));
         let permit = Monotonic(self.permit.load(Ordering::Relaxed));
         Member {
             name: self.identity.name.clone(),
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/daemon/commit.rs
@@ -0,0 +1,173 @@
+//! Group commit of a shard: one transaction that requires the shard's lock.
+//!
+//! Every transaction moves the shard's batch key by compare-and-swap. A
+//! transaction that was delayed therefore cannot take effect after a later one,
+//! and a lost answer is recognised by the value of that key.
+
+use super::keys::{self, BatchValue};
+use crate::adapter::Store;
+use crate::collections::HashSet;
+use crate::domain::{JobId, ShardId};
+use crate::port::{Op, StoreError, Txn};
+use crate::scheduler::{Batch, CommitError, Write};
+
+/// Most operations that the store takes in one transaction.
+const TXN_OPS: usize = 64;
+
+/// Operations that every transaction carries for itself.
+const OWN_OPS: usize = 2;
+
+/// Writer of one shard for one epoch.
+#[derive(Debug)]
+pub(super) struct Writer {
+    store: Store,
+    shard: ShardId,
+    session: String,
+    epoch: u64,
+    /// Index of the newest change of the batch key.
+    index: u64,
+    /// Jobs whose record still stands in the inbox.
+    handed: HashSet<JobId>,
+}
+
+impl Writer {
+    /// Creates the writer of `epoch`; `index` is that of the newest change of the batch key.
+    pub(super) fn new(store: Store, shard: ShardId, session: &str, epoch: u64, index: u64) -> Self {
+        Self {
+            store,
+            shard,
+            session: session.to_owned(),
+            epoch,
+            index,
+            handed: HashSet::default(),
+        }
+    }
+
+    /// Notes that the record of a job stands in the inbox until it is first written.
+    pub(super) fn expect_handed(&mut self, id: JobId) {
+        self.handed.insert(id);
+    }
+
+    /// Writes a batch.
+    ///
+    /// # Errors
+    ///
+    /// When the store gives no answer or another process owns the shard. Some of
+    /// the writes may have taken effect; each is safe to repeat.
+    pub(super) async fn commit(&mut self, batch: &Batch) -> Result<(), CommitError> {
+        let mut ops = Vec::new();
+        let mut part = 0;
+        for write in &batch.writes {
+            let next = self.ops(write);
+            if ops.len() + next.len() + OWN_OPS > TXN_OPS {
+                self.transact(batch.number, part, std::mem::take(&mut ops))
+                    .await?;
+                part += 1;
+            }
+            ops.extend(next);
+        }
+        self.transact(batch.number, part, ops).await?;
+        for write in &batch.writes {
+            if let Write::Put(record) = write {
+                self.handed.remove(&record.id);
+            }
+        }
+        Ok(())
+    }
+
+    fn ops(&self, write: &Write) -> Vec<Op> {
+        match write {
+            Write::Put(record) => {
+                let mut ops = vec![Op::Set {
+                    key: keys::job(&self.shard, &record.id),
+                    value: keys::encode(record),
+                }];
+                if self.handed.contains(&record.id) {
+                    let key = keys::handed(&self.shard, &record.id);
+                    ops.push(Op::Delete { key });
+                }
+                ops
+            }
+            Write::Move { record, to } => vec![
+                Op::Delete {
+                    key: keys::job(&self.shard, &record.id),
+                },
+                Op::Set {
+                    key: keys::handed(to, &record.id),
+                    value: keys::encode(record),
+                },
+                Op::Set {
+                    key: keys::name(&record.id),
+                    value: to.to_string().into_bytes(),
+                },
+            ],
+            Write::Remove(id) => vec![
+                Op::Delete {
+                    key: keys::job(&self.shard, id),
+                },
+                Op::Delete {
+                    key: keys::name(id),
+                },
+            ],
+        }
+    }
+
+    async fn transact(
+        &mut self,
+        number: u64,
+        part: usize,
+        writes: Vec<Op>,
+    ) -> Result<(), CommitError> {
+        let value = keys::encode(&BatchValue {
+            epoch: self.epoch,
+            number,
+            part,
+        });
+        let mut ops = vec![
+            Op::CheckSession {
+                key: keys::owner(&self.shard),
+                session: self.session.clone(),
+            },
+            Op::Cas {
+                key: keys::batch(&self.shard),
+                value: value.clone(),
+                index: self.index,
+            },
+        ];
+        ops.extend(writes);
+        match self.store.transact(&ops).await {
+            Ok(Txn::Committed { index }) => {
+                self.index = index;
+                Ok(())
+            }
+            Ok(Txn::Conflict { .. }) | Err(StoreError::Unanswered { .. }) => {
+                self.settle(&value).await
+            }
+            Err(error) => {
+                log::warn!("commit of shard {} failed: {error}", self.shard);
+                Err(CommitError::Unavailable)
+            }
+        }
+    }
+
+    /// Finds out by reading whether the transaction that wrote `value` took effect.
+    async fn settle(&mut self, value: &[u8]) -> Result<(), CommitError> {
+        let batch = self.store.get(&keys::batch(&self.shard)).await;
+        let owner = self.store.get(&keys::owner(&self.shard)).await;
+        let (Ok(batch), Ok(owner)) = (batch, owner) else {
+            return Err(CommitError::Unavailable);
+        };
+        if let Some(entry) = &batch {
+            self.index = entry.modify;
+            if entry.value == value {
+                return Ok(());
+            }
+        }
+        let holder = owner.and_then(|entry| entry.session);
+        if holder.as_deref() == Some(self.session.as_str()) {
+            Err(CommitError::Unavailable)
+        } else {
+            Err(CommitError::NotOwner)
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/daemon/mod.rs
@@ -0,0 +1,191 @@
+//! The scheduler daemon: owns shards under a store session and drives their
+//! decision logic.
+
+mod acquire;
+mod commit;
+mod driver;
+pub(crate) mod keys;
+mod owner;
+mod session;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use snafu::{ResultExt, Snafu};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use crate::adapter::{HostList, Store};
+use crate::config::{self, Current};
+use crate::event::{Entry, Kind};
+use crate::peer::{Handle, Identity, Incoming, Node, PeerError, Role};
+use crate::port::{Clock, SystemClock};
+use crate::settings::Settings;
+
+/// Why the scheduler could not start.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// The token that processes show each other cannot be read.
+    #[snafu(display("token file {}: {source}", path.display()))]
+    TokenFile {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The peer interface could not start.
+    #[snafu(display("peer interface: {source}"))]
+    Peer {
+        /// Cause.
+        source: PeerError,
+    },
+}
+
+/// A scheduler that runs in this process.
+#[derive(Debug)]
+pub struct Running {
+    /// Address of its peer interface.
+    pub peers: SocketAddr,
+    /// Declarations in force.
+    pub current: Current,
+    stop: watch::Sender<bool>,
+    main: JoinHandle<()>,
+}
+
+impl Running {
+    /// Releases all shards and waits until nothing of this owner acts any more.
+    pub async fn stop(self) {
+        self.stop.send_replace(true);
+        self.main.await.ok();
+    }
+
+    /// Ends at once, as a crash would: nothing is released.
+    pub fn abort(self) {
+        self.main.abort();
+    }
+}
+
+/// Runs the scheduler until `stop` becomes true.
+///
+/// # Errors
+///
+/// When it cannot start.
+pub async fn run(settings: Settings, mut stop: watch::Receiver<bool>) -> Result<(), DaemonError> {
+    let running = start(settings).await?;
+    stop.wait_for(|stop| *stop).await.ok();
+    running.stop().await;
+    Ok(())
+}
+
+/// Starts the scheduler; returns once its peer interface listens.
+///
+/// # Errors
+///
+/// When it cannot start.
+pub async fn start(settings: Settings) -> Result<Running, DaemonError> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+    let current = Current::default();
+    let (handle, asked) = join(&settings, &current, &clock)?;
+    let peers = handle.address();
+    Entry::new(Kind::Started)
+        .with("zone", &settings.zone)
+        .with("peers", peers)
+        .emit();
+    let (stop, stopping) = watch::channel(false);
+    let main = tokio::spawn(main(
+        settings,
+        clock,
+        current.clone(),
+        handle,
+        asked,
+        stopping,
+    ));
+    Ok(Running {
+        peers,
+        current,
+        stop,
+        main,
+    })
+}
+
+/// Name of the scheduler process of an entry host.
+fn process_name(settings: &Settings) -> String {
+    format!("{}/scheduler", settings.name)
+}
+
+fn join(
+    settings: &Settings,
+    current: &Current,
+    clock: &Arc<dyn Clock>,
+) -> Result<(Handle, mpsc::Receiver<Incoming>), DaemonError> {
+    let path = &settings.peers.token_file;
+    let token = std::fs::read_to_string(path).context(TokenFileSnafu { path })?;
+    let identity = Identity {
+        name: process_name(settings),
+        zone: settings.zone.clone(),
+        role: Role::Scheduler,
+        listen: settings.scheduler.peers,
+        incarnation: clock.wall_ms(),
+    };
+    let token = token.trim().to_owned();
+    Node::start(
+        identity,
+        &settings.peers,
+        token,
+        current.clone(),
+        clock.clone(),
+    )
+    .context(PeerSnafu)
+}
+
+async fn main(
+    settings: Settings,
+    clock: Arc<dyn Clock>,
+    current: Current,
+    handle: Handle,
+    asked: mpsc::Receiver<Incoming>,
+    stopping: watch::Receiver<bool>,
+) {
+    let platform = &settings.platform;
+    let store = Store::new(&platform.store.to_string(), platform.timeout_ms);
+    handle.serve_renewals(store.clone());
+    let list = HostList::new(
+        &platform.hosts.to_string(),
+        &platform.service,
+        platform.timeout_ms,
+    );
+    let mut helpers = tokio::task::JoinSet::new();
+    let (session, sessions) = watch::channel(None);
+    helpers.spawn(
+        session::Keeper {
+            store: store.clone(),
+            handle: handle.clone(),
+            clock: clock.clone(),
+            name: settings.name.clone(),
+            lease_ms: settings.scheduler.shard_lease_ms,
+            current: session,
+        }
+        .run(),
+    );
+    let (hosts, known) = watch::channel(Arc::new(Vec::new()));
+    helpers.spawn(list.poll(platform.hosts_interval_ms, hosts));
+    helpers.spawn(config::watch::run(
+        store.clone(),
+        current.clone(),
+        handle.clone(),
+        clock.clone(),
+    ));
+    let owner = owner::Owner::new(
+        settings,
+        store,
+        clock,
+        current,
+        handle.clone(),
+        sessions,
+        known,
+    );
+    owner.run(asked, stopping).await;
+    handle.stop().await;
+    Entry::new(Kind::Stopped).emit();
+}
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/daemon/owner.rs
@@ -0,0 +1,350 @@
+//! Decides which shards this process owns, and feeds their drivers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use super::acquire::{self, Acquired};
+use super::commit::Writer;
+use super::driver::{Driver, Ended, Message, not_owner, ownership};
+use super::process_name;
+use super::session::Session;
+use crate::adapter::{Store, Workers};
+use crate::collections::{HashMap, HashSet};
+use crate::config::{Current, Permit};
+use crate::domain::{JobId, Monotonic, ShardId};
+use crate::event::{Entry, Kind};
+use crate::membership::{Choice, OwnedShard};
+use crate::peer::{Handle, Incoming};
+use crate::port::{Clock, HostRecord};
+use crate::scheduler::{Input, Params, Shard, ShardStatus};
+use crate::settings::Settings;
+
+/// Time between two looks at what is owned and what should be, in milliseconds.
+const LOOK_MS: u64 = 200;
+
+/// Looks between two readings of an inbox.
+const INBOX_LOOKS: u64 = 5;
+
+/// Driver of a shard that this process owns.
+struct Owned {
+    epoch: u64,
+    sender: mpsc::UnboundedSender<Message>,
+    status: watch::Receiver<ShardStatus>,
+    driver: JoinHandle<Ended>,
+    handed: HashSet<JobId>,
+    revision: u64,
+    hosts: Arc<Vec<HostRecord>>,
+}
+
+/// The shards of one process.
+pub(super) struct Owner {
+    name: String,
+    settings: Settings,
+    store: Store,
+    workers: Workers,
+    clock: Arc<dyn Clock>,
+    current: Current,
+    handle: Handle,
+    sessions: watch::Receiver<Option<Session>>,
+    hosts: watch::Receiver<Arc<Vec<HostRecord>>>,
+    permits: HashMap<String, Permit>,
+    owned: HashMap<ShardId, Owned>,
+    vacant: HashMap<ShardId, Monotonic>,
+    looks: u64,
+}
+
+impl Owner {
+    /// Creates the owner of no shards.
+    pub(super) fn new(
+        settings: Settings,
+        store: Store,
+        clock: Arc<dyn Clock>,
+        current: Current,
+        handle: Handle,
+        sessions: watch::Receiver<Option<Session>>,
+        hosts: watch::Receiver<Arc<Vec<HostRecord>>>,
+    ) -> Self {
+        Self {
+            name: process_name(&settings),
+            workers: Workers::new(settings.scheduler.sync_timeout_ms),
+            settings,
+            store,
+            clock,
+            current,
+            handle,
+            sessions,
+            hosts,
+            permits: HashMap::default(),
+            owned: HashMap::default(),
+            vacant: HashMap::default(),
+            looks: 0,
+        }
+    }
+
+    /// Runs until `stopping` becomes true, then releases every shard.
+    pub(super) async fn run(
+        mut self,
+        mut asked: mpsc::Receiver<Incoming>,
+        mut stopping: watch::Receiver<bool>,
+    ) {
+        let mut look = tokio::time::interval(Duration::from_millis(LOOK_MS));
+        look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = look.tick() => self.look().await,
+                Some(incoming) = asked.recv() => self.pass_on(incoming),
+                () = stopped(&mut stopping) => break,
+            }
+        }
+        Entry::new(Kind::Stopping).emit();
+        self.handle.set_leaving();
+        self.release_all().await;
+    }
+
+    fn pass_on(&self, incoming: Incoming) {
+        let Incoming {
+            shard,
+            request,
+            reply,
+        } = incoming;
+        let owned = self.owned.iter().find(|(id, _)| id.to_string() == shard);
+        match owned {
+            Some((_, owned)) => {
+                owned.sender.send(Message::Ask(request, reply)).ok();
+            }
+            None => {
+                reply.send(not_owner(&shard)).ok();
+            }
+        }
+    }
+
+    async fn look(&mut self) {
+        self.looks += 1;
+        let now = self.clock.now();
+        let permit = self.permit(&self.settings.zone.clone(), now);
+        self.handle.set_permit(permit);
+        let session = self.sessions.borrow().clone();
+        self.drop_lost(session.as_ref()).await;
+        if let Some(session) = session {
+            self.feed(&session, now);
+            self.read_inboxes().await;
+            self.acquire_vacant(&session, now).await;
+        }
+        self.publish();
+    }
+
+    /// Permit of a zone at `now`.
+    fn permit(&mut self, zone: &str, now: Monotonic) -> Monotonic {
+        let permit_ms = self.settings.scheduler.permit_ms;
+        let permit = self
+            .permits
+            .entry(zone.to_owned())
+            .or_insert_with(|| Permit::new(permit_ms));
+        let contact = self.handle.store_contact();
+        let evidence = self.handle.evidence();
+        permit.review(contact, &evidence, &self.current.load(), zone, now)
+    }
+
+    /// Ends the drivers of shards that another process owns or whose session has lapsed.
+    async fn drop_lost(&mut self, session: Option<&Session>) {
+        let members = self.handle.members();
+        let newest = |shard: &ShardId| {
+            let name = shard.to_string();
+            let claims = members.iter().flat_map(|member| &member.shards);
+            let claims = claims.filter(|claim| claim.shard == name);
+            claims.map(|claim| claim.epoch).max().unwrap_or(0)
+        };
+        let lost: Vec<ShardId> = self
+            .owned
+            .iter()
+            .filter(|(shard, owned)| {
+                session.is_none() || owned.driver.is_finished() || newest(shard) > owned.epoch
+            })
+            .map(|(shard, _)| shard.clone())
+            .collect();
+        for shard in lost {
+            if let Some(owned) = self.owned.remove(&shard) {
+                owned.sender.send(Message::Input(Input::Lost)).ok();
+                owned.driver.await.ok();
+                ownership(Kind::ShardLost, &shard.to_string(), owned.epoch).emit();
+            }
+        }
+    }
+
+    fn feed(&mut self, session: &Session, now: Monotonic) {
+        let declared = self.current.load();
+        let hosts = self.hosts.borrow().clone();
+        let authority = session.renewed + self.settings.scheduler.outage_ms;
+        let zones: HashSet<String> = self.owned.keys().map(|shard| shard.zone.clone()).collect();
+        for zone in zones {
+            self.permit(&zone, now);
+        }
+        for (shard, owned) in &mut self.owned {
+            let send = |input| owned.sender.send(Message::Input(input)).ok();
+            send(Input::Authority(authority));
+            if let Some(permit) = self.permits.get(&shard.zone) {
+                send(Input::Permit(permit.until()));
+            }
+            if owned.revision != declared.revision {
+                owned.revision = declared.revision;
+                send(Input::Declared(declared.clone()));
+            }
+            if !Arc::ptr_eq(&owned.hosts, &hosts) {
+                owned.hosts = hosts.clone();
+                let shards = declared
+                    .zones
+                    .get(&shard.zone)
+                    .map_or(1, |zone| zone.shards);
+                send(Input::Hosts(members_of(shard, shards, &hosts)));
+            }
+        }
+    }
+
+    async fn read_inboxes(&mut self) {
+        if !self.looks.is_multiple_of(INBOX_LOOKS) {
+            return;
+        }
+        for (shard, owned) in &mut self.owned {
+            let Ok(records) = acquire::handed(&self.store, shard).await else {
+                return;
+            };
+            for record in records {
+                if owned.handed.insert(record.id.clone()) {
+                    owned.sender.send(Message::Handed(Box::new(record))).ok();
+                }
+            }
+        }
+    }
+
+    async fn acquire_vacant(&mut self, session: &Session, now: Monotonic) {
+        for shard in self.wanted(now) {
+            let id = session.id.as_str();
+            match acquire::acquire(&self.store, &shard, id, &self.name).await {
+                Ok(Some(acquired)) => {
+                    let owned = self.drive(&shard, session, acquired);
+                    self.owned.insert(shard, owned);
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    log::warn!("shard {shard} could not be acquired: {error}");
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Shards that nobody is known to own and that this process should take now.
+    fn wanted(&mut self, now: Monotonic) -> Vec<ShardId> {
+        let declared = self.current.load();
+        let members = self.handle.members();
+        let claimed: HashSet<&str> = members
+            .iter()
+            .flat_map(|member| member.shards.iter().map(|claim| claim.shard.as_str()))
+            .collect();
+        let mut wanted = Vec::new();
+        for shard in declared.shards() {
+            if self.owned.contains_key(&shard) || claimed.contains(shard.to_string().as_str()) {
+                self.vacant.remove(&shard);
+                continue;
+            }
+            let since = *self.vacant.entry(shard.clone()).or_insert(now);
+            match Choice::of(&shard, &self.name, &members, self.settings.peers.timeout_ms) {
+                Choice::Now => wanted.push(shard),
+                Choice::After(delay) if now.since(since) >= delay => wanted.push(shard),
+                Choice::After(_) | Choice::No => {}
+            }
+        }
+        wanted
+    }
+
+    fn drive(&self, shard: &ShardId, session: &Session, acquired: Acquired) -> Owned {
+        let epoch = acquired.epoch;
+        ownership(Kind::ShardAcquired, &shard.to_string(), epoch)
+            .with("jobs", acquired.jobs.len())
+            .with("released", acquired.released)
+            .emit();
+        let params = Params::new(shard.clone(), &self.name, &self.settings.scheduler, epoch);
+        let logic = Shard::new(params);
+        let (status, watched) = watch::channel(logic.status());
+        let writer = Writer::new(
+            self.store.clone(),
+            shard.clone(),
+            &session.id,
+            epoch,
+            acquired.index,
+        );
+        let (sender, inputs) = mpsc::unbounded_channel();
+        let declared = self.current.load();
+        let send = |input| sender.send(Message::Input(input)).ok();
+        send(Input::Declared(declared.clone()));
+        send(Input::Acquired {
+            epoch,
+            jobs: acquired.jobs,
+            released: acquired.released,
+        });
+        let driver = Driver::new(
+            logic,
+            self.clock.clone(),
+            self.workers.clone(),
+            writer,
+            (sender.clone(), inputs),
+            status,
+        );
+        Owned {
+            epoch,
+            sender,
+            status: watched,
+            driver: tokio::spawn(driver.run()),
+            handed: HashSet::default(),
+            revision: declared.revision,
+            hosts: Arc::new(Vec::new()),
+        }
+    }
+
+    fn publish(&self) {
+        let shards = self.owned.iter().map(|(shard, owned)| {
+            let status = owned.status.borrow();
+            OwnedShard {
+                shard: shard.to_string(),
+                epoch: owned.epoch,
+                queued: status.queued,
+                running: status.running,
+            }
+        });
+        self.handle.set_shards(shards.collect());
+    }
+
+    async fn release_all(mut self) {
+        let session = self.sessions.borrow().clone();
+        let owned: Vec<(ShardId, Owned)> = self.owned.drain().collect();
+        for (_, owned) in &owned {
+            owned.sender.send(Message::Release).ok();
+        }
+        for (shard, owned) in owned {
+            let ended = owned.driver.await;
+            if let (Ok(Ended::Released { settled }), Some(session)) = (ended, &session) {
+                let released =
+                    acquire::release(&self.store, &shard, &session.id, &self.name, settled).await;
+                ownership(Kind::ShardReleased, &shard.to_string(), owned.epoch)
+                    .with("in-store", released == Ok(true))
+                    .emit();
+            }
+        }
+        self.handle.set_shards(Vec::new());
+    }
+}
+
+async fn stopped(stopping: &mut watch::Receiver<bool>) {
+    stopping.wait_for(|stop| *stop).await.ok();
+}
+
+/// Workers of `shard` among `hosts`.
+fn members_of(shard: &ShardId, shards: u32, hosts: &[HostRecord]) -> Vec<HostRecord> {
+    let in_shard = |host: &&HostRecord| {
+        host.zone == shard.zone && ShardId::holding(&host.zone, &host.name, shards) == *shard
+    };
+    hosts.iter().filter(in_shard).cloned().collect()
+}
--- /dev/null
+++ b/crates/verbenahitch/src/scheduler/daemon/session.rs
@@ -0,0 +1,90 @@
+//! The store session of a scheduler: the lease under which it owns shards.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use crate::adapter::Store;
+use crate::domain::{Millis, Monotonic};
+use crate::event::{Entry, Kind};
+use crate::peer::Handle;
+use crate::port::Clock;
+
+/// A session that the store granted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Session {
+    /// Identity in the store.
+    pub(super) id: String,
+    /// When the newest renewal that succeeded was sent.
+    pub(super) renewed: Monotonic,
+}
+
+/// Keeps one session alive and publishes it; `None` while there is none.
+pub(super) struct Keeper {
+    pub(super) store: Store,
+    pub(super) handle: Handle,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) name: String,
+    pub(super) lease_ms: Millis,
+    pub(super) current: watch::Sender<Option<Session>>,
+}
+
+impl Keeper {
+    /// Runs until the receivers are gone or the task is aborted.
+    pub(super) async fn run(self) {
+        let pause = Duration::from_millis(self.lease_ms / 5);
+        let mut reached = true;
+        while !self.current.is_closed() {
+            let held = self.current.borrow().clone();
+            let answered = match held {
+                Some(session) => self.renew(session).await,
+                None => self.create().await,
+            };
+            if answered != reached {
+                reached = answered;
+                let kind = if answered {
+                    Kind::StoreUp
+                } else {
+                    Kind::StoreDown
+                };
+                Entry::new(kind).emit();
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn create(&self) -> bool {
+        let sent = self.clock.now();
+        match self.store.create_session(&self.name, self.lease_ms).await {
+            Ok(id) => {
+                let session = Session { id, renewed: sent };
+                self.current.send_replace(Some(session));
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Renews directly, or through another process if the store does not answer.
+    async fn renew(&self, session: Session) -> bool {
+        let sent = self.clock.now();
+        let direct = self.store.renew_session(&session.id).await.ok();
+        let renewed = match direct {
+            Some(renewed) => Some(renewed),
+            None => self.handle.renew(&session.id).await,
+        };
+        match renewed {
+            Some(true) => {
+                let id = session.id;
+                self.current
+                    .send_replace(Some(Session { id, renewed: sent }));
+            }
+            Some(false) => {
+                self.current.send_replace(None);
+            }
+            None => {}
+        }
+        direct.is_some()
+    }
+}
--- a/crates/verbenahitch/src/scheduler/mod.rs
+++ b/crates/verbenahitch/src/scheduler/mod.rs
@@ -3,9 +3,11 @@
 //! [`Shard`] is the decision logic of one shard. It does no I/O: the daemon
 //! feeds it [`Input`]s and carries out its [`Action`]s.
 
+mod daemon;
 mod message;
 mod shard;
 
+pub use daemon::{DaemonError, Running, run, start};
 pub use message::{
     Action, Answer, Batch, CommitError, Input, JobStatus, Request, ShardStatus, SubmitError,
     WorkerStatus, Write,
