Add the stand-ins for the store, the list of workers and the workers

The end-to-end path, the failure tests and the demo need the platform's side of each published protocol, in process and as processes of their own.

The store follows the part of Consul's HTTP interface that the store adapter uses, the list its health interface, the worker the task interface of port::SyncRequest beside an upstream of a few slots. Each runs on a port of choice, keeps a history where workers see it, and takes faults by a handle and by a control port. Sessions, leases, runs and the list's lag go by an injected clock.

--- /dev/null
+++ b/crates/standin/src/command/mod.rs
@@ -0,0 +1,105 @@
+//! The `verbenahitch-standin` command.
+
+mod serve;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use verbenahitch::domain::Millis;
+
+/// Stand-ins for the platform, the workers and the upstreams.
+///
+/// Each subcommand that serves prints its addresses as one line of JSON when it
+/// is ready, and runs until its standard input ends or it is signalled.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum Arguments {
+    /// Serves the key-value service.
+    #[bpaf(command)]
+    Store {
+        /// Address to listen on; port 0 picks a free one.
+        #[bpaf(argument("IP:PORT"), fallback(loopback()))]
+        address: SocketAddr,
+        /// Address of the control port.
+        #[bpaf(argument("IP:PORT"), fallback(loopback()))]
+        control: SocketAddr,
+        /// Reads that the store takes a second; 0 for no limit.
+        #[bpaf(argument("N"), fallback(2_000))]
+        reads: u32,
+        /// Writes that the store takes a second; 0 for no limit.
+        #[bpaf(argument("N"), fallback(400))]
+        writes: u32,
+    },
+    /// Serves the list of workers.
+    #[bpaf(command)]
+    Hosts {
+        /// Address to listen on; port 0 picks a free one.
+        #[bpaf(argument("IP:PORT"), fallback(loopback()))]
+        address: SocketAddr,
+        /// Address of the control port, where workers are added.
+        #[bpaf(argument("IP:PORT"), fallback(loopback()))]
+        control: SocketAddr,
+        /// Time before a change shows, in milliseconds.
+        #[bpaf(argument("MS"), fallback(0))]
+        lag_ms: Millis,
+    },
+    /// Serves the workers of a pool.
+    #[bpaf(command)]
+    Workers {
+        /// Pool of workers, JSON with comments.
+        #[bpaf(argument("FILE"))]
+        pool: PathBuf,
+        /// Address of the control port.
+        #[bpaf(argument("IP:PORT"), fallback(loopback()))]
+        control: SocketAddr,
+        /// Seed of the workers' draws.
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+    },
+    /// Serves store, list and the workers of a pool.
+    #[bpaf(command)]
+    Platform {
+        /// Pool of workers, JSON with comments.
+        #[bpaf(argument("FILE"))]
+        pool: PathBuf,
+        /// Address of the control port.
+        #[bpaf(argument("IP:PORT"), fallback(loopback()))]
+        control: SocketAddr,
+        /// Address of the store.
+        #[bpaf(argument("IP:PORT"), fallback(loopback()))]
+        store: SocketAddr,
+        /// Address of the list of workers.
+        #[bpaf(argument("IP:PORT"), fallback(loopback()))]
+        hosts: SocketAddr,
+        /// Time before a change of the list shows, in milliseconds.
+        #[bpaf(argument("MS"), fallback(500))]
+        lag_ms: Millis,
+        /// Seed of the workers' draws.
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+    },
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Runs the command and returns its exit status.
+pub fn run() -> ExitCode {
+    let arguments = arguments().run();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error),
+    };
+    match runtime.block_on(serve::run(arguments)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("verbenahitch-standin: {error}");
+    ExitCode::from(2)
+}
--- /dev/null
+++ b/crates/standin/src/history/mod.rs
@@ -0,0 +1,5 @@
+//! What workers and callers saw, and the check of it.
+
+mod record;
+
+pub use record::{RequestRecord, RunEnd, RunRecord, WorkerHistory};
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,7 @@
 //! The `verbenahitch-standin` command.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    verbenahitch_standin::command::run()
+}
--- /dev/null
+++ b/crates/standin/src/platform/pool.rs
@@ -0,0 +1,82 @@
+//! Fixture that describes the workers of a deployment.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use verbenahitch::domain::Resources;
+
+use crate::worker::{Pressure, ServiceTime, Settings};
+
+/// Equal workers, spread evenly over availability zones and racks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Pool {
+    /// Availability zones.
+    pub zones: Vec<String>,
+    /// Number of workers over all availability zones.
+    pub workers: usize,
+    /// Workers to a rack.
+    pub rack_size: usize,
+    /// Size of each worker.
+    pub capacity: Resources,
+    /// Requests that each upstream serves at a time.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Largest factor between a run's declared and its true time.
+    #[serde(default = "default_spread")]
+    pub run_spread: f64,
+    /// Service times by the first part of the request's path.
+    #[serde(default)]
+    pub service: BTreeMap<String, ServiceTime>,
+    /// Profiles by the first part of the request's path.
+    #[serde(default)]
+    pub profiles: BTreeMap<String, String>,
+    /// How runs and requests press on each other.
+    #[serde(default)]
+    pub pressure: Pressure,
+}
+
+fn default_slots() -> u32 {
+    8
+}
+
+fn default_spread() -> f64 {
+    1.0
+}
+
+impl Pool {
+    /// Setup of every worker; `seed` decides their draws.
+    pub fn settings(&self, seed: u64) -> Vec<Settings> {
+        let zones = self.zones.len().max(1);
+        let of = |number: usize| {
+            let zone = self.zones.get(number % zones).cloned().unwrap_or_default();
+            self.worker(&zone, number / zones, seed)
+        };
+        (0..self.workers).map(of).collect()
+    }
+
+    fn worker(&self, zone: &str, number: usize, seed: u64) -> Settings {
+        let rack = number / self.rack_size.max(1);
+        let name = format!("{zone}-w{number:02}");
+        Settings {
+            seed: seed ^ hash(&name),
+            name,
+            zone: zone.to_owned(),
+            rack: format!("{zone}-r{rack}"),
+            capacity: self.capacity,
+            slots: self.slots,
+            run_spread: self.run_spread,
+            service: self.service.clone(),
+            profiles: self.profiles.clone(),
+            pressure: self.pressure.clone(),
+            ..Settings::default()
+        }
+    }
+}
+
+fn hash(name: &str) -> u64 {
+    use std::hash::Hasher as _;
+    let mut hasher = rustc_hash::FxHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/standin/src/store/txn.rs
@@ -0,0 +1,142 @@
+//! Transactions: all operations take effect, or none.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use serde::{Deserialize, Serialize};
+
+use super::state::State;
+
+/// One operation on the wire.
+#[derive(Debug, Deserialize)]
+pub(super) struct WireOp {
+    #[serde(rename = "KV")]
+    kv: WireKv,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireKv {
+    verb: Verb,
+    key: String,
+    value: Option<String>,
+    #[serde(default)]
+    index: u64,
+    #[serde(default)]
+    session: String,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Verb {
+    Set,
+    Cas,
+    Delete,
+    CheckSession,
+    CheckNotExists,
+}
+
+/// Answer on the wire.
+#[derive(Debug, Default, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct WireTxn {
+    results: Option<Vec<WireResult>>,
+    errors: Option<Vec<WireError>>,
+}
+
+#[derive(Debug, Serialize)]
+struct WireResult {
+    #[serde(rename = "KV")]
+    kv: WireModified,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireModified {
+    key: String,
+    modify_index: u64,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireError {
+    op_index: usize,
+    what: String,
+}
+
+impl WireTxn {
+    pub(super) fn is_committed(&self) -> bool {
+        self.errors.is_none()
+    }
+}
+
+impl WireOp {
+    /// Size of the value on the wire, in bytes.
+    pub(super) fn value_len(&self) -> usize {
+        self.kv
+            .value
+            .as_ref()
+            .map_or(0, |value| value.len() / 4 * 3)
+    }
+}
+
+/// Applies `ops` to `state`, or none of them.
+pub(super) fn apply(state: &mut State, ops: &[WireOp]) -> WireTxn {
+    let before = state.mark();
+    let mut undo = Vec::new();
+    let mut errors = Vec::new();
+    let mut results = Vec::new();
+    for (op_index, op) in ops.iter().enumerate() {
+        undo.push(state.save(&op.kv.key));
+        match step(state, &op.kv) {
+            Ok(Some(kv)) => results.push(WireResult { kv }),
+            Ok(None) => {}
+            Err(what) => errors.push(WireError { op_index, what }),
+        }
+    }
+    if errors.is_empty() {
+        return WireTxn {
+            results: Some(results),
+            errors: None,
+        };
+    }
+    for saved in undo.into_iter().rev() {
+        state.restore(saved);
+    }
+    state.rewind(before);
+    WireTxn {
+        results: None,
+        errors: Some(errors),
+    }
+}
+
+fn step(state: &mut State, op: &WireKv) -> Result<Option<WireModified>, String> {
+    let key = &op.key;
+    match op.verb {
+        Verb::Set => state.set(key, value(op)?),
+        Verb::Cas => {
+            if !state.is_at(key, op.index) {
+                return Err(format!("failed to set key {key:?}, index is stale"));
+            }
+            state.set(key, value(op)?);
+        }
+        Verb::Delete => {
+            state.delete(key);
+            return Ok(None);
+        }
+        Verb::CheckSession if state.is_held(key, &op.session) => {}
+        Verb::CheckSession => {
+            return Err(format!("failed session check for key {key:?}"));
+        }
+        Verb::CheckNotExists if state.key(key).is_none() => return Ok(None),
+        Verb::CheckNotExists => return Err(format!("key {key:?} exists")),
+    }
+    Ok(Some(WireModified {
+        key: key.clone(),
+        modify_index: state.key_index(key),
+    }))
+}
+
+fn value(op: &WireKv) -> Result<Vec<u8>, String> {
+    let text = op.value.as_deref().unwrap_or_default();
+    BASE64.decode(text).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/standin/src/worker/mod.rs
@@ -0,0 +1,22 @@
+//! Stand-in of a worker: the platform's task interface on one address, the
+//! upstream's HTTP on another.
+//!
+//! The task interface follows `verbenahitch::port::SyncRequest`. The upstream
+//! serves a bounded number of requests at a time, with a service time that is
+//! drawn from a seeded distribution and grows under the pressure of the batch
+//! runs beside it.
+
+mod control;
+mod engine;
+mod handle;
+mod latency;
+mod pressure;
+mod run;
+mod upstream;
+
+pub use handle::Worker;
+pub use pressure::Pressure;
+pub use settings::{Behaviour, ServiceTime, Settings};
+pub use upstream::Receipt;
+
+mod settings;
--- /dev/null
+++ b/testsuite/src/bin/testsuite-standin.rs
@@ -0,0 +1,7 @@
+//! The `verbenahitch-standin` command, built with the tests that start it.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    verbenahitch_standin::command::run()
+}
