Choose workers by interference, racks and fit; learn slowdown per pair

The placer took the tightest worker after a scan of all, without quotas, eviction or any notion of interference.

Workers now lie in an index by free processors; a choice scores the tightest ones and some sampled at random, and scans all only when none of them will do. Quotas count per team and shard. Urgent work gets the cheapest sacrifice, and the room that is made is kept for it. Slowdown is regressed per victim on the activity of all sources beside it, with the declared pressure as prior. Measures are throttle, then evict, with hysteresis.

A worker that shrank below its commitments used to get room back too early when a task ended; occupying twice lost room.

--- a/crates/verbenahitch/src/placement/placer.rs
+++ b/crates/verbenahitch/src/placement/placer.rs
@@ -1,187 +1,127 @@
-//! Chooses a worker for a task by best fit.
+//! Committed resources of a shard's workers, and the choice among them.
 
 use std::sync::Arc;
 
 use slotmap::SlotMap;
-use snafu::Snafu;
 
 use crate::collections::HashMap;
 use crate::config::Declarations;
-use crate::domain::{Millis, Monotonic, Profile, Resources, TaskKey, WorkerKey};
-use crate::interference::{Attribution, Relief};
-use crate::port::Usage;
-
-/// Whether a worker may be given tasks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WorkerState {
-    /// Takes tasks.
-    Open,
-    /// Leaving or not yet heard: keeps its tasks, takes none.
-    Closed,
-    /// Takes one probe task at a time.
-    Quarantined,
-}
-
-/// A task that looks for a worker.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// Task.
-    pub task: TaskKey,
-    /// Name of its profile.
-    pub name: Arc<str>,
-    /// Its profile.
-    pub profile: Arc<Profile>,
-    /// Worker that should not get it again, if another can.
-    pub avoid: Option<WorkerKey>,
-    /// Time that the task has waited, in milliseconds.
-    pub waited_ms: Millis,
-}
-
-/// A task that occupies a worker.
-#[derive(Clone, Debug)]
-pub struct Resident {
-    /// Task.
-    pub task: TaskKey,
-    /// Number of its run.
-    pub run: u64,
-    /// Name of its profile.
-    pub name: Arc<str>,
-    /// Its profile.
-    pub profile: Arc<Profile>,
-    /// What it commits.
-    pub resources: Resources,
-    /// When it started.
-    pub since: Monotonic,
-}
+use crate::domain::{Class, Millis, Monotonic, Profile, Resources, TaskKey, WorkerKey};
+use crate::interference::{Attribution, Estimator, ProfileId, Roster, Victim};
 
-/// Outcome of a choice.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Choice {
-    /// Give the task to a worker.
-    Place {
-        /// Chosen worker.
-        worker: WorkerKey,
-        /// Second best worker, if any.
-        runner_up: Option<WorkerKey>,
-        /// Why it was chosen.
-        reason: Reason,
-    },
-    /// Evict tasks of a worker to make room, then choose again.
-    Evict {
-        /// Worker.
-        worker: WorkerKey,
-        /// Its tasks to evict, the least worth first.
-        victims: Vec<TaskKey>,
-    },
-    /// Wait.
-    Wait(Reason),
-    /// No worker could ever run it, in words.
-    Never(String),
-}
+use super::budget::Budgets;
+use super::host::{Held, Host};
+use super::index::Index;
+use super::quota::Quotas;
+use super::score::Racks;
+use super::size::Usages;
+use super::{Ask, Overcommit, Resident, WorkerState};
 
-/// Why a choice was made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reason {
-    /// Leaves the least room unused.
-    BestFit,
-    /// Presses least on its neighbours.
-    LeastPressure,
-    /// Probe of a quarantined worker.
-    Probe,
-    /// No worker has room.
-    NoRoom,
-    /// The team has used its quota.
-    Quota,
-    /// Every worker with room would slow its neighbours too much.
-    TooMuchPressure,
-}
+pub(super) const CLAIM_MARGIN_MS: Millis = 10_000;
 
-/// A worker was asked to hold more than its size.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("{needed:?} does not fit into the {free:?} that are free"))]
-pub struct Overcommit {
-    /// What the task needs.
-    pub needed: Resources,
-    /// What is free.
-    pub free: Resources,
-}
+/// Time until a changed share of processors shows in a run's usage.
+pub(super) const SETTLE_MS: Millis = 2_000;
 
-#[derive(Debug)]
-struct Host {
-    capacity: Resources,
-    free: Resources,
-    state: WorkerState,
-    residents: HashMap<TaskKey, Resident>,
+/// Room that is being made for a task.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Claim {
+    pub(super) worker: WorkerKey,
+    pub(super) need: Resources,
+    pub(super) until: Monotonic,
 }
 
 /// Committed resources of a shard's workers, and the choice among them.
+///
+/// What is committed of a worker is the sum of its residents' `resources`, as
+/// the caller gave them to [`Self::occupy`]; the worker holds each run to that.
+/// Neither observation nor throttling changes a commitment.
 #[derive(Debug, Default)]
 pub struct Placer {
-    hosts: SlotMap<WorkerKey, Host>,
-    declared: Arc<Declarations>,
+    pub(super) hosts: SlotMap<WorkerKey, Host>,
+    pub(super) index: Index,
+    pub(super) quarantined: Vec<WorkerKey>,
+    pub(super) sizes: HashMap<Resources, u32>,
+    pub(super) claims: HashMap<TaskKey, Claim>,
+    pub(super) quotas: Quotas,
+    pub(super) budgets: Budgets,
+    pub(super) racks: Racks,
+    pub(super) usages: Vec<Usages>,
+    pub(super) roster: Roster,
+    pub(super) estimator: Estimator,
+    pub(super) declared: Arc<Declarations>,
+    pub(super) seed: u64,
 }
 
 impl Placer {
     /// Creates a placer without workers; `seed` fixes its choice among equals.
-    pub fn new(_seed: u64) -> Self {
-        Self::default()
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            ..Self::default()
+        }
     }
 
     /// Takes over newer declarations; `share` is this shard's part of the teams' quotas, 0.0 to 1.0.
-    pub fn declare(&mut self, declared: Arc<Declarations>, _share: f64) {
+    pub fn declare(&mut self, declared: Arc<Declarations>, share: f64) {
+        for (name, profile) in &declared.profiles {
+            self.roster.refresh(name, profile);
+        }
+        self.quotas.declare(Arc::clone(&declared), share);
         self.declared = declared;
     }
 
     /// Adds a worker without tasks.
-    pub fn add_worker(
-        &mut self,
-        capacity: Resources,
-        _rack: &str,
-        state: WorkerState,
-    ) -> WorkerKey {
-        self.hosts.insert(Host {
-            capacity,
-            free: capacity,
-            state,
-            residents: HashMap::default(),
-        })
+    pub fn add_worker(&mut self, capacity: Resources, rack: &str, state: WorkerState) -> WorkerKey {
+        let rack = self.racks.number(rack);
+        let worker = self.hosts.insert(Host::new(capacity, rack, state));
+        *self.sizes.entry(capacity).or_default() += 1;
+        self.relist(worker);
+        worker
     }
 
     /// Changes whether a worker takes tasks.
     pub fn set_state(&mut self, worker: WorkerKey, state: WorkerState) {
         if let Some(host) = self.hosts.get_mut(worker) {
-            host.state = state;
+            host.set_state(state);
+            self.relist(worker);
         }
     }
 
     /// Changes the size of a worker; tasks that no longer fit stay until they end.
     pub fn resize(&mut self, worker: WorkerKey, capacity: Resources) {
         if let Some(host) = self.hosts.get_mut(worker) {
-            let used = host.residents.values().map(|resident| resident.resources);
-            let used = used.fold(Resources::ZERO, |sum, next| sum + next);
-            host.capacity = capacity;
-            host.free = capacity.saturating_sub(used);
+            let before = std::mem::replace(&mut host.capacity, capacity);
+            *self.sizes.entry(capacity).or_default() += 1;
+            self.forget_size(before);
+            self.relist(worker);
         }
     }
 
     /// Removes a worker with all it holds.
     pub fn remove_worker(&mut self, worker: WorkerKey) {
-        self.hosts.remove(worker);
+        let Some(host) = self.hosts.get(worker) else {
+            return;
+        };
+        let tasks: Vec<TaskKey> = host.held.iter().map(|held| held.resident.task).collect();
+        for task in tasks {
+            self.vacate(worker, task);
+        }
+        self.claims.retain(|_, claim| claim.worker != worker);
+        self.set_state(worker, WorkerState::Closed);
+        if let Some(host) = self.hosts.remove(worker) {
+            self.forget_size(host.capacity);
+        }
     }
 
     /// Tasks of a worker.
     pub fn residents(&self, worker: WorkerKey) -> impl Iterator<Item = &Resident> {
-        self.hosts
-            .get(worker)
-            .into_iter()
-            .flat_map(|host| host.residents.values())
+        let host = self.hosts.get(worker).into_iter();
+        host.flat_map(|host| host.held.iter().map(|held| &held.resident))
     }
 
     /// What a worker has left.
     pub fn free(&self, worker: WorkerKey) -> Resources {
-        self.hosts
-            .get(worker)
-            .map_or(Resources::ZERO, |host| host.free)
+        self.hosts.get(worker).map_or(Resources::ZERO, Host::free)
     }
 
     /// Size of a worker.
@@ -191,65 +131,196 @@
             .map_or(Resources::ZERO, |host| host.capacity)
     }
 
-    /// Chooses a worker; changes nothing.
-    pub fn choose(&self, ask: &Ask, _now: Monotonic) -> Choice {
-        let need = ask.profile.resources;
-        if !self.hosts.is_empty() && !self.hosts.values().any(|host| need.fits(host.capacity)) {
-            return Choice::Never(format!("{need:?} is larger than every worker"));
-        }
-        let mut fits: Vec<(u64, WorkerKey)> = self
-            .hosts
-            .iter()
-            .filter(|(_, host)| host.state == WorkerState::Open && need.fits(host.free))
-            .map(|(key, host)| (host.free.millicores - need.millicores, key))
-            .collect();
-        fits.sort_unstable();
-        match fits.as_slice() {
-            [] => Choice::Wait(Reason::NoRoom),
-            [(_, worker), rest @ ..] => Choice::Place {
-                worker: *worker,
-                runner_up: rest.first().map(|(_, key)| *key),
-                reason: Reason::BestFit,
-            },
-        }
-    }
-
     /// Commits resources of a worker to a task.
     ///
+    /// A task that is on the worker already is replaced.
+    ///
     /// # Errors
     ///
-    /// When the worker lacks the room or does not exist; nothing is committed then.
+    /// When the worker lacks the room or does not exist; nothing changes then.
     pub fn occupy(&mut self, worker: WorkerKey, resident: Resident) -> Result<(), Overcommit> {
         let needed = resident.resources;
         let short = |free| Overcommit { needed, free };
-        let host = self.hosts.get_mut(worker).ok_or(short(Resources::ZERO))?;
-        host.free = host.free.checked_sub(needed).ok_or(short(host.free))?;
-        host.residents.insert(resident.task, resident);
+        let host = self.hosts.get(worker).ok_or(short(Resources::ZERO))?;
+        let replaced = host.find(resident.task);
+        let back = replaced.map_or(Resources::ZERO, |at| host.held[at].resident.resources);
+        let free = host
+            .capacity
+            .saturating_sub(host.committed.saturating_sub(back));
+        if !needed.fits(free) {
+            return Err(short(free));
+        }
+        if replaced.is_some() {
+            self.vacate(worker, resident.task);
+        }
+        self.unclaim(resident.task);
+        self.admit(worker, resident);
         Ok(())
     }
 
+    fn admit(&mut self, worker: WorkerKey, resident: Resident) {
+        let id = self.roster.add(&resident.name, &resident.profile);
+        if self.usages.len() <= id.index() {
+            self.usages.resize(id.index() + 1, Usages::default());
+        }
+        let settled = resident.since + SETTLE_MS;
+        self.quotas.take(&resident.profile.team, resident.resources);
+        let host = &mut self.hosts[worker];
+        self.racks.add(resident.task.job, host.rack);
+        if resident.profile.class == Class::LatencyCritical {
+            victim(host, id).residents += 1;
+        }
+        host.add(Held {
+            resident,
+            profile: id,
+            share: 1.0,
+            settled,
+            units: 1.0,
+            leaving: Monotonic::default(),
+        });
+        self.relist(worker);
+    }
+
     /// Releases what a task holds on a worker; says whether it held anything.
     pub fn vacate(&mut self, worker: WorkerKey, task: TaskKey) -> bool {
         let Some(host) = self.hosts.get_mut(worker) else {
             return false;
         };
-        let Some(resident) = host.residents.remove(&task) else {
+        let Some(at) = host.find(task) else {
             return false;
         };
-        host.free += resident.resources;
+        let held = host.take(at);
+        let profile = &held.resident.profile;
+        if profile.class == Class::LatencyCritical {
+            let victim = victim(host, held.profile);
+            victim.residents = victim.residents.saturating_sub(1);
+        }
+        self.racks.remove(task.job, host.rack);
+        self.quotas.give(&profile.team, held.resident.resources);
+        self.relist(worker);
         true
     }
 
-    /// Learns from a worker's lagging usage.
-    pub fn observe(&mut self, _worker: WorkerKey, _usage: &Usage, _now: Monotonic) {}
+    /// Takes over the share of processors that a worker reports for a task.
+    pub fn set_share(&mut self, worker: WorkerKey, task: TaskKey, share: f64) {
+        let Some(host) = self.hosts.get_mut(worker) else {
+            return;
+        };
+        if let Some(at) = host.find(task) {
+            host.held[at].share = share.clamp(0.01, 1.0);
+        }
+    }
 
-    /// What to do now against interference: throttle, restore or evict.
-    pub fn relieve(&mut self, _now: Monotonic) -> Vec<Relief> {
-        Vec::new()
+    /// Notes that `victims` are being evicted from a worker to make room for `ask`.
+    ///
+    /// The room is kept for `ask`, and the evictions count against the budgets.
+    pub fn evict(&mut self, ask: &Ask, worker: WorkerKey, victims: &[TaskKey], now: Monotonic) {
+        let Some(host) = self.hosts.get_mut(worker) else {
+            return;
+        };
+        let mut grace = 0;
+        for held in &mut host.held {
+            if victims.contains(&held.resident.task) {
+                let own = held.resident.profile.eviction.grace_ms;
+                held.leaving = now + own + CLAIM_MARGIN_MS;
+                self.budgets.spend(held.resident.task, now);
+                grace = grace.max(own);
+            }
+        }
+        self.unclaim(ask.task);
+        let claim = Claim {
+            worker,
+            need: ask.profile.resources,
+            until: now + grace + CLAIM_MARGIN_MS,
+        };
+        self.claims.insert(ask.task, claim);
+        self.hosts[worker].claimed += claim.need;
+        self.relist(worker);
     }
 
     /// Whose work pressed on whose so far, the strongest first.
     pub fn pressures(&self) -> Vec<Attribution> {
-        Vec::new()
+        self.estimator.attributions(&self.roster)
+    }
+
+    /// What a task of the profile should commit, by the usage of its like.
+    ///
+    /// It is the declared size until enough usage was seen, and declared
+    /// accelerators always. Commit it only where the worker holds a run to it.
+    pub fn size(&self, name: &str, profile: &Profile) -> Resources {
+        let usages = self
+            .roster
+            .id(name)
+            .and_then(|id| self.usages.get(id.index()));
+        usages.map_or(profile.resources, |usages| usages.predict(profile))
     }
+
+    /// Largest share of its quota that a team has committed in this shard.
+    pub(super) fn dominant_share(&self, team: &str) -> f64 {
+        self.quotas.dominant(team)
+    }
+
+    pub(super) fn unclaim(&mut self, task: TaskKey) {
+        let Some(claim) = self.claims.remove(&task) else {
+            return;
+        };
+        if let Some(host) = self.hosts.get_mut(claim.worker) {
+            host.claimed -= claim.need;
+            self.relist(claim.worker);
+        }
+    }
+
+    fn forget_size(&mut self, size: Resources) {
+        if let Some(count) = self.sizes.get_mut(&size) {
+            *count -= 1;
+            if *count == 0 {
+                self.sizes.remove(&size);
+            }
+        }
+    }
+
+    /// Brings a worker's place in the index up to date.
+    fn relist(&mut self, worker: WorkerKey) {
+        let host = &self.hosts[worker];
+        let room = host.room();
+        let open = host.state == WorkerState::Open;
+        match host.slot {
+            Some(slot) if open && Index::is_current(slot, room) => {}
+            Some(slot) => {
+                let moved = self.index.remove(slot);
+                if let Some(moved) = moved {
+                    self.hosts[moved].slot = Some(slot);
+                }
+                self.hosts[worker].slot = open.then(|| self.index.insert(worker, room));
+            }
+            None if open => self.hosts[worker].slot = Some(self.index.insert(worker, room)),
+            None => {}
+        }
+        self.relist_quarantine(worker);
+    }
+
+    fn relist_quarantine(&mut self, worker: WorkerKey) {
+        let wanted = self.hosts[worker].state == WorkerState::Quarantined;
+        let at = self.quarantined.iter().position(|key| *key == worker);
+        match (wanted, at) {
+            (true, None) => self.quarantined.push(worker),
+            (false, Some(at)) => {
+                self.quarantined.remove(at);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The worker's entry of a latency-critical profile, added if it is new.
+pub(super) fn victim(host: &mut Host, profile: ProfileId) -> &mut Victim {
+    let at = host
+        .victims
+        .iter()
+        .position(|victim| victim.profile == profile);
+    let at = at.unwrap_or_else(|| {
+        host.victims.push(Victim::new(profile));
+        host.victims.len() - 1
+    });
+    &mut host.victims[at]
 }
--- /dev/null
+++ b/testsuite/tests/testsuite/interference/field.rs
@@ -0,0 +1,168 @@
+//! Workers whose true slowdown the test knows and the placer must find out.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use verbenahitch::domain::{Monotonic, Profile, Resources, WorkerKey};
+use verbenahitch::interference::{Attribution, Relief};
+use verbenahitch::placement::{Placer, Resident};
+use verbenahitch::port::{LatencyReport, TaskUsage, Usage};
+
+use crate::placement::fixture::{Tasks, batch, service, workers};
+
+const LAG_MS: u64 = 2_000;
+pub const SERVICE: &str = "service";
+
+/// A worker's batch tasks, each with its share of processors.
+#[derive(Default)]
+struct Load {
+    runs: Vec<(Resident, f64)>,
+}
+
+/// Workers with one service each, and what truly slows it.
+pub struct Field {
+    pub placer: Placer,
+    pub workers: Vec<WorkerKey>,
+    pub alone_us: f64,
+    /// True slowdown by one task of each profile.
+    pub truth: Vec<(&'static str, f64)>,
+    pub noise: f64,
+    tasks: Tasks,
+    loads: Vec<Load>,
+    rng: ChaCha8Rng,
+    second: u64,
+}
+
+impl Field {
+    pub fn new(count: usize, truth: &[(&'static str, f64)]) -> Self {
+        let mut placer = Placer::new(11);
+        let mut tasks = Tasks::default();
+        let workers = workers(&mut placer, count, Resources::new(32, 131_072));
+        for worker in &workers {
+            tasks.put(&mut placer, *worker, SERVICE, &service());
+        }
+        Self {
+            placer,
+            loads: workers.iter().map(|_| Load::default()).collect(),
+            workers,
+            alone_us: 20_000.0,
+            truth: truth.to_vec(),
+            noise: 0.2,
+            tasks,
+            rng: ChaCha8Rng::seed_from_u64(4),
+            second: 0,
+        }
+    }
+
+    pub fn now(&self) -> Monotonic {
+        Monotonic(1_000 * self.second)
+    }
+
+    /// Starts a batch task beside the service of the worker at a position.
+    pub fn put(&mut self, at: usize, name: &str, profile: &Profile) -> Resident {
+        let ask = self.tasks.ask(name, profile);
+        let resident = self.tasks.resident(&ask, self.now());
+        let taken = self.placer.occupy(self.workers[at], resident.clone());
+        taken.expect("it fits");
+        self.loads[at].runs.push((resident.clone(), 1.0));
+        resident
+    }
+
+    /// True ratio of the service's latency to its latency alone.
+    pub fn slowdown(&self, at: usize) -> f64 {
+        let runs = self.loads[at].runs.iter();
+        let added = runs.map(|(run, share)| share * self.truth_of(&run.name));
+        1.0 + added.sum::<f64>()
+    }
+
+    fn truth_of(&self, name: &str) -> f64 {
+        let known = self.truth.iter().find(|(known, _)| *known == name);
+        known.map_or(0.0, |(_, slope)| *slope)
+    }
+
+    /// Lets every worker report for one second.
+    pub fn report(&mut self) {
+        self.second += 1;
+        for at in 0..self.workers.len() {
+            let noise = 1.0 + self.noise * self.rng.random_range(-1.0..1.0);
+            let p99 = self.alone_us * self.slowdown(at) * noise;
+            let usage = self.usage(at, p99);
+            let now = self.now();
+            self.placer.observe(self.workers[at], &usage, now);
+        }
+    }
+
+    fn usage(&self, at: usize, p99: f64) -> Usage {
+        let runs = self.loads[at].runs.iter();
+        let tasks = runs.map(|(run, share)| TaskUsage {
+            run: run.run,
+            millicores: (1_000.0 * share) as u64,
+            memory_mib: 512,
+        });
+        let latency = LatencyReport {
+            profile: SERVICE.to_owned(),
+            count: 100,
+            p50_us: (p99 / 4.0) as u64,
+            p99_us: p99 as u64,
+        };
+        Usage {
+            age_ms: LAG_MS,
+            tasks: tasks.collect(),
+            latency: vec![latency],
+        }
+    }
+
+    /// Reports and carries the measures out, for some seconds; returns all measures.
+    pub fn run(&mut self, seconds: u64) -> Vec<Relief> {
+        let mut all = Vec::new();
+        for _ in 0..seconds {
+            self.report();
+            let now = self.now();
+            for relief in self.placer.relieve(now) {
+                self.carry_out(&relief);
+                all.push(relief);
+            }
+        }
+        all
+    }
+
+    fn carry_out(&mut self, relief: &Relief) {
+        match relief {
+            Relief::Throttle {
+                worker,
+                task,
+                share,
+            } => {
+                let at = self.at(*worker);
+                let runs = self.loads[at].runs.iter_mut();
+                for (_, known) in runs.filter(|(run, _)| run.task == *task) {
+                    *known = *share;
+                }
+            }
+            Relief::Evict { worker, task } => {
+                let at = self.at(*worker);
+                self.loads[at].runs.retain(|(run, _)| run.task != *task);
+                assert!(self.placer.vacate(*worker, *task));
+            }
+        }
+    }
+
+    fn at(&self, worker: WorkerKey) -> usize {
+        let mut all = self.workers.iter();
+        all.position(|key| *key == worker).expect("known worker")
+    }
+
+    /// What the placer believes that one task of `source` does to the service.
+    pub fn believed(&self, source: &str) -> Attribution {
+        let mut all = self.placer.pressures().into_iter();
+        all.find(|pair| pair.source == source && pair.victim == SERVICE)
+            .expect("the pair was measured")
+    }
+}
+
+/// A batch profile whose declared pressure is `pressure`.
+pub fn declared(pressure: f64) -> Profile {
+    Profile {
+        pressure,
+        ..batch()
+    }
+}
--- a/testsuite/tests/testsuite/interference/mod.rs
+++ b/testsuite/tests/testsuite/interference/mod.rs
@@ -1,1 +1,5 @@
-//! Estimates of interference and measures against it.
+//! Interference.
+
+mod attribution;
+mod field;
+mod measures;
--- /dev/null
+++ b/testsuite/tests/testsuite/placement/queue.rs
@@ -0,0 +1,164 @@
+//! The order in which waiting tasks are offered.
+
+use std::sync::Arc;
+
+use verbenahitch::domain::{Monotonic, Profile, Resources};
+use verbenahitch::placement::{Placer, Queue};
+
+use super::fixture::{Tasks, batch, declarations, workers};
+
+/// Names of the first `count` tasks that are offered.
+fn order(queue: &mut Queue, placer: &mut Placer, now: Monotonic, count: usize) -> Vec<String> {
+    let mut names = Vec::new();
+    queue.drain(placer, now, |_, ask| {
+        let taken = names.len() < count;
+        if taken {
+            names.push(ask.name.to_string());
+        }
+        taken
+    });
+    names
+}
+
+#[test]
+fn urgent_before_worth_before_the_rest() {
+    let mut tasks = Tasks::default();
+    let mut queue = Queue::new();
+    let profiles = [
+        (
+            "low",
+            Profile {
+                worth: 1,
+                ..batch()
+            },
+        ),
+        (
+            "high",
+            Profile {
+                worth: 1_000,
+                ..batch()
+            },
+        ),
+        (
+            "urgent",
+            Profile {
+                worth: 1,
+                urgent: true,
+                ..batch()
+            },
+        ),
+    ];
+    for (name, profile) in &profiles {
+        queue.push(tasks.ask(name, profile), Monotonic(0));
+    }
+    let mut placer = Placer::new(1);
+    let names = order(&mut queue, &mut placer, Monotonic(0), 9);
+    assert_eq!(names, ["urgent", "high", "low"]);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn the_least_worth_is_reached_however_much_of_the_highest_keeps_arriving() {
+    let mut tasks = Tasks::default();
+    let mut placer = Placer::new(1);
+    let mut queue = Queue::new();
+    queue.push(
+        tasks.ask(
+            "low",
+            &Profile {
+                worth: 1,
+                ..batch()
+            },
+        ),
+        Monotonic(0),
+    );
+    let high = Profile {
+        worth: 1_000,
+        ..batch()
+    };
+    let reached = (0..10_000u64).find(|minute| {
+        let now = Monotonic(60_000 * minute);
+        queue.push(tasks.ask("high", &high), now);
+        queue.push(tasks.ask("high", &high), now);
+        let names = order(&mut queue, &mut placer, now, 1);
+        names == ["low"]
+    });
+    assert!(reached.is_some());
+}
+
+#[test]
+fn of_two_equal_teams_the_one_that_uses_less_of_its_quota_goes_first() {
+    let mut tasks = Tasks::default();
+    let mut placer = Placer::new(1);
+    let all = workers(&mut placer, 1, Resources::new(16, 65_536));
+    let one = Profile {
+        team: "one".to_owned(),
+        ..batch()
+    };
+    let two = Profile {
+        team: "two".to_owned(),
+        ..batch()
+    };
+    let mut declared = declarations("one", Resources::new(4, 65_536), &[]);
+    let other = declarations("two", Resources::new(4, 65_536), &[]);
+    declared.teams.extend(other.teams);
+    placer.declare(Arc::new(declared), 1.0);
+    tasks.put(&mut placer, all[0], "one", &one);
+    let mut queue = Queue::new();
+    queue.push(tasks.ask("one", &one), Monotonic(0));
+    queue.push(tasks.ask("two", &two), Monotonic(0));
+    assert_eq!(
+        order(&mut queue, &mut placer, Monotonic(0), 9),
+        ["two", "one"]
+    );
+}
+
+#[test]
+fn a_withdrawn_task_is_not_offered_and_may_come_back() {
+    let mut tasks = Tasks::default();
+    let mut placer = Placer::new(1);
+    let mut queue = Queue::new();
+    let asks: Vec<_> = (0..3).map(|_| tasks.ask("work", &batch())).collect();
+    for ask in &asks {
+        queue.push(ask.clone(), Monotonic(0));
+        queue.push(ask.clone(), Monotonic(5));
+    }
+    assert!(queue.withdraw(asks[1].task));
+    assert!(!queue.withdraw(asks[1].task));
+    assert_eq!(queue.len(), 2);
+    queue.push(asks[1].clone(), Monotonic(0));
+    let mut offered = Vec::new();
+    queue.drain(&mut placer, Monotonic(9), |_, ask| {
+        offered.push(ask.task);
+        true
+    });
+    offered.sort();
+    assert_eq!(offered, asks.iter().map(|ask| ask.task).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_profile_that_finds_no_room_does_not_hold_up_the_others() {
+    let mut tasks = Tasks::default();
+    let mut placer = Placer::new(1);
+    let mut queue = Queue::new();
+    queue.push(
+        tasks.ask(
+            "large",
+            &Profile {
+                worth: 1_000,
+                ..batch()
+            },
+        ),
+        Monotonic(0),
+    );
+    queue.push(tasks.ask("small", &batch()), Monotonic(0));
+    let mut placed = Vec::new();
+    queue.drain(&mut placer, Monotonic(0), |_, ask| {
+        let fits = &*ask.name == "small";
+        if fits {
+            placed.push(ask.task);
+        }
+        fits
+    });
+    assert_eq!((placed.len(), queue.len()), (1, 1));
+}
--- /dev/null
+++ b/testsuite/tests/testsuite/placement/urgent.rs
@@ -0,0 +1,161 @@
+//! Urgent work makes room by evicting as little worth as it can.
+
+use test_case::test_case;
+use verbenahitch::domain::{Class, Eviction, Monotonic, Profile, Resources};
+use verbenahitch::placement::{Choice, Placer, Reason};
+
+use super::fixture::{Tasks, batch, placed, workers};
+
+const NOW: Monotonic = Monotonic(500);
+
+fn urgent(cores: u64) -> Profile {
+    Profile {
+        urgent: true,
+        resources: Resources::new(cores, 1_024),
+        ..batch()
+    }
+}
+
+struct Case {
+    /// Worth and cores of the tasks of each worker of 4 cores.
+    workers: [&'static [(u32, u64)]; 2],
+    need: u64,
+    /// Worker and worths of the tasks that are to go.
+    victims: (usize, &'static [u32]),
+}
+
+#[test_case(Case { workers: [&[(5, 4)], &[(3, 4)]], need: 1, victims: (1, &[3]) }; "the worker with the least worth")]
+#[test_case(Case { workers: [&[(9, 2), (1, 2)], &[(4, 4)]], need: 2, victims: (0, &[1]) }; "the least task of a worker")]
+#[test_case(Case { workers: [&[(1, 1), (2, 2), (9, 1)], &[(4, 4)]], need: 2, victims: (0, &[2]) }; "none that is not needed")]
+#[test_case(Case { workers: [&[(2, 2), (2, 2)], &[(3, 4)]], need: 4, victims: (1, &[3]) }; "sum of several")]
+fn least_worth(case: Case) {
+    let mut placer = Placer::new(5);
+    let mut tasks = Tasks::default();
+    let all = workers(&mut placer, 2, Resources::new(4, 65_536));
+    for (at, loads) in case.workers.iter().enumerate() {
+        for (worth, cores) in *loads {
+            let resources = Resources::new(*cores, 1_024);
+            let profile = Profile {
+                worth: *worth,
+                resources,
+                ..batch()
+            };
+            tasks.put(&mut placer, all[at], &format!("worth-{worth}"), &profile);
+        }
+    }
+    let ask = tasks.ask("urgent", &urgent(case.need));
+    let Choice::Evict { worker, victims } = placer.choose(&ask, NOW) else {
+        panic!("nothing is evicted");
+    };
+    let worths: Vec<u32> = placer
+        .residents(worker)
+        .filter(|resident| victims.contains(&resident.task))
+        .map(|resident| resident.profile.worth)
+        .collect();
+    assert_eq!(
+        (worker, worths.as_slice()),
+        (all[case.victims.0], case.victims.1)
+    );
+}
+
+#[test_case(Profile { class: Class::LatencyCritical, ..batch() }; "latency critical")]
+#[test_case(Profile { urgent: true, ..batch() }; "urgent itself")]
+#[test_case(Profile { eviction: Eviction { allowed: false, ..Eviction::default() }, ..batch() }; "not to be evicted")]
+#[test_case(Profile { eviction: Eviction { hourly_budget: 0, ..Eviction::default() }, ..batch() }; "budget spent")]
+fn stays(profile: Profile) {
+    let mut placer = Placer::new(5);
+    let mut tasks = Tasks::default();
+    let all = workers(&mut placer, 1, Resources::new(1, 65_536));
+    tasks.put(&mut placer, all[0], "resident", &profile);
+    let ask = tasks.ask("urgent", &urgent(1));
+    assert_eq!(placer.choose(&ask, NOW), Choice::Wait(Reason::NoRoom));
+}
+
+#[test]
+fn work_that_is_not_urgent_evicts_nothing() {
+    let mut placer = Placer::new(5);
+    let mut tasks = Tasks::default();
+    let all = workers(&mut placer, 1, Resources::new(1, 65_536));
+    tasks.put(
+        &mut placer,
+        all[0],
+        "resident",
+        &Profile {
+            worth: 1,
+            ..batch()
+        },
+    );
+    let ask = tasks.ask(
+        "other",
+        &Profile {
+            worth: 1_000,
+            ..batch()
+        },
+    );
+    assert_eq!(placer.choose(&ask, NOW), Choice::Wait(Reason::NoRoom));
+}
+
+#[test]
+fn room_that_is_being_made_is_kept_for_the_task_that_asked() {
+    let mut placer = Placer::new(5);
+    let mut tasks = Tasks::default();
+    let all = workers(&mut placer, 1, Resources::new(2, 65_536));
+    let runs = [(); 2].map(|()| tasks.put(&mut placer, all[0], "work", &batch()));
+    let first = tasks.ask("urgent", &urgent(1));
+    let Choice::Evict { worker, victims } = placer.choose(&first, NOW) else {
+        panic!("nothing is evicted");
+    };
+    placer.evict(&first, worker, &victims, NOW);
+    assert_eq!(placer.choose(&first, NOW), Choice::Wait(Reason::NoRoom));
+    let second = tasks.ask("urgent", &urgent(1));
+    let Choice::Evict {
+        victims: others, ..
+    } = placer.choose(&second, NOW)
+    else {
+        panic!("nothing is evicted for the second");
+    };
+    assert_ne!(victims, others);
+    let victim = runs
+        .iter()
+        .find(|run| victims.contains(&run.task))
+        .expect("known");
+    placer.vacate(worker, victim.task);
+    let thief = tasks.ask("work", &batch());
+    assert_eq!(placed(&placer.choose(&thief, NOW)), None);
+    assert_eq!(placed(&placer.choose(&first, NOW)), Some(worker));
+    assert!(placer.relieve(Monotonic(60_000)).is_empty());
+    assert_eq!(
+        placed(&placer.choose(&thief, Monotonic(60_000))),
+        Some(worker)
+    );
+}
+
+#[test]
+fn a_budget_is_spent_by_each_eviction_and_comes_back_after_an_hour() {
+    let mut placer = Placer::new(5);
+    let mut tasks = Tasks::default();
+    let all = workers(&mut placer, 1, Resources::new(1, 65_536));
+    let eviction = Eviction {
+        hourly_budget: 1,
+        ..Eviction::default()
+    };
+    let run = tasks.put(
+        &mut placer,
+        all[0],
+        "work",
+        &Profile {
+            eviction,
+            ..batch()
+        },
+    );
+    let ask = tasks.ask("urgent", &urgent(1));
+    placer.evict(&ask, all[0], &[run.task], NOW);
+    placer.relieve(Monotonic(60_000));
+    let other = tasks.ask("urgent", &urgent(1));
+    assert_eq!(
+        placer.choose(&other, Monotonic(60_000)),
+        Choice::Wait(Reason::NoRoom)
+    );
+    let later = Monotonic(3_700_000);
+    assert!(matches!(placer.choose(&other, later), Choice::Evict { .. }));
+}
