--- a/crates/verbenahitch/src/config/mod.rs
+++ b/crates/verbenahitch/src/config/mod.rs
@@ -1,8 +1,18 @@
 //! Declarations of the operators: profiles, request kinds, teams and
 //! availability zones, ordered by one revision.
 
+mod adopt;
+pub mod change;
 mod current;
 mod declarations;
+mod diff;
+mod permit;
+pub mod watch;
 
+pub use adopt::{adopt, adopt_text};
 pub use current::Current;
-pub use declarations::{DECLARATIONS_KEY, Declarations, Fault, Kind, Team, Zone, ZoneState};
+pub use declarations::{
+    DECLARATIONS_KEY, Declarations, Fault, Kind, Team, Zone, ZoneState, token_digest,
+};
+pub use diff::{Change, diff};
+pub use permit::{Ground, Permit, Proof};
--- a/crates/verbenahitch/src/lib.rs
+++ b/crates/verbenahitch/src/lib.rs
@@ -16,6 +16,7 @@
 //! recorded traces drive the very code that the daemons run.
 
 pub mod adapter;
+pub mod client;
 pub mod collections;
 pub mod config;
 pub mod domain;
@@ -23,6 +24,7 @@
 pub mod gateway;
 mod generated;
 pub mod interference;
+pub mod membership;
 pub mod peer;
 pub mod placement;
 pub mod port;
