Replace records of restarted processes, and try peers over real sockets

A restarted process whose wall clock was set back was hidden by its earlier self. It now learns of that one from the first answer and raises its incarnation above it. Records of an earlier incarnation no longer refresh the later one. Connections leave from the address that the process listens on, which also lets the tests cut pairs of processes.

--- a/crates/verbenahitch/src/membership/member.rs
+++ b/crates/verbenahitch/src/membership/member.rs
@@ -102,6 +102,11 @@
         self.age_ms <= timeout_ms
     }
 
+    /// Order of the records of one process.
+    pub fn version(&self) -> (u64, u64) {
+        (self.incarnation, self.beat)
+    }
+
     /// Identity of the incarnation in a [`Beat`].
     pub fn id(&self) -> u64 {
         let mut hasher = FxHasher::default();
--- a/crates/verbenahitch/src/membership/table.rs
+++ b/crates/verbenahitch/src/membership/table.rs
@@ -67,7 +67,7 @@
         let Some(known) = self.held(&record) else {
             return self.insert(record, proven, Some(proven));
         };
-        if record.beat < known.record.beat {
+        if record.version() < known.record.version() {
             return Learnt::Nothing;
         }
         let later = known.renew(record.beat, proven);
@@ -101,6 +101,9 @@
         let Some(known) = self.held(&record) else {
             return self.insert(record, now, None);
         };
+        if record.incarnation < known.record.incarnation {
+            return Learnt::Nothing;
+        }
         known.heard = known.heard.max(now);
         known.record.leaving |= record.leaving;
         known.revive(record.beat > known.record.beat)
--- a/crates/verbenahitch/src/peer/link.rs
+++ b/crates/verbenahitch/src/peer/link.rs
@@ -1,14 +1,14 @@
 //! Connection to one other process, made anew when it fails.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use rand::Rng;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -25,6 +25,7 @@
 /// Connection to one address.
 pub(super) struct Link {
     address: SocketAddr,
+    source: IpAddr,
     session: RefCell<Option<Rc<Session>>>,
     failures: Cell<u32>,
     not_before: Cell<Monotonic>,
@@ -51,10 +52,11 @@
 }
 
 impl Link {
-    /// Creates a link to `address` without connecting.
-    pub(super) fn new(address: SocketAddr) -> Self {
+    /// Creates a link to `address` without connecting; connections will leave from `source`.
+    pub(super) fn new(address: SocketAddr, source: IpAddr) -> Self {
         Self {
             address,
+            source,
             session: RefCell::new(None),
             failures: Cell::new(0),
             not_before: Cell::new(Monotonic::default()),
@@ -78,7 +80,8 @@
         if let Some(session) = open.filter(|session| session.progress.get() >= since) {
             return Ok(session);
         }
-        let dialled = tokio::time::timeout(limit, dial(self.address, token, now)).await;
+        let dialled =
+            tokio::time::timeout(limit, dial(self.source, self.address, token, now)).await;
         let session = match dialled {
             Ok(Ok(session)) => Rc::new(session),
             Ok(Err(error)) => return Err(self.not_sent(error.to_string())),
@@ -120,8 +123,13 @@
     }
 }
 
-async fn dial(address: SocketAddr, token: &str, now: Monotonic) -> capnp::Result<Session> {
-    let stream = TcpStream::connect(address).await?;
+async fn dial(
+    source: IpAddr,
+    address: SocketAddr,
+    token: &str,
+    now: Monotonic,
+) -> capnp::Result<Session> {
+    let stream = connect(source, address).await?;
     stream.set_nodelay(true)?;
     let mut rpc = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
     let login: login::Client = rpc.bootstrap(Side::Server);
@@ -142,6 +150,18 @@
     })
 }
 
+/// Connects from `source`, so that others see each process under one address.
+async fn connect(source: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if source.is_ipv4() == address.is_ipv4() && !source.is_unspecified() {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    socket.connect(address).await
+}
+
 /// One side of a connection between two processes.
 pub(super) fn network(
     stream: TcpStream,
--- a/crates/verbenahitch/src/peer/local.rs
+++ b/crates/verbenahitch/src/peer/local.rs
@@ -68,8 +68,9 @@
     /// Link to `address`.
     pub(super) fn link(&self, address: SocketAddr) -> Rc<Link> {
         let mut links = self.links.borrow_mut();
+        let source = self.shared.identity.listen.ip();
         let link = links.entry(address);
-        Rc::clone(link.or_insert_with(|| Rc::new(Link::new(address))))
+        Rc::clone(link.or_insert_with(|| Rc::new(Link::new(address, source))))
     }
 
     /// Gives up the links to addresses that `keep` does not want.
--- a/crates/verbenahitch/src/peer/node.rs
+++ b/crates/verbenahitch/src/peer/node.rs
@@ -95,6 +95,23 @@
         let address = identity.listen;
         let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
+        Self::start_behind(address, listener, identity, settings, token, current, clock)
+    }
+
+    /// Starts the peer interface on `listener`, which the others reach at `address`.
+    ///
+    /// # Errors
+    ///
+    /// When the listener cannot be used, or the thread cannot be started.
+    pub fn start_behind(
+        address: SocketAddr,
+        listener: TcpListener,
+        identity: Identity,
+        settings: &PeerSettings,
+        token: String,
+        current: Current,
+        clock: Arc<dyn Clock>,
+    ) -> Result<(Handle, mpsc::Receiver<Incoming>), PeerError> {
         listener
             .set_nonblocking(true)
             .context(ListenSnafu { address })?;
--- a/crates/verbenahitch/src/peer/server.rs
+++ b/crates/verbenahitch/src/peer/server.rs
@@ -108,6 +108,7 @@
         self.calls.set(self.calls.get() + 1);
     }
 
+    /// Notes a greeting, and greets back whoever is new.
     fn meet(&self, member: &Member) {
         let now = self.local.shared.now();
         let learnt = self.local.table.borrow_mut().greeted(member.clone(), now);
@@ -118,6 +119,18 @@
             tokio::task::spawn_local(local.greet(member.address));
         }
     }
+
+    /// Records to pass on whole: a later one of the greeting process itself,
+    /// which has to outlive it, and a random few of the others.
+    fn relayed<'a>(&self, records: &'a [Member], from: &Member) -> Vec<&'a Member> {
+        let is_same = |record: &&Member| record.name == from.name && record.role == from.role;
+        let (same, others): (Vec<_>, Vec<_>) = records.iter().partition(is_same);
+        let mut chosen = same;
+        chosen.retain(|record| record.incarnation > from.incarnation);
+        let rng = &mut *self.local.rng.borrow_mut();
+        chosen.extend(others.choose_multiple(rng, RELAYED_RECORDS));
+        chosen
+    }
 }
 
 impl node::Server for NodeServer {
@@ -134,10 +147,7 @@
         let mut results = results.get();
         let records = self.local.table.borrow().relayed(now);
         let beats: Vec<_> = records.iter().map(Member::pulse).collect();
-        let others: Vec<_> = records.iter().filter(|m| m.name != from.name).collect();
-        let chosen: Vec<_> = others
-            .choose_multiple(&mut *self.local.rng.borrow_mut(), RELAYED_RECORDS)
-            .collect();
+        let chosen = self.relayed(&records, &from);
         wire::write_member(&shared.record(), results.reborrow().init_self());
         let mut known = results.reborrow().init_known(count(chosen.len()));
         for (index, member) in (0..).zip(chosen) {
