Add the operators' interface and the gateway daemon

Operators and teams call an address of their own with bearer tokens, which are compared as digests in constant time. A change is answered with the processes that have it in force, judged by their own records, and for the others with the time at which their permits lapse. The daemon joins the callers' path, the peers, the operators' interface and the metrics.

--- /dev/null
+++ b/crates/verbenahitch/src/gateway/daemon.rs
@@ -0,0 +1,231 @@
+//! The gateway daemon: everything that one gateway process runs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::callers::{Callers, Deps};
+use super::error::GatewayError;
+use super::operators::{self, Office, read_token};
+use crate::adapter::{HostList, Store};
+use crate::config::{self, Current, change};
+use crate::domain::Millis;
+use crate::event::{Entry, Kind};
+use crate::http::{Exporter, Listener};
+use crate::peer::{Handle, Identity, Node, Role};
+use crate::port::{Clock, HostRecord, SystemClock};
+use crate::settings::Settings;
+
+/// Time between two reads of the declarations while no scheduler is heard, in milliseconds.
+const FALLBACK_INTERVAL_MS: Millis = 2_000;
+
+/// A running gateway.
+pub struct Running {
+    callers: Callers,
+    operators: Listener,
+    exporter: Exporter,
+    handle: Handle,
+    current: Current,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Runs a gateway until `stop` becomes true or its sender is dropped.
+///
+/// # Errors
+///
+/// When the gateway cannot be started.
+pub async fn run(settings: Settings, mut stop: watch::Receiver<bool>) -> Result<(), GatewayError> {
+    let running = Running::start(settings).await?;
+    // An error means that the sender is gone, which is a stop as well.
+    let _ = stop.wait_for(|stop| *stop).await;
+    running.stop().await;
+    Ok(())
+}
+
+impl Running {
+    /// Starts a gateway; it listens on all its addresses when this returns.
+    ///
+    /// # Errors
+    ///
+    /// When a token cannot be read or an address cannot be listened on.
+    pub async fn start(settings: Settings) -> Result<Self, GatewayError> {
+        let settings = Arc::new(settings);
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+        let platform = &settings.platform;
+        let store = Store::new(&platform.store.to_string(), platform.timeout_ms);
+        let current = Current::default();
+        let handle = join(&settings, &current, &clock)?;
+        let list = HostList::new(
+            &platform.hosts.to_string(),
+            &platform.service,
+            platform.timeout_ms,
+        );
+        let (publish, hosts) = watch::channel(Arc::default());
+        let interval = platform.hosts_interval_ms;
+        let poll = tokio::spawn(poll_hosts(list, publish, interval));
+        let read = read_alone(
+            store.clone(),
+            current.clone(),
+            handle.clone(),
+            clock.clone(),
+        );
+        let tasks = vec![poll, tokio::spawn(read)];
+        let office = Office::new(
+            Arc::clone(&settings),
+            current.clone(),
+            handle.clone(),
+            store.clone(),
+            Arc::clone(&clock),
+        )?;
+        let operators = operators::listen(settings.gateway.operators, Arc::new(office)).await?;
+        let exporter = Exporter::start(settings.gateway.metrics).await?;
+        let callers = Callers::start(Deps {
+            settings,
+            current: current.clone(),
+            hosts,
+            store,
+            clock,
+        });
+        let running = Self {
+            callers: callers.await?,
+            operators,
+            exporter,
+            handle,
+            current,
+            tasks,
+        };
+        running.log(Kind::Started);
+        Ok(running)
+    }
+
+    /// Address that callers use.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Address that operators and submitters of jobs use.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Address of the metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        self.exporter.address()
+    }
+
+    /// Address that the other processes use.
+    pub fn peers(&self) -> SocketAddr {
+        self.handle.address()
+    }
+
+    /// Declarations in force.
+    pub fn current(&self) -> &Current {
+        &self.current
+    }
+
+    /// Access to the other processes.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
+    /// Finishes all requests in progress and ends.
+    pub async fn stop(self) {
+        self.log(Kind::Stopping);
+        self.handle.set_leaving();
+        let stopped = self.entry(Kind::Stopped);
+        self.callers.stop().await;
+        self.operators.stop().await;
+        self.exporter.stop().await;
+        self.tasks.iter().for_each(JoinHandle::abort);
+        self.handle.stop().await;
+        stopped.emit();
+    }
+
+    fn entry(&self, kind: Kind) -> Entry {
+        Entry::new(kind)
+            .with("role", Role::Gateway)
+            .with("callers", self.callers())
+            .with("operators", self.operators())
+            .with("metrics", self.metrics())
+            .with("peers", self.peers())
+    }
+
+    fn log(&self, kind: Kind) {
+        self.entry(kind).emit();
+    }
+}
+
+/// Starts the peer interface.
+fn join(
+    settings: &Settings,
+    current: &Current,
+    clock: &Arc<dyn Clock>,
+) -> Result<Handle, GatewayError> {
+    let identity = Identity {
+        name: format!("{}/gateway", settings.name),
+        zone: settings.zone.clone(),
+        role: Role::Gateway,
+        listen: settings.gateway.peers,
+        incarnation: clock.wall_ms(),
+    };
+    let token = read_token(&settings.peers.token_file)?;
+    let current = current.clone();
+    let (handle, _) = Node::start(identity, &settings.peers, token, current, Arc::clone(clock))?;
+    Ok(handle)
+}
+
+/// Reads the list of workers again and again; while it gives no answer the last one stays.
+async fn poll_hosts(
+    list: HostList,
+    publish: watch::Sender<Arc<Vec<HostRecord>>>,
+    interval_ms: Millis,
+) {
+    let mut ticks = interval(interval_ms);
+    let mut failing = false;
+    loop {
+        ticks.tick().await;
+        let read = list.read().await;
+        if let (Err(error), false) = (&read, failing) {
+            log::warn!("the list of workers is not read: {error}");
+        }
+        failing = read.is_err();
+        if let Ok(hosts) = read {
+            publish.send_if_modified(|held| {
+                let changed = **held != hosts;
+                if changed {
+                    *held = Arc::new(hosts);
+                }
+                changed
+            });
+        }
+    }
+}
+
+/// Reads the declarations from the store while no scheduler is heard that would tell them.
+async fn read_alone(store: Store, current: Current, handle: Handle, clock: Arc<dyn Clock>) {
+    let mut ticks = interval(FALLBACK_INTERVAL_MS);
+    loop {
+        ticks.tick().await;
+        let members = handle.members();
+        let told = members
+            .iter()
+            .any(|member| member.role == Role::Scheduler && member.is_live(handle.timeout_ms()));
+        if told {
+            continue;
+        }
+        let sent = clock.now();
+        if let Ok(declarations) = change::read(&store).await {
+            config::adopt(&current, declarations, "store");
+            handle.set_store_contact(sent);
+        }
+    }
+}
+
+fn interval(millis: Millis) -> tokio::time::Interval {
+    let mut ticks = tokio::time::interval(Duration::from_millis(millis.max(1)));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    ticks
+}
--- a/crates/verbenahitch/src/gateway/error.rs
+++ b/crates/verbenahitch/src/gateway/error.rs
@@ -4,6 +4,10 @@
 
 use snafu::Snafu;
 
+use super::operators::TokenError;
+use crate::http::ListenError;
+use crate::peer::PeerError;
+
 /// Why the gateway could not start.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(super)))]
@@ -16,4 +20,23 @@
         /// What went wrong.
         reason: String,
     },
+    /// A token cannot be used.
+    #[snafu(display("{source}"), context(false))]
+    Token {
+        /// Cause.
+        source: TokenError,
+    },
+    /// The peer interface could not be started.
+    #[snafu(display("{source}"), context(false))]
+    Peer {
+        /// Cause.
+        source: PeerError,
+    },
+}
+
+impl From<ListenError> for GatewayError {
+    fn from(error: ListenError) -> Self {
+        let ListenError { address, reason } = error;
+        Self::Listen { address, reason }
+    }
 }
--- /dev/null
+++ b/crates/verbenahitch/src/gateway/operators/jobs.rs
@@ -0,0 +1,98 @@
+//! Which shard holds a job, and asking its owner.
+
+use rocket::http::Status;
+
+use super::error::Failure;
+use super::office::Office;
+use super::principal::Principal;
+use crate::domain::{JobId, Millis};
+use crate::membership::{Member, OwnedShard};
+use crate::scheduler::{Answer, Request};
+
+/// Time after which a caller may come back when no shard takes jobs, in milliseconds.
+const RETRY_MS: Millis = 1_000;
+
+/// Longest key of a submission, in bytes.
+const KEY_LIMIT: usize = 128;
+
+/// Identity of the submission `key` of the team that makes the call.
+pub(super) fn submitted(principal: &Principal, key: &str) -> Result<JobId, Failure> {
+    let Principal::Team(team) = principal else {
+        let reason = "jobs are submitted with a team's token";
+        return Err(Failure::new(Status::Forbidden, reason));
+    };
+    let fine = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    if key.is_empty() || key.len() > KEY_LIMIT || !key.bytes().all(fine) {
+        let reason = format!(
+            "found key {key:?}, allowed are 1 to {KEY_LIMIT} letters, digits, dashes and underscores"
+        );
+        return Err(Failure::new(Status::BadRequest, reason));
+    }
+    Ok(JobId::new(team, key))
+}
+
+/// Identity `id` of a job that the caller may read and cancel.
+pub(super) fn named(principal: &Principal, id: &str) -> Result<JobId, Failure> {
+    let team = id.rsplit_once('.').map(|(team, _)| team);
+    let Some(team) = team else {
+        let reason = format!("found job {id:?}, a job is named team.key");
+        return Err(Failure::new(Status::BadRequest, reason));
+    };
+    if !principal.may_handle(team) {
+        let reason = format!("job {id} belongs to another team");
+        return Err(Failure::new(Status::Forbidden, reason));
+    }
+    Ok(JobId::from(id.to_owned()))
+}
+
+/// Shard that holds the job, if the store knows it.
+pub(super) async fn holder(office: &Office, id: &JobId) -> Result<Option<String>, Failure> {
+    let key = format!("verbenahitch/names/{id}");
+    let entry = office.store.get(&key).await;
+    let entry = entry.map_err(|error| Failure::unavailable(error, RETRY_MS))?;
+    let shard = entry.map(|entry| String::from_utf8_lossy(&entry.value).into_owned());
+    Ok(shard.map(|shard| shard.trim_matches('"').to_owned()))
+}
+
+/// Asks the shard that holds a job about it.
+pub(super) async fn ask(office: &Office, id: &JobId, request: Request) -> Result<Answer, Failure> {
+    let shard = holder(office, id).await?;
+    let unknown = || Failure::new(Status::NotFound, format!("job {id} is not known"));
+    let shard = shard.ok_or_else(unknown)?;
+    answered(office.handle.ask(&shard, request).await)
+}
+
+/// Turns a refusal into a failure.
+pub(super) fn answered(answer: Answer) -> Result<Answer, Failure> {
+    match answer {
+        Answer::Refused(error) => Err(error.into()),
+        answer => Ok(answer),
+    }
+}
+
+/// Shard for a new job: the shorter queue of two random shards in service.
+///
+/// Queues are known with a delay, so that always taking the shortest one would
+/// send all jobs of a burst to the same shard.
+pub(super) fn choose(office: &Office, pick: impl Fn(usize) -> usize) -> Result<String, Failure> {
+    let declarations = office.current.load();
+    let members = office.handle.members();
+    let live = members
+        .iter()
+        .filter(|member| office.is_live(member) && !member.leaving);
+    let owned: Vec<&OwnedShard> = live.flat_map(|member: &Member| &member.shards).collect();
+    let in_service = |owned: &&OwnedShard| {
+        let zone = owned.shard.rsplit_once('-').map_or("", |(zone, _)| zone);
+        declarations.is_in(zone)
+    };
+    let owned: Vec<&OwnedShard> = owned.into_iter().filter(in_service).collect();
+    if owned.is_empty() {
+        let reason = "no shard in service has an owner";
+        return Err(Failure::unavailable(reason, RETRY_MS));
+    }
+    let pair = [owned[pick(owned.len())], owned[pick(owned.len())]];
+    let shorter = pair
+        .iter()
+        .min_by_key(|owned| (owned.queued, owned.running));
+    Ok(shorter.expect("two are compared").shard.clone())
+}
--- a/crates/verbenahitch/src/lib.rs
+++ b/crates/verbenahitch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod event;
 pub mod gateway;
 mod generated;
+pub mod http;
 pub mod interference;
 pub mod membership;
 pub mod peer;
