--- a/crates/verbenahitch/src/cmd/daemon.rs
+++ b/crates/verbenahitch/src/cmd/daemon.rs
@@ -7,8 +7,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use verbenahitch::event::start_logging;
-use verbenahitch::scheduler;
 use verbenahitch::settings::{self, Settings};
+use verbenahitch::{gateway, scheduler};
 
 use super::Exit;
 
@@ -23,6 +23,8 @@
 /// Which daemon to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
+    /// The gateway.
+    Gateway,
     /// The scheduler.
     Scheduler,
 }
@@ -30,6 +32,7 @@
 impl Role {
     fn name(self) -> &'static str {
         match self {
+            Self::Gateway => "gateway",
             Self::Scheduler => "scheduler",
         }
     }
@@ -75,6 +78,7 @@
             stop.send_replace(true);
         });
         match role {
+            Role::Gateway => gateway::run(settings, stopping).await.map_err(in_words),
             Role::Scheduler => scheduler::run(settings, stopping).await.map_err(in_words),
         }
     })
--- a/crates/verbenahitch/src/cmd/mod.rs
+++ b/crates/verbenahitch/src/cmd/mod.rs
@@ -72,6 +72,9 @@
     /// Print the digest of a team's token, for the declarations
     #[bpaf(command)]
     Digest(#[bpaf(external(digest::args))] digest::Args),
+    /// Run the gateway daemon
+    #[bpaf(command)]
+    Gateway(#[bpaf(external(daemon::args))] daemon::Args),
     /// Run the scheduler daemon
     #[bpaf(command)]
     Scheduler(#[bpaf(external(daemon::args))] daemon::Args),
@@ -91,6 +94,7 @@
             Self::Job(args) => args.execute(),
             Self::Cancel(args) => args.execute(),
             Self::Digest(args) => args.execute(),
+            Self::Gateway(args) => args.execute(daemon::Role::Gateway),
             Self::Scheduler(args) => args.execute(daemon::Role::Scheduler),
         }
     }
--- a/crates/verbenahitch/src/gateway/operators/jobs.rs
+++ b/crates/verbenahitch/src/gateway/operators/jobs.rs
@@ -7,7 +7,8 @@
 use super::principal::Principal;
 use crate::domain::{JobId, Millis};
 use crate::membership::{Member, OwnedShard};
-use crate::scheduler::{Answer, Request};
+use crate::port::StoreError;
+use crate::scheduler::{Answer, Request, keys};
 
 /// Time after which a caller may come back when no shard takes jobs, in milliseconds.
 const RETRY_MS: Millis = 1_000;
@@ -47,11 +48,33 @@
 
 /// Shard that holds the job, if the store knows it.
 pub(super) async fn holder(office: &Office, id: &JobId) -> Result<Option<String>, Failure> {
-    let key = format!("verbenahitch/names/{id}");
-    let entry = office.store.get(&key).await;
+    let entry = office.store.get(&keys::name(id)).await;
     let entry = entry.map_err(|error| Failure::unavailable(error, RETRY_MS))?;
-    let shard = entry.map(|entry| String::from_utf8_lossy(&entry.value).into_owned());
-    Ok(shard.map(|shard| shard.trim_matches('"').to_owned()))
+    Ok(entry.map(|entry| String::from_utf8_lossy(&entry.value).into_owned()))
+}
+
+/// Shard for the job `id`, the same for every repeat of its submission.
+///
+/// The name is written before a shard is asked, so that two repeats through two
+/// gateways never reach two shards.
+pub(super) async fn reserve(
+    office: &Office,
+    id: &JobId,
+    pick: impl Fn(usize) -> usize,
+) -> Result<String, Failure> {
+    if let Some(shard) = holder(office, id).await? {
+        return Ok(shard);
+    }
+    let shard = choose(office, pick)?;
+    let value = shard.clone().into_bytes();
+    match office.store.cas(&keys::name(id), value, 0).await {
+        Ok(true) => Ok(shard),
+        Ok(false) | Err(StoreError::Unanswered { .. }) => {
+            let lost = || Failure::unclear(format!("job {id} has no shard yet"));
+            holder(office, id).await?.ok_or_else(lost)
+        }
+        Err(error) => Err(Failure::unavailable(error, RETRY_MS)),
+    }
 }
 
 /// Asks the shard that holds a job about it.
@@ -74,7 +97,7 @@
 ///
 /// Queues are known with a delay, so that always taking the shortest one would
 /// send all jobs of a burst to the same shard.
-pub(super) fn choose(office: &Office, pick: impl Fn(usize) -> usize) -> Result<String, Failure> {
+fn choose(office: &Office, pick: impl Fn(usize) -> usize) -> Result<String, Failure> {
     let declarations = office.current.load();
     let members = office.handle.members();
     let live = members
--- a/crates/verbenahitch/src/gateway/operators/routes.rs
+++ b/crates/verbenahitch/src/gateway/operators/routes.rs
@@ -163,10 +163,8 @@
         let reason = format!("profile {:?} belongs to another team", spec.profile);
         return Err(Failure::new(Status::Forbidden, reason));
     }
-    let shard = match jobs::holder(office, &id).await? {
-        Some(shard) => shard,
-        None => jobs::choose(office, |count| rand::rng().random_range(0..count))?,
-    };
+    let pick = |count| rand::rng().random_range(0..count);
+    let shard = jobs::reserve(office, &id, pick).await?;
     let request = Request::Submit { id, spec };
     reply(jobs::answered(office.handle.ask(&shard, request).await)?)
 }
--- a/crates/verbenahitch/src/scheduler/mod.rs
+++ b/crates/verbenahitch/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod message;
 mod shard;
 
+pub(crate) use daemon::keys;
 pub use daemon::{DaemonError, Running, run, start};
 pub use message::{
     Action, Answer, Batch, CommitError, Input, JobStatus, Request, ShardStatus, SubmitError,
--- /dev/null
+++ b/testsuite/tests/testsuite/session/deployment.rs
@@ -0,0 +1,269 @@
+//! A deployment of separate processes on loopback addresses of its own.
+
+use std::io::{BufRead as _, BufReader};
+use std::net::Ipv4Addr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use verbenahitch_standin::history::WorkerHistory;
+use verbenahitch_standin::platform::Addresses;
+
+/// Longest time that a condition may take, so that a failing test ends.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(50);
+
+pub(super) const TEAM_TOKEN: &str = "bureau-token";
+
+/// Daemon of an entry host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Daemon {
+    Gateway,
+    Scheduler,
+}
+
+impl Daemon {
+    fn subcommand(self) -> &'static str {
+        match self {
+            Self::Gateway => "gateway",
+            Self::Scheduler => "scheduler",
+        }
+    }
+}
+
+/// A process that is killed when it is dropped.
+pub(super) struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Sends a signal by name, such as `TERM`, `STOP`, `CONT` or `KILL`.
+    pub(super) fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(status.is_ok_and(|status| status.success()), "kill {name}");
+    }
+
+    /// Waits for the end; says whether its exit status was zero.
+    pub(super) fn wait(mut self) -> bool {
+        self.child.wait().is_ok_and(|status| status.success())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// Entry hosts, one a zone name given, and the platform.
+pub(super) struct Deployment {
+    pub(super) dir: PathBuf,
+    pub(super) http: reqwest::Client,
+    pub(super) addresses: Addresses,
+    network: [u8; 2],
+    zones: Vec<String>,
+    _platform: Process,
+}
+
+impl Deployment {
+    /// Starts the platform and writes the settings of one entry host for each of `zones`.
+    pub(super) fn start(name: &str, zones: &[&str]) -> Self {
+        static NETWORKS: AtomicU8 = AtomicU8::new(0);
+        let pid = std::process::id();
+        let dir = std::env::temp_dir().join(format!("verbenahitch-{name}-{pid}"));
+        std::fs::create_dir_all(&dir).expect("the temporary folder can be written");
+        let pool = fixture("pool.jsonc");
+        let arguments = ["platform", "--lag-ms", "200", "--pool", &pool];
+        let mut child = Command::new(env!("CARGO_BIN_EXE_testsuite-standin"))
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the stand-ins start");
+        let output = child.stdout.take().expect("it is piped");
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line).expect("a line");
+        let deployment = Self {
+            dir,
+            http: reqwest::Client::new(),
+            addresses: serde_json::from_str(&line).expect("addresses"),
+            network: [
+                u8::try_from(pid % 100).expect("below 100") + 100,
+                NETWORKS.fetch_add(1, Ordering::Relaxed),
+            ],
+            zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+            _platform: Process { child },
+        };
+        for host in 0..deployment.zones.len() {
+            deployment.write_settings(host);
+        }
+        deployment
+    }
+
+    /// Address of an entry host.
+    fn ip(&self, host: usize) -> Ipv4Addr {
+        let [second, third] = self.network;
+        let last = u8::try_from(host + 1).expect("few entry hosts");
+        Ipv4Addr::new(127, second, third, last)
+    }
+
+    fn write_settings(&self, host: usize) {
+        let ip = self.ip(host);
+        let file = |name: &str, text: &str| {
+            let path = self.dir.join(name);
+            std::fs::write(&path, text).expect("the temporary folder can be written");
+            path
+        };
+        let seeds: Vec<Value> = (0..self.zones.len())
+            .map(|other| json!({"address": format!("{}:7002", self.ip(other))}))
+            .collect();
+        let settings = json!({
+            "name": format!("entry-{host}"),
+            "zone": self.zones[host],
+            "platform": {
+                "store": self.addresses.store,
+                "hosts": self.addresses.hosts,
+                "hosts-interval-ms": 200,
+            },
+            "peers": {
+                "token-file": file("peers.token", "peers-token"),
+                "seeds": seeds,
+                "heartbeat-ms": 100,
+                "timeout-ms": 1_500,
+            },
+            "gateway": {
+                "callers": format!("{ip}:8000"),
+                "operators": format!("{ip}:8001"),
+                "metrics": format!("{ip}:8002"),
+                "peers": format!("{ip}:7001"),
+            },
+            "scheduler": {
+                "metrics": format!("{ip}:8003"),
+                "peers": format!("{ip}:7002"),
+                "sync-ms": 200,
+                "sync-timeout-ms": 500,
+                "task-lease-ms": 3_000,
+                "shard-lease-ms": 3_000,
+                "permit-ms": 2_000,
+                "outage-ms": 60_000,
+            },
+            "operators": [{"name": "ops", "token-file": file("ops.token", "ops-token")}],
+            "log": {"file": self.dir.join(format!("entry-{host}.log"))},
+        });
+        file("team.token", TEAM_TOKEN);
+        file(&format!("entry-{host}.jsonc"), &settings.to_string());
+    }
+
+    /// Starts a daemon of an entry host.
+    pub(super) fn run(&self, daemon: Daemon, host: usize) -> Process {
+        let settings = self.dir.join(format!("entry-{host}.jsonc"));
+        let child = Command::new(env!("CARGO_BIN_EXE_testsuite-verbenahitch"))
+            .arg(daemon.subcommand())
+            .arg(settings)
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        Process { child }
+    }
+
+    /// Runs an operator's subcommand at an entry host's gateway; `subcommand` is split at spaces.
+    pub(super) fn operate(&self, host: usize, subcommand: &str) -> Output {
+        self.command(host, "ops.token", subcommand)
+    }
+
+    /// Runs a subcommand of the team at an entry host's gateway.
+    pub(super) fn team(&self, host: usize, subcommand: &str) -> Output {
+        self.command(host, "team.token", subcommand)
+    }
+
+    fn command(&self, host: usize, token: &str, subcommand: &str) -> Output {
+        let mut words = subcommand.split(' ');
+        Command::new(env!("CARGO_BIN_EXE_testsuite-verbenahitch"))
+            .arg(words.next().expect("a subcommand"))
+            .args(["--gateway", &format!("{}:8001", self.ip(host))])
+            .arg("--token-file")
+            .arg(self.dir.join(token))
+            .arg("--json")
+            .args(words)
+            .output()
+            .expect("the command runs")
+    }
+
+    /// Applies the fixture of declarations and waits until it is accepted.
+    pub(super) async fn declare(&self) {
+        let file = fixture("declarations.jsonc");
+        let apply = format!("apply {file}");
+        wait_until("the declarations are accepted", async || {
+            self.operate(0, &apply).status.success()
+        })
+        .await;
+    }
+
+    /// Waits until every zone's shard has an owner.
+    pub(super) async fn wait_for_owners(&self) {
+        let zones = self.zones.len();
+        wait_until("every shard has an owner", async || {
+            let status = answer(&self.operate(0, "status"));
+            status["shards"].as_array().map_or(0, Vec::len) >= zones
+        })
+        .await;
+    }
+
+    /// URL for callers at an entry host.
+    pub(super) fn url(&self, host: usize, path: &str) -> String {
+        format!("http://{}:8000{path}", self.ip(host))
+    }
+
+    /// What every worker did.
+    pub(super) async fn histories(&self) -> Vec<WorkerHistory> {
+        let url = format!("http://{}/workers/history", self.addresses.control);
+        let answer = self
+            .http
+            .get(url)
+            .send()
+            .await
+            .expect("the stand-in answers");
+        answer.json().await.expect("histories")
+    }
+
+    /// Sets a control of the stand-ins.
+    pub(super) async fn control(&self, path: &str, body: &Value) {
+        let url = format!("http://{}{path}", self.addresses.control);
+        let answer = self.http.post(url).json(body).send().await;
+        let status = answer.expect("the stand-in answers").status();
+        assert!(status.is_success(), "{path} answered {status}");
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            std::fs::remove_dir_all(&self.dir).ok();
+        }
+    }
+}
+
+/// Answer that a command printed as JSON.
+pub(super) fn answer(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).unwrap_or(Value::Null)
+}
+
+/// Waits until `condition` holds.
+pub(super) async fn wait_until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < PATIENCE, "not in time: {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn fixture(name: &str) -> String {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("fixtures/session");
+    folder.join(name).display().to_string()
+}
--- a/testsuite/tests/testsuite/session/mod.rs
+++ b/testsuite/tests/testsuite/session/mod.rs
@@ -1,1 +1,4 @@
 //! Whole sessions over separate processes.
+
+mod deployment;
+mod whole;
--- /dev/null
+++ b/testsuite/tests/testsuite/session/whole.rs
@@ -0,0 +1,207 @@
+//! One session from the first declaration to a graceful stop.
+
+use std::fmt::Write as _;
+
+use serde_json::json;
+use verbenahitch::port::EndKind;
+use verbenahitch_standin::history::WorkerHistory;
+
+use super::deployment::{Daemon, Deployment, answer, wait_until};
+
+const KINDS: [&str; 6] = [
+    "/price-push",
+    "/label-watch",
+    "/discount",
+    "/pass-quote",
+    "/gate-sync",
+    "/pass-charge",
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_session() {
+    let deployment = Deployment::start("whole", &["a", "b"]);
+    let mut gateways = Vec::new();
+    let mut schedulers = Vec::new();
+    for host in 0..2 {
+        schedulers.push(deployment.run(Daemon::Scheduler, host));
+        gateways.push(deployment.run(Daemon::Gateway, host));
+    }
+    deployment.declare().await;
+    deployment.wait_for_owners().await;
+    let mut golden = String::new();
+
+    serve_each_kind(&deployment, &mut golden).await;
+    run_a_job_with_an_eviction(&deployment, &mut golden).await;
+    take_a_zone_out_and_back(&deployment, &mut golden).await;
+    stop_with_requests_in_progress(&deployment, gateways, &mut golden).await;
+    for scheduler in schedulers {
+        scheduler.signal("TERM");
+        writeln!(golden, "scheduler stopped: {}", scheduler.wait()).unwrap();
+    }
+    insta::assert_snapshot!(golden);
+}
+
+async fn serve_each_kind(deployment: &Deployment, golden: &mut String) {
+    wait_until("the gateways serve", async || {
+        let mut served = 0;
+        for host in 0..2 {
+            let call = deployment.http.post(deployment.url(host, "/price-push/1"));
+            served += u8::from(call.send().await.is_ok_and(|a| a.status().is_success()));
+        }
+        served == 2
+    })
+    .await;
+    for (number, kind) in KINDS.iter().enumerate() {
+        for key in [None, Some(format!("key-{number}"))] {
+            let host = number % 2;
+            let request = format!("request-{number}-{}", key.is_some());
+            let url = deployment.url(host, &format!("{kind}/{number}"));
+            let mut call = deployment.http.post(url).header("x-request-id", &request);
+            if let Some(key) = &key {
+                call = call.header("idempotency-key", key);
+            }
+            let reply = call.body("payload").send().await.expect("an answer");
+            let echoed = reply.headers().get("x-request-id").cloned();
+            assert_eq!(
+                echoed.as_ref().map(|id| id.as_bytes()),
+                Some(request.as_bytes())
+            );
+            let keyed = key.is_some();
+            writeln!(golden, "{kind} keyed {keyed}: {}", reply.status()).unwrap();
+        }
+    }
+    let unknown = deployment.http.get(deployment.url(0, "/no-such-kind"));
+    let status = unknown.send().await.expect("an answer").status();
+    writeln!(golden, "unknown kind: {status}").unwrap();
+    let repeat = deployment
+        .http
+        .post(deployment.url(0, "/pass-charge/5"))
+        .header("idempotency-key", "key-5");
+    let status = repeat
+        .body("payload")
+        .send()
+        .await
+        .expect("an answer")
+        .status();
+    writeln!(golden, "repeated charge at the other gateway: {status}").unwrap();
+}
+
+async fn run_a_job_with_an_eviction(deployment: &Deployment, golden: &mut String) {
+    let submit = "submit --key overnight --profile recalculation --tasks 6 --run-ms 3000";
+    let submitted = deployment.team(0, submit);
+    writeln!(golden, "submitted: {}", submitted.status.success()).unwrap();
+    let repeated = answer(&deployment.team(1, submit));
+    writeln!(golden, "repeat names the same job: {}", repeated["id"]).unwrap();
+    let never = deployment.team(0, "submit --key unknown --profile nothing --run-ms 1");
+    writeln!(golden, "unknown profile: status {:?}", never.status.code()).unwrap();
+
+    let mut on = String::new();
+    wait_until("a task runs", async || {
+        let histories = deployment.histories().await;
+        let running = histories.iter().find(|history| runs_now(history));
+        on = running.map_or(String::new(), |history| history.worker.clone());
+        !on.is_empty()
+    })
+    .await;
+    let leaving = json!({"worker": on, "state": "leaving"});
+    deployment.control("/hosts/state", &leaving).await;
+    wait_for_done(deployment, "bureau.overnight", 6).await;
+    let live = json!({"worker": on, "state": "live"});
+    deployment.control("/hosts/state", &live).await;
+    let histories = deployment.histories().await;
+    let evicted = ended(&histories, EndKind::Evicted) > 0;
+    writeln!(golden, "tasks done: {}", ended(&histories, EndKind::Done)).unwrap();
+    writeln!(golden, "evicted on the way: {evicted}").unwrap();
+}
+
+async fn take_a_zone_out_and_back(deployment: &Deployment, golden: &mut String) {
+    let submit = "submit --key long --profile recalculation --tasks 4 --run-ms 4000";
+    assert!(deployment.team(0, submit).status.success());
+    let out = answer(&deployment.operate(0, "zone out a"));
+    let confirmed = out["in-force"].as_array().map_or(0, Vec::len);
+    let open = out["not-confirmed"].as_array().map_or(0, Vec::len);
+    writeln!(golden, "zone out: confirmed by {confirmed}, open {open}").unwrap();
+    wait_for_done(deployment, "bureau.long", 4).await;
+    let back = deployment.operate(1, "zone in a");
+    writeln!(golden, "zone in: {}", back.status.success()).unwrap();
+    let again = "submit --key after --profile recalculation --tasks 2 --run-ms 500";
+    assert!(deployment.team(1, again).status.success());
+    wait_for_done(deployment, "bureau.after", 2).await;
+    let histories = deployment.histories().await;
+    writeln!(
+        golden,
+        "tasks done in all: {}",
+        ended(&histories, EndKind::Done)
+    )
+    .unwrap();
+}
+
+async fn stop_with_requests_in_progress(
+    deployment: &Deployment,
+    gateways: Vec<super::deployment::Process>,
+    golden: &mut String,
+) {
+    for worker in deployment.histories().await {
+        let path = format!("/workers/{}/fault", worker.worker);
+        let slow = json!({"part": "upstream", "fault": "slow", "delay-ms": 1_000});
+        deployment.control(&path, &slow).await;
+    }
+    let mut calls = Vec::new();
+    for number in 0..20 {
+        let url = deployment.url(number % 2, "/price-push/stop");
+        let call = deployment.http.post(url).body("payload").send();
+        calls.push(tokio::spawn(call));
+    }
+    wait_until("the requests are in progress", async || {
+        let mut open = 0;
+        for host in 0..2 {
+            open += in_progress(deployment, host).await;
+        }
+        open == 20
+    })
+    .await;
+    for gateway in &gateways {
+        gateway.signal("TERM");
+    }
+    let mut served = 0;
+    for call in calls {
+        let reply = call.await.expect("the call ends");
+        served += u8::from(reply.is_ok_and(|reply| reply.status().is_success()));
+    }
+    writeln!(golden, "served over a planned stop: {served} of 20").unwrap();
+    for gateway in gateways {
+        writeln!(golden, "gateway stopped: {}", gateway.wait()).unwrap();
+    }
+}
+
+/// Requests in progress at a gateway, from its metrics.
+async fn in_progress(deployment: &Deployment, host: usize) -> u32 {
+    let url = deployment.url(host, "/metrics").replace(":8000", ":8002");
+    let Ok(reply) = deployment.http.get(url).send().await else {
+        return 0;
+    };
+    let text = reply.text().await.unwrap_or_default();
+    let gauge = text
+        .lines()
+        .find(|line| line.starts_with("verbenahitch_gateway_in_flight"));
+    let value = gauge.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+    value.unwrap_or(0)
+}
+
+async fn wait_for_done(deployment: &Deployment, job: &str, tasks: u64) {
+    wait_until(&format!("{job} is done"), async || {
+        let status = answer(&deployment.team(1, &format!("job {job}")));
+        status["done"].as_u64() == Some(tasks)
+    })
+    .await;
+}
+
+fn runs_now(history: &WorkerHistory) -> bool {
+    history.runs.iter().any(|run| run.end.is_none())
+}
+
+fn ended(histories: &[WorkerHistory], kind: EndKind) -> usize {
+    let runs = histories.iter().flat_map(|history| &history.runs);
+    runs.filter(|run| run.end.is_some_and(|end| end.kind == Some(kind)))
+        .count()
+}
