Try the operators' interface of real gateways against a stand-in store

Tokens, submissions of other teams, races, a lost answer and an outage are driven over HTTP, and the checks read what the store and the callers saw. A process that is presumed gone no longer counts as the owner of a shard.

--- a/crates/verbenahitch/src/gateway/daemon.rs
+++ b/crates/verbenahitch/src/gateway/daemon.rs
@@ -16,7 +16,7 @@
 use crate::event::{Entry, Kind};
 use crate::http::{Exporter, Listener};
 use crate::peer::{Handle, Identity, Node, Role};
-use crate::port::{Clock, HostRecord, SystemClock};
+use crate::port::{Clock, SystemClock};
 use crate::settings::Settings;
 
 /// Time between two reads of the declarations while no scheduler is heard, in milliseconds.
@@ -65,7 +65,7 @@
         );
         let (publish, hosts) = watch::channel(Arc::default());
         let interval = platform.hosts_interval_ms;
-        let poll = tokio::spawn(poll_hosts(list, publish, interval));
+        let poll = tokio::spawn(list.poll(interval, publish));
         let read = read_alone(
             store.clone(),
             current.clone(),
@@ -177,33 +177,6 @@
     Ok(handle)
 }
 
-/// Reads the list of workers again and again; while it gives no answer the last one stays.
-async fn poll_hosts(
-    list: HostList,
-    publish: watch::Sender<Arc<Vec<HostRecord>>>,
-    interval_ms: Millis,
-) {
-    let mut ticks = interval(interval_ms);
-    let mut failing = false;
-    loop {
-        ticks.tick().await;
-        let read = list.read().await;
-        if let (Err(error), false) = (&read, failing) {
-            log::warn!("the list of workers is not read: {error}");
-        }
-        failing = read.is_err();
-        if let Ok(hosts) = read {
-            publish.send_if_modified(|held| {
-                let changed = **held != hosts;
-                if changed {
-                    *held = Arc::new(hosts);
-                }
-                changed
-            });
-        }
-    }
-}
-
 /// Reads the declarations from the store while no scheduler is heard that would tell them.
 async fn read_alone(store: Store, current: Current, handle: Handle, clock: Arc<dyn Clock>) {
     let mut ticks = interval(FALLBACK_INTERVAL_MS);
--- a/crates/verbenahitch/src/membership/table.rs
+++ b/crates/verbenahitch/src/membership/table.rs
@@ -140,7 +140,8 @@
         records.collect()
     }
 
-    /// All records as of `now`: what each process said, aged since.
+    /// All records as of `now`: what each process said, aged since. A process
+    /// that is presumed gone is not taken to own any shard.
     pub fn members(&self, now: Monotonic) -> Vec<Member> {
         self.known.values().map(|known| known.at(now)).collect()
     }
@@ -215,6 +216,11 @@
             age_ms,
             store_age_ms: record.store_age_ms.map(|age| age.saturating_add(age_ms)),
             permit_left_ms: record.permit_left_ms.saturating_sub(age_ms),
+            shards: if self.live {
+                record.shards.clone()
+            } else {
+                Vec::new()
+            },
             ..record.clone()
         }
     }
--- a/testsuite/tests/testsuite/membership/mod.rs
+++ b/testsuite/tests/testsuite/membership/mod.rs
@@ -1,4 +1,6 @@
 //! Peers, relay of declarations, permits and ownership.
 
+mod gateway;
 mod network;
+mod operators;
 mod peers;
--- /dev/null
+++ b/testsuite/tests/testsuite/membership/operators.rs
@@ -0,0 +1,200 @@
+//! Operators' and submitters' interface: tokens, changes, races, lost answers.
+
+use reqwest::{Method, StatusCode};
+use serde_json::{Value, json};
+use test_case::test_case;
+use verbenahitch_standin::fault::Fault;
+
+use super::gateway::{MARKETS, OPERATOR, PASSES, SECOND, Site, document};
+use super::network::until;
+
+struct Rejected {
+    token: &'static str,
+    method: Method,
+    path: &'static str,
+    status: u16,
+}
+
+#[test_case(Rejected { token: "", method: Method::GET, path: "declarations", status: 401 }; "no token")]
+#[test_case(Rejected { token: "guessed", method: Method::GET, path: "status", status: 401 }; "wrong token")]
+#[test_case(Rejected { token: MARKETS, method: Method::GET, path: "declarations", status: 403 }; "a team reads the declarations")]
+#[test_case(Rejected { token: MARKETS, method: Method::PUT, path: "declarations?from=1", status: 403 }; "a team changes the declarations")]
+#[test_case(Rejected { token: MARKETS, method: Method::POST, path: "zones/odd", status: 403 }; "a team takes a zone out")]
+#[test_case(Rejected { token: MARKETS, method: Method::GET, path: "shards/odd-0", status: 403 }; "a team asks about a shard")]
+#[test_case(Rejected { token: MARKETS, method: Method::GET, path: "jobs/passes.one", status: 403 }; "a team reads the job of another")]
+#[test_case(Rejected { token: MARKETS, method: Method::DELETE, path: "jobs/passes.one", status: 403 }; "a team cancels the job of another")]
+#[test_case(Rejected { token: OPERATOR, method: Method::GET, path: "jobs/one", status: 400 }; "a job without a team")]
+#[test_case(Rejected { token: OPERATOR, method: Method::GET, path: "jobs/passes.one", status: 404 }; "an unknown job")]
+#[test_case(Rejected { token: OPERATOR, method: Method::GET, path: "nothing", status: 404 }; "an unknown path")]
+#[test_case(Rejected { token: OPERATOR, method: Method::GET, path: "shards/odd-0", status: 503 }; "a shard without an owner")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_are_refused(case: Rejected) {
+    let site = Site::start(1).await;
+    let applied = site.apply(0, 0, &document()).await;
+    assert_eq!(applied.status, StatusCode::OK, "{applied:?}");
+    let before = site.accepted();
+    let body = match case.method {
+        Method::PUT => document(),
+        Method::POST => json!({ "state": "out" }),
+        _ => Value::Null,
+    };
+    let reply = site
+        .call(0, case.token, case.method, case.path, &body)
+        .await;
+    assert_eq!(reply.status.as_u16(), case.status, "{reply:?}");
+    assert!(!reply.error().is_empty());
+    assert_eq!(reply.retry_after.is_some(), case.status == 503);
+    assert_eq!(site.accepted(), before);
+    site.stop().await;
+}
+
+struct Submission {
+    token: &'static str,
+    body: Value,
+    status: u16,
+    reason: &'static str,
+}
+
+fn job(key: &str, profile: &str) -> Value {
+    json!({ "key": key, "spec": { "profile": profile, "tasks": 1, "run-ms": 10 } })
+}
+
+#[test_case(Submission { token: OPERATOR, body: job("one", "recalculation"), status: 403, reason: "team's token" }; "an operator")]
+#[test_case(Submission { token: PASSES, body: job("one", "recalculation"), status: 403, reason: "another team" }; "profile of another team")]
+#[test_case(Submission { token: MARKETS, body: job("one.two", "recalculation"), status: 400, reason: "key" }; "a dot in the key")]
+#[test_case(Submission { token: MARKETS, body: job("", "recalculation"), status: 400, reason: "key" }; "empty key")]
+#[test_case(Submission { token: MARKETS, body: job(&"k".repeat(129), "recalculation"), status: 400, reason: "key" }; "long key")]
+#[test_case(Submission { token: MARKETS, body: json!({ "key": "one" }), status: 400, reason: "spec" }; "no specification")]
+#[test_case(Submission { token: MARKETS, body: json!("{"), status: 400, reason: "EOF" }; "cut short")]
+#[test_case(Submission { token: MARKETS, body: json!(" ".repeat(70_000)), status: 413, reason: "65536" }; "too long")]
+#[test_case(Submission { token: MARKETS, body: job("one", "recalculation"), status: 503, reason: "no shard" }; "no owner")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn submissions_are_refused(case: Submission) {
+    let site = Site::start(1).await;
+    let applied = site.apply(0, 0, &document()).await;
+    assert_eq!(applied.status, StatusCode::OK, "{applied:?}");
+    let reply = site
+        .call(0, case.token, Method::POST, "jobs", &case.body)
+        .await;
+    assert_eq!(reply.status.as_u16(), case.status, "{reply:?}");
+    assert!(reply.error().contains(case.reason), "{reply:?}");
+    site.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_is_in_force_at_every_gateway_that_is_named() {
+    let site = Site::start(3).await;
+    let handles: Vec<_> = site.gateways.iter().map(|g| g.handle().clone()).collect();
+    until("the gateways hear each other", || {
+        handles.iter().all(|handle| handle.members().len() == 3)
+    })
+    .await;
+    let reply = site.apply(0, 0, &document()).await;
+    assert_eq!(reply.body["revision"], 1, "{reply:?}");
+    assert_eq!(reply.body["not-confirmed"], json!([]));
+    for name in reply.body["in-force"].as_array().expect("a list") {
+        let named = site
+            .gateways
+            .iter()
+            .find(|gateway| *name == gateway.handle().name());
+        let gateway = named.expect("only gateways are there");
+        assert_eq!(gateway.current().load().revision, 1);
+    }
+    assert_eq!(reply.body["in-force"].as_array().map(Vec::len), Some(3));
+    let read = site.get(2, "declarations").await;
+    assert_eq!(read.body["zones"], site.accepted()["zones"]);
+    let status = site.get(1, "status").await;
+    assert_eq!(status.body["members"].as_array().map(Vec::len), Some(3));
+    site.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_two_changes_from_one_revision_one_is_accepted() {
+    let site = Site::start(2).await;
+    assert_eq!(site.apply(0, 0, &document()).await.status, StatusCode::OK);
+    let changed = |worth: u32| {
+        let mut document = document();
+        document["profiles"]["settlement"]["worth"] = worth.into();
+        document
+    };
+    let (first, second) = (changed(11), changed(12));
+    let replies = tokio::join!(
+        site.apply(0, 1, &first),
+        site.call(1, SECOND, Method::PUT, "declarations?from=1", &second),
+    );
+    let (won, lost) = match replies.0.status {
+        StatusCode::OK => replies,
+        _ => (replies.1, replies.0),
+    };
+    assert_eq!(won.status, StatusCode::OK, "{won:?}");
+    assert_eq!(won.body["revision"], 2);
+    assert_eq!(lost.status, StatusCode::CONFLICT, "{lost:?}");
+    assert_eq!(lost.body["revision"], 2);
+    let accepted = site.accepted();
+    assert_eq!(lost.body["declarations"], accepted);
+    assert_eq!(accepted["revision"], 2);
+    site.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_for_two_zones_at_once_are_both_accepted() {
+    let site = Site::start(2).await;
+    assert_eq!(site.apply(0, 0, &document()).await.status, StatusCode::OK);
+    let replies = tokio::join!(site.zone(0, "odd", "out"), site.zone(1, "even", "out"));
+    assert_eq!(replies.0.status, StatusCode::OK, "{replies:?}");
+    assert_eq!(replies.1.status, StatusCode::OK, "{replies:?}");
+    let accepted = site.accepted();
+    assert_eq!(accepted["revision"], 3);
+    assert_eq!(accepted["zones"]["odd"]["state"], "out");
+    assert_eq!(accepted["zones"]["even"]["state"], "out");
+    let again = site.zone(0, "odd", "out").await;
+    assert_eq!(again.body["revision"], 3, "{again:?}");
+    assert_eq!(
+        site.zone(0, "north", "out").await.status,
+        StatusCode::NOT_FOUND
+    );
+    site.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_whose_answer_is_lost_is_accepted_once() {
+    let site = Site::start(1).await;
+    assert_eq!(site.apply(0, 0, &document()).await.status, StatusCode::OK);
+    site.store.faults().apply(Fault::Lose { answers: 1 });
+    let reply = site.zone(0, "odd", "out").await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    assert_eq!(reply.body["revision"], 2);
+    assert_eq!(site.accepted()["revision"], 2);
+    site.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_while_the_store_is_down_is_refused_as_not_made() {
+    let site = Site::start(1).await;
+    assert_eq!(site.apply(0, 0, &document()).await.status, StatusCode::OK);
+    let before = site.accepted();
+    site.store.stop();
+    let reply = site.zone(0, "odd", "out").await;
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{reply:?}");
+    assert!(reply.error().starts_with("not changed"), "{reply:?}");
+    site.store.resume().await.expect("the store starts again");
+    assert_eq!(site.accepted(), before);
+    site.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_fault_of_a_document_is_told_and_nothing_is_written() {
+    let site = Site::start(1).await;
+    let mut faulty = document();
+    faulty["profiles"]["settlement"]["worth"] = 0.into();
+    faulty["zones"]["odd"]["shards"] = 0.into();
+    let reply = site.apply(0, 0, &faulty).await;
+    assert_eq!(reply.status, StatusCode::BAD_REQUEST, "{reply:?}");
+    let faults = reply.body["faults"].as_array().expect("a list");
+    let paths: Vec<_> = faults.iter().map(|fault| fault["path"].clone()).collect();
+    assert_eq!(paths.len(), 2, "{reply:?}");
+    assert!(paths.contains(&json!("profiles.settlement.worth")));
+    assert!(paths.contains(&json!("zones.odd.shards")));
+    assert_eq!(site.accepted(), Value::Null);
+    site.stop().await;
+}
