--- a/crates/standin/src/history/record.rs
+++ b/crates/standin/src/history/record.rs
@@ -1,4 +1,6 @@
 //! Records that workers and callers keep.
+//!
+//! Times are wall-clock milliseconds since the Unix epoch.
 
 use serde::{Deserialize, Serialize};
 use verbenahitch::domain::{Millis, Resources, TaskId};
@@ -20,7 +22,7 @@
     pub requests: Vec<RequestRecord>,
 }
 
-/// One run of a task. Times are wall-clock milliseconds since the Unix epoch.
+/// One run of a task.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct RunRecord {
@@ -56,7 +58,7 @@
     pub checkpoint_ms: Millis,
 }
 
-/// One request that an upstream ran. Times are wall-clock milliseconds since the Unix epoch.
+/// One request that an upstream ran.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct RequestRecord {
@@ -64,6 +66,8 @@
     pub kind: String,
     /// Value of `x-request-id`, empty if absent.
     pub request_id: String,
+    /// Value of `x-call-id`, empty if absent.
+    pub call_id: String,
     /// Value of `idempotency-key`, if any.
     pub key: Option<String>,
     /// Start.
@@ -71,3 +75,62 @@
     /// End; `None` while the request is running.
     pub end: Option<Millis>,
 }
+
+/// One call as its caller saw it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CallRecord {
+    /// Value of `x-call-id`, unique in the session.
+    pub call_id: String,
+    /// First part of the request's path.
+    pub kind: String,
+    /// Value of `idempotency-key`, if any.
+    pub key: Option<String>,
+    /// When it was sent.
+    pub sent: Millis,
+    /// What came back.
+    pub outcome: CallOutcome,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallOutcome {
+    /// An upstream's answer.
+    Answered {
+        /// Call that the answer belongs to, as the answer says.
+        call_id: String,
+        /// Whether the answer is whole.
+        whole: bool,
+    },
+    /// A refusal that says that the request has not run.
+    NotRun,
+    /// An answer that says that the request may have run.
+    Unknown,
+    /// No answer, or one that says nothing of it.
+    Broken,
+}
+
+/// Time for which an availability zone was out of service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Outage {
+    /// Availability zone.
+    pub zone: String,
+    /// When operators' change was accepted.
+    pub from: Millis,
+    /// When it was brought back; `None` if it was not.
+    pub until: Option<Millis>,
+}
+
+/// Everything that was seen in a session.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Session {
+    /// Histories of all workers.
+    pub workers: Vec<WorkerHistory>,
+    /// Calls of all callers.
+    pub calls: Vec<CallRecord>,
+    /// Availability zones that were taken out.
+    pub outages: Vec<Outage>,
+}
--- a/crates/standin/src/platform/pool.rs
+++ b/crates/standin/src/platform/pool.rs
@@ -1,8 +1,11 @@
 //! Fixture that describes the workers of a deployment.
 
 use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
 
+use jsonc_parser::{ParseOptions, parse_to_serde_value};
 use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
 use verbenahitch::domain::Resources;
 
 use crate::worker::{Pressure, ServiceTime, Settings};
@@ -36,6 +39,27 @@
     pub pressure: Pressure,
 }
 
+/// Why a pool cannot be used.
+#[derive(Debug, Snafu)]
+pub enum PoolError {
+    /// The file cannot be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    Read {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The file has a fault.
+    #[snafu(display("{}: {reason}", path.display()))]
+    Faulty {
+        /// File.
+        path: PathBuf,
+        /// What was found.
+        reason: String,
+    },
+}
+
 fn default_slots() -> u32 {
     8
 }
@@ -45,6 +69,19 @@
 }
 
 impl Pool {
+    /// Reads a pool from a file of JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read or is no pool.
+    pub fn load(path: &Path) -> Result<Self, PoolError> {
+        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+        parse_to_serde_value(&text, &ParseOptions::default()).map_err(|error| PoolError::Faulty {
+            path: path.to_owned(),
+            reason: error.to_string(),
+        })
+    }
+
     /// Setup of every worker; `seed` decides their draws.
     pub fn settings(&self, seed: u64) -> Vec<Settings> {
         let zones = self.zones.len().max(1);
--- a/crates/standin/src/worker/handle.rs
+++ b/crates/standin/src/worker/handle.rs
@@ -223,6 +223,7 @@
         data.requests.push(RequestRecord {
             kind: head.kind.clone(),
             request_id: head.request_id,
+            call_id: head.call_id,
             key: head.key,
             start: self.clock.wall_ms(),
             end: None,
--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -17,6 +17,6 @@
 pub use handle::Worker;
 pub use pressure::Pressure;
 pub use settings::{Behaviour, ServiceTime, Settings};
-pub use upstream::Receipt;
+pub use upstream::{CALL_ID, Receipt};
 
 mod settings;
--- a/crates/standin/src/worker/settings.rs
+++ b/crates/standin/src/worker/settings.rs
@@ -25,6 +25,9 @@
     pub queue: u32,
     /// Seed of the service times and the true run times.
     pub seed: u64,
+    /// Whether starts that exceed the size are refused; the check of a scheduler's
+    /// own bookkeeping switches it off.
+    pub enforced: bool,
     /// Time between two checkpoints of a run, in milliseconds.
     pub checkpoint_ms: Millis,
     /// Time that the checkpoint of an evicted run takes, in milliseconds.
@@ -50,6 +53,7 @@
             capacity: Resources::new(16, 60 << 10),
             slots: 8,
             queue: 4,
+            enforced: true,
             seed: 0,
             checkpoint_ms: 1_000,
             evict_ms: 50,
--- a/crates/standin/src/worker/upstream.rs
+++ b/crates/standin/src/worker/upstream.rs
@@ -12,6 +12,11 @@
 
 use super::handle::Inner;
 
+/// Identity that the caller gives each of its calls, also to a repeat of an earlier one.
+///
+/// Nothing between caller and upstream knows the field, so both may rely on it.
+pub const CALL_ID: &str = "x-call-id";
+
 /// Largest body that the upstream reads, in bytes.
 const BODY_LIMIT: u64 = 8 << 20;
 
@@ -26,6 +31,8 @@
 pub struct Receipt {
     /// Value of the request's `x-request-id`, empty if absent.
     pub request_id: String,
+    /// Value of the request's `x-call-id`, empty if absent.
+    pub call_id: String,
     /// Name of the worker that ran the request.
     pub worker: String,
     /// First part of the request's path.
@@ -38,6 +45,7 @@
 pub(super) struct Head {
     pub(super) kind: String,
     pub(super) request_id: String,
+    pub(super) call_id: String,
     pub(super) key: Option<String>,
 }
 
@@ -51,13 +59,14 @@
         request::Outcome::Success(Self {
             kind: kind.to_owned(),
             request_id: header("x-request-id").unwrap_or_default(),
+            call_id: header(CALL_ID).unwrap_or_default(),
             key: header("idempotency-key"),
         })
     }
 }
 
 enum Answer {
-    Full { leaving: bool },
+    Full { request_id: String, leaving: bool },
     Incomplete,
     Done { receipt: Receipt, leaving: bool },
 }
@@ -67,7 +76,11 @@
         let mut response = Response::build();
         let leaving = match self {
             Self::Incomplete => return Err(Status::BadRequest),
-            Self::Full { leaving } => {
+            Self::Full {
+                request_id,
+                leaving,
+            } => {
+                response.header(Header::new("x-request-id", request_id));
                 response.status(Status::ServiceUnavailable);
                 response.header(Header::new("verbenahitch-not-run", "true"));
                 leaving
@@ -117,16 +130,22 @@
 async fn serve(head: Head, body: String, worker: &Inner) -> Answer {
     let leaving = worker.is_leaving();
     let Some(slot) = worker.slots.enter().await else {
-        return Answer::Full { leaving };
+        let request_id = head.request_id;
+        return Answer::Full {
+            request_id,
+            leaving,
+        };
     };
     let kind = head.kind.clone();
     let request_id = head.request_id.clone();
+    let call_id = head.call_id.clone();
     let record = worker.begin(head);
     tokio::time::sleep(worker.service_time(&kind)).await;
     worker.finish(record);
     drop(slot);
     let receipt = Receipt {
         request_id,
+        call_id,
         worker: worker.settings.name.clone(),
         kind,
         echo: body,
