--- a/crates/standin/src/fault/mod.rs
+++ b/crates/standin/src/fault/mod.rs
@@ -47,7 +47,11 @@
 
 /// One change of the controls, as the control port takes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "fault")]
+#[serde(
+    rename_all = "kebab-case",
+    rename_all_fields = "kebab-case",
+    tag = "fault"
+)]
 pub enum Fault {
     /// Accepts connections and answers nothing until thawed.
     Freeze,
--- a/crates/verbenahitch/src/config/declarations.rs
+++ b/crates/verbenahitch/src/config/declarations.rs
@@ -18,7 +18,7 @@
     #[serde(default)]
     pub revision: u64,
     /// Unique identity of the write that brought this revision.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub write_id: String,
     /// Profiles by name.
     #[serde(default)]
--- a/crates/verbenahitch/src/port/worker.rs
+++ b/crates/verbenahitch/src/port/worker.rs
@@ -42,7 +42,11 @@
 
 /// One command to a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "kind")]
+#[serde(
+    rename_all = "kebab-case",
+    rename_all_fields = "kebab-case",
+    tag = "kind"
+)]
 pub enum Command {
     /// Starts a task.
     Start {
--- a/crates/verbenahitch/src/scheduler/message.rs
+++ b/crates/verbenahitch/src/scheduler/message.rs
@@ -176,7 +176,11 @@
 
 /// Why a request was refused. Nothing of it happened unless said otherwise.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Snafu)]
-#[serde(rename_all = "kebab-case", tag = "kind")]
+#[serde(
+    rename_all = "kebab-case",
+    rename_all_fields = "kebab-case",
+    tag = "kind"
+)]
 pub enum SubmitError {
     /// The declarations do not know the profile.
     #[snafu(display("profile {profile:?} is not declared"))]
--- a/testsuite/tests/testsuite/session/deployment.rs
+++ b/testsuite/tests/testsuite/session/deployment.rs
@@ -220,6 +220,15 @@
         format!("http://{}:8000{path}", self.ip(host))
     }
 
+    /// Log lines of an entry host that hold the event `name` and `text`.
+    pub(super) fn logged(&self, host: usize, name: &str, text: &str) -> usize {
+        let file = self.dir.join(format!("entry-{host}.log"));
+        let log = std::fs::read_to_string(file).unwrap_or_default();
+        let name = format!(r#""name":"{name}""#);
+        let holds = |line: &&str| line.contains(&name) && line.contains(text);
+        log.lines().filter(holds).count()
+    }
+
     /// What every worker did.
     pub(super) async fn histories(&self) -> Vec<WorkerHistory> {
         let url = format!("http://{}/workers/history", self.addresses.control);
