Add the load tool

Callers' view of a session comes from one place: an open load whose calls are due at seeded instants, with latencies from the due instant, ids and bodies checked, and keyed calls repeated once elsewhere when their outcome is unclear.

Latency histograms of workers saturated at their initial bound of one, since saturating_record does not resize; they have fixed bounds now and a test.

--- /dev/null
+++ b/crates/standin/src/command/load.rs
@@ -0,0 +1,68 @@
+//! Subcommand that drives gateways.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use snafu::ResultExt;
+use verbenahitch::domain::Millis;
+use verbenahitch::settings::load_declarations;
+
+use super::{CommandError, DeclarationsSnafu};
+use crate::load::{self, KindPlan, Plan};
+
+/// What to send, and where.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// Callers' address of a gateway; may be given several times.
+    #[bpaf(argument("IP:PORT"), some("at least one address is needed"))]
+    callers: Vec<SocketAddr>,
+    /// Declarations whose request kinds are sent.
+    #[bpaf(argument("FILE"))]
+    declarations: PathBuf,
+    /// Calls a second.
+    #[bpaf(argument("N"), fallback(100.0))]
+    rate: f64,
+    /// Most calls in progress.
+    #[bpaf(argument("N"), fallback(256))]
+    concurrency: usize,
+    /// Most calls.
+    #[bpaf(argument("N"), fallback(100_000))]
+    count: u64,
+    /// Longest time in which calls are sent, in seconds.
+    #[bpaf(argument("S"), fallback(10))]
+    seconds: u64,
+    /// Time limit of a call, in milliseconds.
+    #[bpaf(argument("MS"), fallback(10_000))]
+    timeout_ms: Millis,
+    /// Seed of the instants and the kinds.
+    #[bpaf(argument("N"), fallback(1))]
+    seed: u64,
+    /// Prints JSON instead of a table.
+    json: bool,
+}
+
+pub(super) async fn run(options: Options) -> Result<ExitCode, CommandError> {
+    let declarations = load_declarations(&options.declarations).context(DeclarationsSnafu)?;
+    let plan = Plan {
+        label: format!("load-{}", std::process::id()),
+        callers: options.callers,
+        kinds: KindPlan::all(&declarations),
+        rate: options.rate,
+        concurrency: options.concurrency,
+        count: options.count,
+        duration_ms: options.seconds.saturating_mul(1_000),
+        timeout_ms: options.timeout_ms,
+        seed: options.seed,
+    };
+    let report = load::run(&plan).await;
+    if options.json {
+        let text = serde_json::to_string_pretty(&report);
+        println!("{}", text.expect("a report has a JSON form"));
+    } else {
+        print!("{report}");
+    }
+    let wrong = report.kinds.values().any(|kind| kind.wrong > 0);
+    Ok(ExitCode::from(u8::from(wrong)))
+}
--- a/crates/standin/src/command/mod.rs
+++ b/crates/standin/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The `verbenahitch-standin` command.
 
+mod load;
 mod serve;
 
 use std::net::SocketAddr;
@@ -7,7 +8,11 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use snafu::Snafu;
 use verbenahitch::domain::Millis;
+use verbenahitch::settings::SettingsError;
+
+use crate::platform::{PlatformError, PoolError};
 
 /// Stand-ins for the platform, the workers and the upstreams.
 ///
@@ -80,6 +85,11 @@
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
     },
+    /// Sends the request kinds of a deployment and prints what came back.
+    ///
+    /// Exits with 1 if an answer was not whole or belonged to another call.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::options))] load::Options),
 }
 
 fn loopback() -> SocketAddr {
@@ -93,10 +103,28 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
-    match runtime.block_on(serve::run(arguments)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&error),
-    }
+    let result = runtime.block_on(async {
+        match arguments {
+            Arguments::Load(options) => load::run(options).await,
+            arguments => serve::run(arguments).await,
+        }
+    });
+    result.unwrap_or_else(|error| fail(&error))
+}
+
+/// Why a subcommand failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+enum CommandError {
+    /// The pool cannot be used.
+    #[snafu(display("{source}"))]
+    Pool { source: PoolError },
+    /// The declarations cannot be used.
+    #[snafu(display("{source}"))]
+    Declarations { source: SettingsError },
+    /// A stand-in did not start.
+    #[snafu(display("{source}"))]
+    Start { source: PlatformError },
 }
 
 fn fail(error: &dyn std::error::Error) -> ExitCode {
--- a/crates/standin/src/command/serve.rs
+++ b/crates/standin/src/command/serve.rs
@@ -1,37 +1,27 @@
 //! Subcommands that serve stand-ins.
 
 use std::net::SocketAddr;
+use std::process::ExitCode;
 
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use tokio::io::AsyncReadExt as _;
 
-use super::Arguments;
+use super::{Arguments, CommandError, PoolSnafu, StartSnafu};
 use crate::hosts;
-use crate::platform::{Parts, Platform, PlatformError, Pool, PoolError};
+use crate::platform::{Parts, Platform, Pool};
 use crate::store::{self, Limits};
 use crate::worker;
 
-/// Why a subcommand failed.
-#[derive(Debug, Snafu)]
-pub(super) enum ServeError {
-    /// The pool cannot be used.
-    #[snafu(display("{source}"))]
-    Pool { source: PoolError },
-    /// A stand-in did not start.
-    #[snafu(display("{source}"))]
-    Start { source: PlatformError },
-}
-
-pub(super) async fn run(arguments: Arguments) -> Result<(), ServeError> {
+pub(super) async fn run(arguments: Arguments) -> Result<ExitCode, CommandError> {
     let parts = parts(arguments)?;
     let platform = Platform::start(parts).await.context(StartSnafu)?;
     let line = serde_json::to_string(&platform.addresses());
     println!("{}", line.expect("addresses have a JSON form"));
     wait().await;
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
 
-fn parts(arguments: Arguments) -> Result<Parts, ServeError> {
+fn parts(arguments: Arguments) -> Result<Parts, CommandError> {
     let none = |control| Parts {
         control,
         store: None,
@@ -85,6 +75,7 @@
             workers: workers(&pool, seed)?,
             zones: Vec::new(),
         },
+        Arguments::Load(_) => none(super::loopback()),
     })
 }
 
@@ -96,7 +87,7 @@
     (address, settings)
 }
 
-fn workers(file: &std::path::Path, seed: u64) -> Result<Vec<worker::Settings>, ServeError> {
+fn workers(file: &std::path::Path, seed: u64) -> Result<Vec<worker::Settings>, CommandError> {
     let pool = Pool::load(file).context(PoolSnafu)?;
     Ok(pool.settings(seed))
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod history;
 pub mod hosts;
+pub mod load;
 pub mod platform;
 pub mod server;
 pub mod store;
--- a/crates/standin/src/worker/latency.rs
+++ b/crates/standin/src/worker/latency.rs
@@ -9,6 +9,9 @@
 /// Significant digits of the histograms.
 const DIGITS: u8 = 2;
 
+/// Largest latency that is told apart, in microseconds.
+const LIMIT_US: u64 = 3_600_000_000;
+
 /// Latencies of the window in progress, by profile.
 #[derive(Debug, Default)]
 pub(super) struct Window {
@@ -18,7 +21,8 @@
 impl Window {
     pub(super) fn record(&mut self, profile: &str, latency: Duration) {
         if !self.profiles.contains_key(profile) {
-            let fresh = Histogram::new(DIGITS).expect("the number of digits is valid");
+            let fresh = Histogram::new_with_max(LIMIT_US, DIGITS);
+            let fresh = fresh.expect("the limits are valid");
             self.profiles.insert(profile.to_owned(), fresh);
         }
         if let Some(histogram) = self.profiles.get_mut(profile) {
--- a/testsuite/tests/testsuite/standin/mod.rs
+++ b/testsuite/tests/testsuite/standin/mod.rs
@@ -3,6 +3,7 @@
 mod fault;
 mod history;
 mod hosts;
+mod load;
 mod process;
 mod store;
 mod worker;
--- a/testsuite/tests/testsuite/standin/worker.rs
+++ b/testsuite/tests/testsuite/standin/worker.rs
@@ -269,6 +269,22 @@
     assert!(requests.iter().all(|record| record.end.is_some()));
 }
 
+#[tokio::test]
+async fn latency_is_reported_by_profile() {
+    let settings = Settings {
+        profiles: [("pass-quote".to_owned(), "quote".to_owned())].into(),
+        ..quick()
+    };
+    let bench = Bench::new(settings).await;
+    let url = format!("http://{}/pass-quote", bench.worker.record().upstream);
+    reqwest::get(&url).await.unwrap();
+    bench.clock.advance(1_000);
+    let reply = bench.commands(1, Vec::new()).await;
+    let report = &reply.usage.latency[0];
+    assert_eq!((report.profile.as_str(), report.count), ("quote", 1));
+    assert!(report.p50_us >= 100 && report.p99_us >= report.p50_us);
+}
+
 #[tokio::test]
 async fn a_full_upstream_refuses_before_it_runs_anything() {
     let settings = Settings {
