--- a/crates/verbenahitch/src/scheduler/shard/ends.rs
+++ b/crates/verbenahitch/src/scheduler/shard/ends.rs
@@ -209,7 +209,7 @@
                 self.jobs[task.job].end(task.index, TaskOutcome::Done);
                 self.note_ack(task, key, ended.run);
             }
-            (Some(_), _) => self.workers[key].acks.push(ended.run),
+            (Some(_), _) => self.ack_noted(task, key, ended.run),
             (None, Some(Phase::Unclear)) if !stale => {
                 self.set_phase(task, None);
                 self.conclude(task, key, ended.run, ended.kind, ended.checkpoint_ms, now);
@@ -221,23 +221,38 @@
             (None, phase) => {
                 let runs = matches!(phase, Some(Phase::Running(_)));
                 if runs || !self.note_progress(task, ended) {
-                    return self.workers[key].acks.push(ended.run);
+                    return self.ack_noted(task, key, ended.run);
                 }
                 self.note_ack(task, key, ended.run);
             }
         }
     }
 
+    /// Has a run acknowledged of which the record tells already, though perhaps not durably.
+    fn ack_noted(&mut self, task: TaskKey, key: WorkerKey, run: u64) {
+        let job = &self.jobs[task.job];
+        if job.dirty || job.inflight.is_some() {
+            return self.note_ack(task, key, run);
+        }
+        self.workers[key].acks.push(run);
+    }
+
     /// Notes a newer checkpoint of a run that was given up; says whether it is newer.
     fn note_progress(&mut self, task: TaskKey, ended: &Ended) -> bool {
-        let record = &mut self.jobs[task.job].record;
-        let Some(noted) = record.checkpoints.get_mut(&task.index) else {
+        let checkpoints = &mut self.jobs[task.job].record.checkpoints;
+        let noted = checkpoints.get(&task.index).copied().unwrap_or_default();
+        if ended.run < noted.run || ended.checkpoint_ms <= noted.progress_ms {
             return false;
+        }
+        let newer = Checkpoint {
+            run: ended.run,
+            progress_ms: ended.checkpoint_ms,
         };
-        if noted.run != ended.run || ended.checkpoint_ms <= noted.progress_ms {
-            return false;
+        checkpoints.insert(task.index, newer);
+        if self.phase(task).is_none() {
+            self.jobs[task.job].again.insert(task.index);
+            self.file(task.job);
         }
-        noted.progress_ms = ended.checkpoint_ms;
         true
     }
 
--- a/crates/verbenahitch/src/scheduler/shard/syncs.rs
+++ b/crates/verbenahitch/src/scheduler/shard/syncs.rs
@@ -15,8 +15,11 @@
 
 /// Time between two syncs with a worker on which a run writes its checkpoint.
 const EVICTING_SYNC_MS: Millis = 250;
-/// Difference between two clocks that is no sign of a restart.
-const CLOCK_TOLERANCE_MS: Millis = 1_000;
+/// Probes of a silent worker in the time of one sync with another.
+const PROBES_PER_SYNC: Millis = 4;
+/// Largest deviation of a worker's clock, as one part in so many, that is no sign of a restart.
+const CLOCK_DRIFT_PARTS: Millis = 16;
+const CLOCK_ROUNDING_MS: Millis = 10;
 
 impl Shard {
     /// Has a worker looked at no later than `at`.
@@ -57,7 +60,9 @@
 
     fn send_sync(&mut self, key: WorkerKey, owned: Ownership, now: Monotonic) {
         let may_start = self.may_start(now);
-        let may_renew = now < self.authority && self.workers[key].clock.is_some();
+        let worker = &self.workers[key];
+        // A silent worker is only probed, so that its leases lapse.
+        let may_renew = now < self.authority && worker.clock.is_some() && !worker.silent;
         if !may_start || !may_renew {
             self.withdraw_unsent(key, now);
         }
@@ -148,7 +153,9 @@
             return;
         };
         let restarted = worker.clock.is_some_and(|(clock, read)| {
-            reply.clock + CLOCK_TOLERANCE_MS < clock + inflight.sent.min(sent).since(read)
+            let passed = inflight.sent.min(sent).since(read);
+            let slack = passed / CLOCK_DRIFT_PARTS + CLOCK_ROUNDING_MS;
+            reply.clock + slack < clock + passed
         });
         worker.clock = Some((reply.clock, now));
         let first = !std::mem::replace(&mut worker.answered, true);
@@ -164,13 +171,13 @@
         self.take_report(key, seq, restarted, &reply, now);
         self.placer.observe(key, &reply.usage, now);
         self.refresh(key, now);
-        self.set_due(key, self.next_sync(key, first, now));
+        self.set_due(key, self.next_sync(key, first || silent, now));
     }
 
-    fn next_sync(&self, key: WorkerKey, first: bool, now: Monotonic) -> Monotonic {
+    fn next_sync(&self, key: WorkerKey, probed: bool, now: Monotonic) -> Monotonic {
         let worker = &self.workers[key];
-        // The first sync of an epoch renews nothing, because it has no bound.
-        if !worker.commands.is_empty() || (first && !worker.runs.is_empty()) {
+        // A probe renews nothing.
+        if !worker.commands.is_empty() || (probed && !worker.runs.is_empty()) {
             return now;
         }
         if worker.evicting > 0 || !worker.strays.is_empty() {
@@ -265,17 +272,16 @@
             return;
         };
         self.resend(key, inflight.commands);
-        let mut retry = now + self.params.sync_ms;
+        let mut retry = now + self.params.sync_ms / PROBES_PER_SYNC;
         match error {
             SyncError::StaleEpoch { epoch } => {
                 if self.owned.is_some_and(|owned| epoch > owned.epoch) {
                     return self.stand_down("a worker has seen a higher epoch", now);
                 }
-                self.withdraw_sent(key, inflight.seq, now);
             }
+            // An earlier copy of the call may have been taken: the next answer tells.
             SyncError::Late { clock } => {
                 self.workers[key].clock = Some((clock, now));
-                self.withdraw_sent(key, inflight.seq, now);
                 retry = now;
             }
             SyncError::Unreachable { .. } => self.withdraw_sent(key, inflight.seq, now),
