Try failures of processes and of the store over separate processes

The workers' histories are checked by the invariants that every session uses. The stand-ins give each availability zone a door of its own, so that a zone can be cut off.

--- a/crates/standin/src/platform/set.rs
+++ b/crates/standin/src/platform/set.rs
@@ -1,5 +1,6 @@
 //! The stand-ins of one process.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -58,6 +59,19 @@
     pub hosts: Option<SocketAddr>,
     /// Workers as the list shows them.
     pub workers: Vec<HostRecord>,
+    /// Addresses for the callers of each availability zone, which can be cut off.
+    #[serde(default)]
+    pub doors: BTreeMap<String, ZoneDoors>,
+}
+
+/// Addresses for the callers of one availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ZoneDoors {
+    /// Store, if there is one.
+    pub store: Option<SocketAddr>,
+    /// List of workers, if there is one.
+    pub hosts: Option<SocketAddr>,
 }
 
 /// Why a set of stand-ins did not start.
@@ -75,6 +89,7 @@
 
 /// Running stand-ins with their control port; stop when dropped.
 pub struct Platform {
+    zones: Vec<String>,
     set: Arc<Set>,
     control: Server,
 }
@@ -94,6 +109,9 @@
     /// When one of them does not start.
     pub async fn start(parts: Parts) -> Result<Self, PlatformError> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+        let of_workers = parts.workers.iter().map(|worker| worker.zone.clone());
+        let all: BTreeSet<String> = of_workers.chain(parts.zones.clone()).collect();
+        let all: Vec<String> = all.into_iter().collect();
         let zones = &parts.zones;
         let mut set = Set {
             store: None,
@@ -101,11 +119,11 @@
             workers: start_workers(parts.workers, zones, &clock).await?,
         };
         if let Some((address, settings)) = parts.store {
-            let store = Store::with_clock(address, zones, settings, Arc::clone(&clock)).await;
+            let store = Store::with_clock(address, &all, settings, Arc::clone(&clock)).await;
             set.store = Some(store.context(StartSnafu { part: "store" })?);
         }
         if let Some((address, settings)) = parts.hosts {
-            let hosts = Hosts::with_clock(address, zones, settings, clock).await;
+            let hosts = Hosts::with_clock(address, &all, settings, clock).await;
             set.hosts = Some(hosts.context(StartSnafu { part: "list" })?);
         }
         set.list_workers();
@@ -114,7 +132,11 @@
         let mount = Arc::new(move |rocket| control::mount(rocket, Arc::clone(&mounted)));
         let control = Server::start(parts.control, mount).await;
         let control = control.context(StartSnafu { part: "control" })?;
-        Ok(Self { set, control })
+        Ok(Self {
+            zones: all,
+            set,
+            control,
+        })
     }
 
     /// Where the stand-ins are reached.
@@ -124,9 +146,20 @@
             store: self.set.store.as_ref().map(Store::address),
             hosts: self.set.hosts.as_ref().map(Hosts::address),
             workers: self.set.workers.iter().map(Worker::record).collect(),
+            doors: self.zones.iter().map(|zone| self.doors(zone)).collect(),
         }
     }
 
+    fn doors(&self, zone: &str) -> (String, ZoneDoors) {
+        let store = self.set.store.as_ref();
+        let hosts = self.set.hosts.as_ref();
+        let doors = ZoneDoors {
+            store: store.map(|store| store.address_for(zone)),
+            hosts: hosts.map(|hosts| hosts.address_for(zone)),
+        };
+        (zone.to_owned(), doors)
+    }
+
     /// Store.
     ///
     /// # Panics
--- a/testsuite/tests/testsuite/session/deployment.rs
+++ b/testsuite/tests/testsuite/session/deployment.rs
@@ -1,5 +1,6 @@
 //! A deployment of separate processes on loopback addresses of its own.
 
+use std::collections::HashSet;
 use std::io::{BufRead as _, BufReader};
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
@@ -8,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use verbenahitch_standin::history::WorkerHistory;
+use verbenahitch::port::EndKind;
+use verbenahitch::settings::load_declarations;
+use verbenahitch_standin::history::{Rules, Session, Violation, WorkerHistory, check};
 use verbenahitch_standin::platform::Addresses;
 
 /// Longest time that a condition may take, so that a failing test ends.
@@ -123,12 +126,13 @@
         let seeds: Vec<Value> = (0..self.zones.len())
             .map(|other| json!({"address": format!("{}:7002", self.ip(other))}))
             .collect();
+        let doors = self.addresses.doors[&self.zones[host]];
         let settings = json!({
             "name": format!("entry-{host}"),
             "zone": self.zones[host],
             "platform": {
-                "store": self.addresses.store,
-                "hosts": self.addresses.hosts,
+                "store": doors.store,
+                "hosts": doors.hosts,
                 "hosts-interval-ms": 200,
             },
             "peers": {
@@ -207,7 +211,8 @@
 
     /// Waits until every zone's shard has an owner.
     pub(super) async fn wait_for_owners(&self) {
-        let zones = self.zones.len();
+        let zones: HashSet<&String> = self.zones.iter().collect();
+        let zones = zones.len();
         wait_until("every shard has an owner", async || {
             let status = answer(&self.operate(0, "status"));
             status["shards"].as_array().map_or(0, Vec::len) >= zones
@@ -215,6 +220,37 @@
         .await;
     }
 
+    /// Entry host whose scheduler acquired `shard` last.
+    pub(super) fn owner(&self, shard: &str) -> usize {
+        let acquired = |host: &usize| {
+            let file = self.dir.join(format!("entry-{host}.log"));
+            let log = std::fs::read_to_string(file).unwrap_or_default();
+            let shard = format!(r#""shard":"{shard}""#);
+            let lines = log
+                .lines()
+                .filter(|line| line.contains(r#""name":"shard-acquired""#));
+            let line = lines.filter(|line| line.contains(&shard)).last();
+            let epoch = line.and_then(|line| {
+                let line: Value = serde_json::from_str(line).ok()?;
+                line["entry"]["epoch"].as_u64()
+            });
+            epoch.unwrap_or(0)
+        };
+        let hosts = 0..self.zones.len();
+        hosts.max_by_key(acquired).expect("there are entry hosts")
+    }
+
+    /// Promises that the workers' histories show as broken.
+    pub(super) async fn violations(&self) -> Vec<Violation> {
+        let declarations = load_declarations(Path::new(&fixture("declarations.jsonc")));
+        let rules = Rules::new(&declarations.expect("the fixture has no faults"));
+        let session = Session {
+            workers: self.histories().await,
+            ..Session::default()
+        };
+        check(&session, &rules)
+    }
+
     /// URL for callers at an entry host.
     pub(super) fn url(&self, host: usize, path: &str) -> String {
         format!("http://{}:8000{path}", self.ip(host))
@@ -241,6 +277,23 @@
         answer.json().await.expect("histories")
     }
 
+    /// Waits until a gateway says that all `tasks` of `job` are done.
+    pub(super) async fn wait_for_done(&self, host: usize, job: &str, tasks: u64) {
+        wait_until(&format!("{job} is done"), async || {
+            let status = answer(&self.team(host, &format!("job {job}")));
+            status["done"].as_u64() == Some(tasks)
+        })
+        .await;
+    }
+
+    /// Waits until a worker runs a task.
+    pub(super) async fn wait_for_run(&self) {
+        wait_until("a task runs", async || {
+            self.histories().await.iter().any(runs_now)
+        })
+        .await;
+    }
+
     /// Sets a control of the stand-ins.
     pub(super) async fn control(&self, path: &str, body: &Value) {
         let url = format!("http://{}{path}", self.addresses.control);
@@ -272,6 +325,18 @@
     }
 }
 
+/// Whether a run goes on at the worker.
+pub(super) fn runs_now(history: &WorkerHistory) -> bool {
+    history.runs.iter().any(|run| run.end.is_none())
+}
+
+/// Runs that ended as `kind` says, over all workers.
+pub(super) fn ended(histories: &[WorkerHistory], kind: EndKind) -> usize {
+    let runs = histories.iter().flat_map(|history| &history.runs);
+    runs.filter(|run| run.end.is_some_and(|end| end.kind == Some(kind)))
+        .count()
+}
+
 fn fixture(name: &str) -> String {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("fixtures/session");
     folder.join(name).display().to_string()
--- a/testsuite/tests/testsuite/session/mod.rs
+++ b/testsuite/tests/testsuite/session/mod.rs
@@ -1,4 +1,5 @@
 //! Whole sessions over separate processes.
 
 mod deployment;
+mod failures;
 mod whole;
--- a/testsuite/tests/testsuite/session/whole.rs
+++ b/testsuite/tests/testsuite/session/whole.rs
@@ -4,9 +4,8 @@
 
 use serde_json::json;
 use verbenahitch::port::EndKind;
-use verbenahitch_standin::history::WorkerHistory;
 
-use super::deployment::{Daemon, Deployment, answer, wait_until};
+use super::deployment::{Daemon, Deployment, Process, answer, ended, runs_now, wait_until};
 
 const KINDS: [&str; 6] = [
     "/price-push",
@@ -105,7 +104,7 @@
     .await;
     let leaving = json!({"worker": on, "state": "leaving"});
     deployment.control("/hosts/state", &leaving).await;
-    wait_for_done(deployment, "bureau.overnight", 6).await;
+    deployment.wait_for_done(1, "bureau.overnight", 6).await;
     let live = json!({"worker": on, "state": "live"});
     deployment.control("/hosts/state", &live).await;
     let histories = deployment.histories().await;
@@ -121,12 +120,12 @@
     let confirmed = out["in-force"].as_array().map_or(0, Vec::len);
     let open = out["not-confirmed"].as_array().map_or(0, Vec::len);
     writeln!(golden, "zone out: confirmed by {confirmed}, open {open}").unwrap();
-    wait_for_done(deployment, "bureau.long", 4).await;
+    deployment.wait_for_done(1, "bureau.long", 4).await;
     let back = deployment.operate(1, "zone in a");
     writeln!(golden, "zone in: {}", back.status.success()).unwrap();
     let again = "submit --key after --profile recalculation --tasks 2 --run-ms 500";
     assert!(deployment.team(1, again).status.success());
-    wait_for_done(deployment, "bureau.after", 2).await;
+    deployment.wait_for_done(1, "bureau.after", 2).await;
     let histories = deployment.histories().await;
     writeln!(
         golden,
@@ -138,7 +137,7 @@
 
 async fn stop_with_requests_in_progress(
     deployment: &Deployment,
-    gateways: Vec<super::deployment::Process>,
+    gateways: Vec<Process>,
     golden: &mut String,
 ) {
     for worker in deployment.histories().await {
@@ -171,21 +170,3 @@
         writeln!(golden, "gateway stopped: {}", gateway.wait()).unwrap();
     }
 }
-
-async fn wait_for_done(deployment: &Deployment, job: &str, tasks: u64) {
-    wait_until(&format!("{job} is done"), async || {
-        let status = answer(&deployment.team(1, &format!("job {job}")));
-        status["done"].as_u64() == Some(tasks)
-    })
-    .await;
-}
-
-fn runs_now(history: &WorkerHistory) -> bool {
-    history.runs.iter().any(|run| run.end.is_none())
-}
-
-fn ended(histories: &[WorkerHistory], kind: EndKind) -> usize {
-    let runs = histories.iter().flat_map(|history| &history.runs);
-    runs.filter(|run| run.end.is_some_and(|end| end.kind == Some(kind)))
-        .count()
-}
