Add the demo: a whole deployment in one process

Stand-ins, seven gateways and seven schedulers run over loopback sockets under the deployment's load and jobs, while an operator takes a zone out and brings it back. The report gives latencies, batch, the zone's change, whose work pressed on whose, and what the history check found.

--- a/crates/standin/src/command/load.rs
+++ b/crates/standin/src/command/load.rs
@@ -50,6 +50,7 @@
         callers: options.callers,
         kinds: KindPlan::all(&declarations),
         rate: options.rate,
+        swing: 0.0,
         concurrency: options.concurrency,
         count: options.count,
         duration_ms: options.seconds.saturating_mul(1_000),
--- a/crates/standin/src/command/mod.rs
+++ b/crates/standin/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The `verbenahitch-standin` command.
 
+mod demo;
 mod load;
 mod serve;
 
@@ -12,6 +13,7 @@
 use verbenahitch::domain::Millis;
 use verbenahitch::settings::SettingsError;
 
+use crate::demo::DemoError;
 use crate::platform::{PlatformError, PoolError};
 
 /// Stand-ins for the platform, the workers and the upstreams.
@@ -21,6 +23,23 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Arguments {
+    /// Runs a whole deployment in one process and prints a report.
+    ///
+    /// Exits with 1 if a promise was broken or a kind of request was never served.
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::options))] demo::Options),
+    /// Sends the request kinds of a deployment and prints what came back.
+    ///
+    /// Exits with 1 if an answer was not whole or belonged to another call.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::options))] load::Options),
+    /// Serves stand-ins.
+    Serve(#[bpaf(external(serving))] Serving),
+}
+
+/// Stand-ins to serve.
+#[derive(Clone, Debug, Bpaf)]
+pub enum Serving {
     /// Serves the key-value service.
     #[bpaf(command)]
     Store {
@@ -85,11 +104,6 @@
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
     },
-    /// Sends the request kinds of a deployment and prints what came back.
-    ///
-    /// Exits with 1 if an answer was not whole or belonged to another call.
-    #[bpaf(command)]
-    Load(#[bpaf(external(load::options))] load::Options),
 }
 
 fn loopback() -> SocketAddr {
@@ -105,8 +119,9 @@
     };
     let result = runtime.block_on(async {
         match arguments {
+            Arguments::Demo(options) => demo::run(options).await,
             Arguments::Load(options) => load::run(options).await,
-            arguments => serve::run(arguments).await,
+            Arguments::Serve(serving) => serve::run(serving).await,
         }
     });
     result.unwrap_or_else(|error| fail(&error))
@@ -122,6 +137,9 @@
     /// The declarations cannot be used.
     #[snafu(display("{source}"))]
     Declarations { source: SettingsError },
+    /// The demo did not run.
+    #[snafu(display("{source}"))]
+    Demo { source: DemoError },
     /// A stand-in did not start.
     #[snafu(display("{source}"))]
     Start { source: PlatformError },
--- a/crates/standin/src/command/serve.rs
+++ b/crates/standin/src/command/serve.rs
@@ -6,14 +6,14 @@
 use snafu::ResultExt;
 use tokio::io::AsyncReadExt as _;
 
-use super::{Arguments, CommandError, PoolSnafu, StartSnafu};
+use super::{CommandError, PoolSnafu, Serving, StartSnafu};
 use crate::hosts;
 use crate::platform::{Parts, Platform, Pool};
 use crate::store::{self, Limits};
 use crate::worker;
 
-pub(super) async fn run(arguments: Arguments) -> Result<ExitCode, CommandError> {
-    let parts = parts(arguments)?;
+pub(super) async fn run(serving: Serving) -> Result<ExitCode, CommandError> {
+    let parts = parts(serving)?;
     let platform = Platform::start(parts).await.context(StartSnafu)?;
     let line = serde_json::to_string(&platform.addresses());
     println!("{}", line.expect("addresses have a JSON form"));
@@ -21,15 +21,15 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn parts(arguments: Arguments) -> Result<Parts, CommandError> {
+fn parts(serving: Serving) -> Result<Parts, CommandError> {
     let none = |control| Parts {
         control,
         store: None,
         hosts: None,
         ..Parts::new(Vec::new())
     };
-    Ok(match arguments {
-        Arguments::Store {
+    Ok(match serving {
+        Serving::Store {
             address,
             control,
             reads,
@@ -45,7 +45,7 @@
                 ..none(control)
             }
         }
-        Arguments::Hosts {
+        Serving::Hosts {
             address,
             control,
             lag_ms,
@@ -53,7 +53,7 @@
             hosts: Some(list(address, lag_ms)),
             ..none(control)
         },
-        Arguments::Workers {
+        Serving::Workers {
             pool,
             control,
             seed,
@@ -61,7 +61,7 @@
             workers: workers(&pool, seed)?,
             ..none(control)
         },
-        Arguments::Platform {
+        Serving::Platform {
             pool,
             control,
             store,
@@ -75,7 +75,6 @@
             workers: workers(&pool, seed)?,
             zones: Vec::new(),
         },
-        Arguments::Load(_) => none(super::loopback()),
     })
 }
 
--- /dev/null
+++ b/crates/standin/src/demo/mod.rs
@@ -0,0 +1,21 @@
+//! A whole deployment in one process: stand-ins, and the real gateways and
+//! schedulers of seven entry hosts over loopback sockets.
+//!
+//! Callers send the deployment's request kinds, teams submit its jobs, and
+//! operators take an availability zone out and bring it back. In the end the
+//! workers' and callers' histories are held against the promises.
+
+mod deployment;
+mod entry;
+mod error;
+mod events;
+mod jobs;
+mod operator;
+mod report;
+mod session;
+mod traffic;
+
+pub use deployment::Deployment;
+pub use error::DemoError;
+pub use report::{JobReport, Report, ZoneReport};
+pub use session::{Options, run};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`platform`] starts a set of them, in process or as a process of its own.
 
 pub mod command;
+pub mod demo;
 pub mod fault;
 pub mod history;
 pub mod hosts;
--- a/crates/standin/src/load/plan.rs
+++ b/crates/standin/src/load/plan.rs
@@ -14,8 +14,10 @@
     pub callers: Vec<SocketAddr>,
     /// Kinds of request.
     pub kinds: Vec<KindPlan>,
-    /// Calls a second over all kinds.
+    /// Mean calls a second over all kinds.
     pub rate: f64,
+    /// Share by which the rate swings around its mean, once up and down in the duration.
+    pub swing: f64,
     /// Most calls in progress; further ones wait and their wait counts as latency.
     pub concurrency: usize,
     /// Most calls.
--- a/crates/standin/src/load/run.rs
+++ b/crates/standin/src/load/run.rs
@@ -121,12 +121,21 @@
     }
 }
 
+impl Schedule<'_> {
+    /// Calls a second at the instant that the schedule has reached.
+    fn rate(&self) -> f64 {
+        let duration = Duration::from_millis(self.plan.duration_ms.max(1));
+        let turn = self.offset.div_duration_f64(duration) * std::f64::consts::TAU;
+        (self.plan.rate * (1.0 + self.plan.swing * turn.sin())).max(1e-3)
+    }
+}
+
 impl Iterator for Schedule<'_> {
     type Item = (Call, Duration);
 
     fn next(&mut self) -> Option<Self::Item> {
         // Independent callers: exponential gaps between their calls.
-        let gap_s = -(1.0 - self.rng.random::<f64>()).ln() / self.plan.rate.max(1e-3);
+        let gap_s = -(1.0 - self.rng.random::<f64>()).ln() / self.rate();
         self.offset += Duration::from_secs_f64(gap_s);
         let limit = Duration::from_millis(self.plan.duration_ms);
         if self.number >= self.plan.count || self.offset > limit {
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -4,5 +4,5 @@
 mod pool;
 mod set;
 
-pub use pool::{Pool, PoolError};
+pub use pool::{Pool, PoolError, parse_fixture};
 pub use set::{Addresses, Parts, Platform, PlatformError};
--- a/crates/standin/src/platform/pool.rs
+++ b/crates/standin/src/platform/pool.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use jsonc_parser::{ParseOptions, parse_to_serde_value};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 use verbenahitch::domain::Resources;
@@ -76,10 +77,7 @@
     /// When the file cannot be read or is no pool.
     pub fn load(path: &Path) -> Result<Self, PoolError> {
         let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
-        parse_to_serde_value(&text, &ParseOptions::default()).map_err(|error| PoolError::Faulty {
-            path: path.to_owned(),
-            reason: error.to_string(),
-        })
+        parse_fixture(path, &text)
     }
 
     /// Setup of every worker; `seed` decides their draws.
@@ -111,6 +109,18 @@
     }
 }
 
+/// Reads a fixture of JSON with comments, which came from `path`.
+///
+/// # Errors
+///
+/// When the text is no such fixture.
+pub fn parse_fixture<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, PoolError> {
+    parse_to_serde_value(text, &ParseOptions::default()).map_err(|error| PoolError::Faulty {
+        path: path.to_owned(),
+        reason: error.to_string(),
+    })
+}
+
 fn hash(name: &str) -> u64 {
     use std::hash::Hasher as _;
     let mut hasher = rustc_hash::FxHasher::default();
--- a/testsuite/tests/testsuite/standin/load.rs
+++ b/testsuite/tests/testsuite/standin/load.rs
@@ -24,6 +24,7 @@
         callers,
         kinds: vec![kind("quote", 3.0, false), kind("charge", 1.0, true)],
         rate: 2_000.0,
+        swing: 0.5,
         concurrency: 64,
         count: 200,
         duration_ms: 60_000,
