--- a/crates/verbenahitch/src/lib.rs
+++ b/crates/verbenahitch/src/lib.rs
@@ -16,13 +16,16 @@
 //! recorded traces drive the very code that the daemons run.
 
 pub mod adapter;
+pub mod client;
 pub mod collections;
 pub mod config;
 pub mod domain;
 pub mod event;
 pub mod gateway;
 mod generated;
+pub mod http;
 pub mod interference;
+pub mod membership;
 pub mod peer;
 pub mod placement;
 pub mod port;
--- a/crates/verbenahitch/src/scheduler/message.rs
+++ b/crates/verbenahitch/src/scheduler/message.rs
@@ -30,6 +30,9 @@
     },
     /// This process no longer owns the shard.
     Lost,
+    /// This process is about to give the shard up: nothing more is started, and
+    /// marks of tasks that were not started are taken back.
+    Release,
     /// Task leases may be renewed until then.
     Authority(Monotonic),
     /// Tasks may be started until then.
@@ -173,7 +176,11 @@
 
 /// Why a request was refused. Nothing of it happened unless said otherwise.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Snafu)]
-#[serde(rename_all = "kebab-case", tag = "kind")]
+#[serde(
+    rename_all = "kebab-case",
+    rename_all_fields = "kebab-case",
+    tag = "kind"
+)]
 pub enum SubmitError {
     /// The declarations do not know the profile.
     #[snafu(display("profile {profile:?} is not declared"))]
--- a/testsuite/tests/testsuite/standin/mod.rs
+++ b/testsuite/tests/testsuite/standin/mod.rs
@@ -1,1 +1,10 @@
-//! The stand-ins follow the published protocols.
+//! The stand-ins follow the published protocols, as the real adapters see them.
+
+mod examples;
+mod fault;
+mod history;
+mod hosts;
+mod load;
+mod process;
+mod store;
+mod worker;
