Refuse what is framed unclearly, and prove the request path under faults

A body sent in chunks that ended early was taken as whole: Rocket reads the first bytes itself and drops the error. The HTTP library also drops a Content-Length beside a Transfer-Encoding. Requests in chunks are now refused. A try whose connection failed may go to the same upstream on a fresh connection if there is no other.

--- a/crates/verbenahitch/src/gateway/handler.rs
+++ b/crates/verbenahitch/src/gateway/handler.rs
@@ -81,13 +81,15 @@
         };
         let took = self.shared.now().since(started);
         report::ended(&id, &kind, &end, took);
+        // After a malformed request, what follows on the connection may be misread.
+        let malformed = matches!(&end, End::Refused(refusal) if refusal.cause == Cause::Malformed);
+        let close = malformed || self.shared.is_stopping();
         let mut answer = match end {
             End::Answered(answer) => answer,
             End::Refused(refusal) => Answer::refused(&refusal),
             End::Unknown(doubt, reason) => Answer::unknown(doubt, &reason),
         };
         answer.headers.push((REQUEST_ID.to_owned(), id));
-        let close = self.shared.is_stopping();
         Outcome::Success(respond(answer, Some(active), close))
     }
 }
--- a/crates/verbenahitch/src/gateway/head.rs
+++ b/crates/verbenahitch/src/gateway/head.rs
@@ -84,14 +84,17 @@
 }
 
 fn check_framing(request: &Request<'_>, limit: u64) -> Result<Option<u64>, Refusal> {
-    let Some(length) = single(request, "content-length")? else {
-        return Ok(None);
-    };
+    // The HTTP library drops a Content-Length beside a Transfer-Encoding, and
+    // hides from its reader that chunks ended early. Either would be a request
+    // of unclear framing, so that only declared lengths are taken.
     if request.headers().contains("transfer-encoding") {
         return Err(malformed(
-            "Content-Length and Transfer-Encoding exclude each other",
+            "Transfer-Encoding is not taken, send a Content-Length",
         ));
     }
+    let Some(length) = single(request, "content-length")? else {
+        return Ok(None);
+    };
     let length = number("Content-Length", length)?;
     if length <= limit {
         return Ok(Some(length));
--- a/crates/verbenahitch/src/gateway/serve.rs
+++ b/crates/verbenahitch/src/gateway/serve.rs
@@ -124,10 +124,11 @@
             Some(outcome) = running.next() => outcome,
             () = &mut hedge, if !hedged => {
                 hedged = true;
-                running.extend(attempts.next().map(|choice| attempts.start(choice)));
+                running.extend(attempts.next(true).map(|choice| attempts.start(choice)));
                 continue;
             }
         };
+        let again = matches!(outcome, Outcome::Unknown(..));
         match outcome {
             Outcome::Answered(answer) => return End::Answered(answer),
             Outcome::Unknown(kind, reason) if !call.idempotent => {
@@ -136,7 +137,7 @@
             Outcome::Unknown(kind, reason) => doubt = Some((kind, reason)),
             Outcome::Refused | Outcome::NotSent(_) => {}
         }
-        running.extend(attempts.next().map(|choice| attempts.start(choice)));
+        running.extend(attempts.next(again).map(|choice| attempts.start(choice)));
         if running.is_empty() {
             return failed(doubt);
         }
@@ -166,15 +167,19 @@
 }
 
 impl<'a> Attempts<'a> {
-    /// Chooses another upstream, if attempts, budget and deadline allow one.
-    fn next(&self) -> Option<Choice> {
+    /// Chooses where to try next, if attempts, budget and deadline allow it.
+    ///
+    /// An upstream that has refused is not asked again; one whose connection
+    /// failed may answer on a fresh one if there is no other.
+    fn next(&self, again: bool) -> Option<Choice> {
         let now = self.shared.now();
         if self.count >= ATTEMPTS || self.call.deadline <= now {
             return None;
         }
         let dice = rand::rng().next_u64();
         let table = self.shared.table.load();
-        let choice = table.choose(now, dice, &self.tried[..self.count])?;
+        let other = table.choose(now, dice, &self.tried[..self.count]);
+        let choice = other.or_else(|| table.choose(now, dice, &[]).filter(|_| again))?;
         self.shared.budget.spend().then_some(choice)
     }
 
--- a/testsuite/tests/testsuite/gateway/mod.rs
+++ b/testsuite/tests/testsuite/gateway/mod.rs
@@ -4,4 +4,8 @@
 mod fixture;
 mod forwarding;
 mod intake;
+mod once;
+mod silence;
+mod stopping;
 mod truth;
+mod zones;
--- /dev/null
+++ b/testsuite/tests/testsuite/gateway/once.rs
@@ -0,0 +1,162 @@
+//! A request that is not idempotent runs at most once per idempotency key,
+//! through whichever gateway it comes.
+
+use std::net::SocketAddr;
+
+use test_case::test_case;
+use verbenahitch_standin::fault::Fault;
+use verbenahitch_standin::store::{Settings, Store};
+
+use super::fake::{Act, Upstream};
+use super::fixture::{Gateway, Got, Setup, got};
+
+async fn store() -> Store {
+    let address: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    Store::start(address, Settings::default()).await.unwrap()
+}
+
+async fn gateway(name: &'static str, store: &Store, upstream: &Upstream) -> Gateway {
+    let setup = Setup {
+        name,
+        store: store.address().to_string(),
+        ..Setup::over(&[upstream.address])
+    };
+    setup.start().await
+}
+
+async fn charge(gateway: &Gateway, key: &str) -> Got {
+    got(gateway.post("/charge").header("idempotency-key", key)).await
+}
+
+fn assert_repeat(answer: &Got) {
+    assert_eq!(answer.status, 409, "{answer:?}");
+    assert_eq!(answer.outcome.as_deref(), Some("already-sent"));
+    assert!(!answer.not_run);
+}
+
+#[test_case(|_| Act::Answer("charged".to_owned()), 200; "answered")]
+#[test_case(|_| Act::Close, 502; "died after the request")]
+#[tokio::test]
+async fn repeat_through_another_gateway_is_refused(
+    act: fn(&super::fake::Seen) -> Act,
+    status: u16,
+) {
+    let (store, upstream) = (store().await, Upstream::start(act).await);
+    let one = gateway("gw-1", &store, &upstream).await;
+    let two = gateway("gw-2", &store, &upstream).await;
+    assert_eq!(charge(&one, "k").await.status, status);
+    assert_repeat(&charge(&two, "k").await);
+    assert_repeat(&charge(&one, "k").await);
+    assert_eq!(upstream.count(), 1, "a charge ran twice");
+    assert_eq!(charge(&two, "another").await.status, status);
+}
+
+#[tokio::test]
+async fn simultaneous_repeats_run_once() {
+    let (store, upstream) = (store().await, Upstream::answering("charged").await);
+    let mut gateways = Vec::new();
+    for name in ["gw-1", "gw-2", "gw-3"] {
+        gateways.push(gateway(name, &store, &upstream).await);
+    }
+    for round in 0..10 {
+        let key = format!("k-{round}");
+        let both = gateways
+            .iter()
+            .flat_map(|g| [charge(g, &key), charge(g, &key)]);
+        let answers = futures::future::join_all(both).await;
+        let ran = answers.iter().filter(|answer| answer.status == 200).count();
+        assert_eq!(ran, 1, "{answers:?}");
+        assert_eq!(upstream.count(), round + 1);
+    }
+}
+
+#[tokio::test]
+async fn same_key_of_another_kind_is_another_key() {
+    let (store, upstream) = (store().await, Upstream::answering("ok").await);
+    let gateway = gateway("gw-1", &store, &upstream).await;
+    assert_eq!(charge(&gateway, "k").await.status, 200);
+    let quote = gateway.post("/quote").header("idempotency-key", "k");
+    assert_eq!(got(quote).await.status, 200);
+    assert_eq!(store.keys("verbenahitch/once/").len(), 1);
+}
+
+#[tokio::test]
+async fn lost_answer_of_the_store_is_resolved() {
+    let (store, upstream) = (store().await, Upstream::answering("charged").await);
+    let one = gateway("gw-1", &store, &upstream).await;
+    let two = gateway("gw-2", &store, &upstream).await;
+    store.faults().apply(Fault::Lose { answers: 1 });
+    let answer = charge(&one, "k").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "charged"));
+    assert_repeat(&charge(&two, "k").await);
+    assert_eq!(upstream.count(), 1);
+}
+
+#[tokio::test]
+async fn store_down_refuses_what_needs_it() {
+    let (store, upstream) = (store().await, Upstream::answering("ok").await);
+    let gateway = gateway("gw-1", &store, &upstream).await;
+    store.stop();
+    let answer = charge(&gateway, "k").await;
+    assert_eq!((answer.status, answer.not_run), (503, true));
+    assert!(answer.retry_after.is_some());
+    assert_eq!(upstream.count(), 0);
+    assert_eq!(got(gateway.post("/quote")).await.status, 200);
+    assert_eq!(got(gateway.post("/charge")).await.status, 200);
+    store.resume().await.unwrap();
+    assert_eq!(charge(&gateway, "k").await.status, 200);
+}
+
+#[tokio::test]
+async fn refused_charge_may_be_repeated_anywhere() {
+    let store = store().await;
+    let full = Upstream::start(|seen| match seen.number {
+        0 => Act::Refuse,
+        _ => Act::Answer("charged".to_owned()),
+    })
+    .await;
+    let one = gateway("gw-1", &store, &full).await;
+    let two = gateway("gw-2", &store, &full).await;
+    let refused = charge(&one, "k").await;
+    assert_eq!((refused.status, refused.not_run), (503, true));
+    assert_eq!(charge(&two, "k").await.status, 200);
+    assert_repeat(&charge(&one, "k").await);
+}
+
+#[tokio::test]
+async fn caller_that_goes_away_does_not_lose_the_key() {
+    let store = store().await;
+    let upstream = Upstream::start(|_| Act::Gated("charged".to_owned())).await;
+    let one = gateway("gw-1", &store, &upstream).await;
+    let two = gateway("gw-2", &store, &upstream).await;
+    let request = one.post("/charge").header("idempotency-key", "k").send();
+    let caller = tokio::spawn(request);
+    upstream.arrived(1).await;
+    caller.abort();
+    assert!(caller.await.unwrap_err().is_cancelled());
+    assert_repeat(&charge(&two, "k").await);
+    upstream.open_gate();
+    assert_repeat(&charge(&one, "k").await);
+    assert_eq!(upstream.count(), 1);
+}
+
+#[tokio::test]
+async fn keys_of_one_interval_share_calls() {
+    let (store, upstream) = (store().await, Upstream::answering("ok").await);
+    let setup = Setup {
+        store: store.address().to_string(),
+        ..Setup::over(&[upstream.address, upstream.address])
+    };
+    let gateway = setup.start().await;
+    const KEYS: usize = 200;
+    let before = store.calls().txns;
+    let calls = (0..KEYS).map(|key| {
+        let key = format!("k-{key}");
+        let gateway = &gateway;
+        async move { charge(gateway, &key).await.status }
+    });
+    let statuses = futures::future::join_all(calls).await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    let spent = store.calls().txns - before;
+    assert!(spent < KEYS as u64, "{spent} transactions for {KEYS} keys");
+}
