Group the gateway's modules, and take an upstream back once it listens anew

The modules of the request path fall into path, route, admission and once. An upstream that said it is leaving stayed out until the list dropped it, also when the list lagged past its restart: it is now probed, and gets requests again once its port was closed and listens again.

--- a/crates/verbenahitch/src/gateway/admission/gate.rs
+++ b/crates/verbenahitch/src/gateway/admission/gate.rs
@@ -10,10 +10,10 @@
 
 use super::freed::Freed;
 use super::queue::{Queue, Shed, Ticket};
-use crate::gateway::answer::{Cause, Refusal};
-use crate::gateway::serve::Call;
-use crate::gateway::shared::Shared;
-use crate::gateway::table::Choice;
+use crate::gateway::path::Call;
+use crate::gateway::path::Shared;
+use crate::gateway::path::{Cause, Refusal};
+use crate::gateway::route::Choice;
 
 /// Time between two looks at slots that came free by time alone, in milliseconds.
 const TICK_MS: Millis = 20;
--- a/crates/verbenahitch/src/gateway/daemon.rs
+++ b/crates/verbenahitch/src/gateway/daemon.rs
@@ -7,9 +7,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::callers::{Callers, Deps};
 use super::error::GatewayError;
 use super::operators::{self, Office, read_token};
+use super::path::{Callers, Deps};
 use crate::adapter::{HostList, Store};
 use crate::config::{self, Current, change};
 use crate::domain::Millis;
--- a/crates/verbenahitch/src/gateway/mod.rs
+++ b/crates/verbenahitch/src/gateway/mod.rs
@@ -6,30 +6,14 @@
 //! caller. What is refused has provably not run; what may have run is answered
 //! as an unknown outcome.
 
-mod admission;
-mod answer;
-mod body;
-mod budget;
-mod callers;
+pub mod admission;
 mod daemon;
 mod error;
-mod forward;
-mod handler;
-mod head;
-mod header;
-mod health;
-mod latency;
-mod limit;
 mod once;
 pub mod operators;
-mod refresh;
-mod report;
-mod serve;
-mod shared;
-mod subset;
-mod table;
-mod upstream;
+mod path;
+pub mod route;
 
-pub use callers::{Callers, Deps, Stats};
 pub use daemon::{Running, run};
 pub use error::GatewayError;
+pub use path::{Callers, Deps, Stats};
--- a/crates/verbenahitch/src/gateway/callers.rs
+++ b/crates/verbenahitch/src/gateway/path/callers.rs
@@ -20,11 +20,12 @@
 use crate::port::{Clock, HostRecord};
 use crate::settings::Settings;
 
-use super::admission::Admission;
-use super::error::{GatewayError, ListenSnafu};
-use super::once::Once;
+use super::handler;
 use super::shared::Shared;
-use super::{admission, handler, refresh};
+use crate::gateway::admission::{self, Admission};
+use crate::gateway::error::{GatewayError, ListenSnafu};
+use crate::gateway::once::Once;
+use crate::gateway::route::{probe, refresh};
 
 /// Time after the last answer in which idle connections close, in milliseconds.
 const LINGER_MS: Millis = 20;
@@ -123,7 +124,12 @@
         };
         let follow = refresh::follow(Arc::clone(&shared), deps.hosts, deps.current);
         let dispatch = admission::dispatch(Arc::clone(&shared), waiters);
-        let tasks = vec![tokio::spawn(follow), tokio::spawn(dispatch)];
+        let probe = probe::follow(Arc::clone(&shared));
+        let tasks = vec![
+            tokio::spawn(follow),
+            tokio::spawn(dispatch),
+            tokio::spawn(probe),
+        ];
         Ok(Self {
             shared,
             address,
--- a/crates/verbenahitch/src/gateway/report.rs
+++ b/crates/verbenahitch/src/gateway/path/report.rs
@@ -6,8 +6,7 @@
 use crate::event::{Entry, Kind};
 
 use super::serve::{Call, End};
-use super::table::Choice;
-use super::upstream::Upstream;
+use crate::gateway::route::{Choice, Upstream};
 
 /// Logs the choice of an upstream for attempt number `attempt`, from zero.
 pub fn chosen(call: &Call, attempt: usize, choice: &Choice) {
--- a/crates/verbenahitch/src/gateway/serve.rs
+++ b/crates/verbenahitch/src/gateway/path/serve.rs
@@ -18,11 +18,10 @@
 
 use super::answer::{Answer, Cause, Doubt, Refusal};
 use super::forward::{self, Limits, Outcome, Outgoing};
-use super::once::{Claim, Ticket};
 use super::report;
 use super::shared::Shared;
-use super::table::{ATTEMPTS, Choice};
-use super::upstream::Slot;
+use crate::gateway::once::{Claim, Ticket};
+use crate::gateway::route::{ATTEMPTS, Choice, Slot};
 
 /// An admitted request.
 #[derive(Clone, Debug)]
@@ -215,7 +214,7 @@
             send.await
         }
     };
-    if report.leaving && upstream.set_leaving(true) {
+    if report.leaving && upstream.leave() {
         Entry::new(Kind::UpstreamLeaving)
             .with("upstream", &upstream.name)
             .with("source", "upstream")
--- a/crates/verbenahitch/src/gateway/shared.rs
+++ b/crates/verbenahitch/src/gateway/path/shared.rs
@@ -10,11 +10,9 @@
 use crate::port::Clock;
 use crate::settings::Settings;
 
-use super::admission::Admission;
-use super::budget::Budget;
-use super::latency::Latency;
-use super::once::Once;
-use super::table::{Place, Table};
+use crate::gateway::admission::{Admission, Budget, Latency};
+use crate::gateway::once::Once;
+use crate::gateway::route::{Place, Table};
 
 /// State that all requests of a gateway share; the path of a request takes no lock on it.
 pub struct Shared {
--- a/crates/verbenahitch/src/gateway/refresh.rs
+++ b/crates/verbenahitch/src/gateway/route/refresh.rs
@@ -8,7 +8,7 @@
 use crate::config::{Current, Declarations};
 use crate::port::HostRecord;
 
-use super::shared::Shared;
+use crate::gateway::path::Shared;
 
 /// Publishes a table built from `hosts` and `declarations`.
 pub fn rebuild(shared: &Shared, hosts: &[HostRecord], declarations: Arc<Declarations>) {
--- a/crates/verbenahitch/src/gateway/table.rs
+++ b/crates/verbenahitch/src/gateway/route/table.rs
@@ -9,9 +9,9 @@
 use crate::collections::HashMap;
 use crate::config::Declarations;
 use crate::domain::Monotonic;
+use crate::gateway::admission::Freed;
 use crate::port::{HostRecord, HostState};
 
-use super::admission::Freed;
 use super::subset;
 use super::upstream::{Slot, Upstream};
 
--- a/crates/verbenahitch/src/gateway/upstream.rs
+++ b/crates/verbenahitch/src/gateway/route/upstream.rs
@@ -10,9 +10,9 @@
 use reqwest::redirect::Policy;
 
 use crate::domain::{Millis, Monotonic};
+use crate::gateway::admission::Freed;
 use crate::port::HostRecord;
 
-use super::admission::Freed;
 use super::health::Health;
 use super::limit::Limit;
 use super::table::Place;
@@ -37,6 +37,7 @@
     pub health: Health,
     in_flight: AtomicU32,
     leaving: AtomicBool,
+    gone: AtomicBool,
     client: ArcSwap<Client>,
     silence_ms: Millis,
     freed: Arc<Freed>,
@@ -53,6 +54,7 @@
             health: Health::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
+            gone: AtomicBool::new(false),
             client: ArcSwap::from_pointee(client(place.silence_ms)),
             silence_ms: place.silence_ms,
             freed: Arc::clone(&place.freed),
@@ -90,9 +92,23 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Notes whether the upstream is leaving; says whether that is new.
-    pub fn set_leaving(&self, leaving: bool) -> bool {
-        self.leaving.swap(leaving, Ordering::Relaxed) != leaving
+    /// Notes that the upstream is leaving; says whether that is new.
+    pub fn leave(&self) -> bool {
+        self.gone.store(false, Ordering::Relaxed);
+        !self.leaving.swap(true, Ordering::Relaxed)
+    }
+
+    /// Notes that the upstream's port is closed.
+    pub fn is_gone(&self) {
+        self.gone.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes that the upstream listens; says whether a leaving one came back with that.
+    pub fn listens(&self) -> bool {
+        if !self.gone.swap(false, Ordering::Relaxed) {
+            return false;
+        }
+        self.leaving.swap(false, Ordering::Relaxed)
     }
 
     /// Client that holds the upstream's connections.
