--- a/testsuite/tests/testsuite/session/deployment.rs
+++ b/testsuite/tests/testsuite/session/deployment.rs
@@ -229,7 +229,7 @@
             let lines = log
                 .lines()
                 .filter(|line| line.contains(r#""name":"shard-acquired""#));
-            let line = lines.filter(|line| line.contains(&shard)).last();
+            let line = lines.rfind(|line| line.contains(&shard));
             let epoch = line.and_then(|line| {
                 let line: Value = serde_json::from_str(line).ok()?;
                 line["entry"]["epoch"].as_u64()
