--- a/testsuite/tests/testsuite/standin/mod.rs
+++ b/testsuite/tests/testsuite/standin/mod.rs
@@ -1,5 +1,6 @@
 //! The stand-ins follow the published protocols, as the real adapters see them.
 
+mod demo;
 mod examples;
 mod fault;
 mod history;
