Serve the scheduler's metrics, and fold samples while nobody reads them

Histograms of the exporter keep every sample until they are read or folded; a process whose metrics nobody reads would have grown without bound.

--- a/crates/verbenahitch/src/http/exporter.rs
+++ b/crates/verbenahitch/src/http/exporter.rs
@@ -2,13 +2,18 @@
 
 use std::net::SocketAddr;
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use rocket::State;
 use rocket::http::ContentType;
+use tokio::task::JoinHandle;
 
 use super::listener::{Limits, ListenError, Listener};
 
+/// Time between two upkeeps of the recorder.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Longest time that a stop waits for a reading in progress, in seconds.
 const GRACE_S: u32 = 1;
 
@@ -16,6 +21,7 @@
 #[derive(Debug)]
 pub struct Exporter {
     listener: Listener,
+    upkeep: JoinHandle<()>,
 }
 
 /// Installs the recorder of the process, once; later calls return the same.
@@ -44,7 +50,8 @@
             .mount("/", rocket::routes![read]);
         let limits = Limits { grace_s: GRACE_S };
         let listener = Listener::start(address, limits, rocket).await?;
-        Ok(Self { listener })
+        let upkeep = tokio::spawn(upkeep());
+        Ok(Self { listener, upkeep })
     }
 
     /// Address that is listened on.
@@ -54,12 +61,21 @@
 
     /// Ends.
     pub async fn stop(self) {
+        self.upkeep.abort();
         self.listener.stop().await;
     }
 }
 
+/// Folds recorded samples into their distributions, which would otherwise pile
+/// up while nobody reads the metrics.
+async fn upkeep() {
+    loop {
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        install().run_upkeep();
+    }
+}
+
 #[rocket::get("/metrics")]
 fn read(recorder: &State<PrometheusHandle>) -> (ContentType, String) {
-    recorder.run_upkeep();
     (ContentType::Plain, recorder.render())
 }
--- a/crates/verbenahitch/src/scheduler/daemon/driver.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/driver.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics::counter;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 
@@ -184,7 +185,10 @@
         while self.syncs.try_join_next().is_some() {}
         self.syncs.spawn(async move {
             let seq = request.seq;
-            let input = match workers.sync(&address, &request).await {
+            let answer = workers.sync(&address, &request).await;
+            let outcome = if answer.is_ok() { "answered" } else { "failed" };
+            counter!("verbenahitch_syncs_total", "outcome" => outcome).increment(1);
+            let input = match answer {
                 Ok(reply) => Input::Synced {
                     worker,
                     seq,
@@ -230,6 +234,8 @@
             Commit::Handed(id) => writer.expect_handed(id),
             Commit::Batch(batch) => {
                 let result = writer.commit(&batch).await;
+                let outcome = if result.is_ok() { "stored" } else { "failed" };
+                counter!("verbenahitch_commits_total", "outcome" => outcome).increment(1);
                 let batch = batch.number;
                 let input = Input::Committed { batch, result };
                 sender.send(Message::Input(input)).ok();
--- a/crates/verbenahitch/src/scheduler/daemon/mod.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/mod.rs
@@ -19,6 +19,7 @@
 use crate::adapter::{HostList, Store};
 use crate::config::{self, Current};
 use crate::event::{Entry, Kind};
+use crate::http::{Exporter, ListenError};
 use crate::peer::{Handle, Identity, Incoming, Node, PeerError, Role};
 use crate::port::{Clock, SystemClock};
 use crate::settings::Settings;
@@ -34,6 +35,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// The metrics cannot be served.
+    #[snafu(display("metrics: {source}"))]
+    Metrics {
+        /// Cause.
+        source: ListenError,
+    },
     /// The peer interface could not start.
     #[snafu(display("peer interface: {source}"))]
     Peer {
@@ -86,21 +93,21 @@
 pub async fn start(settings: Settings) -> Result<Running, DaemonError> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
     let current = Current::default();
+    let exporter = Exporter::start(settings.scheduler.metrics);
+    let exporter = exporter.await.context(MetricsSnafu)?;
     let (handle, asked) = join(&settings, &current, &clock)?;
     let peers = handle.address();
     Entry::new(Kind::Started)
         .with("zone", &settings.zone)
         .with("peers", peers)
+        .with("metrics", exporter.address())
         .emit();
     let (stop, stopping) = watch::channel(false);
-    let main = tokio::spawn(main(
-        settings,
-        clock,
-        current.clone(),
-        handle,
-        asked,
-        stopping,
-    ));
+    let run = main(settings, clock, current.clone(), handle, asked, stopping);
+    let main = tokio::spawn(async move {
+        run.await;
+        exporter.stop().await;
+    });
     Ok(Running {
         peers,
         current,
--- a/crates/verbenahitch/src/scheduler/daemon/owner.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/owner.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics::gauge;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
@@ -307,8 +308,11 @@
     fn publish(&self) {
         let shards = self.owned.iter().map(|(shard, owned)| {
             let status = owned.status.borrow();
+            let name = shard.to_string();
+            gauge!("verbenahitch_tasks_queued", "shard" => name.clone()).set(status.queued);
+            gauge!("verbenahitch_tasks_running", "shard" => name.clone()).set(status.running);
             OwnedShard {
-                shard: shard.to_string(),
+                shard: name,
                 epoch: owned.epoch,
                 queued: status.queued,
                 running: status.running,
--- a/testsuite/tests/testsuite/session/deployment.rs
+++ b/testsuite/tests/testsuite/session/deployment.rs
@@ -226,7 +226,7 @@
             let file = self.dir.join(format!("entry-{host}.log"));
             let log = std::fs::read_to_string(file).unwrap_or_default();
             let shard = format!(r#""shard":"{shard}""#);
-            let lines = log
+            let mut lines = log
                 .lines()
                 .filter(|line| line.contains(r#""name":"shard-acquired""#));
             let line = lines.rfind(|line| line.contains(&shard));
