--- a/testsuite/tests/testsuite/session/deployment.rs
+++ b/testsuite/tests/testsuite/session/deployment.rs
@@ -226,10 +226,10 @@
             let file = self.dir.join(format!("entry-{host}.log"));
             let log = std::fs::read_to_string(file).unwrap_or_default();
             let shard = format!(r#""shard":"{shard}""#);
-            let lines = log
+            let mut lines = log
                 .lines()
                 .filter(|line| line.contains(r#""name":"shard-acquired""#));
-            let line = lines.filter(|line| line.contains(&shard)).last();
+            let line = lines.rfind(|line| line.contains(&shard));
             let epoch = line.and_then(|line| {
                 let line: Value = serde_json::from_str(line).ok()?;
                 line["entry"]["epoch"].as_u64()
