--- a/testsuite/tests/testsuite/gateway/fixture.rs
+++ b/testsuite/tests/testsuite/gateway/fixture.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,6 +15,10 @@
 use verbenahitch::port::{HostRecord, HostState, SystemClock};
 use verbenahitch::settings::Settings;
 
+/// Deadline of every kind; no test waits for it.
+pub const DEADLINE_MS: u64 = 300_000;
+/// Time after which a request that got no answer counts as stuck.
+pub const STUCK: Duration = Duration::from_secs(30);
 /// Address that nothing listens on.
 const NOWHERE: &str = "127.0.0.1:9";
 
@@ -87,7 +92,11 @@
             callers: Callers::start(deps).await.unwrap(),
             current,
             hosts,
-            http: reqwest::Client::builder().no_proxy().build().unwrap(),
+            http: reqwest::Client::builder()
+                .no_proxy()
+                .timeout(STUCK)
+                .build()
+                .unwrap(),
         }
     }
 }
@@ -109,7 +118,10 @@
             stream.shutdown().await.unwrap();
         }
         let mut answer = Vec::new();
-        let _ = stream.read_to_end(&mut answer).await;
+        let read = stream.read_to_end(&mut answer);
+        let _ = tokio::time::timeout(STUCK, read)
+            .await
+            .expect("the request is stuck");
         String::from_utf8_lossy(&answer).into_owned()
     }
 }
@@ -145,7 +157,7 @@
         json!({
             "class": "latency-critical", "team": "t", "worth": worth,
             "resources": { "millicores": 1, "memory-mib": 1, "accelerators": 0 },
-            "target-ms": 50, "deadline-ms": 5_000, "idempotent": idempotent
+            "target-ms": 50, "deadline-ms": DEADLINE_MS, "idempotent": idempotent
         })
     };
     json!({
--- a/testsuite/tests/testsuite/gateway/forwarding.rs
+++ b/testsuite/tests/testsuite/gateway/forwarding.rs
@@ -3,7 +3,7 @@
 use test_case::test_case;
 
 use super::fake::{Act, Upstream};
-use super::fixture::{Setup, got};
+use super::fixture::{DEADLINE_MS, Setup, got};
 
 #[tokio::test]
 async fn whole_answer_comes_back() {
@@ -37,9 +37,9 @@
     most_ms: u64,
 }
 
-#[test_case(Deadline { given: None, most_ms: 5_000 }; "of the profile")]
+#[test_case(Deadline { given: None, most_ms: DEADLINE_MS }; "of the profile")]
 #[test_case(Deadline { given: Some("900"), most_ms: 900 }; "of the caller")]
-#[test_case(Deadline { given: Some("9007199254740992"), most_ms: 5_000 }; "capped by the profile")]
+#[test_case(Deadline { given: Some("9007199254740992"), most_ms: DEADLINE_MS }; "capped by the profile")]
 #[tokio::test]
 async fn deadline_goes_on_reduced(case: Deadline) {
     let upstream = Upstream::answering("").await;
--- a/testsuite/tests/testsuite/gateway/once.rs
+++ b/testsuite/tests/testsuite/gateway/once.rs
@@ -10,6 +10,9 @@
 use super::fake::{Act, Upstream};
 use super::fixture::{Gateway, Got, Setup, got};
 
+/// Old buckets that a gateway removes when it starts.
+const SWEPT_BUCKETS: u64 = 3;
+
 async fn store() -> Store {
     let address: SocketAddr = "127.0.0.1:0".parse().unwrap();
     Store::start(address, Settings::default()).await.unwrap()
@@ -85,6 +88,10 @@
     let (store, upstream) = (store().await, Upstream::answering("charged").await);
     let one = gateway("gw-1", &store, &upstream).await;
     let two = gateway("gw-2", &store, &upstream).await;
+    // Both remove old buckets first; the answer to be lost is that of the claim.
+    while store.calls().writes < 2 * SWEPT_BUCKETS {
+        tokio::task::yield_now().await;
+    }
     store.faults().apply(Fault::Lose { answers: 1 });
     let answer = charge(&one, "k").await;
     assert_eq!((answer.status, answer.body.as_str()), (200, "charged"));
--- a/testsuite/tests/testsuite/gateway/silence.rs
+++ b/testsuite/tests/testsuite/gateway/silence.rs
@@ -22,6 +22,32 @@
     }
 }
 
+#[tokio::test]
+async fn one_silent_connection_retires_those_beside_it() {
+    const OPEN: usize = 4;
+    let upstream = Upstream::start(|seen| match seen.connection {
+        0..OPEN if seen.number < OPEN => Act::Gated("first".to_owned()),
+        0..OPEN => Act::Silent,
+        _ => Act::Answer("fresh".to_owned()),
+    })
+    .await;
+    let gateway = Setup::over(&[upstream.address]).start().await;
+    let first: Vec<_> = (0..OPEN)
+        .map(|_| tokio::spawn(got(gateway.post("/charge"))))
+        .collect();
+    upstream.arrived(OPEN).await;
+    upstream.open_gate();
+    for request in first {
+        assert_eq!(request.await.unwrap().body, "first");
+    }
+    let silent = gateway.post("/charge").header("x-deadline-ms", "600");
+    assert_eq!(got(silent).await.status, 504);
+    for _ in 0..20 {
+        assert_eq!(got(gateway.post("/charge")).await.body, "fresh");
+    }
+    assert_eq!(upstream.count(), OPEN + 1 + 20);
+}
+
 #[tokio::test]
 async fn idempotent_request_leaves_a_silent_connection() {
     let upstream = Upstream::start(|seen| match (seen.connection, seen.number) {
--- a/testsuite/tests/testsuite/gateway/zones.rs
+++ b/testsuite/tests/testsuite/gateway/zones.rs
@@ -6,7 +6,7 @@
 use verbenahitch::port::HostRecord;
 
 use super::fake::Upstream;
-use super::fixture::{Setup, declarations, got, host};
+use super::fixture::{STUCK, Setup, declarations, got, host};
 
 async fn two_zones() -> (Upstream, Upstream, Vec<HostRecord>) {
     let near = Upstream::answering("near").await;
@@ -43,9 +43,13 @@
     next["zones"]["a"]["state"] = "out".into();
     let next: Declarations = serde_json::from_value(next).unwrap();
     gateway.current.advance(Arc::new(next));
-    while got(gateway.post("/quote")).await.body == "near" {
-        tokio::task::yield_now().await;
-    }
+    let taken_over = async {
+        while got(gateway.post("/quote")).await.body == "near" {
+            tokio::task::yield_now().await;
+        }
+    };
+    let stuck = tokio::time::timeout(STUCK, taken_over).await;
+    stuck.expect("the zone still gets requests");
     let before = near.count();
     for _ in 0..50 {
         assert_eq!(got(gateway.post("/quote")).await.body, "far");
