--- a/crates/verbenahitch/src/gateway/route/limit.rs
+++ b/crates/verbenahitch/src/gateway/route/limit.rs
@@ -34,6 +34,11 @@
         (self.scaled.load(Ordering::Relaxed) / SCALE).max(1)
     }
 
+    /// The limit in parts of a request, for comparisons.
+    pub fn scaled(&self) -> u32 {
+        self.scaled.load(Ordering::Relaxed)
+    }
+
     /// Notes that a request was taken while `in_flight` were in progress.
     pub fn taken(&self, in_flight: u32) {
         // A limit that is not used to the full says nothing about more room.
--- a/crates/verbenahitch/src/gateway/route/table.rs
+++ b/crates/verbenahitch/src/gateway/route/table.rs
@@ -163,9 +163,7 @@
     };
     let open = |at: usize| !tried.contains(&pool[at].id) && pool[at].is_open(now);
     let (first, second, reason) = match (open(one), open(two)) {
-        (true, true) if pool[two].in_flight() < pool[one].in_flight() => {
-            (two, one, Reason::LessBusy)
-        }
+        (true, true) if pool[two].is_less_busy(&pool[one]) => (two, one, Reason::LessBusy),
         (true, true) => (one, two, Reason::LessBusy),
         (true, false) => (one, two, Reason::OnlyOpen),
         (false, true) => (two, one, Reason::OnlyOpen),
--- a/crates/verbenahitch/src/gateway/route/upstream.rs
+++ b/crates/verbenahitch/src/gateway/route/upstream.rs
@@ -66,6 +66,15 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Whether a larger share of the limit is free than at `other`.
+    ///
+    /// The limit tells what the gateways that are not seen leave of the slots.
+    pub fn is_less_busy(&self, other: &Self) -> bool {
+        let after = |upstream: &Self| u64::from(upstream.in_flight() + 1);
+        let limit = |upstream: &Self| u64::from(upstream.limit.scaled());
+        after(self) * limit(other) < after(other) * limit(self)
+    }
+
     /// Whether the upstream may get a request at `now`.
     pub fn is_open(&self, now: Monotonic) -> bool {
         !self.is_leaving() && self.in_flight() < self.allowed(now)
