Give all changes of one transaction the same index; measure roles by slope

Cause: a scheduler asked for 40 starts a second made 22.5, with 18 store reads a second. Each commit after the first conflicted: the stand-in counted its index up for every operation, while the published protocol gives a transaction one index, which the scheduler takes as that of its batch key. Ruled out: lost answers (none injected) and the rate limit (off). Change: the stand-in's transactions share one index; a test holds it. The new subcommand measure runs the daemons as processes against stand-ins, reads processor time and memory from the system, and fits a line over sizes.

--- /dev/null
+++ b/crates/standin/src/command/measure.rs
@@ -0,0 +1,78 @@
+//! Subcommand that measures what a role costs.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::str::FromStr;
+
+use bpaf::Bpaf;
+use snafu::ResultExt;
+
+use super::{CommandError, MeasureSnafu};
+use crate::measure::{self, Experiment};
+
+/// What to measure.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// What is varied: workers, starts or requests.
+    #[bpaf(argument("WHAT"))]
+    vary: Vary,
+    /// The `verbenahitch` program.
+    #[bpaf(argument("FILE"))]
+    program: PathBuf,
+    /// Sizes, separated by commas.
+    #[bpaf(argument("N,N,N"))]
+    sizes: Sizes,
+    /// Time of each measurement, in seconds.
+    #[bpaf(argument("S"), fallback(10))]
+    seconds: u64,
+    /// Prints JSON instead of a table.
+    json: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Vary(Experiment);
+
+#[derive(Clone, Debug)]
+struct Sizes(Vec<u32>);
+
+impl FromStr for Vary {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "workers" => Ok(Self(Experiment::Workers)),
+            "starts" => Ok(Self(Experiment::Starts)),
+            "requests" => Ok(Self(Experiment::Requests)),
+            _ => Err(format!(
+                "found {text:?}, allowed are workers, starts and requests"
+            )),
+        }
+    }
+}
+
+impl FromStr for Sizes {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let sizes: Result<Vec<u32>, _> = text.split(',').map(str::parse).collect();
+        let sizes = sizes.map_err(|error| format!("found {text:?}: {error}"))?;
+        Ok(Self(sizes))
+    }
+}
+
+pub(super) async fn run(options: Options) -> Result<ExitCode, CommandError> {
+    let what = measure::Options {
+        experiment: options.vary.0,
+        program: options.program,
+        sizes: options.sizes.0,
+        seconds: options.seconds,
+    };
+    let report = measure::run(&what).await.context(MeasureSnafu)?;
+    if options.json {
+        let text = serde_json::to_string_pretty(&report);
+        println!("{}", text.expect("a report has a JSON form"));
+    } else {
+        print!("{report}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/standin/src/command/mod.rs
+++ b/crates/standin/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod load;
+mod measure;
 mod serve;
 
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 use verbenahitch::settings::SettingsError;
 
 use crate::demo::DemoError;
+use crate::measure::MeasureError;
 use crate::platform::{PlatformError, PoolError};
 
 /// Stand-ins for the platform, the workers and the upstreams.
@@ -33,6 +35,11 @@
     /// Exits with 1 if an answer was not whole or belonged to another call.
     #[bpaf(command)]
     Load(#[bpaf(external(load::options))] load::Options),
+    /// Measures what a role costs, and how the cost grows with a size.
+    ///
+    /// Nothing else should use the machine or its loopback interface meanwhile.
+    #[bpaf(command)]
+    Measure(#[bpaf(external(measure::options))] measure::Options),
     /// Serves stand-ins.
     Serve(#[bpaf(external(serving))] Serving),
 }
@@ -121,6 +128,7 @@
         match arguments {
             Arguments::Demo(options) => demo::run(options).await,
             Arguments::Load(options) => load::run(options).await,
+            Arguments::Measure(options) => measure::run(options).await,
             Arguments::Serve(serving) => serve::run(serving).await,
         }
     });
@@ -140,6 +148,9 @@
     /// The demo did not run.
     #[snafu(display("{source}"))]
     Demo { source: DemoError },
+    /// The experiment failed.
+    #[snafu(display("{source}"))]
+    Measure { source: MeasureError },
     /// A stand-in did not start.
     #[snafu(display("{source}"))]
     Start { source: PlatformError },
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod history;
 pub mod hosts;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod server;
 pub mod store;
--- /dev/null
+++ b/crates/standin/src/measure/site.rs
@@ -0,0 +1,195 @@
+//! One entry host with its daemons as processes, and its stand-ins.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use snafu::ResultExt;
+use verbenahitch::client::Client;
+use verbenahitch::config::{Declarations, token_digest};
+use verbenahitch::settings::parse_declarations;
+
+use super::experiment::{
+    ClientSnafu, FileSnafu, LateSnafu, MeasureError, ProcessSnafu, StandinSnafu,
+};
+use crate::platform::{Parts, Platform};
+use crate::store::Limits;
+use crate::worker;
+
+/// Longest time that a condition may take.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(100);
+
+const TEAM_TOKEN: &str = "measured-team";
+
+/// Running site; its processes end when it is dropped.
+pub(super) struct Site {
+    pub(super) platform: Platform,
+    folder: PathBuf,
+    network: [u8; 2],
+    daemons: Vec<Child>,
+}
+
+impl Site {
+    /// Starts the stand-ins with `workers`, without daemons.
+    pub(super) async fn start(
+        number: u8,
+        workers: Vec<worker::Settings>,
+    ) -> Result<Self, MeasureError> {
+        let platform = Platform::start(Parts::new(workers)).await;
+        let platform = platform.context(StandinSnafu)?;
+        platform.store().set_limits(Limits {
+            reads: 0,
+            writes: 0,
+        });
+        let pid = std::process::id();
+        let folder = std::env::temp_dir().join(format!("verbenahitch-measure-{pid}-{number}"));
+        std::fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
+        let site = Self {
+            platform,
+            folder,
+            network: [u8::try_from(pid % 100).unwrap_or(0) + 10, number],
+            daemons: Vec::new(),
+        };
+        site.write("peers.token", "measured-peers")?;
+        site.write("operator.token", "measured-operator")?;
+        site.write("team.token", TEAM_TOKEN)?;
+        Ok(site)
+    }
+
+    /// Starts the daemons, puts the declarations in force and waits for an owner.
+    pub(super) async fn run(&mut self, program: &Path) -> Result<(), MeasureError> {
+        let settings = self.write("entry.jsonc", &self.settings().to_string())?;
+        for daemon in ["scheduler", "gateway"] {
+            let child = Command::new(program)
+                .arg(daemon)
+                .arg(&settings)
+                .stdin(Stdio::null())
+                .spawn()
+                .context(ProcessSnafu { path: program })?;
+            self.daemons.push(child);
+        }
+        let operator = self.client("operator.token")?;
+        let declarations = declarations();
+        wait("the declarations", async || {
+            operator.apply(&declarations, 0).await.is_ok()
+        })
+        .await?;
+        wait("an owner", async || {
+            let status = operator.status().await.unwrap_or_default();
+            status["shards"]
+                .as_array()
+                .is_some_and(|all| !all.is_empty())
+        })
+        .await
+    }
+
+    /// Scheduler and gateway.
+    pub(super) fn pids(&self) -> Vec<u32> {
+        self.daemons.iter().map(Child::id).collect()
+    }
+
+    /// Client of the submitters' interface.
+    pub(super) fn team(&self) -> Result<Client, MeasureError> {
+        self.client("team.token")
+    }
+
+    /// Address that callers use.
+    pub(super) fn callers(&self) -> SocketAddr {
+        self.at(8_000)
+    }
+
+    fn client(&self, token: &str) -> Result<Client, MeasureError> {
+        let token = self.folder.join(token);
+        Client::new(self.at(8_001), Some(&token)).context(ClientSnafu)
+    }
+
+    fn at(&self, port: u16) -> SocketAddr {
+        let [second, third] = self.network;
+        SocketAddr::from((Ipv4Addr::new(127, second, third, 1), port))
+    }
+
+    fn write(&self, name: &str, text: &str) -> Result<PathBuf, MeasureError> {
+        let path = self.folder.join(name);
+        std::fs::write(&path, text).context(FileSnafu { path: &path })?;
+        Ok(path)
+    }
+
+    fn settings(&self) -> serde_json::Value {
+        let file = |name| self.folder.join(name);
+        json!({
+            "name": "measured",
+            "zone": "a",
+            "platform": {
+                "store": self.platform.store().address(),
+                "hosts": self.platform.hosts().address(),
+            },
+            "peers": {
+                "token-file": file("peers.token"),
+                "seeds": [{"address": self.at(7_001)}, {"address": self.at(7_002)}],
+            },
+            "gateway": {
+                "callers": self.at(8_000),
+                "operators": self.at(8_001),
+                "metrics": self.at(8_002),
+                "peers": self.at(7_001),
+            },
+            "scheduler": {"metrics": self.at(8_003), "peers": self.at(7_002)},
+            "operators": [{"name": "operator", "token-file": file("operator.token")}],
+            "log": {"file": file("log")},
+        })
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.kill().ok();
+            daemon.wait().ok();
+        }
+        std::fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+/// Waits until `condition` holds.
+pub(super) async fn wait(
+    what: &'static str,
+    mut condition: impl AsyncFnMut() -> bool,
+) -> Result<(), MeasureError> {
+    let start = Instant::now();
+    while !condition().await {
+        if start.elapsed() > PATIENCE {
+            return LateSnafu { what }.fail();
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    Ok(())
+}
+
+fn declarations() -> Declarations {
+    let document = json!({
+        "profiles": {
+            "request": {
+                "class": "latency-critical", "team": "measured",
+                "resources": {"millicores": 100, "memory-mib": 64},
+                "worth": 10, "target-ms": 100, "deadline-ms": 5_000, "idempotent": true
+            },
+            "task": {
+                "class": "batch", "team": "measured",
+                "resources": {"millicores": 100, "memory-mib": 64},
+                "worth": 10, "target-ms": 1_000, "deadline-ms": 86_400_000, "idempotent": true
+            }
+        },
+        "kinds": {"request": {"path": "/request", "profile": "request"}},
+        "teams": {"measured": {
+            "quota": {"millicores": 100_000_000, "memory-mib": 100_000_000},
+            "token-digest": token_digest(TEAM_TOKEN)
+        }},
+        "zones": {"a": {"state": "in", "ramp-ms": 0}}
+    });
+    parse_declarations("measured", &document.to_string()).expect("the document has no faults")
+}
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     index: u64,
+    /// Index before the transaction under way, all of whose changes share the next one.
+    txn: Option<u64>,
     keys: BTreeMap<String, Kv>,
     /// Index of the deletion of each deleted key, so that watches see deletions.
     deleted: BTreeMap<String, u64>,
@@ -39,6 +41,7 @@
     fn default() -> Self {
         Self {
             index: 1,
+            txn: None,
             keys: BTreeMap::new(),
             deleted: BTreeMap::new(),
             sessions: HashMap::default(),
@@ -184,9 +187,14 @@
         }
     }
 
-    /// Point that [`State::rewind`] goes back to.
-    pub(super) fn mark(&self) -> u64 {
-        self.index
+    /// Begins a transaction, which ends by [`State::end`] or [`State::rewind`].
+    pub(super) fn begin(&mut self) {
+        self.txn = Some(self.index);
+    }
+
+    /// Ends a transaction that took effect.
+    pub(super) fn end(&mut self) {
+        self.txn = None;
     }
 
     pub(super) fn save(&self, key: &str) -> Saved {
@@ -209,12 +217,13 @@
         }
     }
 
-    pub(super) fn rewind(&mut self, index: u64) {
-        self.index = index;
+    /// Ends a transaction whose changes have been undone.
+    pub(super) fn rewind(&mut self) {
+        self.index = self.txn.take().unwrap_or(self.index);
     }
 
     fn next(&mut self) -> u64 {
-        self.index += 1;
+        self.index = self.txn.unwrap_or(self.index) + 1;
         self.index
     }
 }
--- a/crates/standin/src/store/txn.rs
+++ b/crates/standin/src/store/txn.rs
@@ -81,7 +81,7 @@
 
 /// Applies `ops` to `state`, or none of them.
 pub(super) fn apply(state: &mut State, ops: &[WireOp]) -> WireTxn {
-    let before = state.mark();
+    state.begin();
     let mut undo = Vec::new();
     let mut errors = Vec::new();
     let mut results = Vec::new();
@@ -94,6 +94,7 @@
         }
     }
     if errors.is_empty() {
+        state.end();
         return WireTxn {
             results: Some(results),
             errors: None,
@@ -102,7 +103,7 @@
     for saved in undo.into_iter().rev() {
         state.restore(saved);
     }
-    state.rewind(before);
+    state.rewind();
     WireTxn {
         results: None,
         errors: Some(errors),
--- a/testsuite/tests/testsuite/standin/store.rs
+++ b/testsuite/tests/testsuite/standin/store.rs
@@ -32,6 +32,21 @@
     }
 }
 
+#[tokio::test]
+async fn changes_of_one_transaction_share_its_index() {
+    let (_store, client) = start().await;
+    let outcome = client.transact(&[set("a"), set("b"), set("c")]).await;
+    let Ok(Txn::Committed { index }) = outcome else {
+        panic!("unexpected outcome: {outcome:?}");
+    };
+    for key in ["a", "b", "c"] {
+        let entry = client.get(key).await.unwrap().unwrap();
+        assert_eq!(entry.modify, index, "index of {key}");
+    }
+    let next = client.transact(&[set("a")]).await;
+    assert_eq!(next, Ok(Txn::Committed { index: index + 1 }));
+}
+
 #[tokio::test]
 async fn cas_takes_the_newest_index_only() {
     let (_store, client) = start().await;
