Give each zone's callers addresses of their own

On a loopback network a stand-in cannot tell where a call comes from. Store, list and workers now open an address for each zone on demand, the list shows each zone its own addresses of the workers, and one call cuts a zone off from the platform and the other zones' workers.

--- a/crates/standin/src/command/mod.rs
+++ b/crates/standin/src/command/mod.rs
@@ -103,6 +103,8 @@
         /// Seed of the workers' draws.
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
+        /// Opens addresses for the callers of each availability zone, which can then be cut off.
+        zone_addresses: bool,
     },
 }
 
--- a/crates/standin/src/command/serve.rs
+++ b/crates/standin/src/command/serve.rs
@@ -68,13 +68,21 @@
             hosts,
             lag_ms,
             seed,
-        } => Parts {
-            control,
-            store: Some((store, store::Settings::default())),
-            hosts: Some(list(hosts, lag_ms)),
-            workers: workers(&pool, seed)?,
-            zones: Vec::new(),
-        },
+            zone_addresses,
+        } => {
+            let pool = Pool::load(&pool).context(PoolSnafu)?;
+            Parts {
+                control,
+                store: Some((store, store::Settings::default())),
+                hosts: Some(list(hosts, lag_ms)),
+                workers: pool.settings(seed),
+                zones: if zone_addresses {
+                    pool.zones
+                } else {
+                    Vec::new()
+                },
+            }
+        }
     })
 }
 
--- a/crates/standin/src/hosts/handle.rs
+++ b/crates/standin/src/hosts/handle.rs
@@ -49,6 +49,15 @@
 struct List {
     shown: BTreeMap<String, HostRecord>,
     pending: VecDeque<(Monotonic, Change)>,
+    /// Addresses by the callers' zone and the worker's name.
+    views: BTreeMap<(String, String), View>,
+}
+
+/// Addresses of a worker for the callers of one zone.
+#[derive(Clone)]
+struct View {
+    control: String,
+    upstream: String,
 }
 
 enum Change {
@@ -84,7 +93,9 @@
         });
         let faults = Faults::default();
         let mounted = Arc::clone(&inner);
-        let mount = Arc::new(move |rocket| route::mount(rocket, Arc::clone(&mounted)));
+        let mount = Arc::new(move |rocket, zone: Option<&str>| {
+            route::mount(rocket, Arc::clone(&mounted), zone)
+        });
         let doors = Doors::start(address, zones, &faults, mount).await?;
         Ok(Self {
             inner,
@@ -128,6 +139,16 @@
         list.shown.insert(record.name.clone(), record);
     }
 
+    /// Addresses at which the callers of `zone` reach a worker, instead of the common ones.
+    pub fn show_for(&self, zone: &str, record: &HostRecord) {
+        let view = View {
+            control: record.control.clone(),
+            upstream: record.upstream.clone(),
+        };
+        let key = (zone.to_owned(), record.name.clone());
+        self.inner.list().views.insert(key, view);
+    }
+
     /// Adds or replaces a worker, which shows after the lag.
     pub fn put(&self, record: HostRecord) {
         self.inner.change(Change::Put(record));
@@ -140,12 +161,13 @@
 }
 
 impl Inner {
-    /// Workers as the list shows them now.
-    pub(super) fn shown(&self) -> Vec<HostRecord> {
+    /// Workers as the list shows them now to the callers of a zone, or to all.
+    pub(super) fn shown(&self, zone: Option<&str>) -> Vec<HostRecord> {
         let now = self.clock.now();
         let mut list = self.list();
         list.catch_up(now);
-        list.shown.values().cloned().collect()
+        let records = list.shown.values();
+        records.map(|record| list.seen_from(zone, record)).collect()
     }
 
     fn change(&self, change: Change) {
@@ -159,6 +181,21 @@
 }
 
 impl List {
+    fn seen_from(&self, zone: Option<&str>, record: &HostRecord) -> HostRecord {
+        let key = zone.map(|zone| (zone.to_owned(), record.name.clone()));
+        let view = key.and_then(|key| self.views.get(&key)).cloned();
+        let common = || View {
+            control: record.control.clone(),
+            upstream: record.upstream.clone(),
+        };
+        let View { control, upstream } = view.unwrap_or_else(common);
+        HostRecord {
+            control,
+            upstream,
+            ..record.clone()
+        }
+    }
+
     fn catch_up(&mut self, now: Monotonic) {
         let due = self.pending.partition_point(|(due, _)| *due <= now);
         for (_, change) in self.pending.drain(..due) {
--- a/crates/standin/src/hosts/route.rs
+++ b/crates/standin/src/hosts/route.rs
@@ -11,8 +11,15 @@
 
 use super::handle::Inner;
 
-pub(super) fn mount(rocket: Rocket<Build>, inner: Arc<Inner>) -> Rocket<Build> {
-    rocket.manage(inner).mount("/v1/health", routes![service])
+/// Availability zone whose callers use the address; `None` if all do.
+struct CallerZone(Option<String>);
+
+pub(super) fn mount(rocket: Rocket<Build>, inner: Arc<Inner>, zone: Option<&str>) -> Rocket<Build> {
+    let zone = CallerZone(zone.map(str::to_owned));
+    rocket
+        .manage(inner)
+        .manage(zone)
+        .mount("/v1/health", routes![service])
 }
 
 #[derive(Serialize)]
@@ -47,11 +54,11 @@
 }
 
 #[get("/service/<name>")]
-fn service(name: &str, hosts: &State<Arc<Inner>>) -> Json<Vec<WireHost>> {
+fn service(name: &str, hosts: &State<Arc<Inner>>, zone: &State<CallerZone>) -> Json<Vec<WireHost>> {
     if name != hosts.settings.service {
         return Json(Vec::new());
     }
-    let shown = hosts.shown();
+    let shown = hosts.shown(zone.0.as_deref());
     let listed = shown.iter().filter_map(|record| listed(name, record));
     Json(listed.collect())
 }
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -24,6 +24,7 @@
         .mount("/store", store)
         .mount("/hosts", hosts)
         .mount("/workers", workers)
+        .mount("/zones", routes![cut_zone, mend])
 }
 
 /// Whether a stand-in works.
@@ -157,6 +158,16 @@
     Ok(())
 }
 
+#[post("/<zone>/cut")]
+fn cut_zone(zone: &str, set: &Shared) {
+    set.cut_zone(zone);
+}
+
+#[post("/mend")]
+fn mend(set: &Shared) {
+    set.mend();
+}
+
 #[get("/history")]
 fn histories(set: &Shared) -> Json<Vec<WorkerHistory>> {
     Json(set.histories())
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -5,4 +5,4 @@
 mod set;
 
 pub use pool::{Pool, PoolError, parse_fixture};
-pub use set::{Addresses, Parts, Platform, PlatformError};
+pub use set::{Addresses, Parts, Platform, PlatformError, ZoneAddresses};
--- a/crates/standin/src/platform/set.rs
+++ b/crates/standin/src/platform/set.rs
@@ -1,5 +1,6 @@
 //! The stand-ins of one process.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,6 +10,7 @@
 use verbenahitch::port::{Clock, HostRecord, SystemClock};
 
 use super::control;
+use crate::fault::{Fault, Faults};
 use crate::history::WorkerHistory;
 use crate::hosts::{self, Hosts};
 use crate::server::{Server, StartError};
@@ -26,9 +28,8 @@
     pub hosts: Option<(SocketAddr, hosts::Settings)>,
     /// Setup of each worker.
     pub workers: Vec<worker::Settings>,
-    /// Availability zones whose callers get addresses of their own, so that
-    /// they can be cut off; those of the workers are the ones of the common address
-    /// in the list unless read through a zone's address.
+    /// Availability zones whose callers get addresses of their own, so that they
+    /// can be cut off. The list shows each zone its own addresses of the workers.
     pub zones: Vec<String>,
 }
 
@@ -58,6 +59,19 @@
     pub hosts: Option<SocketAddr>,
     /// Workers as the list shows them.
     pub workers: Vec<HostRecord>,
+    /// Addresses for the callers of each availability zone that has its own.
+    #[serde(default)]
+    pub zones: BTreeMap<String, ZoneAddresses>,
+}
+
+/// Where the callers of one availability zone reach the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ZoneAddresses {
+    /// Store, if there is one.
+    pub store: Option<SocketAddr>,
+    /// List of workers, if there is one.
+    pub hosts: Option<SocketAddr>,
 }
 
 /// Why a set of stand-ins did not start.
@@ -84,6 +98,7 @@
     pub(super) store: Option<Store>,
     pub(super) hosts: Option<Hosts>,
     pub(super) workers: Vec<Worker>,
+    zones: Vec<String>,
 }
 
 impl Platform {
@@ -99,6 +114,7 @@
             store: None,
             hosts: None,
             workers: start_workers(parts.workers, zones, &clock).await?,
+            zones: zones.clone(),
         };
         if let Some((address, settings)) = parts.store {
             let store = Store::with_clock(address, zones, settings, Arc::clone(&clock)).await;
@@ -124,6 +140,7 @@
             store: self.set.store.as_ref().map(Store::address),
             hosts: self.set.hosts.as_ref().map(Hosts::address),
             workers: self.set.workers.iter().map(Worker::record).collect(),
+            zones: self.set.zone_addresses(),
         }
     }
 
@@ -155,6 +172,17 @@
         self.set.worker(name)
     }
 
+    /// Cuts the callers of `zone` off from the platform and all other zones'
+    /// workers, and the other zones' callers off from its workers.
+    pub fn cut_zone(&self, zone: &str) {
+        self.set.cut_zone(zone);
+    }
+
+    /// Ends all cuts.
+    pub fn mend(&self) {
+        self.set.mend();
+    }
+
     /// What every worker did so far.
     pub fn histories(&self) -> Vec<WorkerHistory> {
         self.set.histories()
@@ -170,12 +198,55 @@
         self.workers.iter().map(Worker::history).collect()
     }
 
+    pub(super) fn cut_zone(&self, zone: &str) {
+        let cut = |zone: &str| Fault::Cut {
+            zone: Some(zone.to_owned()),
+        };
+        for faults in self.platform_faults() {
+            faults.apply(cut(zone));
+        }
+        for worker in &self.workers {
+            let from_here = worker.zone() == zone;
+            let cut_off = |caller: &&String| (caller.as_str() == zone) != from_here;
+            for caller in self.zones.iter().filter(cut_off) {
+                worker.control_faults().apply(cut(caller));
+                worker.upstream_faults().apply(cut(caller));
+            }
+        }
+    }
+
+    pub(super) fn mend(&self) {
+        let workers = self.workers.iter();
+        let workers =
+            workers.flat_map(|worker| [worker.control_faults(), worker.upstream_faults()]);
+        for faults in self.platform_faults().chain(workers) {
+            faults.apply(Fault::Mend);
+        }
+    }
+
+    fn platform_faults(&self) -> impl Iterator<Item = &Faults> {
+        let store = self.store.iter().map(Store::faults);
+        store.chain(self.hosts.iter().map(Hosts::faults))
+    }
+
+    fn zone_addresses(&self) -> BTreeMap<String, ZoneAddresses> {
+        let addresses = |zone: &String| ZoneAddresses {
+            store: self.store.as_ref().map(|store| store.address_for(zone)),
+            hosts: self.hosts.as_ref().map(|hosts| hosts.address_for(zone)),
+        };
+        let zones = self.zones.iter();
+        zones.map(|zone| (zone.clone(), addresses(zone))).collect()
+    }
+
     fn list_workers(&self) {
         let Some(hosts) = &self.hosts else {
             return;
         };
         for worker in &self.workers {
             hosts.show(worker.record());
+            for zone in &self.zones {
+                hosts.show_for(zone, &worker.record_for(Some(zone)));
+            }
         }
     }
 }
--- a/crates/standin/src/server/doors.rs
+++ b/crates/standin/src/server/doors.rs
@@ -4,9 +4,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rocket::{Build, Rocket};
+
 use super::{Mount, Server, StartError};
 use crate::fault::Faults;
 
+/// Mounts routes, state and fairings for the callers of a zone, or for all.
+pub type ZoneMount = dyn Fn(Rocket<Build>, Option<&str>) -> Rocket<Build> + Send + Sync;
+
 /// Addresses of one service.
 pub struct Doors {
     common: Server,
@@ -23,7 +28,7 @@
         address: SocketAddr,
         zones: &[String],
         faults: &Faults,
-        mount: Arc<Mount>,
+        mount: Arc<ZoneMount>,
     ) -> Result<Self, StartError> {
         let common = open(address, None, faults, &mount).await?;
         let mut doors = Vec::new();
@@ -74,14 +79,14 @@
     address: SocketAddr,
     zone: Option<&str>,
     faults: &Faults,
-    mount: &Arc<Mount>,
+    mount: &Arc<ZoneMount>,
 ) -> Result<Server, StartError> {
     let faults = faults.clone();
     let zone = zone.map(str::to_owned);
     let inner = Arc::clone(mount);
     let mount: Arc<Mount> = Arc::new(move |rocket| {
         let door = faults.door(zone.as_deref());
-        inner(rocket).attach(door)
+        inner(rocket, zone.as_deref()).attach(door)
     });
     Server::start(address, mount).await
 }
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -12,7 +12,7 @@
 use snafu::{OptionExt, Snafu};
 use tokio::sync::oneshot;
 
-pub use doors::Doors;
+pub use doors::{Doors, ZoneMount};
 
 /// Time that an unused connection is kept, in seconds.
 const KEEP_ALIVE_S: u32 = 600;
--- a/crates/standin/src/store/handle.rs
+++ b/crates/standin/src/store/handle.rs
@@ -98,7 +98,8 @@
         let inner = Arc::new(Inner::new(settings, clock));
         let faults = Faults::default();
         let mounted = Arc::clone(&inner);
-        let mount = Arc::new(move |rocket| route::mount(rocket, Arc::clone(&mounted)));
+        let mount =
+            Arc::new(move |rocket, _: Option<&str>| route::mount(rocket, Arc::clone(&mounted)));
         let doors = Doors::start(address, zones, &faults, mount).await?;
         tokio::spawn(expire(Arc::downgrade(&inner)));
         Ok(Self {
--- a/crates/standin/src/worker/handle.rs
+++ b/crates/standin/src/worker/handle.rs
@@ -93,11 +93,13 @@
         let inner = Arc::new(Inner::new(settings, clock));
         let control_faults = Faults::default();
         let mounted = Arc::clone(&inner);
-        let mount = Arc::new(move |rocket| control::mount(rocket, Arc::clone(&mounted)));
+        let mount =
+            Arc::new(move |rocket, _: Option<&str>| control::mount(rocket, Arc::clone(&mounted)));
         let control = Doors::start(control, zones, &control_faults, mount).await?;
         let upstream_faults = Faults::default();
         let mounted = Arc::clone(&inner);
-        let mount = Arc::new(move |rocket| upstream::mount(rocket, Arc::clone(&mounted)));
+        let mount =
+            Arc::new(move |rocket, _: Option<&str>| upstream::mount(rocket, Arc::clone(&mounted)));
         let upstream = Doors::start(upstream, zones, &upstream_faults, mount).await?;
         tokio::spawn(tick(Arc::downgrade(&inner)));
         Ok(Self {
@@ -114,6 +116,11 @@
         &self.inner.settings.name
     }
 
+    /// Availability zone of the worker.
+    pub fn zone(&self) -> &str {
+        &self.inner.settings.zone
+    }
+
     /// Entry of the platform's list for callers of all availability zones.
     pub fn record(&self) -> HostRecord {
         self.record_for(None)
--- a/testsuite/tests/testsuite/standin/mod.rs
+++ b/testsuite/tests/testsuite/standin/mod.rs
@@ -9,3 +9,4 @@
 mod process;
 mod store;
 mod worker;
+mod zones;
