--- a/testsuite/tests/testsuite/session/failures.rs
+++ b/testsuite/tests/testsuite/session/failures.rs
@@ -2,7 +2,8 @@
 
 use serde_json::json;
 use test_case::test_case;
-use verbenahitch::port::EndKind;
+use verbenahitch::port::{Clock as _, EndKind, SystemClock};
+use verbenahitch_standin::history::Outage;
 
 use super::deployment::{Daemon, Deployment, Process, answer, ended, wait_until};
 
@@ -54,7 +55,7 @@
     deployment.wait_for_done(2, "bureau.job", tasks).await;
     let done = ended(&deployment.histories().await, EndKind::Done);
     assert_eq!(done, TASKS, "runs to the end");
-    assert_eq!(deployment.violations().await, []);
+    assert_eq!(deployment.violations(Vec::new()).await, []);
 }
 
 fn shard_of_job(deployment: &Deployment) -> String {
@@ -166,7 +167,39 @@
     wait_until("the request has run", async || ran(&deployment).await == 1).await;
     assert_eq!(charge(2).await.expect("an answer").status(), 409);
     assert_eq!(ran(&deployment).await, 1);
-    assert_eq!(deployment.violations().await, []);
+    assert_eq!(deployment.violations(Vec::new()).await, []);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_is_taken_out_while_it_is_cut_from_the_platform() {
+    let (deployment, _daemons) = start("cut").await;
+    let clock = SystemClock::default();
+    let submit = "submit --key long --profile recalculation --tasks 40 --run-ms 1000";
+    for key in ["long", "longer"] {
+        let submit = submit.replace("long", key);
+        assert!(deployment.team(0, &submit).status.success());
+    }
+    deployment.wait_for_run().await;
+    deployment.control("/zones/b/cut", &json!(null)).await;
+    let out = deployment.operate(0, "zone out b");
+    let outage = Outage {
+        zone: "b".to_owned(),
+        from: clock.wall_ms(),
+        until: None,
+    };
+    assert!(out.status.success());
+    let confirmed = answer(&out)["in-force"].to_string();
+    assert!(
+        confirmed.contains("entry-2/scheduler"),
+        "peers tell the zone of the change: {confirmed}"
+    );
+    deployment.wait_until_idle("b").await;
+    deployment.control("/zones/mend", &json!(null)).await;
+    for job in ["bureau.long", "bureau.longer"] {
+        deployment.wait_for_done(0, job, 40).await;
+    }
+    assert_eq!(ended(&deployment.histories().await, EndKind::Done), 80);
+    assert_eq!(deployment.violations(vec![outage]).await, []);
 }
 
 /// Times that the upstreams ran the request with the key `charge-1`.
