Stop superseded runs at once, and drive slow calls and split ownership

A run that was adopted for a job under hand-over outlived the job's entry; a superseded run freed its room before it had stopped. Schedules now also slow the calls to a worker and bring jobs in over time.

--- a/crates/verbenahitch/src/scheduler/shard/commit.rs
+++ b/crates/verbenahitch/src/scheduler/shard/commit.rs
@@ -8,7 +8,7 @@
 
 use super::Shard;
 use super::job::{Effects, Phase, Stage};
-use crate::domain::{JobKey, JobRecord, Millis, Monotonic, TaskKey};
+use crate::domain::{JobKey, JobRecord, Millis, Monotonic, TaskKey, WorkerKey};
 use crate::event::{Entry, Kind};
 use crate::scheduler::{Action, Answer, Batch, CommitError, Write};
 
@@ -222,12 +222,7 @@
                 self.pass_due = now;
             }
         }
-        for (worker, run) in effects.acks {
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.ending.remove(&run);
-                worker.acks.push(run);
-            }
-        }
+        self.acknowledge(effects.acks);
         for (index, from) in effects.requeues {
             self.requeue(TaskKey { job: key, index }, from, now);
         }
@@ -247,6 +242,15 @@
         }
     }
 
+    fn acknowledge(&mut self, acks: Vec<(WorkerKey, u64)>) {
+        for (worker, run) in acks {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.ending.remove(&run);
+                worker.acks.push(run);
+            }
+        }
+    }
+
     fn close_finished(&mut self, key: JobKey, now: Monotonic) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
@@ -286,6 +290,7 @@
             self.lanes.file(&job.name, job.order, key, false, false);
             self.lanes.lane(&job.name).ahead -= job.ready.len();
             self.by_id.remove(&job.record.id);
+            self.acknowledge(job.pending.acks);
         }
     }
 
--- a/crates/verbenahitch/src/scheduler/shard/ends.rs
+++ b/crates/verbenahitch/src/scheduler/shard/ends.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::job::Phase;
+use super::job::{Phase, Stage};
 use super::{Run, Shard};
 use crate::domain::{
     Checkpoint, Millis, Monotonic, Profile, TaskId, TaskKey, TaskOutcome, WorkerKey,
@@ -43,7 +43,7 @@
             self.hold_found(key, running, now);
             return self.evict_if_leaving(running.run, now);
         }
-        self.stop_stray(key, running, now);
+        self.stop_stray(key, &running.task, running.run, now);
     }
 
     fn task_key(&self, id: &TaskId) -> Option<TaskKey> {
@@ -64,7 +64,8 @@
         now: Monotonic,
     ) -> bool {
         let job = &self.jobs[task.job];
-        if job.record.ended.get(task.index).is_some() {
+        let kept = matches!(job.stage, Stage::New | Stage::Stored);
+        if !kept || job.record.ended.get(task.index).is_some() {
             return false;
         }
         if let Some(Phase::Running(other)) = job.phases.get(&task.index).copied()
@@ -144,23 +145,24 @@
     ///
     /// Says whether the run no longer counts as the one of its task.
     fn withdraw_or_stop(&mut self, run: u64, now: Monotonic) -> bool {
-        let Some(worker) = self.runs.get(&run).map(|run| run.worker) else {
+        let Some(gone) = self.remove_run(run) else {
             return false;
         };
-        let sent = self.runs[&run].sent.is_some();
-        self.remove_run(run);
-        if sent {
-            self.command(worker, Command::Stop { run }, now);
+        if gone.sent.is_some() {
+            let id = self.jobs[gone.task.job].task_id(gone.task.index);
+            self.stop_stray(gone.worker, &id, run, now);
+            self.refresh(gone.worker, now);
         }
         true
     }
 
-    fn stop_stray(&mut self, key: WorkerKey, running: &Running, now: Monotonic) {
-        self.workers[key].strays.insert(running.run);
-        self.command(key, Command::Stop { run: running.run }, now);
+    /// Stops a run that must not go on; its worker takes nothing until it has stopped.
+    fn stop_stray(&mut self, key: WorkerKey, task: &TaskId, run: u64, now: Monotonic) {
+        self.workers[key].strays.insert(run);
+        self.command(key, Command::Stop { run }, now);
         let entry = Entry::new(Kind::TaskEnded)
-            .with_text("task", &running.task)
-            .with("run", running.run)
+            .with_text("task", task)
+            .with("run", run)
             .with("worker", &self.workers[key].host.name)
             .with("reason", "superseded run is stopped");
         self.log(entry);
--- a/testsuite/tests/testsuite/scheduler/failures.rs
+++ b/testsuite/tests/testsuite/scheduler/failures.rs
@@ -4,7 +4,7 @@
 use verbenahitch::config::ZoneState;
 use verbenahitch::domain::{JobId, JobSpec, Millis, TaskOutcome};
 use verbenahitch::event::Kind;
-use verbenahitch::port::HostState;
+use verbenahitch::port::{EndKind, HostState};
 use verbenahitch::scheduler::{Answer, Request, SubmitError};
 
 use super::fake_worker::FAILING_PAYLOAD;
@@ -192,6 +192,131 @@
     assert_promises(&world);
 }
 
+/// The owner cannot reach the store and the next one cannot reach w0.
+fn split(world: &mut World) {
+    world.owners[0].cut = true;
+    world.cuts.insert((1, "w0".to_owned()));
+}
+
+/// Calls to w0 arrive after its leases have lapsed, and its answers never.
+fn delay_calls(world: &mut World) {
+    world.slow.insert("w0".to_owned(), 2 * TASK_LEASE_MS);
+}
+
+/// The owner leaves, and the next one's first call to w0 arrives late.
+fn release_and_delay(world: &mut World) {
+    world.release(0);
+    world
+        .slow
+        .insert("w0".to_owned(), TASK_LEASE_MS / 2 + 1_000);
+}
+
+#[test_case(split, 3_000, 10_000; "owner renews leases until its authority ends")]
+#[test_case(split, 3_000, 60_000; "owner stops renewing when its authority ends")]
+#[test_case(delay_calls, 0, 10_000; "starts arrive after their lease")]
+#[test_case(delay_calls, 3_000, 60_000; "renewals arrive after their lease")]
+#[test_case(release_and_delay, 3_000, 60_000; "first call of the next owner arrives late")]
+fn a_task_runs_in_one_place(strike: fn(&mut World), after: Millis, run_ms: Millis) {
+    let mut world = world();
+    if after == 0 {
+        strike(&mut world);
+    }
+    accept(
+        &mut world,
+        "recalculation",
+        spec("recalculation", TASKS, run_ms),
+    );
+    if after > 0 {
+        world.run_for(after);
+        strike(&mut world);
+    }
+    world.run_for(OUTAGE_MS + 4 * TASK_LEASE_MS);
+    world.owners[0].cut = false;
+    world.cuts.clear();
+    world.slow.clear();
+    world.run_for(4 * TASK_LEASE_MS);
+    finish(&mut world, "recalculation");
+    assert_promises(&world);
+}
+
+#[test]
+fn a_run_that_outlived_its_lease_is_stopped() {
+    let mut world = world();
+    world.workers.get_mut("w0").expect("a known worker").lawless = true;
+    accept(
+        &mut world,
+        "recalculation",
+        spec("recalculation", TASKS, 600_000),
+    );
+    assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 6));
+    world.cut_worker("w0");
+    assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 10));
+    world.cuts.clear();
+    world.run_for(1_000);
+    let stopped = world.history.facts.iter().filter(
+        |fact| matches!(&fact.seen, Seen::Ended { kind, .. } if *kind == Some(EndKind::Stopped)),
+    );
+    assert_eq!(stopped.count(), 4);
+}
+
+#[test]
+fn a_planned_release_leaves_no_outcome_unknown() {
+    let mut world = world();
+    accept(
+        &mut world,
+        "recalculation",
+        spec("recalculation", 10, 4 * RUN_MS),
+    );
+    assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 10));
+    accept(&mut world, "settlement", spec("settlement", 8, RUN_MS));
+    world.run_for(500);
+    assert!(
+        world.store.jobs[&id("settlement")].marked.len() > 2,
+        "marked ahead"
+    );
+    world.release(0);
+    finish(&mut world, "settlement");
+    assert_eq!(count(&world, "settlement", TaskOutcome::Done), 8);
+    assert_promises(&world);
+}
+
+/// Calls to workers take long from the moment at which the zone is taken out.
+fn slow_calls(world: &mut World) {
+    for name in ["w0", "w1", "w2"] {
+        world.slow.insert(name.to_owned(), PERMIT_MS - 100);
+    }
+}
+
+fn cut_owner(world: &mut World) {
+    world.owners[0].cut = true;
+}
+
+fn freeze_owner(world: &mut World) {
+    world.freeze(0);
+}
+
+#[test_case(|_| {}; "owner hears of it")]
+#[test_case(cut_owner; "owner is cut from the store")]
+#[test_case(freeze_owner; "owner is paused")]
+#[test_case(slow_calls; "calls are slow")]
+fn nothing_starts_in_a_zone_taken_out(strike: fn(&mut World)) {
+    let mut world = world();
+    // More than fits, so that starts go on all the time.
+    accept(&mut world, "recalculation", spec("recalculation", 400, 300));
+    world.run_for(2_000);
+    strike(&mut world);
+    world.run_for(400);
+    let before = world.history.starts();
+    world.set_zone(ZoneState::Out);
+    world.run_for(2 * PERMIT_MS);
+    if world.owners[0].frozen {
+        world.wake(0);
+    }
+    world.run_for(2 * PERMIT_MS);
+    assert!((12..400).contains(&before), "{before}");
+    assert_promises(&world);
+}
+
 #[test]
 fn marked_tasks_start_during_an_outage() {
     let mut world = world();
--- a/testsuite/tests/testsuite/scheduler/fake_worker.rs
+++ b/testsuite/tests/testsuite/scheduler/fake_worker.rs
@@ -60,6 +60,8 @@
     pub host: HostRecord,
     /// Whether everything that it starts fails.
     pub fails: bool,
+    /// Whether it breaks the contract and lets tasks go on without a lease.
+    pub lawless: bool,
     /// Rises when the worker restarts, which ends all connections.
     pub boot: u32,
     born: Millis,
@@ -83,6 +85,7 @@
                 state: HostState::Live,
             },
             fails: false,
+            lawless: false,
             boot: 0,
             born: 0,
             epoch: 0,
@@ -228,6 +231,7 @@
         self.live
             .iter()
             .map(|(run, live)| (*run, live.next_end()))
+            .filter(|(_, (_, kind))| !self.lawless || *kind != EndKind::Lapsed)
             .map(|(run, (at, kind))| (run, at, kind))
             .min_by_key(|(run, at, _)| (*at, *run))
     }
--- a/testsuite/tests/testsuite/scheduler/schedules.rs
+++ b/testsuite/tests/testsuite/scheduler/schedules.rs
@@ -15,6 +15,7 @@
 
 const SCHEDULES: u64 = 150;
 const WORKERS: usize = 4;
+const JOBS: usize = 9;
 const FAULTS: usize = 40;
 /// Long enough for every lease to lapse and every task to run once more.
 const CALM_MS: Millis = 2 * (OUTAGE_MS + TASK_LEASE_MS) + 120_000;
@@ -49,11 +50,12 @@
         unanswered: 0.1,
     };
     let wanted = jobs(&mut world);
-    for _ in 0..FAULTS {
+    for fault_no in 0..FAULTS {
         let pause = world.rng.random_range(100..2_500);
         world.run_for(pause);
         fault(&mut world, &wanted);
-        world.insist(&wanted);
+        // Jobs come in over the whole schedule.
+        world.insist(&wanted[..(fault_no + 4).min(JOBS)]);
     }
     calm(&mut world);
     let finished = world.run_while(CALM_MS, |world| !all_finished(world, &wanted));
@@ -81,10 +83,10 @@
 }
 
 fn jobs(world: &mut World) -> Vec<(JobId, JobSpec)> {
-    (0..8)
+    (0..JOBS)
         .map(|number| {
             let name = ["recalculation", "settlement", "urgent"][number % 3];
-            let tasks = world.rng.random_range(1..6);
+            let tasks = world.rng.random_range(1..10);
             let run_ms = world.rng.random_range(200..9_000);
             let id = JobId::new("market", &format!("{name}-{number}"));
             (id, spec(name, tasks, run_ms))
@@ -95,7 +97,7 @@
 fn fault(world: &mut World, wanted: &[(JobId, JobSpec)]) {
     let owner = world.rng.random_range(0..2);
     let worker = format!("w{}", world.rng.random_range(0..WORKERS));
-    match world.rng.random_range(0..20) {
+    match world.rng.random_range(0..21) {
         0 => world.kill(owner),
         1 => world.freeze(owner),
         2..=4 if world.owners[owner].frozen => world.wake(owner),
@@ -107,7 +109,10 @@
         8 => {
             world.cuts.insert((owner, worker));
         }
-        9..=11 => world.cuts.clear(),
+        9..=11 => {
+            world.cuts.clear();
+            world.slow.clear();
+        }
         12 => world.store.down = true,
         13 | 14 => {
             let now = world.now;
@@ -115,6 +120,10 @@
         }
         15 => world.set_zone(ZoneState::Out),
         16 => world.set_zone(ZoneState::In),
+        18 => {
+            let slow = world.rng.random_range(500..9_000);
+            world.slow.insert(worker, slow);
+        }
         17 => {
             let host = &mut world.workers.get_mut(&worker).expect("a known worker").host;
             host.state = match host.state {
@@ -139,6 +148,7 @@
 fn calm(world: &mut World) {
     world.weather = Weather::default();
     world.cuts.clear();
+    world.slow.clear();
     let now = world.now;
     world.store.recover(now, 3_000);
     for owner in 0..2 {
--- a/testsuite/tests/testsuite/scheduler/world.rs
+++ b/testsuite/tests/testsuite/scheduler/world.rs
@@ -72,6 +72,8 @@
     pub workers: BTreeMap<String, FakeWorker>,
     /// Pairs of owner and worker that cannot reach each other.
     pub cuts: BTreeSet<(usize, String)>,
+    /// Time that messages to a worker take besides, in milliseconds.
+    pub slow: BTreeMap<String, Millis>,
     pub store: FakeStore,
     pub declared: Arc<Declarations>,
     pub history: History,
@@ -166,6 +168,7 @@
                 .map(|name| (name.clone(), FakeWorker::new(&name, ZONE, CAPACITY)))
                 .collect(),
             cuts: BTreeSet::new(),
+            slow: BTreeMap::new(),
             store: FakeStore::default(),
             declared: Arc::new(declarations(1, ZoneState::In)),
             history: History::default(),
@@ -373,9 +376,10 @@
                 worker, request, ..
             } => {
                 let boot = self.workers[&worker].boot;
+                let slow = self.slow.get(&worker).copied().unwrap_or(0);
                 for at in self.arrivals() {
                     let event = Event::Sync(owner, life, boot, worker.clone(), request.clone());
-                    self.push(at, event);
+                    self.push(at + slow, event);
                 }
                 let seq = request.seq;
                 let reason = "timeout".to_owned();
