--- a/crates/verbenahitch/src/membership/choice.rs
+++ b/crates/verbenahitch/src/membership/choice.rs
@@ -5,9 +5,7 @@
 //! restart moves only the shards of the restarted one. The store's lock decides
 //! in the end; the ranking keeps them from all asking for it at once.
 
-use std::hash::{Hash, Hasher};
-
-use rustc_hash::FxHasher;
+use sha2::{Digest, Sha256};
 
 use super::{Member, Role};
 use crate::domain::{Millis, ShardId};
@@ -117,11 +115,8 @@
 
 /// Number of candidates that are preferred to `me`, if `me` is one.
 fn rank(shard: &str, me: &str, candidates: &[&Member]) -> Option<usize> {
-    let weight = |name: &str| {
-        let mut hasher = FxHasher::default();
-        (shard, name).hash(&mut hasher);
-        (hasher.finish(), name.to_owned())
-    };
+    // A fast hash is too alike for names that differ in one digit.
+    let weight = |name: &str| Sha256::digest(format!("{shard} {name}"));
     candidates.iter().find(|member| member.name == me)?;
     let mine = weight(me);
     Some(
--- a/crates/verbenahitch/src/membership/member.rs
+++ b/crates/verbenahitch/src/membership/member.rs
@@ -1,10 +1,9 @@
 //! Records of processes.
 
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
-use rustc_hash::FxHasher;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 use crate::domain::{Millis, Monotonic};
 
@@ -109,9 +108,10 @@
 
     /// Identity of the incarnation in a [`Beat`].
     pub fn id(&self) -> u64 {
-        let mut hasher = FxHasher::default();
-        (&self.name, self.role, self.incarnation).hash(&mut hasher);
-        hasher.finish()
+        let text = format!("{} {:?} {}", self.name, self.role, self.incarnation);
+        let digest = Sha256::digest(text);
+        let (head, _) = digest.split_at(size_of::<u64>());
+        head.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
     }
 
     /// What changes with every heartbeat.
--- a/crates/verbenahitch/src/membership/table.rs
+++ b/crates/verbenahitch/src/membership/table.rs
@@ -140,6 +140,13 @@
         records.collect()
     }
 
+    /// Record of a later incarnation of the process that made `record`.
+    pub fn later(&self, record: &Member) -> Option<&Member> {
+        let key = (record.name.clone(), record.role);
+        let known = &self.known.get(&key)?.record;
+        (known.incarnation > record.incarnation).then_some(known)
+    }
+
     /// All records as of `now`: what each process said, aged since. A process
     /// that is presumed gone is not taken to own any shard.
     pub fn members(&self, now: Monotonic) -> Vec<Member> {
--- a/crates/verbenahitch/src/peer/server.rs
+++ b/crates/verbenahitch/src/peer/server.rs
@@ -122,13 +122,13 @@
 
     /// Records to pass on whole: a later one of the greeting process itself,
     /// which has to outlive it, and a random few of the others.
-    fn relayed<'a>(&self, records: &'a [Member], from: &Member) -> Vec<&'a Member> {
-        let is_same = |record: &&Member| record.name == from.name && record.role == from.role;
-        let (same, others): (Vec<_>, Vec<_>) = records.iter().partition(is_same);
-        let mut chosen = same;
-        chosen.retain(|record| record.incarnation > from.incarnation);
+    fn relayed(&self, records: &[Member], from: &Member) -> Vec<Member> {
+        let mut chosen: Vec<Member> = Vec::new();
+        chosen.extend(self.local.table.borrow().later(from).cloned());
+        let others: Vec<&Member> = records.iter().filter(|r| r.name != from.name).collect();
         let rng = &mut *self.local.rng.borrow_mut();
-        chosen.extend(others.choose_multiple(rng, RELAYED_RECORDS));
+        let few = others.choose_multiple(rng, RELAYED_RECORDS);
+        chosen.extend(few.map(|record| (*record).clone()));
         chosen
     }
 }
@@ -150,7 +150,7 @@
         let chosen = self.relayed(&records, &from);
         wire::write_member(&shared.record(), results.reborrow().init_self());
         let mut known = results.reborrow().init_known(count(chosen.len()));
-        for (index, member) in (0..).zip(chosen) {
+        for (index, member) in (0..).zip(&chosen) {
             wire::write_member(member, known.reborrow().get(index));
         }
         let mut to = results.init_beats(count(beats.len()));
--- a/testsuite/tests/testsuite/membership/mod.rs
+++ b/testsuite/tests/testsuite/membership/mod.rs
@@ -3,4 +3,7 @@
 mod gateway;
 mod network;
 mod operators;
+mod ownership;
 mod peers;
+mod permits;
+mod relay;
