--- a/testsuite/tests/testsuite/standin/mod.rs
+++ b/testsuite/tests/testsuite/standin/mod.rs
@@ -1,6 +1,11 @@
 //! The stand-ins follow the published protocols, as the real adapters see them.
 
+mod demo;
+mod examples;
+mod fault;
+mod history;
 mod hosts;
+mod load;
 mod process;
 mod store;
 mod worker;
