--- a/crates/verbenahitch/src/interference/estimate.rs
+++ b/crates/verbenahitch/src/interference/estimate.rs
@@ -3,12 +3,19 @@
 //! For every latency-critical profile the reported latency is regressed on the
 //! activity of all batch profiles beside it at the time of the measurement:
 //!
-//! `latency = alone * (1 + load * l + sum(slope[source] * units[source]))`
+//! `latency = alone(load) * (1 + sum(slope[source] * units[source]))`
 //!
+//! with `alone` a parabola of the logarithm of the reported number of answers,
 //! so that several sources on one worker share the slowdown by what each does
 //! elsewhere, and none takes the whole blame. Old measurements are forgotten
-//! exponentially. What the measurements leave open is filled by the prior, the
-//! `pressure` of the source's profile.
+//! exponentially. What the measurements leave open is filled by the prior: the
+//! `pressure` of the source's profile at first, then the estimates of the last
+//! minutes. So an estimate is kept while the sources lie so evenly that the
+//! measurements can't tell a slope from the latency alone.
+//!
+//! A second regression over the last seconds explains what the first leaves
+//! over, with a prior of zero. It follows a wave of noise at once, where
+//! shorter forgetting alone would make every estimate noisy.
 
 use crate::collections::HashMap;
 use crate::domain::{Millis, Monotonic};
@@ -16,20 +23,26 @@
 use super::matrix::Symmetric;
 use super::{ProfileId, Roster};
 
-const HALF_LIFE_MS: f64 = 180_000.0;
+const HALF_LIFE_MS: f64 = 60_000.0;
+/// Time over which the prior of a slope follows what was measured.
+const PRIOR_MS: f64 = 300_000.0;
+const SURGE_HALF_LIFE_MS: f64 = 8_000.0;
+/// Inverse of the variance of a surge relative to the latency alone.
+const SURGE_PRECISION: f64 = 500.0;
 const REFRESH_MS: Millis = 1_000;
 const MOST_SOURCES: usize = 64;
 const FULL_COUNT: f64 = 50.0;
 /// Inverse of the variance of a measurement relative to the latency alone.
 const MEASUREMENT_PRECISION: f64 = 16.0;
 const BASELINE_PRECISION: f64 = 0.01;
-const LOAD_PRECISION: f64 = 20.0;
+const LOAD_PRECISION: f64 = 1.0;
 const SLOPE_PRECISION: f64 = 20.0;
 const LEAST_BASELINE: f64 = 0.02;
 const OUTLIER_RATIO: f64 = 8.0;
-const ALONE: usize = 0;
-const LOAD: usize = 1;
-const FIXED: usize = 2;
+const MOST_LOAD: f64 = 3.0;
+const LOAD_SMOOTHING: f64 = 0.05;
+/// Columns before those of the sources: powers of the load.
+const FIXED: usize = 3;
 
 /// How strongly one profile pressed on another.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,31 +74,45 @@
 struct Regression {
     /// Latency in microseconds that counts as 1.0.
     scale: f64,
-    usual_count: f64,
+    /// Number of answers that counts as load zero.
+    reference: f64,
+    /// Logarithm of the number of answers of late, relative to the reference.
+    load: f64,
     sources: Vec<ProfileId>,
     columns: HashMap<ProfileId, usize>,
     moments: Symmetric,
     products: Vec<f64>,
-    alone: f64,
-    load: f64,
+    /// Coefficients of the latency alone.
+    base: [f64; FIXED],
     slopes: Vec<f64>,
+    /// Mean of the prior of each slope.
+    priors: Vec<f64>,
+    surge_moments: Symmetric,
+    surge_products: Vec<f64>,
+    /// What each source adds of late beyond its slope.
+    surges: Vec<f64>,
 }
 
 impl Regression {
     fn new(latency_us: f64, count: f64) -> Self {
         let mut moments = Symmetric::default();
-        moments.grow();
-        moments.grow();
+        for _ in 0..FIXED {
+            moments.grow();
+        }
         Self {
             scale: latency_us.max(1.0),
-            usual_count: count.max(1.0),
+            reference: count.max(1.0),
+            load: 0.0,
             sources: Vec::new(),
             columns: HashMap::default(),
             moments,
             products: vec![0.0; FIXED],
-            alone: 1.0,
-            load: 0.0,
+            base: [1.0, 0.0, 0.0],
             slopes: Vec::new(),
+            priors: Vec::new(),
+            surge_moments: Symmetric::default(),
+            surge_products: Vec::new(),
+            surges: Vec::new(),
         }
     }
 
@@ -101,68 +128,138 @@
         self.sources.push(source);
         self.moments.grow();
         self.products.push(0.0);
+        self.surge_moments.grow();
+        self.surge_products.push(0.0);
         Some(column)
     }
 
-    /// Load relative to the usual one, from -1.0 to 3.0.
     fn load_of(&self, count: f64) -> f64 {
-        (count / self.usual_count - 1.0).clamp(-1.0, 3.0)
+        let load = (count / self.reference).ln();
+        load.clamp(-MOST_LOAD, MOST_LOAD)
+    }
+
+    /// Latency alone at some load, relative to the scale.
+    fn alone(&self, load: f64) -> f64 {
+        let powers = powers(load);
+        let sum: f64 = self.base.iter().zip(powers).map(|(a, b)| a * b).sum();
+        sum.max(LEAST_BASELINE)
+    }
+
+    /// Measurements behind a column, each counted at its usual precision.
+    fn weight(&self, column: usize) -> f64 {
+        let alone = self.alone(self.load);
+        self.moments.diagonal(column) * alone * alone / MEASUREMENT_PRECISION
     }
 
     fn learn(&mut self, seen: &Observation<'_>) {
         let load = self.load_of(seen.count);
-        self.usual_count += 0.01 * (seen.count - self.usual_count);
-        let mut inputs = vec![(ALONE, 1.0), (LOAD, load)];
+        self.load += LOAD_SMOOTHING * (load - self.load);
+        let mut inputs: Vec<(usize, f64)> = powers(load).into_iter().enumerate().collect();
+        let alone = self.alone(load);
         for (source, units) in seen.units {
             inputs.extend(self.column(*source).map(|column| (column, *units)));
         }
-        let most = OUTLIER_RATIO * self.alone;
-        let latency = (seen.latency_us / self.scale).min(most);
-        let weight = self.weight(seen.count);
-        for (at, (row, x)) in inputs.iter().enumerate() {
+        let latency = (seen.latency_us / self.scale).min(OUTLIER_RATIO * alone);
+        let precision = MEASUREMENT_PRECISION / (alone * alone);
+        let weight = precision * (seen.count / FULL_COUNT).min(1.0);
+        for (row, x) in &inputs {
             self.products[*row] += weight * x * latency;
-            for (column, y) in &inputs[..=at] {
-                self.moments.add(*row, *column, weight * x * y);
-            }
         }
+        self.moments.add_outer(&inputs, weight);
+        self.learn_surge(&inputs[FIXED..], latency / alone, weight * alone * alone);
+    }
+
+    fn learn_surge(&mut self, units: &[(usize, f64)], ratio: f64, weight: f64) {
+        let units: Vec<(usize, f64)> = units
+            .iter()
+            .map(|(column, units)| (column - FIXED, *units))
+            .collect();
+        if units.iter().any(|(at, _)| *at >= self.slopes.len()) {
+            return;
+        }
+        let slope = |at: usize| self.slopes[at];
+        let explained: f64 = units.iter().map(|(at, units)| units * slope(*at)).sum();
+        for (at, x) in &units {
+            self.surge_products[*at] += weight * x * (ratio - 1.0 - explained);
+        }
+        self.surge_moments.add_outer(&units, weight);
     }
 
-    fn weight(&self, count: f64) -> f64 {
-        let precision = MEASUREMENT_PRECISION / (self.alone * self.alone);
-        precision * (count / FULL_COUNT).min(1.0)
+    fn solve_surge(&mut self) {
+        let mut moments = self.surge_moments.clone();
+        for at in 0..moments.len() {
+            moments.add(at, at, SURGE_PRECISION);
+        }
+        self.surges = moments.solve(&self.surge_products);
+    }
+
+    /// Part of the latency alone that a unit of the source at a position adds now.
+    fn slope(&self, at: usize) -> Option<f64> {
+        let surge = self.surges.get(at).copied().unwrap_or(0.0);
+        Some((self.slopes.get(at)? + surge).max(0.0))
     }
 
     fn forget(&mut self, elapsed: Millis) {
-        let keep = (-(elapsed as f64) / HALF_LIFE_MS).exp2();
+        let keep = kept(elapsed, HALF_LIFE_MS);
         self.moments.scale(keep);
         for product in &mut self.products {
             *product *= keep;
         }
+        let keep = kept(elapsed, SURGE_HALF_LIFE_MS);
+        self.surge_moments.scale(keep);
+        for product in &mut self.surge_products {
+            *product *= keep;
+        }
     }
 
-    fn solve(&mut self, roster: &Roster) {
+    fn solve(&mut self, roster: &Roster, elapsed: Millis) {
+        for source in &self.sources[self.priors.len()..] {
+            self.priors.push(roster.profile(*source).pressure);
+        }
         let mut moments = self.moments.clone();
         let mut products = self.products.clone();
-        let unit = self.alone * self.alone;
-        moments.add(ALONE, ALONE, BASELINE_PRECISION / unit);
-        products[ALONE] += BASELINE_PRECISION / unit * self.alone;
-        moments.add(LOAD, LOAD, LOAD_PRECISION / unit);
-        for (at, source) in self.sources.iter().enumerate() {
+        let powers = powers(self.load);
+        let alone = self.alone(self.load);
+        let unit = 1.0 / (alone * alone);
+        for (at, mean) in self.base.iter().enumerate() {
+            let precision = unit
+                * if at == 0 {
+                    BASELINE_PRECISION
+                } else {
+                    LOAD_PRECISION
+                };
+            moments.add(at, at, precision);
+            products[at] += precision * mean;
+        }
+        for (at, pressure) in self.priors.iter().enumerate() {
             // The prior ties the slope to the latency alone, which is unknown too.
-            let pressure = roster.profile(*source).pressure;
-            let precision = SLOPE_PRECISION / unit;
-            moments.add(FIXED + at, FIXED + at, precision);
-            moments.add(FIXED + at, ALONE, -precision * pressure);
-            moments.add(ALONE, ALONE, precision * pressure * pressure);
+            let mut tie = vec![(FIXED + at, 1.0)];
+            let base = powers.iter().enumerate();
+            tie.extend(base.map(|(at, power)| (at, -pressure * power)));
+            moments.add_outer(&tie, SLOPE_PRECISION * unit);
         }
         let solved = moments.solve(&products);
-        self.alone = solved[ALONE].max(LEAST_BASELINE);
-        self.load = solved[LOAD] / self.alone;
+        self.base.copy_from_slice(&solved[..FIXED]);
+        let alone = self.alone(self.load);
         let slopes = solved[FIXED..].iter();
-        self.slopes = slopes.map(|slope| (slope / self.alone).max(0.0)).collect();
+        self.slopes = slopes.map(|slope| (slope / alone).max(0.0)).collect();
+        let gain = (elapsed as f64 / PRIOR_MS).min(1.0);
+        for (prior, slope) in self.priors.iter_mut().zip(&self.slopes) {
+            *prior += gain * (slope - *prior);
+        }
     }
 }
 
+/// Part of what is known that is left after `elapsed`.
+fn kept(elapsed: Millis, half_life_ms: f64) -> f64 {
+    (-(elapsed as f64) / half_life_ms).exp2()
+}
+
+/// Powers of the load, one for each column of the latency alone.
+fn powers(load: f64) -> [f64; FIXED] {
+    [1.0, load, load * load]
+}
+
 /// Estimates for all pairs of profiles of one shard.
 #[derive(Debug, Default)]
 pub struct Estimator {
@@ -193,7 +290,8 @@
         }
         self.refreshed = now;
         for victim in self.victims.iter_mut().flatten() {
-            victim.solve(roster);
+            victim.solve(roster, elapsed);
+            victim.solve_surge();
             victim.forget(elapsed);
         }
     }
@@ -202,24 +300,38 @@
     pub fn slope(&self, roster: &Roster, victim: ProfileId, source: ProfileId) -> f64 {
         let learnt = self.regression(victim).and_then(|regression| {
             let column = regression.columns.get(&source)?;
-            regression.slopes.get(column - FIXED)
+            regression.slope(column - FIXED)
         });
-        learnt
-            .copied()
-            .unwrap_or_else(|| roster.profile(source).pressure)
+        learnt.unwrap_or_else(|| roster.profile(source).pressure)
+    }
+
+    /// Part of its latency alone that all `units` together add to `victim`.
+    pub fn added(&self, roster: &Roster, victim: ProfileId, units: &[(ProfileId, f64)]) -> f64 {
+        let parts = units.iter();
+        parts
+            .map(|(source, units)| units * self.slope(roster, victim, *source))
+            .sum()
+    }
+
+    /// Measurements behind the estimate of a pair, after forgetting.
+    pub fn weight(&self, victim: ProfileId, source: ProfileId) -> f64 {
+        let Some(regression) = self.regression(victim) else {
+            return 0.0;
+        };
+        let column = regression.columns.get(&source);
+        column.map_or(0.0, |column| regression.weight(*column))
     }
 
-    /// Latency of a profile alone at its usual load, in microseconds.
+    /// Latency of a profile alone at its load of late, in microseconds.
     pub fn alone_us(&self, victim: ProfileId) -> Option<f64> {
         let regression = self.regression(victim)?;
-        Some(regression.alone * regression.scale)
+        Some(regression.alone(regression.load) * regression.scale)
     }
 
     /// Ratio of a measured latency to the latency alone at the same load.
     pub fn ratio(&self, victim: ProfileId, latency_us: f64, count: f64) -> Option<f64> {
         let regression = self.regression(victim)?;
-        let load = 1.0 + regression.load * regression.load_of(count);
-        let alone = regression.alone * regression.scale * load.max(0.2);
+        let alone = regression.alone(regression.load_of(count)) * regression.scale;
         Some(latency_us / alone)
     }
 
@@ -249,14 +361,13 @@
     victim: usize,
     regression: &'a Regression,
 ) -> impl Iterator<Item = Attribution> + 'a {
-    let sources = regression.sources.iter().zip(&regression.slopes);
-    sources.enumerate().map(move |(at, (source, slope))| {
-        let precision = MEASUREMENT_PRECISION / (regression.alone * regression.alone);
-        Attribution {
+    let sources = regression.sources.iter().enumerate();
+    sources.filter_map(move |(at, source)| {
+        Some(Attribution {
             victim: roster.name_at(victim).to_string(),
             source: roster.name(*source).to_string(),
-            slowdown: 1.0 + slope,
-            weight: regression.moments.diagonal(FIXED + at) / precision,
-        }
+            slowdown: 1.0 + regression.slope(at)?,
+            weight: regression.weight(FIXED + at),
+        })
     })
 }
--- a/crates/verbenahitch/src/interference/matrix.rs
+++ b/crates/verbenahitch/src/interference/matrix.rs
@@ -28,6 +28,15 @@
         self.rows[row][column] += amount;
     }
 
+    /// Adds `weight` times the outer product of a sparse vector with itself.
+    pub(super) fn add_outer(&mut self, vector: &[(usize, f64)], weight: f64) {
+        for (at, (row, x)) in vector.iter().enumerate() {
+            for (column, y) in &vector[..=at] {
+                self.add(*row, *column, weight * x * y);
+            }
+        }
+    }
+
     /// Multiplies every element.
     pub(super) fn scale(&mut self, factor: f64) {
         for element in self.rows.iter_mut().flatten() {
--- a/crates/verbenahitch/src/interference/mod.rs
+++ b/crates/verbenahitch/src/interference/mod.rs
@@ -13,5 +13,5 @@
 
 pub use estimate::{Attribution, Estimator, Observation};
 pub use relief::Relief;
-pub(crate) use relief::{Hold, Measure, Suspect, Victim};
+pub(crate) use relief::{Hold, Measure, Strain, Suspect, Victim};
 pub use roster::{ProfileId, Roster};
--- a/crates/verbenahitch/src/interference/relief.rs
+++ b/crates/verbenahitch/src/interference/relief.rs
@@ -1,23 +1,41 @@
 //! Measures against interference on one worker: throttle, then evict, and
 //! restore with hysteresis.
 //!
-//! A measure needs several reports above the limit in a row, then time to show
-//! in the lagging reports. Only tasks that the estimates blame are touched. A
-//! slowdown that comes back after a restoration doubles the wait before the
-//! next one, so that waves of noisy tasks don't make the shares swing.
+//! What counts is the slowdown that the estimates predict for the tasks that are
+//! on the worker now, and that part of the measured one beyond it which is
+//! more than noise. Reports lag and are noisy; the prediction is neither,
+//! since it rests on the reports of all workers.
+//!
+//! Between the limit for placing a task and that for evicting one lies a gap,
+//! so that an evicted task is not placed where it would be evicted again. A
+//! slowdown that comes back after a restoration because the same work presses
+//! harder again doubles the wait before the next one, so that waves of noisy
+//! tasks don't make the shares swing.
 
 use crate::domain::{Millis, Monotonic, TaskKey, WorkerKey};
 
 use super::ProfileId;
 
-const HOT_REPORTS: u32 = 2;
-const SMOOTHING: f64 = 0.4;
-const SETTLE_MS: Millis = 4_000;
+const SMOOTHING: f64 = 0.1;
+/// Standard deviations above which a mean is more than noise.
+const SIGNIFICANT: f64 = 2.5;
+const FIRST_VARIANCE: f64 = 0.04;
+const SETTLE_MS: Millis = 2_000;
 const STALE_MS: Millis = 60_000;
-const FIRST_RESTORE_MS: Millis = 10_000;
+/// Part of the tolerated slowdown beyond which tasks are evicted at once.
+const EVICT_PART: f64 = 1.4;
+/// Time above the tolerated slowdown after which tasks are evicted.
+const EVICT_MS: Millis = 10_000;
+const FIRST_RESTORE_MS: Millis = 5_000;
+/// Time after a restoration in which a slowdown may be its relapse.
+const RELAPSE_MS: Millis = 120_000;
+/// Growth of the blame of unthrottled tasks that makes a slowdown a relapse.
+const RELAPSE_RATIO: f64 = 1.5;
 const LONGEST_RESTORE_MS: Millis = 160_000;
 /// Part of the tolerated slowdown below which a worker counts as calm.
-const CALM_PART: f64 = 0.7;
+const CALM_PART: f64 = 0.85;
+/// Part of the tolerated slowdown that throttled and restored shares aim at.
+const AIM_PART: f64 = 0.95;
 /// Least part of its latency alone that a task must add to be blamed.
 const LEAST_BLAME: f64 = 0.01;
 /// Least part of the most blamed task's blame that a task must carry to be blamed.
@@ -52,11 +70,10 @@
     pub(crate) profile: ProfileId,
     /// Its tasks here; zero if only the upstream's reports name it.
     pub(crate) residents: u32,
-    /// Smoothed ratio of its latency to its latency alone.
-    pub(crate) ratio: f64,
-    /// When it was last reported.
-    pub(crate) heard: Option<Monotonic>,
-    above: u32,
+    heard: Option<Monotonic>,
+    /// Smoothed difference between the measured and the predicted ratio.
+    surplus: f64,
+    variance: f64,
 }
 
 impl Victim {
@@ -65,26 +82,18 @@
         Self {
             profile,
             residents: 0,
-            ratio: 1.0,
             heard: None,
-            above: 0,
+            surplus: 0.0,
+            variance: FIRST_VARIANCE,
         }
     }
 
-    /// Takes over a report; `limit` is the tolerated ratio.
-    pub(crate) fn report(&mut self, ratio: f64, limit: f64, now: Monotonic) {
-        self.ratio += SMOOTHING * (ratio - self.ratio);
+    /// Takes over a report: by how much the measured ratio exceeds the predicted one.
+    pub(crate) fn report(&mut self, surplus: f64, now: Monotonic) {
+        let change = surplus - self.surplus;
+        self.surplus += SMOOTHING * change;
+        self.variance += SMOOTHING * (change * change - self.variance);
         self.heard = Some(now);
-        self.above = if self.ratio > limit {
-            self.above + 1
-        } else {
-            0
-        };
-    }
-
-    /// Whether it was slowed beyond its limit in several reports.
-    pub(crate) fn is_hot(&self, now: Monotonic) -> bool {
-        self.above >= HOT_REPORTS && self.is_fresh(now)
     }
 
     /// Whether its last report still counts.
@@ -92,18 +101,31 @@
         self.heard.is_some_and(|heard| now.since(heard) < STALE_MS)
     }
 
-    /// Part of its tolerated slowdown above which the worker is not calm.
-    fn is_calm(&self, limit: f64, now: Monotonic) -> bool {
-        !self.is_fresh(now) || self.ratio <= 1.0 + CALM_PART * (limit - 1.0)
+    /// Slowdown beyond the predicted one that is more than noise.
+    pub(crate) fn unexplained(&self, now: Monotonic) -> f64 {
+        if !self.is_fresh(now) {
+            return 0.0;
+        }
+        let deviation = (self.variance * SMOOTHING / (2.0 - SMOOTHING)).sqrt();
+        (self.surplus - SIGNIFICANT * deviation).max(0.0)
     }
 }
 
+/// Slowdown of a latency-critical profile on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Strain {
+    /// Part of its latency alone that is added now.
+    pub(crate) added: f64,
+    /// Part that is tolerated.
+    pub(crate) tolerated: f64,
+}
+
 /// A batch task that may be slowed or evicted.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Suspect {
     /// Position of the task on its worker.
     pub(crate) at: usize,
-    /// Part of the latency alone that it adds at its present share.
+    /// Largest part of a victim's latency alone that it adds at its present share.
     pub(crate) blame: f64,
     /// Its present share of processors.
     pub(crate) share: f64,
@@ -135,15 +157,18 @@
 /// State of the measures on one worker.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Hold {
+    hot: Option<Monotonic>,
     acted: Option<Monotonic>,
     calm: Option<Monotonic>,
-    restored: Option<Monotonic>,
+    /// When shares were last restored, and the largest blame of an unthrottled task then.
+    restored: Option<(Monotonic, f64)>,
     restore_wait: Millis,
 }
 
 impl Default for Hold {
     fn default() -> Self {
         Self {
+            hot: None,
             acted: None,
             calm: None,
             restored: None,
@@ -153,39 +178,45 @@
 }
 
 impl Hold {
-    /// Decides for one worker; `victims` come with their tolerated ratio.
+    /// Decides for one worker.
     pub(crate) fn decide(
         &mut self,
-        victims: &[(Victim, f64)],
+        strains: &[Strain],
         suspects: &[Suspect],
         now: Monotonic,
     ) -> Vec<Measure> {
-        let excess = victims
+        let worst = strains
             .iter()
-            .filter(|(victim, _)| victim.is_hot(now))
-            .map(|(victim, limit)| victim.ratio - limit)
-            .fold(None, |most: Option<f64>, next| {
-                Some(most.map_or(next, |most| most.max(next)))
-            });
-        match excess {
-            Some(excess) => self.relieve(excess, suspects, now),
-            None => self.restore(victims, suspects, now),
+            .max_by(|a, b| a.excess().total_cmp(&b.excess()));
+        let Some(worst) = worst else {
+            return self.restore(f64::INFINITY, suspects, now);
+        };
+        if worst.excess() > 0.0 {
+            return self.relieve(worst, suspects, now);
+        }
+        self.hot = None;
+        if worst.added > CALM_PART * worst.tolerated {
+            self.calm = None;
+            return Vec::new();
         }
+        self.restore(worst.room(), suspects, now)
     }
 
-    fn relieve(&mut self, excess: f64, suspects: &[Suspect], now: Monotonic) -> Vec<Measure> {
+    fn relieve(&mut self, worst: &Strain, suspects: &[Suspect], now: Monotonic) -> Vec<Measure> {
         self.calm = None;
+        let hot = *self.hot.get_or_insert(now);
         if self.is_settling(now) {
             return Vec::new();
         }
         let suspects = blamed(suspects);
-        let mut measures = throttles(excess, &suspects);
-        if measures.is_empty() {
+        let mut measures = throttles(-worst.room(), &suspects);
+        let severe = worst.added > EVICT_PART * worst.tolerated;
+        if measures.is_empty() && (severe || now.since(hot) >= EVICT_MS) {
             measures.extend(eviction(&suspects));
         }
         if !measures.is_empty() {
             self.acted = Some(now);
-            self.back_off(now);
+            self.back_off(heaviest(&suspects), now);
         }
         measures
     }
@@ -194,51 +225,53 @@
         self.acted.is_some_and(|acted| now.since(acted) < SETTLE_MS)
     }
 
-    /// Doubles the wait when a slowdown follows a restoration.
-    fn back_off(&mut self, now: Monotonic) {
-        let relapsed = self.restored.take();
-        if relapsed.is_some_and(|at| now.since(at) < 2 * self.restore_wait) {
+    /// Doubles the wait when the same work presses harder after a restoration.
+    fn back_off(&mut self, blame: f64, now: Monotonic) {
+        let Some((at, before)) = self.restored else {
+            return;
+        };
+        if now.since(at) < RELAPSE_MS && blame > RELAPSE_RATIO * before {
+            self.restored = None;
             self.restore_wait = (2 * self.restore_wait).min(LONGEST_RESTORE_MS);
         }
     }
 
-    fn restore(
-        &mut self,
-        victims: &[(Victim, f64)],
-        suspects: &[Suspect],
-        now: Monotonic,
-    ) -> Vec<Measure> {
-        if !victims
-            .iter()
-            .all(|(victim, limit)| victim.is_calm(*limit, now))
-        {
-            self.calm = None;
-            return Vec::new();
-        }
+    fn restore(&mut self, room: f64, suspects: &[Suspect], now: Monotonic) -> Vec<Measure> {
         let calm = *self.calm.get_or_insert(now);
         if now.since(calm) < self.restore_wait {
             return Vec::new();
         }
-        let room = victims
-            .iter()
-            .map(|(victim, limit)| limit - victim.ratio)
-            .fold(f64::INFINITY, f64::min);
-        let Some(measure) = restoration(room, suspects) else {
+        let measures = restorations(room, suspects);
+        if measures.is_empty() {
             self.relax(now);
-            return Vec::new();
-        };
+            return measures;
+        }
         self.calm = Some(now);
-        self.restored = Some(now);
-        vec![measure]
+        self.restored = Some((now, heaviest(suspects)));
+        measures
     }
 
-    /// Halves the wait after a long calm without anything to restore.
+    /// Halves the wait after a long calm without any measure.
     fn relax(&mut self, now: Monotonic) {
-        self.calm = Some(now);
+        let acted = self.acted.max(self.restored.map(|(at, _)| at));
+        if acted.is_some_and(|at| now.since(at) < RELAPSE_MS) {
+            return;
+        }
+        self.acted = Some(now);
         self.restore_wait = (self.restore_wait / 2).max(FIRST_RESTORE_MS);
     }
 }
 
+impl Strain {
+    fn excess(&self) -> f64 {
+        self.added - self.tolerated
+    }
+
+    fn room(&self) -> f64 {
+        AIM_PART * self.tolerated - self.added
+    }
+}
+
 /// Tasks that carry a fair part of the slowdown.
 fn blamed(suspects: &[Suspect]) -> Vec<Suspect> {
     let blames = suspects.iter().map(|suspect| suspect.blame);
@@ -277,18 +310,30 @@
         .map(|suspect| Measure::Evict { at: suspect.at })
 }
 
-/// Restores the throttled task of the highest cost whose predicted pressure has room.
-fn restoration(room: f64, suspects: &[Suspect]) -> Option<Measure> {
-    suspects
+/// Restores throttled tasks, the most costly first, as far as the predicted pressure has room.
+fn restorations(mut room: f64, suspects: &[Suspect]) -> Vec<Measure> {
+    let mut order: Vec<&Suspect> = suspects
         .iter()
         .filter(|suspect| suspect.share < 1.0)
-        .map(|suspect| (suspect, (suspect.share / STEP).min(1.0)))
-        .filter(|(suspect, share)| suspect.blame * (share / suspect.share - 1.0) <= room)
-        .max_by(|(a, _), (b, _)| a.cost.total_cmp(&b.cost))
-        .map(|(suspect, share)| Measure::Share {
-            at: suspect.at,
-            share,
-        })
+        .collect();
+    order.sort_by(|a, b| value(a).total_cmp(&value(b)));
+    let mut measures = Vec::new();
+    for suspect in order {
+        let share = (suspect.share / STEP).min(1.0);
+        let added = suspect.blame * (share / suspect.share - 1.0);
+        if added <= room {
+            room -= added;
+            let at = suspect.at;
+            measures.push(Measure::Share { at, share });
+        }
+    }
+    measures
+}
+
+/// Largest blame that a task would have unthrottled.
+fn heaviest(suspects: &[Suspect]) -> f64 {
+    let blames = suspects.iter().map(|suspect| suspect.blame / suspect.share);
+    blames.fold(0.0, f64::max)
 }
 
 fn value(suspect: &Suspect) -> f64 {
--- a/crates/verbenahitch/src/lib.rs
+++ b/crates/verbenahitch/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peer;
 pub mod placement;
 pub mod port;
+pub mod replay;
 pub mod scheduler;
 pub mod settings;
 
--- a/crates/verbenahitch/src/placement/choice.rs
+++ b/crates/verbenahitch/src/placement/choice.rs
@@ -65,7 +65,8 @@
     Evict {
         /// Worker.
         worker: WorkerKey,
-        /// Its tasks to evict, the least worth first.
+        /// Its tasks to evict, the least worth first; none if the tasks that are
+        /// stopping already leave room enough.
         victims: Vec<TaskKey>,
     },
     /// Wait.
@@ -85,6 +86,8 @@
     Probe,
     /// No worker has room.
     NoRoom,
+    /// Room is being made for the task.
+    Promised,
     /// The team has used its quota.
     Quota,
     /// Every worker with room would slow its neighbours too much.
--- a/crates/verbenahitch/src/placement/choose.rs
+++ b/crates/verbenahitch/src/placement/choose.rs
@@ -4,7 +4,7 @@
 //! sampled at random among all with the processors. So the cost hardly grows
 //! with the number of workers. Only when none of them will do, all are scanned.
 
-use crate::domain::{Class, Millis, Monotonic, Resources, WorkerKey};
+use crate::domain::{Class, Monotonic, Resources, WorkerKey};
 use crate::interference::ProfileId;
 
 use super::host::Host;
@@ -17,8 +17,10 @@
 const TIGHTEST: usize = 4;
 const SAMPLED: usize = 8;
 const SACRIFICES: usize = 48;
-const PRESSURE_LIMIT: f64 = 1.0;
-const LATE_LIMIT: f64 = 2.0;
+/// Workers with room that a scan looks at before it gives up.
+const SCANNED: usize = 64;
+/// Part of the tolerated slowdown that a task may bring its neighbours to.
+const PRESSURE_LIMIT: f64 = 0.95;
 
 impl Placer {
     /// Chooses a worker for the task's declared size; changes nothing.
@@ -54,7 +56,7 @@
             return None;
         }
         if !need.fits(host.free()) {
-            return Some(Choice::Wait(Reason::NoRoom));
+            return Some(Choice::Wait(Reason::Promised));
         }
         Some(Choice::Place {
             worker: claim.worker,
@@ -126,11 +128,11 @@
             return Choice::Wait(Reason::TooMuchPressure);
         }
         match self.sacrifice(ask, need, now) {
-            Some((worker, sacrifice)) if !sacrifice.tasks.is_empty() => Choice::Evict {
+            Some((worker, sacrifice)) => Choice::Evict {
                 worker,
                 victims: sacrifice.tasks,
             },
-            Some(_) | None => Choice::Wait(Reason::NoRoom),
+            None => Choice::Wait(Reason::NoRoom),
         }
     }
 
@@ -199,6 +201,7 @@
                 estimator: &placer.estimator,
                 roster: &placer.roster,
                 racks: &placer.racks,
+                running: &placer.running,
                 now,
             },
             profile: placer.roster.id(&ask.name),
@@ -238,10 +241,13 @@
     /// Looks at all workers until a few have been found.
     fn scan(&mut self) {
         let placer = self.placer;
-        let mut found = 0;
+        let (mut roomy, mut found) = (0, 0);
         for worker in placer.index.upwards(self.need, self.turn) {
-            found += usize::from(self.look(worker) && self.best.is_some());
-            if found == TIGHTEST {
+            if self.look(worker) {
+                roomy += 1;
+                found += usize::from(self.best.is_some());
+            }
+            if found == TIGHTEST || roomy == SCANNED {
                 break;
             }
         }
@@ -271,7 +277,7 @@
     fn weigh(&mut self, worker: WorkerKey, host: &Host) {
         let score = self.scorer.score(host, self.ask, self.profile, self.need);
         self.highest = self.highest.max(score.pressure);
-        if score.pressure > self.limit {
+        if score.residual > self.limit {
             self.pressed = true;
             return;
         }
@@ -293,16 +299,10 @@
 
 /// Pressure on a neighbour, as a part of what it tolerates, that the task may cause.
 ///
-/// It rises as the task's deadline comes near, so that no task waits for ever.
+/// Work that goes first is never held back; the others are slowed for it.
 fn pressure_limit(ask: &Ask) -> f64 {
-    let deadline: Millis = ask.profile.deadline_ms;
-    if ask.profile.class == Class::LatencyCritical || ask.waited_ms >= deadline {
-        f64::INFINITY
-    } else if ask.profile.urgent || ask.waited_ms >= deadline / 2 {
-        LATE_LIMIT
-    } else {
-        PRESSURE_LIMIT
-    }
+    let first = ask.profile.urgent || ask.profile.class == Class::LatencyCritical;
+    if first { f64::INFINITY } else { PRESSURE_LIMIT }
 }
 
 /// Names the first resource that is short.
--- a/crates/verbenahitch/src/placement/mod.rs
+++ b/crates/verbenahitch/src/placement/mod.rs
@@ -19,4 +19,4 @@
 
 pub use choice::{Ask, Choice, Overcommit, Reason, Resident, WorkerState};
 pub use placer::Placer;
-pub use rank::Queue;
+pub use rank::{Offer, Queue};
--- a/crates/verbenahitch/src/placement/observe.rs
+++ b/crates/verbenahitch/src/placement/observe.rs
@@ -1,11 +1,12 @@
 //! What the placer learns from usage, and the measures that follow.
 
 use crate::domain::{Class, Monotonic, WorkerKey};
-use crate::interference::{Hold, Measure, Observation, ProfileId, Relief, Suspect, Victim};
+use crate::interference::{Hold, Measure, Observation, ProfileId, Relief, Strain, Suspect, Victim};
 use crate::port::{LatencyReport, Usage};
 
 use super::host::Host;
 use super::placer::{self, Placer};
+use super::score;
 use super::victim;
 
 impl Placer {
@@ -50,7 +51,7 @@
             if let Some(held) = run {
                 held.units = relative;
                 if held.share >= 1.0 && held.settled <= measured {
-                    usages.learn(*task, measured);
+                    usages.learn(*task, held.resident.resources, measured);
                 }
             }
         }
@@ -72,7 +73,6 @@
         if profile.class != Class::LatencyCritical || report.count == 0 {
             return;
         }
-        let limit = profile.max_slowdown;
         let latency_us = report.p99_us as f64;
         let count = report.count as f64;
         self.estimator.learn(&Observation {
@@ -82,7 +82,9 @@
             units,
         });
         if let Some(ratio) = self.estimator.ratio(id, latency_us, count) {
-            placer::victim(&mut self.hosts[worker], id).report(ratio, limit, now);
+            let predicted = 1.0 + self.estimator.added(&self.roster, id, units);
+            let victim = placer::victim(&mut self.hosts[worker], id);
+            victim.report(ratio - predicted, now);
         }
     }
 
@@ -111,18 +113,29 @@
         if host.sources.is_empty() {
             return Vec::new();
         }
-        let victims: Vec<(Victim, f64)> = host
+        let strains: Vec<Strain> = host
             .victims
             .iter()
-            .map(|victim| (*victim, self.roster.profile(victim.profile).max_slowdown))
+            .filter(|victim| victim.residents > 0 || victim.is_fresh(now))
+            .map(|victim| self.strain(host, victim, now))
             .collect();
         let suspects = self.suspects(host, now);
         let mut hold: Hold = host.hold;
-        let measures = hold.decide(&victims, &suspects, now);
+        let measures = hold.decide(&strains, &suspects, now);
         self.hosts[worker].hold = hold;
         measures
     }
 
+    fn strain(&self, host: &Host, victim: &Victim, now: Monotonic) -> Strain {
+        let sources = &host.sources;
+        let predicted = self.estimator.added(&self.roster, victim.profile, sources);
+        let limit = self.roster.profile(victim.profile).max_slowdown;
+        Strain {
+            added: predicted + victim.unexplained(now),
+            tolerated: score::tolerance(limit),
+        }
+    }
+
     fn suspects(&self, host: &Host, now: Monotonic) -> Vec<Suspect> {
         let held = host.held.iter().enumerate();
         held.filter(|(_, held)| held.resident.profile.class == Class::Batch)
--- a/crates/verbenahitch/src/placement/placer.rs
+++ b/crates/verbenahitch/src/placement/placer.rs
@@ -46,6 +46,8 @@
     pub(super) budgets: Budgets,
     pub(super) racks: Racks,
     pub(super) usages: Vec<Usages>,
+    /// Tasks of each profile that run.
+    pub(super) running: Vec<u32>,
     pub(super) roster: Roster,
     pub(super) estimator: Estimator,
     pub(super) declared: Arc<Declarations>,
@@ -162,7 +164,9 @@
         let id = self.roster.add(&resident.name, &resident.profile);
         if self.usages.len() <= id.index() {
             self.usages.resize(id.index() + 1, Usages::default());
+            self.running.resize(id.index() + 1, 0);
         }
+        self.running[id.index()] += 1;
         let settled = resident.since + SETTLE_MS;
         self.quotas.take(&resident.profile.team, resident.resources);
         let host = &mut self.hosts[worker];
@@ -195,6 +199,7 @@
             let victim = victim(host, held.profile);
             victim.residents = victim.residents.saturating_sub(1);
         }
+        self.running[held.profile.index()] -= 1;
         self.racks.remove(task.job, host.rack);
         self.quotas.give(&profile.team, held.resident.resources);
         self.relist(worker);
--- a/crates/verbenahitch/src/placement/rank.rs
+++ b/crates/verbenahitch/src/placement/rank.rs
@@ -27,6 +27,17 @@
     }
 }
 
+/// What became of an offered task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It was placed; the next task of its profile is offered.
+    Taken,
+    /// Room is being made for it; it waits, and the next task of its profile is offered.
+    Promised,
+    /// It found no room; its profile waits for the next call.
+    Declined,
+}
+
 /// Waiting tasks, in the order of [`Placer::rank`].
 ///
 /// Tasks of one profile wait in the order of their arrival, so only the first
@@ -80,58 +91,69 @@
         self.waiting.remove(&task).is_some()
     }
 
-    /// Offers the first task of each profile in the order of their ranks.
-    ///
-    /// `offer` says whether the task was placed; then the next task of its
-    /// profile is offered in turn, otherwise the profile waits for the next call.
+    /// Offers waiting tasks in the order of their ranks.
     pub fn drain(
         &mut self,
         placer: &mut Placer,
         now: Monotonic,
-        mut offer: impl FnMut(&mut Placer, Ask) -> bool,
+        mut offer: impl FnMut(&mut Placer, Ask) -> Offer,
     ) {
-        let mut open: Vec<usize> = (0..self.lines.len()).collect();
-        while let Some((at, ask)) = self.first(&mut open, placer, now) {
+        let mut cursors = vec![Some(0); self.lines.len()];
+        while let Some((at, cursor, ask)) = self.first(&mut cursors, placer, now) {
             let task = ask.task;
-            if offer(placer, ask) {
-                self.lines[at].asks.pop_front();
-                self.waiting.remove(&task);
-            } else {
-                open.retain(|other| *other != at);
+            match offer(placer, ask) {
+                Offer::Taken => {
+                    self.lines[at].asks.remove(cursor);
+                    self.waiting.remove(&task);
+                }
+                Offer::Promised => cursors[at] = Some(cursor + 1),
+                Offer::Declined => cursors[at] = None,
             }
         }
     }
 
+    /// Task of the highest rank at the cursors of the lines.
     fn first(
         &mut self,
-        open: &mut Vec<usize>,
+        cursors: &mut [Option<usize>],
         placer: &Placer,
         now: Monotonic,
-    ) -> Option<(usize, Ask)> {
-        let waiting = &self.waiting;
-        let lines = &mut self.lines;
-        open.retain(|at| lines[*at].settle(waiting));
-        let ranked = open.iter().map(|at| {
-            let (since, ask) = &self.lines[*at].asks[0];
-            (*at, placer.rank(&ask.profile, now.since(*since)))
-        });
-        let (at, _) = ranked.max_by(|(_, a), (_, b)| a.total_cmp(b))?;
-        let (since, ask) = &self.lines[at].asks[0];
+    ) -> Option<(usize, usize, Ask)> {
+        let mut best: Option<(f64, usize, usize)> = None;
+        for (at, place) in cursors.iter_mut().enumerate() {
+            let Some(cursor) = *place else {
+                continue;
+            };
+            let Some((since, ask)) = self.lines[at].settle(cursor, &self.waiting) else {
+                *place = None;
+                continue;
+            };
+            let rank = placer.rank(&ask.profile, now.since(*since));
+            if best.is_none_or(|(highest, _, _)| rank > highest) {
+                best = Some((rank, at, cursor));
+            }
+        }
+        let (_, at, cursor) = best?;
+        let (since, ask) = &self.lines[at].asks[cursor];
         let mut ask = ask.clone();
         ask.waited_ms = now.since(*since);
-        Some((at, ask))
+        Some((at, cursor, ask))
     }
 }
 
 impl Line {
-    /// Drops withdrawn tasks from the front; says whether a task is left.
-    fn settle(&mut self, waiting: &HashMap<TaskKey, Monotonic>) -> bool {
-        while let Some((since, ask)) = self.asks.front() {
+    /// Drops withdrawn tasks at `cursor`; returns the task that is there then.
+    fn settle(
+        &mut self,
+        cursor: usize,
+        waiting: &HashMap<TaskKey, Monotonic>,
+    ) -> Option<&(Monotonic, Ask)> {
+        while let Some((since, ask)) = self.asks.get(cursor) {
             if waiting.get(&ask.task) == Some(since) {
-                return true;
+                break;
             }
-            self.asks.pop_front();
+            self.asks.remove(cursor);
         }
-        false
+        self.asks.get(cursor)
     }
 }
--- a/crates/verbenahitch/src/placement/score.rs
+++ b/crates/verbenahitch/src/placement/score.rs
@@ -1,7 +1,7 @@
 //! Scores a worker for a task: predicted interference, spread over racks, fit.
 
 use crate::collections::HashMap;
-use crate::domain::{Class, JobKey, Monotonic, Resources};
+use crate::domain::{Class, JobKey, Monotonic, Profile, Resources};
 use crate::interference::{Estimator, ProfileId, Roster};
 
 use super::Ask;
@@ -11,6 +11,10 @@
 const RACK_WEIGHT: f64 = 1.0;
 const FIT_WEIGHT: f64 = 0.5;
 const LEAST_TOLERANCE: f64 = 0.02;
+/// Tasks of a profile that are tried before its pressure was measured.
+const TRIALS: u32 = 4;
+/// Measurements from which on a pressure counts as measured.
+const TRIED: f64 = 30.0;
 
 /// What a score is worked out from.
 #[derive(Clone, Copy, Debug)]
@@ -18,6 +22,8 @@
     pub(super) estimator: &'a Estimator,
     pub(super) roster: &'a Roster,
     pub(super) racks: &'a Racks,
+    /// Tasks of each profile that run.
+    pub(super) running: &'a [u32],
     pub(super) now: Monotonic,
 }
 
@@ -26,6 +32,8 @@
 pub(super) struct Score {
     /// Largest predicted slowdown as a part of what its victim tolerates.
     pub(super) pressure: f64,
+    /// The same once the tasks that yield are throttled.
+    pub(super) residual: f64,
     /// Sum over all concerns.
     pub(super) total: f64,
 }
@@ -39,40 +47,90 @@
         id: Option<ProfileId>,
         need: Resources,
     ) -> Score {
-        let pressure = match ask.profile.class {
+        let (pressure, residual) = match ask.profile.class {
             Class::Batch => self.pressure_by(host, ask, id),
-            Class::LatencyCritical => self.pressure_on(host, ask, id),
+            Class::LatencyCritical => {
+                let pressure = self.pressure_on(host, ask, id);
+                (pressure, pressure)
+            }
         };
         let rack = self.racks.part(ask.task.job, host.rack);
         let total =
             PRESSURE_WEIGHT * pressure + RACK_WEIGHT * rack + FIT_WEIGHT * slack(host, need);
-        Score { pressure, total }
+        Score {
+            pressure,
+            residual,
+            total,
+        }
     }
 
-    /// Slowdown that a victim on `host` would have beside one more batch task.
-    fn pressure_by(&self, host: &Host, ask: &Ask, id: Option<ProfileId>) -> f64 {
-        let mut most: f64 = 0.0;
+    /// Slowdown that a victim on `host` would have beside one more batch task:
+    /// as things are, and once it and the tasks that yield to it are throttled.
+    ///
+    /// A long overdue task does not count itself, so that no task waits for ever.
+    fn pressure_by(&self, host: &Host, ask: &Ask, id: Option<ProfileId>) -> (f64, f64) {
+        let overdue = ask.waited_ms >= ask.profile.deadline_ms.saturating_mul(2);
+        let mut most: (f64, f64) = (0.0, 0.0);
         for victim in &host.victims {
             if victim.residents == 0 && !victim.is_fresh(self.now) {
                 continue;
             }
-            let own = id.map_or(ask.profile.pressure, |id| {
-                self.estimator.slope(self.roster, victim.profile, id)
-            });
-            let mut present = self.present(host, victim.profile);
-            if victim.is_hot(self.now) {
-                present = present.max(victim.ratio - 1.0);
-            }
-            let limit = self.roster.profile(victim.profile).max_slowdown;
-            most = most.max((present + own) / tolerance(limit));
+            let limit = tolerance(self.roster.profile(victim.profile).max_slowdown);
+            let own = self.own(victim.profile, ask, id);
+            let counted = if overdue || self.is_trial(victim.profile, id) {
+                0.0
+            } else {
+                own * ask.profile.min_share
+            };
+            let unexplained = victim.unexplained(self.now);
+            let (present, least) = self.present(host, victim.profile, &ask.profile);
+            most.0 = most.0.max((present + unexplained + own) / limit);
+            most.1 = most.1.max((least + unexplained + counted) / limit);
         }
         most
     }
 
+    /// Part of its latency alone that the task itself would add to `victim`.
+    fn own(&self, victim: ProfileId, ask: &Ask, id: Option<ProfileId>) -> f64 {
+        id.map_or(ask.profile.pressure, |id| {
+            self.estimator.slope(self.roster, victim, id)
+        })
+    }
+
+    /// Whether little of the pair was measured and few of its tasks run.
+    ///
+    /// Such a task is let in, since a declared pressure that keeps all of them
+    /// away could never be corrected.
+    fn is_trial(&self, victim: ProfileId, id: Option<ProfileId>) -> bool {
+        let Some(id) = id else {
+            return true;
+        };
+        let running = self.running.get(id.index()).copied().unwrap_or(0);
+        running < TRIALS && self.estimator.weight(victim, id) < TRIED
+    }
+
+    /// Part of its latency alone that the present sources add to `victim`: as
+    /// they are, and with those throttled that are worth less than `ask`.
+    fn present(&self, host: &Host, victim: ProfileId, ask: &Profile) -> (f64, f64) {
+        let (mut all, mut least) = (0.0, 0.0);
+        for (source, units) in &host.sources {
+            let added = units * self.estimator.slope(self.roster, victim, *source);
+            let profile = self.roster.profile(*source);
+            let yields = profile.worth < ask.worth && !profile.urgent;
+            all += added;
+            least += if yields {
+                added * profile.min_share
+            } else {
+                added
+            };
+        }
+        (all, least)
+    }
+
     /// Slowdown that a latency-critical task would have on `host`.
     fn pressure_on(&self, host: &Host, ask: &Ask, id: Option<ProfileId>) -> f64 {
         let present = match id {
-            Some(id) => self.present(host, id),
+            Some(id) => self.estimator.added(self.roster, id, &host.sources),
             None => host
                 .sources
                 .iter()
@@ -81,17 +139,10 @@
         };
         present / tolerance(ask.profile.max_slowdown)
     }
-
-    /// Predicted part of its latency alone that the present sources add to `victim`.
-    fn present(&self, host: &Host, victim: ProfileId) -> f64 {
-        let sources = host.sources.iter();
-        sources
-            .map(|(source, units)| units * self.estimator.slope(self.roster, victim, *source))
-            .sum()
-    }
 }
 
-fn tolerance(limit: f64) -> f64 {
+/// Part of the latency alone that may be added.
+pub(super) fn tolerance(limit: f64) -> f64 {
     (limit - 1.0).max(LEAST_TOLERANCE)
 }
 
--- /dev/null
+++ b/crates/verbenahitch/src/replay/batch.rs
@@ -0,0 +1,335 @@
+//! Batch tasks of a replay: queueing, starting, running, evicting.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::driver::{Driver, TICK_MS};
+use super::fleet::{Run, State};
+use crate::domain::{JobKey, Millis, Monotonic, Resources, TaskKey, WorkerKey};
+use crate::interference::Relief;
+use crate::placement::{Ask, Choice, Offer, Reason, Resident, WorkerState};
+
+const CHECKPOINT_MS: Millis = 30_000;
+const LEASE_MS: Millis = 10_000;
+const BAD_RUN_MS: Millis = 1_000;
+const BAD_STREAK: u32 = 3;
+const SHUN_MS: Millis = 60_000;
+/// Work done again by each resumed task.
+const RESUME_MS: f64 = 2_000.0;
+
+/// A task that was given to a worker.
+struct Start {
+    ask: Ask,
+    worker: WorkerKey,
+    committed: Resources,
+}
+
+impl Driver<'_> {
+    pub(super) fn ask(&self, task: TaskKey, since: Monotonic) -> Ask {
+        let job = &self.jobs[task.job];
+        let index = usize::try_from(task.index).unwrap_or(usize::MAX);
+        let avoid = job.tasks[index].avoid.map(|at| &self.workers[at]);
+        Ask {
+            task,
+            name: Arc::clone(&job.name),
+            profile: Arc::clone(&job.profile),
+            avoid: avoid
+                .filter(|worker| worker.cell == job.cell)
+                .map(|worker| worker.key),
+            waited_ms: self.now.since(since),
+        }
+    }
+
+    pub(super) fn never_fits(&mut self, key: JobKey) -> bool {
+        let ask = self.ask(TaskKey { job: key, index: 0 }, self.now);
+        let cell = &self.cells[self.jobs[key].cell];
+        let choice = cell
+            .chooser
+            .choose(&cell.placer, &ask, ask.profile.resources, self.now);
+        matches!(choice, Choice::Never(_))
+    }
+
+    pub(super) fn enqueue(&mut self, task: TaskKey, since: Monotonic) {
+        let ask = self.ask(task, since);
+        let job = &mut self.jobs[task.job];
+        job.task(task.index).state = State::Waiting(since);
+        self.cells[job.cell].queue.push(ask, since);
+    }
+
+    /// Offers waiting tasks to the placers.
+    pub(super) fn place(&mut self) {
+        let now = self.now;
+        for at in 0..self.cells.len() {
+            let cell = &mut self.cells[at];
+            if !cell.in_service {
+                continue;
+            }
+            let (chooser, tally) = (&cell.chooser, &mut self.tally);
+            let mut starts = Vec::new();
+            let mut evictions = Vec::new();
+            cell.queue.drain(&mut cell.placer, now, |placer, ask| {
+                let need = chooser.need(placer, &ask);
+                let begun = Instant::now();
+                let choice = chooser.choose(placer, &ask, need, now);
+                tally.deciding += begun.elapsed();
+                tally.decisions += 1;
+                match choice {
+                    Choice::Place { worker, .. } => {
+                        let start = Start {
+                            ask,
+                            worker,
+                            committed: need,
+                        };
+                        let resident = start.resident(now, self.next_run + 1);
+                        let taken = placer.occupy(worker, resident).is_ok();
+                        if taken {
+                            self.next_run += 1;
+                            starts.push((self.next_run, start));
+                            Offer::Taken
+                        } else {
+                            Offer::Declined
+                        }
+                    }
+                    Choice::Evict { worker, victims } => {
+                        placer.evict(&ask, worker, &victims, now);
+                        evictions.extend(victims);
+                        Offer::Promised
+                    }
+                    Choice::Wait(Reason::Promised) => Offer::Promised,
+                    Choice::Wait(_) | Choice::Never(_) => Offer::Declined,
+                }
+            });
+            for (run, start) in starts {
+                self.start(at, run, start);
+            }
+            for victim in evictions {
+                self.evict_task(victim);
+            }
+        }
+    }
+
+    fn start(&mut self, cell: usize, id: u64, start: Start) {
+        let mut workers = self.workers.iter();
+        let on = |worker: &super::fleet::Worker| worker.cell == cell && worker.key == start.worker;
+        let Some(worker) = workers.position(on) else {
+            return;
+        };
+        let task = start.ask.task;
+        let job = &mut self.jobs[task.job];
+        let known = job.task(task.index);
+        if let State::Waiting(since) = known.state
+            && start.ask.profile.urgent
+        {
+            let waited = self.now.since(since);
+            self.tally.urgent_wait_ms = self.tally.urgent_wait_ms.max(waited);
+        }
+        known.state = State::Running(id);
+        let run = Run {
+            task,
+            worker,
+            name: start.ask.name,
+            profile: start.ask.profile,
+            committed: start.committed,
+            share: 1.0,
+            progress: known.checkpoint,
+            checkpoint: known.checkpoint,
+            checkpoint_due: self.now + CHECKPOINT_MS,
+            since: self.now,
+            stops: None,
+        };
+        self.workers[worker].runs.push(id);
+        self.runs.insert(id, run);
+    }
+
+    /// Lets all runs work for one tick.
+    pub(super) fn advance_runs(&mut self) {
+        let ids: Vec<u64> = self.runs.keys().copied().collect();
+        for id in ids {
+            let run = self.runs.get_mut(&id).expect("only this loop removes runs");
+            if self.workers[run.worker].bad {
+                if self.now.since(run.since) >= BAD_RUN_MS {
+                    self.fail(id);
+                }
+                continue;
+            }
+            let rate = self
+                .model
+                .rate(&run.name, &run.profile, run.committed, run.share);
+            let work = self.jobs[run.task.job].work_ms() as f64;
+            let done = (rate * TICK_MS as f64).min(work - run.progress);
+            run.progress += done;
+            self.tally.work_ms += done;
+            if self.now >= run.checkpoint_due {
+                run.checkpoint = run.progress;
+                run.checkpoint_due = self.now + CHECKPOINT_MS;
+            }
+            if run.progress >= work {
+                self.finish(id);
+            } else if run.stops.is_some_and(|stops| stops <= self.now) {
+                self.stop(id);
+            }
+        }
+    }
+
+    fn finish(&mut self, id: u64) {
+        let Some(run) = self.remove_run(id) else {
+            return;
+        };
+        self.succeed(run.worker);
+        let job = &mut self.jobs[run.task.job];
+        job.task(run.task.index).state = State::Ended;
+        let batch = self.tally.batch(&job.name);
+        batch.finished += 1;
+        batch.timely += u64::from(job.is_timely(self.now));
+    }
+
+    /// Ends an eviction: the task resumes from the checkpoint that it wrote.
+    fn stop(&mut self, id: u64) {
+        let Some(run) = self.remove_run(id) else {
+            return;
+        };
+        let resumed = (run.progress - RESUME_MS).max(0.0);
+        self.lose(run.progress - resumed);
+        self.resume(run.task, resumed, self.now);
+    }
+
+    fn fail(&mut self, id: u64) {
+        let Some(run) = self.remove_run(id) else {
+            return;
+        };
+        self.tally.failures += 1;
+        self.lose(run.progress - run.checkpoint);
+        self.jobs[run.task.job].task(run.task.index).avoid = Some(run.worker);
+        self.resume(run.task, run.checkpoint, self.now);
+        let worker = &mut self.workers[run.worker];
+        worker.streak += 1;
+        if worker.streak >= BAD_STREAK {
+            let (cell, key) = (worker.cell, worker.key);
+            let cell = &mut self.cells[cell];
+            cell.placer.set_state(key, WorkerState::Quarantined);
+            cell.chooser.closed.insert(key);
+            self.shunned.push((self.now + SHUN_MS, run.worker));
+        }
+    }
+
+    fn succeed(&mut self, worker: usize) {
+        let worker = &mut self.workers[worker];
+        if worker.streak >= BAD_STREAK {
+            let cell = &mut self.cells[worker.cell];
+            cell.placer.set_state(worker.key, WorkerState::Open);
+        }
+        worker.streak = 0;
+    }
+
+    fn lose(&mut self, work_ms: f64) {
+        self.tally.lost_ms += work_ms;
+        self.tally.work_ms -= work_ms;
+    }
+
+    fn resume(&mut self, task: TaskKey, checkpoint: f64, since: Monotonic) {
+        self.jobs[task.job].task(task.index).checkpoint = checkpoint;
+        self.enqueue(task, since);
+    }
+
+    /// Takes a run with all that it holds off its worker.
+    pub(super) fn remove_run(&mut self, id: u64) -> Option<Run> {
+        let run = self.runs.remove(&id)?;
+        let worker = &mut self.workers[run.worker];
+        worker.runs.retain(|other| *other != id);
+        self.cells[worker.cell].placer.vacate(worker.key, run.task);
+        Some(run)
+    }
+
+    /// Ends a run with its worker; its task waits until the lease has lapsed.
+    pub(super) fn lose_run(&mut self, id: u64) {
+        let Some(run) = self.remove_run(id) else {
+            return;
+        };
+        self.lose(run.progress - run.checkpoint);
+        let task = self.jobs[run.task.job].task(run.task.index);
+        task.state = State::Leased;
+        task.checkpoint = run.checkpoint;
+        self.leased.push((self.now + LEASE_MS, run.task));
+    }
+
+    /// Brings back tasks whose lease has lapsed and workers that were shunned.
+    pub(super) fn return_tasks(&mut self) {
+        let now = self.now;
+        let mut due: Vec<TaskKey> = Vec::new();
+        self.leased.retain(|(at, task)| {
+            let lapsed = *at <= now;
+            due.extend(lapsed.then_some(*task));
+            !lapsed
+        });
+        for task in due {
+            self.enqueue(task, now);
+        }
+        for (_, at) in self.shunned.extract_if(.., |(until, _)| *until <= now) {
+            let worker = &self.workers[at];
+            self.cells[worker.cell].chooser.closed.remove(&worker.key);
+        }
+    }
+
+    pub(super) fn relieve(&mut self) {
+        for at in 0..self.cells.len() {
+            for relief in self.cells[at].relieve(self.now) {
+                match relief {
+                    Relief::Throttle { task, share, .. } => self.throttle(task, share),
+                    Relief::Evict { task, .. } => self.evict_task(task),
+                }
+            }
+        }
+    }
+
+    fn throttle(&mut self, task: TaskKey, share: f64) {
+        let State::Running(id) = self.jobs[task.job].task(task.index).state else {
+            return;
+        };
+        if let Some(run) = self.runs.get_mut(&id) {
+            run.share = share;
+            self.tally.throttles += 1;
+        }
+    }
+
+    fn evict_task(&mut self, task: TaskKey) {
+        if let State::Running(id) = self.jobs[task.job].task(task.index).state {
+            self.evict(id);
+        }
+    }
+
+    pub(super) fn evict(&mut self, id: u64) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        if run.stops.is_none() {
+            run.stops = Some(self.now + run.profile.eviction.grace_ms);
+            self.tally.evictions += 1;
+        }
+    }
+
+    /// Counts urgent tasks that still wait at the end.
+    pub(super) fn note_urgent_left(&mut self) {
+        let urgent = self.jobs.values().filter(|job| job.profile.urgent);
+        let waits = urgent
+            .flat_map(|job| &job.tasks)
+            .filter_map(|task| match task.state {
+                State::Waiting(since) => Some(self.now.since(since)),
+                State::Running(_) | State::Leased | State::Ended => None,
+            });
+        let longest = waits.max().unwrap_or(0);
+        self.tally.urgent_wait_ms = self.tally.urgent_wait_ms.max(longest);
+    }
+}
+
+impl Start {
+    fn resident(&self, now: Monotonic, run: u64) -> Resident {
+        Resident {
+            task: self.ask.task,
+            run,
+            name: Arc::clone(&self.ask.name),
+            profile: Arc::clone(&self.ask.profile),
+            resources: self.committed,
+            since: now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/replay/serving.rs
@@ -0,0 +1,276 @@
+//! Workers of a replay, the requests that they answer and what they report.
+
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::cell::{Cell, Policy};
+use super::driver::{Driver, TICK_MS};
+use super::fleet::Worker;
+use super::model::{Beside, Model, normal};
+use super::tally::Answers;
+use super::trace::{Event, Kind};
+use crate::collections::HashMap;
+use crate::domain::{JobKey, Millis, Resources, TaskKey, WorkerKey};
+use crate::placement::{Resident, WorkerState};
+use crate::port::{LatencyReport, TaskUsage, Usage};
+
+const SAMPLES: u64 = 6;
+const REPORT_LAG_MS: Millis = 3_000;
+const REPORT_NOISE: f64 = 0.15;
+/// Load that reserved workers are sized for.
+const RESERVED_LOAD: f64 = 0.8;
+
+impl Driver<'_> {
+    /// Part of the workers that the peak of the requests needs.
+    pub(super) fn peak_part(&self) -> f64 {
+        let mut peaks: HashMap<&str, f64> = HashMap::default();
+        let mut workers = 0;
+        for entry in &self.trace.entries {
+            match &entry.event {
+                Event::Load { profile, rate } => {
+                    let peak = peaks.entry(profile).or_default();
+                    *peak = peak.max(*rate);
+                }
+                Event::Workers { count, .. } => workers += count,
+                _ => {}
+            }
+        }
+        let needed = self.kinds.iter().map(|(kind, _)| {
+            let peak = peaks.get(kind.profile.as_str()).copied().unwrap_or(0.0);
+            peak / kind.capacity
+        });
+        needed.sum::<f64>() / RESERVED_LOAD / workers.max(1) as f64
+    }
+
+    pub(super) fn add_workers(
+        &mut self,
+        zone: &str,
+        count: usize,
+        per_rack: usize,
+        capacity: Resources,
+    ) {
+        let cell = self.zones.len();
+        self.zones.push(zone.to_owned());
+        let cell_seed = self.seed ^ (cell as u64 + 1);
+        let mut added = Cell::new(self.policy, cell_seed);
+        added.placer.declare(Arc::clone(&self.declared), 1.0);
+        self.cells.push(added);
+        let reserved = (self.reserved_part * count as f64).ceil() as usize;
+        for at in 0..count {
+            self.workers.push(Worker {
+                name: format!("{zone}-{at}"),
+                rack: format!("{zone}-rack-{}", at / per_rack),
+                cell,
+                key: WorkerKey::default(),
+                capacity,
+                up: false,
+                bad: false,
+                serves: self.policy != Policy::Reserved || at < reserved,
+                streak: 0,
+                runs: Vec::new(),
+                reports: std::collections::VecDeque::new(),
+            });
+            self.bring_up(self.workers.len() - 1);
+        }
+    }
+
+    pub(super) fn bring_up(&mut self, at: usize) {
+        let worker = &mut self.workers[at];
+        if worker.up {
+            return;
+        }
+        worker.up = true;
+        worker.streak = 0;
+        let cell = &mut self.cells[worker.cell];
+        worker.key = cell
+            .placer
+            .add_worker(worker.capacity, &worker.rack, WorkerState::Open);
+        cell.chooser.order.push(worker.key);
+        if worker.serves && self.policy == Policy::Reserved {
+            cell.chooser.reserved.insert(worker.key);
+        }
+        if worker.serves {
+            self.settle_upstream(at);
+        }
+    }
+
+    /// Commits what the worker's upstream takes.
+    fn settle_upstream(&mut self, at: usize) {
+        let worker = &self.workers[at];
+        let services: Vec<JobKey> = self.kinds.iter().map(|(_, job)| *job).collect();
+        for job in services {
+            self.next_run += 1;
+            let service = &self.jobs[job];
+            let index = u32::try_from(at).unwrap_or(u32::MAX);
+            let resident = Resident {
+                task: TaskKey { job, index },
+                run: self.next_run,
+                name: Arc::clone(&service.name),
+                profile: Arc::clone(&service.profile),
+                resources: service.profile.resources,
+                since: self.now,
+            };
+            let placer = &mut self.cells[worker.cell].placer;
+            // An upstream larger than its worker shows as batch finding no room.
+            let _ = placer.occupy(worker.key, resident);
+        }
+    }
+
+    pub(super) fn take_down(&mut self, at: usize) {
+        if !self.workers[at].up {
+            return;
+        }
+        for run in self.workers[at].runs.clone() {
+            self.lose_run(run);
+        }
+        let worker = &mut self.workers[at];
+        worker.up = false;
+        worker.reports.clear();
+        let cell = &mut self.cells[worker.cell];
+        cell.placer.remove_worker(worker.key);
+        cell.chooser.order.retain(|key| *key != worker.key);
+    }
+
+    /// Answers the requests of one tick and measures them.
+    pub(super) fn serve(&mut self) {
+        let serving: Vec<usize> = (0..self.workers.len())
+            .filter(|at| self.is_serving(*at))
+            .collect();
+        let load = self.load(serving.len());
+        // The draws depend on the seed and the time alone, so that policies
+        // are compared on the same requests.
+        let stream = self.seed.wrapping_mul(1_000_003) ^ self.now.0;
+        let mut rng = ChaCha8Rng::seed_from_u64(stream);
+        for at in 0..self.workers.len() {
+            if !self.workers[at].up {
+                continue;
+            }
+            let mut latency = Vec::new();
+            if serving.contains(&at) {
+                for (kind, _) in self.kinds.clone() {
+                    latency.push(self.answer(at, &kind, load, serving.len(), &mut rng));
+                }
+            }
+            let usage = self.usage(at, latency);
+            let now = self.now;
+            self.workers[at].reports.push_back((now, usage));
+        }
+    }
+
+    fn is_serving(&self, at: usize) -> bool {
+        let worker = &self.workers[at];
+        worker.up && worker.serves && self.cells[worker.cell].in_service
+    }
+
+    /// Part of its capacity that each of the serving workers uses.
+    fn load(&self, serving: usize) -> f64 {
+        let loads = self
+            .kinds
+            .iter()
+            .map(|(kind, _)| self.rate(kind) / kind.capacity / serving.max(1) as f64);
+        loads.sum()
+    }
+
+    fn rate(&self, kind: &Kind) -> f64 {
+        self.rates.get(&kind.profile).copied().unwrap_or(0.0)
+    }
+
+    fn answer(
+        &mut self,
+        at: usize,
+        kind: &Kind,
+        load: f64,
+        serving: usize,
+        rng: &mut ChaCha8Rng,
+    ) -> LatencyReport {
+        let ratio = self.model.ratio(kind, load, &self.beside(at));
+        let per_tick = self.rate(kind) / serving.max(1) as f64 * TICK_MS as f64 / 1_000.0;
+        let weight = ((per_tick / SAMPLES as f64).round() as u64).max(1);
+        let profile = &self.declared.profiles[&kind.profile];
+        let target_us = profile.target_ms as f64 * 1_000.0;
+        let answers = self
+            .tally
+            .kinds
+            .entry(kind.profile.clone())
+            .or_insert_with(|| Answers::new(profile.worth));
+        for _ in 0..SAMPLES {
+            let latency_us = Model::latency_us(kind, ratio, rng);
+            answers.record(latency_us, target_us, weight);
+        }
+        let (p50, p99) = Model::percentiles(kind, ratio);
+        let noise = (REPORT_NOISE * normal(&mut self.rng)).exp();
+        LatencyReport {
+            profile: kind.profile.clone(),
+            count: per_tick.round() as u64,
+            p50_us: (p50 * noise) as u64,
+            p99_us: (p99 * noise) as u64,
+        }
+    }
+
+    /// Batch tasks beside the upstream of a worker.
+    fn beside(&self, at: usize) -> Vec<Beside<'_>> {
+        let mut all: Vec<Beside<'_>> = Vec::new();
+        for id in &self.workers[at].runs {
+            let run = &self.runs[id];
+            match all.iter_mut().find(|beside| *beside.profile == *run.name) {
+                Some(beside) => beside.share += run.share,
+                None => all.push(Beside {
+                    profile: &run.name,
+                    share: run.share,
+                }),
+            }
+        }
+        all
+    }
+
+    fn usage(&self, at: usize, latency: Vec<LatencyReport>) -> Usage {
+        let tasks = self.workers[at].runs.iter().map(|id| {
+            let run = &self.runs[id];
+            let (millicores, memory_mib) =
+                self.model
+                    .usage(&run.name, &run.profile, run.committed, run.share);
+            TaskUsage {
+                run: *id,
+                millicores,
+                memory_mib,
+            }
+        });
+        Usage {
+            age_ms: 0,
+            tasks: tasks.collect(),
+            latency,
+        }
+    }
+
+    /// Hands over the reports that have arrived.
+    pub(super) fn deliver_reports(&mut self) {
+        for worker in &mut self.workers {
+            let arrived = |(at, _): &mut (_, _)| self.now.since(*at) >= REPORT_LAG_MS;
+            while let Some((at, mut usage)) = worker.reports.pop_front_if(arrived) {
+                usage.age_ms = self.now.since(at);
+                self.cells[worker.cell].observe(worker.key, &usage, self.now);
+            }
+        }
+    }
+
+    /// Counts workers whose runs and upstream hold more than its size.
+    pub(super) fn check_commitments(&mut self) {
+        for at in 0..self.workers.len() {
+            let committed = self.committed(at);
+            if self.workers[at].up && !committed.fits(self.workers[at].capacity) {
+                self.tally.overcommits += 1;
+            }
+        }
+    }
+
+    fn committed(&self, at: usize) -> Resources {
+        let worker = &self.workers[at];
+        let runs = worker.runs.iter().map(|id| self.runs[id].committed);
+        let services = self.kinds.iter().filter(|_| worker.serves);
+        let upstream = services.map(|(_, job)| self.jobs[*job].profile.resources);
+        runs.chain(upstream)
+            .fold(Resources::ZERO, |sum, next| sum + next)
+    }
+}
--- a/testsuite/tests/testsuite/interference/field.rs
+++ b/testsuite/tests/testsuite/interference/field.rs
@@ -74,6 +74,12 @@
         1.0 + added.sum::<f64>()
     }
 
+    /// Whether every batch task has all of its processors.
+    pub fn is_unthrottled(&self) -> bool {
+        let mut runs = self.loads.iter().flat_map(|load| &load.runs);
+        runs.all(|(_, share)| *share == 1.0)
+    }
+
     fn truth_of(&self, name: &str) -> f64 {
         let known = self.truth.iter().find(|(known, _)| *known == name);
         known.map_or(0.0, |(_, slope)| *slope)
