Give all changes of a transaction one index

The store numbered each operation of a transaction apart, while Consul gives all of them the transaction's index, and the adapter returns the largest. A writer's next compare-and-swap then missed its own change: a demo of 6 s had 129 commits that failed and were settled by reading back (150 seconds down reported by shards that the store had answered).

The demo writes the daemons' events to a file on demand, and shortens ramps to the time that it has.

--- a/crates/standin/src/command/demo.rs
+++ b/crates/standin/src/command/demo.rs
@@ -1,5 +1,6 @@
 //! Subcommand that runs a whole deployment.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
@@ -20,6 +21,9 @@
     /// Seed of the load and of the workers' draws.
     #[bpaf(argument("N"), fallback(1))]
     seed: u64,
+    /// File that gets the log events of all daemons.
+    #[bpaf(argument("FILE"))]
+    log: Option<PathBuf>,
     /// Prints JSON instead of tables.
     json: bool,
 }
@@ -29,6 +33,7 @@
         deployment: options.deployment,
         seconds: options.seconds,
         seed: options.seed,
+        log: options.log,
     };
     let report = demo::run(demo).await.context(DemoSnafu)?;
     if options.json {
--- a/crates/standin/src/demo/events.rs
+++ b/crates/standin/src/demo/events.rs
@@ -1,10 +1,16 @@
 //! Log events of the daemons, counted as they come.
 
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::Write as _;
+use std::path::Path;
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
 use log::{LevelFilter, Log, Metadata, Record};
 use serde_json::Value;
+use snafu::ResultExt;
+
+use super::error::{DemoError, WriteSnafu};
 
 /// Target of the daemons' events.
 const TARGET: &str = "event";
@@ -19,6 +25,7 @@
 struct Seen {
     counts: BTreeMap<String, u64>,
     pressure: BTreeMap<(String, String), f64>,
+    file: Option<File>,
 }
 
 impl Events {
@@ -32,6 +39,13 @@
         events
     }
 
+    /// Appends every event to a new file as well.
+    pub(super) fn write_to(&self, path: &Path) -> Result<(), DemoError> {
+        let file = File::create(path).context(WriteSnafu { path })?;
+        self.seen().file = Some(file);
+        Ok(())
+    }
+
     /// Number of events by name.
     pub(super) fn counts(&self) -> BTreeMap<String, u64> {
         self.seen().counts.clone()
@@ -54,6 +68,12 @@
             return;
         };
         let mut seen = self.seen();
+        if let Some(file) = &mut seen.file
+            && let Err(error) = writeln!(file, "{event}")
+        {
+            eprintln!("the log cannot be written: {error}");
+            seen.file = None;
+        }
         if name == "pressure" {
             let pair = text("source").zip(text("victim"));
             let slowdown = event.get("slowdown").and_then(Value::as_f64);
--- a/crates/standin/src/demo/session.rs
+++ b/crates/standin/src/demo/session.rs
@@ -1,6 +1,7 @@
 //! The course of a demo.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -31,11 +32,13 @@
 const CALL_LIMIT_MS: Millis = 10_000;
 /// Lag of the list of workers, in milliseconds.
 const LIST_LAG_MS: Millis = 1_000;
+/// Ramps of a returning zone that would fit into the demo's time.
+const RAMP_PARTS: u64 = 10;
 /// When the zone is taken out and brought back, as shares of the demo's time.
 const OUTAGE: (f64, f64) = (0.35, 0.65);
 
 /// What to run.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Options {
     /// Deployment.
     pub deployment: Deployment,
@@ -43,6 +46,8 @@
     pub seconds: u64,
     /// Seed of the load and of the workers' draws.
     pub seed: u64,
+    /// File that gets the log events of all daemons.
+    pub log: Option<PathBuf>,
 }
 
 /// Runs a demo to its end.
@@ -52,14 +57,18 @@
 /// When something does not start or the operators' interface fails.
 pub async fn run(options: Options) -> Result<Report, DemoError> {
     let events = Events::install();
+    if let Some(path) = &options.log {
+        events.write_to(path)?;
+    }
     let deployment = options.deployment;
     let traffic = deployment.traffic()?;
     let mut declarations = deployment.declarations()?;
+    compress(&mut declarations, options.seconds);
     let folder = Folder::create(&mut declarations)?;
-    let platform = start_platform(options).await?;
+    let platform = start_platform(&options).await?;
     let hosts = start_hosts(deployment, &platform, &folder, &declarations).await?;
 
-    let (requests, jobs, zone) = drive(options, &traffic, &declarations, &hosts, &folder).await?;
+    let (requests, jobs, zone) = drive(&options, &traffic, &declarations, &hosts, &folder).await?;
     let (zone, outage) = zone;
     join_all(hosts.into_iter().map(EntryHost::stop)).await;
 
@@ -81,7 +90,14 @@
     })
 }
 
-async fn start_platform(options: Options) -> Result<Platform, DemoError> {
+/// Shortens the ramp of returning zones to the time that the demo has.
+fn compress(declarations: &mut Declarations, seconds: u64) {
+    for zone in declarations.zones.values_mut() {
+        zone.ramp_ms = zone.ramp_ms.min(seconds.saturating_mul(1_000) / RAMP_PARTS);
+    }
+}
+
+async fn start_platform(options: &Options) -> Result<Platform, DemoError> {
     let pool = options.deployment.pool()?;
     let mut parts = Parts::new(pool.settings(options.seed));
     if let Some((_, list)) = &mut parts.hosts {
@@ -117,7 +133,7 @@
 
 /// Sends the load, submits the jobs and operates the zone, all at once.
 async fn drive(
-    options: Options,
+    options: &Options,
     traffic: &Traffic,
     declarations: &Declarations,
     hosts: &[EntryHost],
@@ -165,7 +181,7 @@
 }
 
 fn plan(
-    options: Options,
+    options: &Options,
     traffic: &Traffic,
     declarations: &Declarations,
     hosts: &[EntryHost],
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     index: u64,
+    /// Whether further changes belong to the one that brought the index.
+    joined: bool,
     keys: BTreeMap<String, Kv>,
     /// Index of the deletion of each deleted key, so that watches see deletions.
     deleted: BTreeMap<String, u64>,
@@ -39,6 +41,7 @@
     fn default() -> Self {
         Self {
             index: 1,
+            joined: false,
             keys: BTreeMap::new(),
             deleted: BTreeMap::new(),
             sessions: HashMap::default(),
@@ -138,9 +141,11 @@
 
     pub(super) fn delete_tree(&mut self, prefix: &str) {
         let keys: Vec<String> = self.under(prefix).map(|(key, _)| key.clone()).collect();
-        for key in keys {
-            self.delete(&key);
-        }
+        self.join(|state| {
+            for key in keys {
+                state.delete(&key);
+            }
+        });
     }
 
     pub(super) fn create_session(&mut self, ttl_ms: Millis, now: Monotonic) -> String {
@@ -166,8 +171,8 @@
         let held = |kv: &Kv| kv.session.as_deref() == Some(id);
         let keys = self.keys.iter().filter(|(_, kv)| held(kv));
         let keys: Vec<String> = keys.map(|(key, _)| key.clone()).collect();
+        let index = self.next();
         for key in keys {
-            let index = self.next();
             if let Some(kv) = self.keys.get_mut(&key) {
                 kv.session = None;
                 kv.modify = index;
@@ -184,9 +189,13 @@
         }
     }
 
-    /// Point that [`State::rewind`] goes back to.
-    pub(super) fn mark(&self) -> u64 {
-        self.index
+    /// Makes several changes under one index.
+    pub(super) fn join<T>(&mut self, changes: impl FnOnce(&mut Self) -> T) -> T {
+        self.next();
+        self.joined = true;
+        let result = changes(self);
+        self.joined = false;
+        result
     }
 
     pub(super) fn save(&self, key: &str) -> Saved {
@@ -214,7 +223,7 @@
     }
 
     fn next(&mut self) -> u64 {
-        self.index += 1;
+        self.index += u64::from(!self.joined);
         self.index
     }
 }
--- a/crates/standin/src/store/txn.rs
+++ b/crates/standin/src/store/txn.rs
@@ -39,8 +39,8 @@
 #[derive(Debug, Default, Serialize)]
 #[serde(rename_all = "PascalCase")]
 pub(super) struct WireTxn {
-    results: Option<Vec<WireResult>>,
-    errors: Option<Vec<WireError>>,
+    results: Vec<WireResult>,
+    errors: Vec<WireError>,
 }
 
 #[derive(Debug, Serialize)]
@@ -65,7 +65,7 @@
 
 impl WireTxn {
     pub(super) fn is_committed(&self) -> bool {
-        self.errors.is_none()
+        self.errors.is_empty()
     }
 }
 
@@ -79,34 +79,32 @@
     }
 }
 
-/// Applies `ops` to `state`, or none of them.
+/// Applies `ops` to `state` under one index, or none of them.
 pub(super) fn apply(state: &mut State, ops: &[WireOp]) -> WireTxn {
-    let before = state.mark();
+    let before = state.index();
     let mut undo = Vec::new();
-    let mut errors = Vec::new();
-    let mut results = Vec::new();
-    for (op_index, op) in ops.iter().enumerate() {
-        undo.push(state.save(&op.kv.key));
-        match step(state, &op.kv) {
-            Ok(Some(kv)) => results.push(WireResult { kv }),
-            Ok(None) => {}
-            Err(what) => errors.push(WireError { op_index, what }),
+    let outcomes: Vec<_> = state.join(|state| {
+        let each = ops.iter().map(|op| {
+            undo.push(state.save(&op.kv.key));
+            step(state, &op.kv)
+        });
+        each.collect()
+    });
+    let mut answer = WireTxn::default();
+    for (op_index, outcome) in outcomes.into_iter().enumerate() {
+        match outcome {
+            Ok(kv) => answer.results.extend(kv.map(|kv| WireResult { kv })),
+            Err(what) => answer.errors.push(WireError { op_index, what }),
         }
     }
-    if errors.is_empty() {
-        return WireTxn {
-            results: Some(results),
-            errors: None,
-        };
-    }
-    for saved in undo.into_iter().rev() {
-        state.restore(saved);
-    }
-    state.rewind(before);
-    WireTxn {
-        results: None,
-        errors: Some(errors),
+    if !answer.is_committed() {
+        answer.results.clear();
+        for saved in undo.into_iter().rev() {
+            state.restore(saved);
+        }
+        state.rewind(before);
     }
+    answer
 }
 
 fn step(state: &mut State, op: &WireKv) -> Result<Option<WireModified>, String> {
--- a/testsuite/tests/testsuite/standin/store.rs
+++ b/testsuite/tests/testsuite/standin/store.rs
@@ -208,6 +208,17 @@
     assert_eq!(next.modify, index + 1);
 }
 
+#[tokio::test]
+async fn all_changes_of_a_transaction_have_its_index() {
+    let (_store, client) = start().await;
+    let ops = [set("a"), set("b"), set("c")];
+    let outcome = client.transact(&ops).await.unwrap();
+    for key in ["a", "b", "c"] {
+        let index = client.get(key).await.unwrap().unwrap().modify;
+        assert_eq!(outcome, Txn::Committed { index });
+    }
+}
+
 #[tokio::test]
 async fn refuses_what_is_too_large() {
     let (store, client) = start().await;
