--- a/crates/standin/src/demo/events.rs
+++ b/crates/standin/src/demo/events.rs
@@ -11,6 +11,7 @@
 use snafu::ResultExt;
 
 use super::error::{DemoError, WriteSnafu};
+use super::operator::wall_ms;
 
 /// Target of the daemons' events.
 const TARGET: &str = "event";
@@ -69,7 +70,7 @@
         };
         let mut seen = self.seen();
         if let Some(file) = &mut seen.file
-            && let Err(error) = writeln!(file, "{event}")
+            && let Err(error) = writeln!(file, r#"{{"time":{},"entry":{event}}}"#, wall_ms())
         {
             eprintln!("the log cannot be written: {error}");
             seen.file = None;
--- a/crates/standin/src/demo/operator.rs
+++ b/crates/standin/src/demo/operator.rs
@@ -111,7 +111,8 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn wall_ms() -> Millis {
+/// Wall-clock time in milliseconds since the Unix epoch.
+pub(super) fn wall_ms() -> Millis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, millis)
 }
