--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -21,8 +21,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     index: u64,
-    /// Index before the transaction under way, all of whose changes share the next one.
-    txn: Option<u64>,
+    /// Whether further changes belong to the one that brought the index.
+    joined: bool,
     keys: BTreeMap<String, Kv>,
     /// Index of the deletion of each deleted key, so that watches see deletions.
     deleted: BTreeMap<String, u64>,
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             index: 1,
-            txn: None,
+            joined: false,
             keys: BTreeMap::new(),
             deleted: BTreeMap::new(),
             sessions: HashMap::default(),
@@ -141,9 +141,11 @@
 
     pub(super) fn delete_tree(&mut self, prefix: &str) {
         let keys: Vec<String> = self.under(prefix).map(|(key, _)| key.clone()).collect();
-        for key in keys {
-            self.delete(&key);
-        }
+        self.join(|state| {
+            for key in keys {
+                state.delete(&key);
+            }
+        });
     }
 
     pub(super) fn create_session(&mut self, ttl_ms: Millis, now: Monotonic) -> String {
@@ -169,8 +171,8 @@
         let held = |kv: &Kv| kv.session.as_deref() == Some(id);
         let keys = self.keys.iter().filter(|(_, kv)| held(kv));
         let keys: Vec<String> = keys.map(|(key, _)| key.clone()).collect();
+        let index = self.next();
         for key in keys {
-            let index = self.next();
             if let Some(kv) = self.keys.get_mut(&key) {
                 kv.session = None;
                 kv.modify = index;
@@ -187,14 +189,13 @@
         }
     }
 
-    /// Begins a transaction, which ends by [`State::end`] or [`State::rewind`].
-    pub(super) fn begin(&mut self) {
-        self.txn = Some(self.index);
-    }
-
-    /// Ends a transaction that took effect.
-    pub(super) fn end(&mut self) {
-        self.txn = None;
+    /// Makes several changes under one index.
+    pub(super) fn join<T>(&mut self, changes: impl FnOnce(&mut Self) -> T) -> T {
+        self.next();
+        self.joined = true;
+        let result = changes(self);
+        self.joined = false;
+        result
     }
 
     pub(super) fn save(&self, key: &str) -> Saved {
@@ -217,13 +218,12 @@
         }
     }
 
-    /// Ends a transaction whose changes have been undone.
-    pub(super) fn rewind(&mut self) {
-        self.index = self.txn.take().unwrap_or(self.index);
+    pub(super) fn rewind(&mut self, index: u64) {
+        self.index = index;
     }
 
     fn next(&mut self) -> u64 {
-        self.index = self.txn.unwrap_or(self.index) + 1;
+        self.index += u64::from(!self.joined);
         self.index
     }
 }
