--- a/crates/verbenahitch/src/cmd/mod.rs
+++ b/crates/verbenahitch/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod job;
 mod remote;
+mod replay;
 mod status;
 mod submit;
 mod zone;
@@ -72,6 +73,9 @@
     /// Print the digest of a team's token, for the declarations
     #[bpaf(command)]
     Digest(#[bpaf(external(digest::args))] digest::Args),
+    /// Replay a recorded trace through the decisions and baselines
+    #[bpaf(command)]
+    Replay(#[bpaf(external(replay::args))] replay::Args),
     /// Run the gateway daemon
     #[bpaf(command)]
     Gateway(#[bpaf(external(daemon::args))] daemon::Args),
@@ -94,6 +98,7 @@
             Self::Job(args) => args.execute(),
             Self::Cancel(args) => args.execute(),
             Self::Digest(args) => args.execute(),
+            Self::Replay(args) => args.execute(),
             Self::Gateway(args) => args.execute(daemon::Role::Gateway),
             Self::Scheduler(args) => args.execute(daemon::Role::Scheduler),
         }
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -42,7 +42,6 @@
     Started = 1, "started", Info, "A process has started and listens.";
     Stopping = 2, "stopping", Info, "A process was told to stop and finishes what is in progress.";
     Stopped = 3, "stopped", Info, "A process has finished all that was in progress.";
-    SettingsFault = 4, "settings-fault", Error, "The settings have a fault.";
     Routed = 100, "routed", Info, "A request was given to an upstream.";
     Answered = 101, "answered", Info, "A request got its final answer.";
     Refused = 102, "refused", Info, "A request was refused and has not run.";
--- a/crates/verbenahitch/src/scheduler/daemon/driver.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/driver.rs
@@ -10,6 +10,7 @@
 use super::commit::Writer;
 use crate::adapter::Workers;
 use crate::collections::HashMap;
+use crate::domain::Monotonic;
 use crate::event::{Entry, Kind};
 use crate::port::{Clock, SyncRequest};
 use crate::scheduler::{Action, Answer, Batch, Input, Request, Shard, ShardStatus, SubmitError};
@@ -17,6 +18,9 @@
 /// Longest time between two steps, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 100;
 
+/// Least time between two publications of the status, in milliseconds.
+const PUBLISH_MS: u64 = 200;
+
 /// Longest time that a release waits for the store, in milliseconds.
 const RELEASE_LIMIT_MS: u64 = 3_000;
 
@@ -66,6 +70,7 @@
     asked: u64,
     syncs: tokio::task::JoinSet<()>,
     status: tokio::sync::watch::Sender<ShardStatus>,
+    publish_due: Monotonic,
 }
 
 impl Driver {
@@ -95,6 +100,7 @@
             asked: 0,
             syncs: tokio::task::JoinSet::new(),
             status,
+            publish_due: Monotonic::default(),
         }
     }
 
@@ -130,6 +136,15 @@
                     return self.finish(Ended::Released { settled }).await;
                 }
             }
+            self.publish();
+        }
+    }
+
+    /// Publishes the shard's status, whose cost grows with the shard, now and then.
+    fn publish(&mut self) {
+        let now = self.clock.now();
+        if now >= self.publish_due {
+            self.publish_due = now + PUBLISH_MS;
             self.status.send_replace(self.shard.status());
         }
     }
@@ -203,7 +218,12 @@
 
     /// Waits for all that is under way, so that nothing of this owner acts later.
     async fn finish(mut self, ended: Ended) -> Ended {
-        let _silent = self.shard.step(Input::Lost, self.clock.now());
+        let now = self.clock.now();
+        for action in self.shard.step(Input::Lost, now) {
+            if let (Action::Log(entry), Ended::Superseded) = (action, ended) {
+                entry.emit();
+            }
+        }
         while self.syncs.join_next().await.is_some() {}
         drop(self.commits);
         self.writer.await.ok();
--- a/crates/verbenahitch/src/scheduler/daemon/mod.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod acquire;
 mod commit;
 mod driver;
+mod errand;
 pub(crate) mod keys;
 mod owner;
 mod session;
--- a/crates/verbenahitch/src/scheduler/daemon/owner.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/owner.rs
@@ -8,6 +8,7 @@
 use tokio::task::JoinHandle;
 
 use super::acquire::{self, Acquired};
+use super::errand::{Errand, Found};
 use super::commit::Writer;
 use super::driver::{Driver, Ended, Message, not_owner, ownership};
 use super::process_name;
@@ -54,7 +55,9 @@
     permits: HashMap<String, Permit>,
     owned: HashMap<ShardId, Owned>,
     vacant: HashMap<ShardId, Monotonic>,
+    errand: Option<JoinHandle<Found>>,
     looks: u64,
+    inbox_due: u64,
 }
 
 impl Owner {
@@ -81,7 +84,9 @@
             permits: HashMap::default(),
             owned: HashMap::default(),
             vacant: HashMap::default(),
+            errand: None,
             looks: 0,
+            inbox_due: 0,
         }
     }
 
@@ -131,8 +136,7 @@
         self.drop_lost(session.as_ref()).await;
         if let Some(session) = session {
             self.feed(&session, now);
-            self.read_inboxes().await;
-            self.acquire_vacant(&session, now).await;
+            self.consult_store(&session, now).await;
         }
         self.publish();
     }
@@ -170,7 +174,6 @@
             if let Some(owned) = self.owned.remove(&shard) {
                 owned.sender.send(Message::Input(Input::Lost)).ok();
                 owned.driver.await.ok();
-                ownership(Kind::ShardLost, &shard.to_string(), owned.epoch).emit();
             }
         }
     }
@@ -204,13 +207,41 @@
         }
     }
 
-    async fn read_inboxes(&mut self) {
-        if !self.looks.is_multiple_of(INBOX_LOOKS) {
+    /// Takes in what the store said, and asks it for what is due next.
+    ///
+    /// The store may take long to answer; permits and leases are fed meanwhile.
+    async fn consult_store(&mut self, session: &Session, now: Monotonic) {
+        if self.errand.as_ref().is_some_and(|errand| !errand.is_finished()) {
             return;
         }
-        for (shard, owned) in &mut self.owned {
-            let Ok(records) = acquire::handed(&self.store, shard).await else {
-                return;
+        if let Some(errand) = self.errand.take() {
+            let found = errand.await.unwrap_or_default();
+            self.take_in(found, session);
+        }
+        let inboxes: Vec<ShardId> = if self.looks >= self.inbox_due {
+            self.inbox_due = self.looks + INBOX_LOOKS;
+            self.owned.keys().cloned().collect()
+        } else {
+            Vec::new()
+        };
+        let vacant = self.wanted(now);
+        if inboxes.is_empty() && vacant.is_empty() {
+            return;
+        }
+        let errand = Errand {
+            store: self.store.clone(),
+            session: session.clone(),
+            name: self.name.clone(),
+            inboxes,
+            vacant,
+        };
+        self.errand = Some(tokio::spawn(errand.run()));
+    }
+
+    fn take_in(&mut self, found: Found, session: &Session) {
+        for (shard, records) in found.handed {
+            let Some(owned) = self.owned.get_mut(&shard) else {
+                continue;
             };
             for record in records {
                 if owned.handed.insert(record.id.clone()) {
@@ -218,21 +249,10 @@
                 }
             }
         }
-    }
-
-    async fn acquire_vacant(&mut self, session: &Session, now: Monotonic) {
-        for shard in self.wanted(now) {
-            let id = session.id.as_str();
-            match acquire::acquire(&self.store, &shard, id, &self.name).await {
-                Ok(Some(acquired)) => {
-                    let owned = self.drive(&shard, session, acquired);
-                    self.owned.insert(shard, owned);
-                }
-                Ok(None) => {}
-                Err(error) => {
-                    log::warn!("shard {shard} could not be acquired: {error}");
-                    return;
-                }
+        for (shard, under, acquired) in found.acquired {
+            if under == session.id {
+                let owned = self.drive(&shard, session, acquired);
+                self.owned.insert(shard, owned);
             }
         }
     }
@@ -263,10 +283,6 @@
 
     fn drive(&self, shard: &ShardId, session: &Session, acquired: Acquired) -> Owned {
         let epoch = acquired.epoch;
-        ownership(Kind::ShardAcquired, &shard.to_string(), epoch)
-            .with("jobs", acquired.jobs.len())
-            .with("released", acquired.released)
-            .emit();
         let params = Params::new(shard.clone(), &self.name, &self.settings.scheduler, epoch);
         let logic = Shard::new(params);
         let (status, watched) = watch::channel(logic.status());
@@ -322,6 +338,10 @@
     }
 
     async fn release_all(mut self) {
+        if let Some(errand) = self.errand.take() {
+            // A shard that is acquired now is unlocked by the end of the session.
+            errand.await.ok();
+        }
         let session = self.sessions.borrow().clone();
         let owned: Vec<(ShardId, Owned)> = self.owned.drain().collect();
         for (_, owned) in &owned {
--- a/crates/verbenahitch/src/scheduler/message.rs
+++ b/crates/verbenahitch/src/scheduler/message.rs
@@ -264,6 +264,20 @@
     pub running: u32,
     /// Workers.
     pub workers: Vec<WorkerStatus>,
+    /// Whose work presses on whose, the strongest first.
+    pub pressures: Vec<PressureStatus>,
+}
+
+/// How strongly one profile presses on another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct PressureStatus {
+    /// Profile that is slowed.
+    pub victim: String,
+    /// Profile that slows it.
+    pub source: String,
+    /// Estimated time of the victim beside one task of the source, in percent of its time alone.
+    pub slowdown_percent: u32,
 }
 
 /// How a worker stands.
--- a/crates/verbenahitch/src/scheduler/mod.rs
+++ b/crates/verbenahitch/src/scheduler/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) use daemon::keys;
 pub use daemon::{DaemonError, Running, run, start};
 pub use message::{
-    Action, Answer, Batch, CommitError, Input, JobStatus, Request, ShardStatus, SubmitError,
-    WorkerStatus, Write,
+    Action, Answer, Batch, CommitError, Input, JobStatus, PressureStatus, Request, ShardStatus,
+    SubmitError, WorkerStatus, Write,
 };
 pub use shard::{Params, Shard};
--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -19,6 +19,7 @@
 mod job;
 mod lane;
 mod params;
+mod pressures;
 mod recovery;
 mod requests;
 mod starts;
@@ -41,6 +42,7 @@
 use commit::Committer;
 use job::{Job, Phase};
 use lane::Lanes;
+use pressures::Reported;
 use worker::Worker;
 
 pub use params::Params;
@@ -104,6 +106,7 @@
     pass_due: Monotonic,
     moves_due: Monotonic,
     relief_due: Monotonic,
+    reported: Reported,
     out: Vec<Action>,
 }
 
@@ -139,6 +142,7 @@
             pass_due: Monotonic::default(),
             moves_due: Monotonic::default(),
             relief_due: Monotonic::default(),
+            reported: Reported::default(),
             out: Vec::new(),
         }
     }
@@ -220,6 +224,7 @@
         self.move_jobs(now);
         self.mark_ahead(now);
         self.relieve(now);
+        self.report_pressures(now);
         self.start_ready(now);
         self.begin_commit(now);
         self.flush_syncs(now);
--- a/crates/verbenahitch/src/scheduler/shard/status.rs
+++ b/crates/verbenahitch/src/scheduler/shard/status.rs
@@ -31,6 +31,7 @@
             queued: self.queued(),
             running: count(self.runs.len()),
             workers,
+            pressures: self.pressures(),
         }
     }
 
--- a/testsuite/tests/testsuite/membership/peers.rs
+++ b/testsuite/tests/testsuite/membership/peers.rs
@@ -78,6 +78,7 @@
         queued: 0,
         running: 0,
         workers: Vec::new(),
+        pressures: Vec::new(),
     });
     let answering = answer.clone();
     let serve = tokio::spawn(async move {
