Prove zone permits and split ownership with the mechanism in reach

The first tables left some mechanisms untried: the old owner learned of the new epoch from the other workers, and no marked task was waiting for room when the zone was taken out.

--- a/testsuite/tests/testsuite/scheduler/failures.rs
+++ b/testsuite/tests/testsuite/scheduler/failures.rs
@@ -9,7 +9,7 @@
 
 use super::fake_worker::FAILING_PAYLOAD;
 use super::history::Seen;
-use super::world::{CAPACITY, OUTAGE_MS, PERMIT_MS, TASK_LEASE_MS, Weather, World, spec};
+use super::world::{CAPACITY, OUTAGE_MS, PERMIT_MS, RENEW_MS, TASK_LEASE_MS, Weather, World, spec};
 
 const SEED: u64 = 7;
 const TASKS: u32 = 6;
@@ -192,10 +192,12 @@
     assert_promises(&world);
 }
 
-/// The owner cannot reach the store and the next one cannot reach w0.
+/// The owner reaches nothing but w0, and the next one all but w0.
 fn split(world: &mut World) {
     world.owners[0].cut = true;
-    world.cuts.insert((1, "w0".to_owned()));
+    for (owner, worker) in [(0, "w1"), (0, "w2"), (1, "w0")] {
+        world.cuts.insert((owner, worker.to_owned()));
+    }
 }
 
 /// Calls to w0 arrive after its leases have lapsed, and its answers never.
@@ -280,41 +282,58 @@
     assert_promises(&world);
 }
 
-/// Calls to workers take long from the moment at which the zone is taken out.
-fn slow_calls(world: &mut World) {
-    for name in ["w0", "w1", "w2"] {
-        world.slow.insert(name.to_owned(), PERMIT_MS - 100);
-    }
+/// How soon after a zone was taken out nothing more may start.
+struct Leaving {
+    strike: fn(&mut World),
+    allowed_ms: Millis,
 }
 
 fn cut_owner(world: &mut World) {
     world.owners[0].cut = true;
 }
 
+fn cut_owner_with_slow_calls(world: &mut World) {
+    // Just after a renewal, so that the permit lasts as long as it may.
+    let renewed = world.now.next_multiple_of(RENEW_MS) + 5;
+    world.run_until(renewed);
+    world.owners[0].cut = true;
+    for name in ["w0", "w1", "w2"] {
+        world.slow.insert(name.to_owned(), 250);
+    }
+}
+
 fn freeze_owner(world: &mut World) {
     world.freeze(0);
 }
 
-#[test_case(|_| {}; "owner hears of it")]
-#[test_case(cut_owner; "owner is cut from the store")]
-#[test_case(freeze_owner; "owner is paused")]
-#[test_case(slow_calls; "calls are slow")]
-fn nothing_starts_in_a_zone_taken_out(strike: fn(&mut World)) {
-    let mut world = world();
-    // More than fits, so that starts go on all the time.
-    accept(&mut world, "recalculation", spec("recalculation", 400, 300));
-    world.run_for(2_000);
-    strike(&mut world);
-    world.run_for(400);
-    let before = world.history.starts();
-    world.set_zone(ZoneState::Out);
-    world.run_for(2 * PERMIT_MS);
-    if world.owners[0].frozen {
-        world.wake(0);
+#[test_case(Leaving { strike: |_| {}, allowed_ms: PERMIT_MS / 2 }; "owner hears of it")]
+#[test_case(Leaving { strike: cut_owner, allowed_ms: PERMIT_MS }; "owner is cut from the store")]
+#[test_case(Leaving { strike: freeze_owner, allowed_ms: PERMIT_MS }; "owner is paused")]
+#[test_case(Leaving { strike: cut_owner_with_slow_calls, allowed_ms: PERMIT_MS }; "owner is cut off and calls are slow")]
+fn nothing_starts_in_a_zone_taken_out(case: Leaving) {
+    // One of the run times frees room just before the permit lapses, others after.
+    for run_ms in (600..2_400).step_by(60) {
+        let mut world = world();
+        accept(
+            &mut world,
+            "recalculation",
+            spec("recalculation", 40, run_ms),
+        );
+        assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 12));
+        // Time for the next tasks to be marked, which then wait for room.
+        world.run_for(200);
+        (case.strike)(&mut world);
+        world.set_zone(ZoneState::Out);
+        world.run_for(2 * PERMIT_MS);
+        if world.owners[0].frozen {
+            world.wake(0);
+        }
+        world.run_for(PERMIT_MS);
+        let found = world
+            .history
+            .violations(|_| false, CAPACITY, case.allowed_ms);
+        assert!(found.is_empty(), "run time {run_ms}: {found:#?}");
     }
-    world.run_for(2 * PERMIT_MS);
-    assert!((12..400).contains(&before), "{before}");
-    assert_promises(&world);
 }
 
 #[test]
--- a/testsuite/tests/testsuite/scheduler/world.rs
+++ b/testsuite/tests/testsuite/scheduler/world.rs
@@ -28,7 +28,7 @@
 pub const OUTAGE_MS: Millis = 20_000;
 pub const TASK_LEASE_MS: Millis = 4_000;
 const SHARD_LEASE_MS: Millis = 3_000;
-const RENEW_MS: Millis = 500;
+pub const RENEW_MS: Millis = 500;
 const SYNC_TIMEOUT_MS: Millis = 300;
 const LATENCY_MS: Millis = 2;
 
