--- a/crates/standin/src/command/mod.rs
+++ b/crates/standin/src/command/mod.rs
@@ -1,5 +1,8 @@
 //! The `verbenahitch-standin` command.
 
+mod demo;
+mod load;
+mod measure;
 mod serve;
 
 use std::net::SocketAddr;
@@ -7,7 +10,13 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use snafu::Snafu;
 use verbenahitch::domain::Millis;
+use verbenahitch::settings::SettingsError;
+
+use crate::demo::DemoError;
+use crate::measure::MeasureError;
+use crate::platform::{PlatformError, PoolError};
 
 /// Stand-ins for the platform, the workers and the upstreams.
 ///
@@ -16,6 +25,28 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Arguments {
+    /// Runs a whole deployment in one process and prints a report.
+    ///
+    /// Exits with 1 if a promise was broken or a kind of request was never served.
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::options))] demo::Options),
+    /// Sends the request kinds of a deployment and prints what came back.
+    ///
+    /// Exits with 1 if an answer was not whole or belonged to another call.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::options))] load::Options),
+    /// Measures what a role costs, and how the cost grows with a size.
+    ///
+    /// Nothing else should use the machine or its loopback interface meanwhile.
+    #[bpaf(command)]
+    Measure(#[bpaf(external(measure::options))] measure::Options),
+    /// Serves stand-ins.
+    Serve(#[bpaf(external(serving))] Serving),
+}
+
+/// Stand-ins to serve.
+#[derive(Clone, Debug, Bpaf)]
+pub enum Serving {
     /// Serves the key-value service.
     #[bpaf(command)]
     Store {
@@ -79,6 +110,8 @@
         /// Seed of the workers' draws.
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
+        /// Opens addresses for the callers of each availability zone, which can then be cut off.
+        zone_addresses: bool,
     },
 }
 
@@ -93,10 +126,36 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
-    match runtime.block_on(serve::run(arguments)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&error),
-    }
+    let result = runtime.block_on(async {
+        match arguments {
+            Arguments::Demo(options) => demo::run(options).await,
+            Arguments::Load(options) => load::run(options).await,
+            Arguments::Measure(options) => measure::run(options).await,
+            Arguments::Serve(serving) => serve::run(serving).await,
+        }
+    });
+    result.unwrap_or_else(|error| fail(&error))
+}
+
+/// Why a subcommand failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+enum CommandError {
+    /// The pool cannot be used.
+    #[snafu(display("{source}"))]
+    Pool { source: PoolError },
+    /// The declarations cannot be used.
+    #[snafu(display("{source}"))]
+    Declarations { source: SettingsError },
+    /// The demo did not run.
+    #[snafu(display("{source}"))]
+    Demo { source: DemoError },
+    /// The experiment failed.
+    #[snafu(display("{source}"))]
+    Measure { source: MeasureError },
+    /// A stand-in did not start.
+    #[snafu(display("{source}"))]
+    Start { source: PlatformError },
 }
 
 fn fail(error: &dyn std::error::Error) -> ExitCode {
--- a/crates/standin/src/command/serve.rs
+++ b/crates/standin/src/command/serve.rs
@@ -1,45 +1,35 @@
 //! Subcommands that serve stand-ins.
 
 use std::net::SocketAddr;
+use std::process::ExitCode;
 
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use tokio::io::AsyncReadExt as _;
 
-use super::Arguments;
+use super::{CommandError, PoolSnafu, Serving, StartSnafu};
 use crate::hosts;
-use crate::platform::{Parts, Platform, PlatformError, Pool, PoolError};
+use crate::platform::{Parts, Platform, Pool};
 use crate::store::{self, Limits};
 use crate::worker;
 
-/// Why a subcommand failed.
-#[derive(Debug, Snafu)]
-pub(super) enum ServeError {
-    /// The pool cannot be used.
-    #[snafu(display("{source}"))]
-    Pool { source: PoolError },
-    /// A stand-in did not start.
-    #[snafu(display("{source}"))]
-    Start { source: PlatformError },
-}
-
-pub(super) async fn run(arguments: Arguments) -> Result<(), ServeError> {
-    let parts = parts(arguments)?;
+pub(super) async fn run(serving: Serving) -> Result<ExitCode, CommandError> {
+    let parts = parts(serving)?;
     let platform = Platform::start(parts).await.context(StartSnafu)?;
     let line = serde_json::to_string(&platform.addresses());
     println!("{}", line.expect("addresses have a JSON form"));
     wait().await;
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
 
-fn parts(arguments: Arguments) -> Result<Parts, ServeError> {
+fn parts(serving: Serving) -> Result<Parts, CommandError> {
     let none = |control| Parts {
         control,
         store: None,
         hosts: None,
         ..Parts::new(Vec::new())
     };
-    Ok(match arguments {
-        Arguments::Store {
+    Ok(match serving {
+        Serving::Store {
             address,
             control,
             reads,
@@ -55,7 +45,7 @@
                 ..none(control)
             }
         }
-        Arguments::Hosts {
+        Serving::Hosts {
             address,
             control,
             lag_ms,
@@ -63,7 +53,7 @@
             hosts: Some(list(address, lag_ms)),
             ..none(control)
         },
-        Arguments::Workers {
+        Serving::Workers {
             pool,
             control,
             seed,
@@ -71,20 +61,28 @@
             workers: workers(&pool, seed)?,
             ..none(control)
         },
-        Arguments::Platform {
+        Serving::Platform {
             pool,
             control,
             store,
             hosts,
             lag_ms,
             seed,
-        } => Parts {
-            control,
-            store: Some((store, store::Settings::default())),
-            hosts: Some(list(hosts, lag_ms)),
-            workers: workers(&pool, seed)?,
-            zones: Vec::new(),
-        },
+            zone_addresses,
+        } => {
+            let pool = Pool::load(&pool).context(PoolSnafu)?;
+            Parts {
+                control,
+                store: Some((store, store::Settings::default())),
+                hosts: Some(list(hosts, lag_ms)),
+                workers: pool.settings(seed),
+                zones: if zone_addresses {
+                    pool.zones
+                } else {
+                    Vec::new()
+                },
+            }
+        }
     })
 }
 
@@ -96,7 +94,7 @@
     (address, settings)
 }
 
-fn workers(file: &std::path::Path, seed: u64) -> Result<Vec<worker::Settings>, ServeError> {
+fn workers(file: &std::path::Path, seed: u64) -> Result<Vec<worker::Settings>, CommandError> {
     let pool = Pool::load(file).context(PoolSnafu)?;
     Ok(pool.settings(seed))
 }
--- a/crates/verbenahitch/src/gateway/serve.rs
+++ b/crates/verbenahitch/src/gateway/path/serve.rs
@@ -18,11 +18,10 @@
 
 use super::answer::{Answer, Cause, Doubt, Refusal};
 use super::forward::{self, Limits, Outcome, Outgoing};
-use super::once::{Claim, Ticket};
 use super::report;
 use super::shared::Shared;
-use super::table::{ATTEMPTS, Choice};
-use super::upstream::Slot;
+use crate::gateway::once::{Claim, Ticket};
+use crate::gateway::route::{ATTEMPTS, Choice, Slot};
 
 /// An admitted request.
 #[derive(Clone, Debug)]
@@ -124,10 +123,11 @@
             Some(outcome) = running.next() => outcome,
             () = &mut hedge, if !hedged => {
                 hedged = true;
-                running.extend(attempts.next().map(|choice| attempts.start(choice)));
+                running.extend(attempts.next(true).map(|choice| attempts.start(choice)));
                 continue;
             }
         };
+        let again = matches!(outcome, Outcome::Unknown(..));
         match outcome {
             Outcome::Answered(answer) => return End::Answered(answer),
             Outcome::Unknown(kind, reason) if !call.idempotent => {
@@ -136,7 +136,7 @@
             Outcome::Unknown(kind, reason) => doubt = Some((kind, reason)),
             Outcome::Refused | Outcome::NotSent(_) => {}
         }
-        running.extend(attempts.next().map(|choice| attempts.start(choice)));
+        running.extend(attempts.next(again).map(|choice| attempts.start(choice)));
         if running.is_empty() {
             return failed(doubt);
         }
@@ -166,15 +166,19 @@
 }
 
 impl<'a> Attempts<'a> {
-    /// Chooses another upstream, if attempts, budget and deadline allow one.
-    fn next(&self) -> Option<Choice> {
+    /// Chooses where to try next, if attempts, budget and deadline allow it.
+    ///
+    /// An upstream that has refused is not asked again; one whose connection
+    /// failed may answer on a fresh one if there is no other.
+    fn next(&self, again: bool) -> Option<Choice> {
         let now = self.shared.now();
         if self.count >= ATTEMPTS || self.call.deadline <= now {
             return None;
         }
         let dice = rand::rng().next_u64();
         let table = self.shared.table.load();
-        let choice = table.choose(now, dice, &self.tried[..self.count])?;
+        let other = table.choose(now, dice, &self.tried[..self.count]);
+        let choice = other.or_else(|| table.choose(now, dice, &[]).filter(|_| again))?;
         self.shared.budget.spend().then_some(choice)
     }
 
@@ -210,7 +214,7 @@
             send.await
         }
     };
-    if report.leaving && upstream.set_leaving(true) {
+    if report.leaving && upstream.leave() {
         Entry::new(Kind::UpstreamLeaving)
             .with("upstream", &upstream.name)
             .with("source", "upstream")
--- a/testsuite/tests/testsuite/session/whole.rs
+++ b/testsuite/tests/testsuite/session/whole.rs
@@ -4,9 +4,8 @@
 
 use serde_json::json;
 use verbenahitch::port::EndKind;
-use verbenahitch_standin::history::WorkerHistory;
 
-use super::deployment::{Daemon, Deployment, answer, wait_until};
+use super::deployment::{Daemon, Deployment, Process, answer, ended, runs_now, wait_until};
 
 const KINDS: [&str; 6] = [
     "/price-push",
@@ -105,7 +104,7 @@
     .await;
     let leaving = json!({"worker": on, "state": "leaving"});
     deployment.control("/hosts/state", &leaving).await;
-    wait_for_done(deployment, "bureau.overnight", 6).await;
+    deployment.wait_for_done(1, "bureau.overnight", 6).await;
     let live = json!({"worker": on, "state": "live"});
     deployment.control("/hosts/state", &live).await;
     let histories = deployment.histories().await;
@@ -121,12 +120,12 @@
     let confirmed = out["in-force"].as_array().map_or(0, Vec::len);
     let open = out["not-confirmed"].as_array().map_or(0, Vec::len);
     writeln!(golden, "zone out: confirmed by {confirmed}, open {open}").unwrap();
-    wait_for_done(deployment, "bureau.long", 4).await;
+    deployment.wait_for_done(1, "bureau.long", 4).await;
     let back = deployment.operate(1, "zone in a");
     writeln!(golden, "zone in: {}", back.status.success()).unwrap();
     let again = "submit --key after --profile recalculation --tasks 2 --run-ms 500";
     assert!(deployment.team(1, again).status.success());
-    wait_for_done(deployment, "bureau.after", 2).await;
+    deployment.wait_for_done(1, "bureau.after", 2).await;
     let histories = deployment.histories().await;
     writeln!(
         golden,
@@ -138,26 +137,24 @@
 
 async fn stop_with_requests_in_progress(
     deployment: &Deployment,
-    gateways: Vec<super::deployment::Process>,
+    gateways: Vec<Process>,
     golden: &mut String,
 ) {
     for worker in deployment.histories().await {
         let path = format!("/workers/{}/fault", worker.worker);
-        let slow = json!({"part": "upstream", "fault": "slow", "delay-ms": 1_000});
+        let slow = json!({"part": "upstream", "fault": "slow", "delay-ms": 2_000});
         deployment.control(&path, &slow).await;
     }
     let mut calls = Vec::new();
     for number in 0..20 {
         let url = deployment.url(number % 2, "/price-push/stop");
-        let call = deployment.http.post(url).body("payload").send();
-        calls.push(tokio::spawn(call));
+        let call = deployment.http.post(url).body("payload");
+        let call = call.header("x-request-id", format!("stop-{number}"));
+        calls.push(tokio::spawn(call.send()));
     }
     wait_until("the requests are in progress", async || {
-        let mut open = 0;
-        for host in 0..2 {
-            open += in_progress(deployment, host).await;
-        }
-        open == 20
+        let routed = (0..2).map(|host| deployment.logged(host, "routed", "stop-"));
+        routed.sum::<usize>() == 20
     })
     .await;
     for gateway in &gateways {
@@ -173,35 +170,3 @@
         writeln!(golden, "gateway stopped: {}", gateway.wait()).unwrap();
     }
 }
-
-/// Requests in progress at a gateway, from its metrics.
-async fn in_progress(deployment: &Deployment, host: usize) -> u32 {
-    let url = deployment.url(host, "/metrics").replace(":8000", ":8002");
-    let Ok(reply) = deployment.http.get(url).send().await else {
-        return 0;
-    };
-    let text = reply.text().await.unwrap_or_default();
-    let gauge = text
-        .lines()
-        .find(|line| line.starts_with("verbenahitch_gateway_in_flight"));
-    let value = gauge.and_then(|line| line.rsplit(' ').next()?.parse().ok());
-    value.unwrap_or(0)
-}
-
-async fn wait_for_done(deployment: &Deployment, job: &str, tasks: u64) {
-    wait_until(&format!("{job} is done"), async || {
-        let status = answer(&deployment.team(1, &format!("job {job}")));
-        status["done"].as_u64() == Some(tasks)
-    })
-    .await;
-}
-
-fn runs_now(history: &WorkerHistory) -> bool {
-    history.runs.iter().any(|run| run.end.is_none())
-}
-
-fn ended(histories: &[WorkerHistory], kind: EndKind) -> usize {
-    let runs = histories.iter().flat_map(|history| &history.runs);
-    runs.filter(|run| run.end.is_some_and(|end| end.kind == Some(kind)))
-        .count()
-}
