--- a/crates/verbenahitch/src/scheduler/daemon/owner.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/owner.rs
@@ -8,9 +8,9 @@
 use tokio::task::JoinHandle;
 
 use super::acquire::{self, Acquired};
-use super::errand::{Errand, Found};
 use super::commit::Writer;
 use super::driver::{Driver, Ended, Message, not_owner, ownership};
+use super::errand::{Errand, Found};
 use super::process_name;
 use super::session::Session;
 use crate::adapter::{Store, Workers};
@@ -211,7 +211,11 @@
     ///
     /// The store may take long to answer; permits and leases are fed meanwhile.
     async fn consult_store(&mut self, session: &Session, now: Monotonic) {
-        if self.errand.as_ref().is_some_and(|errand| !errand.is_finished()) {
+        if self
+            .errand
+            .as_ref()
+            .is_some_and(|errand| !errand.is_finished())
+        {
             return;
         }
         if let Some(errand) = self.errand.take() {
