--- a/testsuite/tests/testsuite/session/failures.rs
+++ b/testsuite/tests/testsuite/session/failures.rs
@@ -5,7 +5,7 @@
 use verbenahitch::port::{Clock as _, EndKind, SystemClock};
 use verbenahitch_standin::history::Outage;
 
-use super::deployment::{Daemon, Deployment, Process, answer, ended, wait_until};
+use super::deployment::{Daemon, Deployment, Process, answer, ended, runs_now, wait_until};
 
 /// Entry hosts of the sessions: two in zone a, one in zone b.
 const ZONES: [&str; 3] = ["a", "a", "b"];
@@ -94,6 +94,31 @@
     assert_ne!(deployment.owner(&shard), owner);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_dies_while_a_worker_does_not_answer() {
+    let (deployment, mut daemons) = start("unheard").await;
+    let submit = "submit --key job --profile recalculation --tasks 8 --run-ms 8000";
+    assert!(deployment.team(2, submit).status.success());
+    deployment.wait_for_run().await;
+    let shard = shard_of_job(&deployment);
+    let owner = deployment.owner(&shard);
+    let histories = deployment.histories().await;
+    let busy = histories.iter().find(|worker| runs_now(worker));
+    let worker = &busy.expect("a task runs").worker;
+    let fault = format!("/workers/{worker}/fault");
+    let freeze = json!({"part": "control", "fault": "freeze"});
+    deployment.control(&fault, &freeze).await;
+    drop(daemons.schedulers[owner].take());
+    wait_until("the new owner misses the worker", async || {
+        let heir = deployment.owner(&shard);
+        heir != owner && deployment.logged(heir, "worker-unreachable", worker) > 0
+    })
+    .await;
+    let thaw = json!({"part": "control", "fault": "thaw"});
+    deployment.control(&fault, &thaw).await;
+    finish(&deployment).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_entry_hosts_are_replaced_at_once() {
     let (deployment, mut daemons) = start("replaced").await;
