--- /dev/null
+++ b/testsuite/tests/testsuite/session/daemons.rs
@@ -0,0 +1,56 @@
+//! Daemons of three entry hosts, and a job that runs on them.
+
+use verbenahitch::port::EndKind;
+
+use super::deployment::{Daemon, Deployment, Process, ended, wait_until};
+
+/// Entry hosts of the sessions: two in zone a, one in zone b.
+const ZONES: [&str; 3] = ["a", "a", "b"];
+
+pub(super) const TASKS: usize = 8;
+
+pub(super) struct Daemons {
+    pub(super) gateways: Vec<Option<Process>>,
+    pub(super) schedulers: Vec<Option<Process>>,
+}
+
+impl Daemons {
+    pub(super) fn start(deployment: &Deployment) -> Self {
+        let run = |daemon| (0..ZONES.len()).map(move |host| Some(deployment.run(daemon, host)));
+        Self {
+            schedulers: run(Daemon::Scheduler).collect(),
+            gateways: run(Daemon::Gateway).collect(),
+        }
+    }
+
+    pub(super) fn kill_all(&mut self) {
+        for process in self.gateways.iter_mut().chain(&mut self.schedulers) {
+            drop(process.take());
+        }
+    }
+}
+
+pub(super) async fn start(name: &str) -> (Deployment, Daemons) {
+    let deployment = Deployment::start(name, &ZONES);
+    let daemons = Daemons::start(&deployment);
+    deployment.declare().await;
+    deployment.wait_for_owners().await;
+    (deployment, daemons)
+}
+
+pub(super) async fn submit(deployment: &Deployment) {
+    let submit = format!("submit --key job --profile recalculation --tasks {TASKS} --run-ms 2500");
+    wait_until("the job is accepted", async || {
+        deployment.team(2, &submit).status.success()
+    })
+    .await;
+}
+
+/// The job finishes, each task exactly once, and the workers saw no promise broken.
+pub(super) async fn finish(deployment: &Deployment) {
+    let tasks = u64::try_from(TASKS).expect("few tasks");
+    deployment.wait_for_done(2, "bureau.job", tasks).await;
+    let done = ended(&deployment.histories().await, EndKind::Done);
+    assert_eq!(done, TASKS, "runs to the end");
+    assert_eq!(deployment.violations(Vec::new()).await, []);
+}
--- a/testsuite/tests/testsuite/session/deployment.rs
+++ b/testsuite/tests/testsuite/session/deployment.rs
@@ -348,7 +348,7 @@
         .count()
 }
 
-fn fixture(name: &str) -> String {
+pub(super) fn fixture(name: &str) -> String {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("fixtures/session");
     folder.join(name).display().to_string()
 }
--- a/testsuite/tests/testsuite/session/failures.rs
+++ b/testsuite/tests/testsuite/session/failures.rs
@@ -5,58 +5,8 @@
 use verbenahitch::port::{Clock as _, EndKind, SystemClock};
 use verbenahitch_standin::history::Outage;
 
-use super::deployment::{Daemon, Deployment, Process, answer, ended, runs_now, wait_until};
-
-/// Entry hosts of the sessions: two in zone a, one in zone b.
-const ZONES: [&str; 3] = ["a", "a", "b"];
-
-const TASKS: usize = 8;
-
-struct Daemons {
-    gateways: Vec<Option<Process>>,
-    schedulers: Vec<Option<Process>>,
-}
-
-impl Daemons {
-    fn start(deployment: &Deployment) -> Self {
-        let run = |daemon| (0..ZONES.len()).map(move |host| Some(deployment.run(daemon, host)));
-        Self {
-            schedulers: run(Daemon::Scheduler).collect(),
-            gateways: run(Daemon::Gateway).collect(),
-        }
-    }
-
-    fn kill_all(&mut self) {
-        for process in self.gateways.iter_mut().chain(&mut self.schedulers) {
-            drop(process.take());
-        }
-    }
-}
-
-async fn start(name: &str) -> (Deployment, Daemons) {
-    let deployment = Deployment::start(name, &ZONES);
-    let daemons = Daemons::start(&deployment);
-    deployment.declare().await;
-    deployment.wait_for_owners().await;
-    (deployment, daemons)
-}
-
-async fn submit(deployment: &Deployment) {
-    let submit = format!("submit --key job --profile recalculation --tasks {TASKS} --run-ms 2500");
-    wait_until("the job is accepted", async || {
-        deployment.team(2, &submit).status.success()
-    })
-    .await;
-}
-
-/// The job finishes, each task exactly once, and the workers saw no promise broken.
-async fn finish(deployment: &Deployment) {
-    let tasks = u64::try_from(TASKS).expect("few tasks");
-    deployment.wait_for_done(2, "bureau.job", tasks).await;
-    let done = ended(&deployment.histories().await, EndKind::Done);
-    assert_eq!(done, TASKS, "runs to the end");
-    assert_eq!(deployment.violations(Vec::new()).await, []);
-}
+use super::daemons::{Daemons, finish, start, submit};
+use super::deployment::{Deployment, answer, ended, runs_now, wait_until};
 
 fn shard_of_job(deployment: &Deployment) -> String {
     let status = answer(&deployment.team(2, "job bureau.job"));
--- a/testsuite/tests/testsuite/session/mod.rs
+++ b/testsuite/tests/testsuite/session/mod.rs
@@ -1,5 +1,7 @@
 //! Whole sessions over separate processes.
 
+mod daemons;
 mod deployment;
 mod failures;
+mod races;
 mod whole;
--- a/testsuite/tests/testsuite/settings/mod.rs
+++ b/testsuite/tests/testsuite/settings/mod.rs
@@ -3,3 +3,4 @@
 mod declared;
 mod faults;
 mod manual;
+mod metrics;
