Make room for several urgent tasks at once, and leave nothing open on release

Only the first urgent task of a profile had room made for it; a job that left the shard dropped answers and acknowledgements that came in meanwhile; a release left tasks marked whose commit or start was under way. A lane that waits is logged on a change of the reason and every ten seconds.

--- a/crates/verbenahitch/src/scheduler/shard/commit.rs
+++ b/crates/verbenahitch/src/scheduler/shard/commit.rs
@@ -8,6 +8,7 @@
 
 use super::Shard;
 use super::job::{Effects, Phase, Stage};
+use super::requests::unavailable;
 use crate::domain::{JobKey, JobRecord, Millis, Monotonic, TaskKey, WorkerKey};
 use crate::event::{Entry, Kind};
 use crate::scheduler::{Action, Answer, Batch, CommitError, Write};
@@ -192,13 +193,13 @@
         };
         let effects = job.inflight.take().unwrap_or_default();
         match job.stage.clone() {
-            Stage::Removing => return self.forget_job(key),
+            Stage::Removing => return self.forget_job(key, effects),
             Stage::Moving(to) => {
                 let entry = Entry::new(Kind::JobMoved)
                     .with("job", &job.record.id)
                     .with_text("to", &to);
                 self.log(entry);
-                return self.forget_job(key);
+                return self.forget_job(key, effects);
             }
             Stage::New => {
                 job.stage = Stage::Stored;
@@ -285,12 +286,19 @@
         }
     }
 
-    fn forget_job(&mut self, key: JobKey) {
-        if let Some(job) = self.jobs.remove(key) {
-            self.lanes.file(&job.name, job.order, key, false, false);
-            self.lanes.lane(&job.name).ahead -= job.ready.len();
-            self.by_id.remove(&job.record.id);
-            self.acknowledge(job.pending.acks);
+    /// Forgets a job that the store no longer holds for this shard.
+    fn forget_job(&mut self, key: JobKey, effects: Effects) {
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        self.lanes.file(&job.name, job.order, key, false, false);
+        self.lanes.lane(&job.name).ahead -= job.ready.len();
+        self.by_id.remove(&job.record.id);
+        for gone in [effects, job.pending] {
+            self.acknowledge(gone.acks);
+            for request in gone.accepts.into_iter().chain(gone.answers) {
+                self.refuse(request, unavailable("the job has left the shard"));
+            }
         }
     }
 
--- a/crates/verbenahitch/src/scheduler/shard/ends.rs
+++ b/crates/verbenahitch/src/scheduler/shard/ends.rs
@@ -34,6 +34,8 @@
         {
             run.seen = true;
             run.checkpoint_ms = run.checkpoint_ms.max(running.checkpoint_ms);
+            let task = run.task;
+            self.placer.set_share(key, task, running.share);
             self.hold_found(key, running, now);
             return self.evict_if_leaving(running.run, now);
         }
--- a/crates/verbenahitch/src/scheduler/shard/evictions.rs
+++ b/crates/verbenahitch/src/scheduler/shard/evictions.rs
@@ -2,38 +2,40 @@
 //! workers that leave.
 
 use super::Shard;
+use crate::collections::HashSet;
 use crate::domain::{Class, Millis, Monotonic, TaskKey, WorkerKey};
 use crate::event::{Entry, Kind};
 use crate::interference::Relief;
+use crate::placement::Ask;
 use crate::port::{Command, HostState};
 
 /// Time between two looks at interference.
 const RELIEF_MS: Millis = 500;
 
 impl Shard {
-    /// Evicts tasks of a worker, unless room is being made for the task already.
+    /// Evicts tasks of a worker for the one that asks; says whether room is being made.
     pub(super) fn make_room(
         &mut self,
-        task: TaskKey,
+        ask: &Ask,
         worker: WorkerKey,
         victims: &[TaskKey],
         now: Monotonic,
-    ) {
-        if let Some(runs) = self.making_room.get_mut(&task) {
-            runs.retain(|run| self.runs.contains_key(run));
-            if !runs.is_empty() {
-                return;
-            }
-        }
-        let mut evicted = crate::collections::HashSet::default();
+    ) -> bool {
+        let (mut tasks, mut runs) = (Vec::new(), HashSet::default());
         for victim in victims {
             let run = self.run_on(worker, *victim);
             if let Some(run) = run.filter(|run| self.evict(*run, true, "room for urgent work", now))
             {
-                evicted.insert(run);
+                tasks.push(*victim);
+                runs.insert(run);
             }
         }
-        self.making_room.insert(task, evicted);
+        if runs.is_empty() {
+            return false;
+        }
+        self.placer.evict(ask, worker, &tasks, now);
+        self.making_room.insert(ask.task, runs);
+        true
     }
 
     fn run_on(&self, worker: WorkerKey, task: TaskKey) -> Option<u64> {
--- a/crates/verbenahitch/src/scheduler/shard/lane.rs
+++ b/crates/verbenahitch/src/scheduler/shard/lane.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use super::job::Order;
-use crate::domain::JobKey;
+use crate::domain::{JobKey, Monotonic};
 
 /// Jobs of one profile that wait for something.
 #[derive(Debug, Default)]
@@ -21,8 +21,8 @@
     pub ready: BTreeSet<(Order, JobKey)>,
     /// Tasks that are marked, durably or not, and not running.
     pub ahead: usize,
-    /// Why its first task waited last, to log changes only.
-    pub waits: Option<String>,
+    /// Why its first task waited when that was last logged, and when.
+    pub waits: Option<(String, Monotonic)>,
 }
 
 /// All lanes of a shard.
--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -209,7 +209,8 @@
 
     /// Whether all that [`Input::Release`] asks for is durable.
     pub fn is_released(&self) -> bool {
-        self.releasing && self.committer.is_quiet()
+        let unanswered = |run: &Run| !run.seen;
+        self.releasing && self.committer.is_quiet() && !self.runs.values().any(unanswered)
     }
 
     fn advance(&mut self, now: Monotonic) {
@@ -217,6 +218,7 @@
         self.wake_delayed(now);
         self.remove_finished(now);
         self.settle(now);
+        self.unmark_ready();
         self.move_jobs(now);
         self.mark_ahead(now);
         self.relieve(now);
--- a/crates/verbenahitch/src/scheduler/shard/recovery.rs
+++ b/crates/verbenahitch/src/scheduler/shard/recovery.rs
@@ -19,6 +19,7 @@
         released: bool,
         now: Monotonic,
     ) {
+        self.answer_open_requests();
         self.forget(now);
         self.owned = Some(Ownership {
             epoch,
@@ -200,6 +201,14 @@
             return;
         }
         self.releasing = true;
+        self.unmark_ready();
+    }
+
+    /// Takes the marks of all tasks back that were not started.
+    pub(super) fn unmark_ready(&mut self) {
+        if !self.releasing || !self.lanes.has_ready() {
+            return;
+        }
         let ready: Vec<TaskKey> = self
             .jobs
             .iter()
--- a/crates/verbenahitch/src/scheduler/shard/requests.rs
+++ b/crates/verbenahitch/src/scheduler/shard/requests.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    fn refuse(&mut self, request: u64, error: SubmitError) {
+    pub(super) fn refuse(&mut self, request: u64, error: SubmitError) {
         let body = Answer::Refused(error);
         self.out.push(Action::Answer { request, body });
     }
@@ -166,6 +166,9 @@
             return self.refuse(request, SubmitError::UnknownJob { id: id.clone() });
         };
         let job = &mut self.jobs[key];
+        if matches!(job.stage, Stage::Moving(_)) {
+            return self.refuse(request, unavailable("the job is being handed over"));
+        }
         if job.record.cancelled || job.record.is_finished() {
             return self.answer_job(request, key);
         }
@@ -205,6 +208,7 @@
             if job.phases.contains_key(&index) {
                 self.set_phase(TaskKey { job: key, index }, None);
             }
+            self.making_room.remove(&TaskKey { job: key, index });
             self.jobs[key].end(index, TaskOutcome::Cancelled);
         }
     }
--- a/crates/verbenahitch/src/scheduler/shard/starts.rs
+++ b/crates/verbenahitch/src/scheduler/shard/starts.rs
@@ -16,9 +16,14 @@
 /// Time between two passes while nothing changes, for what changes with time alone.
 const PASS_MS: Millis = 250;
 
+/// Time after which a lane that waits for the same reason is logged again.
+const WAITING_LOG_MS: Millis = 10_000;
+
 /// What became of an attempt to start a task.
 enum Attempt {
     Started,
+    /// Room is being made for the task; the next may be luckier.
+    Evicting,
     /// The lane's first task waits.
     Blocked,
 }
@@ -81,21 +86,53 @@
             return;
         }
         self.pass_due = now + PASS_MS;
-        let mut blocked = Vec::new();
+        let (mut blocked, mut parked) = (Vec::new(), Vec::new());
+        let mut all = false;
         for _ in 0..STARTS_PER_STEP {
             let Some((name, key)) = self.lanes.first_ready(&blocked) else {
-                return;
+                all = true;
+                break;
             };
-            let Some(index) = self.jobs[key].ready.first().copied() else {
-                self.file(key);
+            let Some(index) = self.first_startable(key) else {
+                self.park(key);
+                parked.push(key);
                 continue;
             };
             match self.try_start(TaskKey { job: key, index }, now) {
-                Attempt::Started => self.lanes.lane(&name).waits = None,
+                Attempt::Started | Attempt::Evicting => {}
                 Attempt::Blocked => blocked.push(name),
             }
         }
-        self.pass_due = now;
+        if !all {
+            self.pass_due = now;
+        }
+        for key in parked {
+            self.file(key);
+        }
+    }
+
+    /// First task of a job that may be started and for which no room is being made.
+    fn first_startable(&self, key: JobKey) -> Option<u32> {
+        let waits = |index: &u32| {
+            let task = TaskKey {
+                job: key,
+                index: *index,
+            };
+            let evicted = self.making_room.get(&task);
+            evicted.is_some_and(|runs| runs.iter().any(|run| self.runs.contains_key(run)))
+        };
+        self.jobs[key]
+            .ready
+            .iter()
+            .copied()
+            .find(|index| !waits(index))
+    }
+
+    /// Takes a job out of its lane for the rest of a pass.
+    fn park(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let lane = self.lanes.lane(&job.name);
+        lane.ready.remove(&(job.order, key));
     }
 
     fn ask(&self, task: TaskKey, now: Monotonic) -> Option<Ask> {
@@ -123,27 +160,33 @@
                 reason,
             } => self.launch(task, &ask, worker, runner_up, reason, now),
             Choice::Evict { worker, victims } => {
-                self.make_room(task, worker, &victims, now);
-                self.note_waiting(task, &ask.name, "waits for evictions".to_owned());
+                self.note_waiting(task, &ask.name, "waits for evictions".to_owned(), now);
+                if self.make_room(&ask, worker, &victims, now) {
+                    return Attempt::Evicting;
+                }
                 Attempt::Blocked
             }
             Choice::Wait(reason) => {
-                self.note_waiting(task, &ask.name, format!("{reason:?}"));
+                self.note_waiting(task, &ask.name, format!("{reason:?}"), now);
                 Attempt::Blocked
             }
             Choice::Never(reason) => {
-                self.note_waiting(task, &ask.name, reason);
+                self.note_waiting(task, &ask.name, reason, now);
                 Attempt::Blocked
             }
         }
     }
 
-    fn note_waiting(&mut self, task: TaskKey, name: &Arc<str>, reason: String) {
+    fn note_waiting(&mut self, task: TaskKey, name: &Arc<str>, reason: String, now: Monotonic) {
         let lane = self.lanes.lane(name);
-        if lane.waits.as_ref() == Some(&reason) {
+        let logged = lane
+            .waits
+            .as_ref()
+            .is_some_and(|(last, at)| *last == reason && now.since(*at) < WAITING_LOG_MS);
+        if logged {
             return;
         }
-        lane.waits = Some(reason.clone());
+        lane.waits = Some((reason.clone(), now));
         let entry = Entry::new(Kind::Waiting)
             .with_text("task", self.jobs[task.job].task_id(task.index))
             .with("profile", &**name)
--- a/testsuite/tests/testsuite/scheduler/failures.rs
+++ b/testsuite/tests/testsuite/scheduler/failures.rs
@@ -473,6 +473,42 @@
     assert_eq!(logged(&world, Kind::WorkerQuarantined), 1);
 }
 
+#[test]
+fn urgent_work_starts_in_time_and_what_it_evicts_resumes() {
+    const URGENT_MS: Millis = 4_900;
+    let mut world = world();
+    accept(
+        &mut world,
+        "overnight",
+        spec("recalculation", 12, 4 * RUN_MS),
+    );
+    assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 12));
+    world.run_for(1_000);
+    for number in 0..4 {
+        world.submit(
+            0,
+            &id(&format!("urgent-{number}")),
+            spec("urgent", 1, 1_000),
+        );
+    }
+    let urgent = |world: &World| {
+        let starts = world.history.facts.iter().filter(|fact| {
+            matches!(&fact.seen, Seen::Started { task, .. }
+                if task.job.as_str().contains("urgent"))
+        });
+        starts.count()
+    };
+    assert!(
+        world.run_while(URGENT_MS, |world| urgent(world) < 4),
+        "{}",
+        urgent(&world)
+    );
+    finish(&mut world, "overnight");
+    assert_eq!(count(&world, "overnight", TaskOutcome::Done), 12);
+    assert!(logged(&world, Kind::Evicted) <= 8);
+    assert_promises(&world);
+}
+
 #[test]
 fn a_zone_taken_out_hands_its_jobs_over_with_their_checkpoints() {
     let mut world = world();
