--- a/crates/verbenahitch/src/gateway/operators/jobs.rs
+++ b/crates/verbenahitch/src/gateway/operators/jobs.rs
@@ -77,14 +77,29 @@
     }
 }
 
-/// Asks the shard that holds a job about it.
+/// Asks the shard that holds a job about it; while the store gives no answer,
+/// asks all shards, of which at most one holds it.
 pub(super) async fn ask(office: &Office, id: &JobId, request: Request) -> Result<Answer, Failure> {
-    let shard = holder(office, id).await?;
+    let shard = match holder(office, id).await {
+        Ok(shard) => shard,
+        Err(failure) => return ask_all(office, request).await.ok_or(failure),
+    };
     let unknown = || Failure::new(Status::NotFound, format!("job {id} is not known"));
     let shard = shard.ok_or_else(unknown)?;
     answered(office.handle.ask(&shard, request).await)
 }
 
+/// Answer of the shard that knows the job, if one does.
+async fn ask_all(office: &Office, request: Request) -> Option<Answer> {
+    let members = office.handle.members();
+    let live = members.iter().filter(|member| office.is_live(member));
+    let owned = live.flat_map(|member| &member.shards);
+    let asked = owned.map(|owned| office.handle.ask(&owned.shard, request.clone()));
+    let answers = futures::future::join_all(asked).await;
+    let knows = |answer: &Answer| !matches!(answer, Answer::Refused(_));
+    answers.into_iter().find(knows)
+}
+
 /// Turns a refusal into a failure.
 pub(super) fn answered(answer: Answer) -> Result<Answer, Failure> {
     match answer {
--- a/testsuite/tests/testsuite/membership/gateway.rs
+++ b/testsuite/tests/testsuite/membership/gateway.rs
@@ -2,12 +2,16 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use reqwest::{Method, Response, StatusCode};
 use serde_json::{Value, json};
-use verbenahitch::config::token_digest;
+use verbenahitch::config::{Current, token_digest};
 use verbenahitch::gateway::Running;
+use verbenahitch::peer::{Handle, Identity, Node, OwnedShard, Role};
+use verbenahitch::port::SystemClock;
+use verbenahitch::scheduler::{Answer, Request};
 use verbenahitch::settings::{Settings, parse_settings};
 use verbenahitch_standin::store::{Settings as StoreSettings, Store};
 
@@ -106,6 +110,34 @@
         Reply::read(response).await
     }
 
+    /// Starts a process that owns `shard` and answers as `answer` says.
+    pub(super) fn own(&self, shard: &str, answer: fn(&Request) -> Answer) -> Handle {
+        let identity = Identity {
+            name: format!("owner-of-{shard}"),
+            zone: "odd".to_owned(),
+            role: Role::Scheduler,
+            listen: "127.0.0.1:0".parse().expect("an address"),
+            incarnation: 1,
+        };
+        let settings = self.settings("owner", &[self.gateways[0].peers()]).peers;
+        let token = "peers".to_owned();
+        let clock = Arc::new(SystemClock::default());
+        let started = Node::start(identity, &settings, token, Current::default(), clock);
+        let (handle, mut requests) = started.expect("the node starts");
+        handle.set_shards(vec![OwnedShard {
+            shard: shard.to_owned(),
+            epoch: 1,
+            queued: 0,
+            running: 0,
+        }]);
+        tokio::spawn(async move {
+            while let Some(incoming) = requests.recv().await {
+                let _ = incoming.reply.send(answer(&incoming.request));
+            }
+        });
+        handle
+    }
+
     pub(super) async fn get(&self, index: usize, path: &str) -> Reply {
         self.call(index, OPERATOR, Method::GET, path, &Value::Null)
             .await
--- a/testsuite/tests/testsuite/membership/mod.rs
+++ b/testsuite/tests/testsuite/membership/mod.rs
@@ -7,3 +7,4 @@
 mod peers;
 mod permits;
 mod relay;
+mod table;
--- a/testsuite/tests/testsuite/membership/operators.rs
+++ b/testsuite/tests/testsuite/membership/operators.rs
@@ -3,6 +3,8 @@
 use reqwest::{Method, StatusCode};
 use serde_json::{Value, json};
 use test_case::test_case;
+use verbenahitch::domain::JobId;
+use verbenahitch::scheduler::{Answer, JobStatus, Request, SubmitError};
 use verbenahitch_standin::fault::Fault;
 
 use super::gateway::{MARKETS, OPERATOR, PASSES, SECOND, Site, document};
@@ -198,3 +200,58 @@
     assert_eq!(site.accepted(), Value::Null);
     site.stop().await;
 }
+
+fn standing(id: &JobId) -> JobStatus {
+    JobStatus {
+        id: id.clone(),
+        shard: "odd-0".to_owned(),
+        tasks: 1,
+        running: 1,
+        done: 0,
+        failed: 0,
+        cancelled: 0,
+        unknown: 0,
+        evictions: 0,
+    }
+}
+
+/// An owner that holds the job `markets.one` and no other.
+fn holds_one(request: &Request) -> Answer {
+    match request {
+        Request::Submit { id, .. } => Answer::Accepted(standing(id)),
+        Request::Job(id) if id.as_str() == "markets.one" => Answer::Job(standing(id)),
+        Request::Job(id) => Answer::Refused(SubmitError::UnknownJob { id: id.clone() }),
+        _ => Answer::Explained("as asked".to_owned()),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_can_be_read_while_the_store_is_down() {
+    let site = Site::start(1).await;
+    assert_eq!(site.apply(0, 0, &document()).await.status, StatusCode::OK);
+    let owner = site.own("odd-0", holds_one);
+    let gateway = site.gateways[0].handle().clone();
+    until("the owner is known", || {
+        gateway
+            .members()
+            .iter()
+            .any(|member| !member.shards.is_empty())
+    })
+    .await;
+    let submitted = job("one", "recalculation");
+    let submit = site.call(0, MARKETS, Method::POST, "jobs", &submitted);
+    let accepted = submit.await;
+    assert_eq!(accepted.status, StatusCode::OK, "{accepted:?}");
+    assert_eq!(accepted.body["id"], "markets.one");
+    site.store.stop();
+    let read = site.get(0, "jobs/markets.one").await;
+    assert_eq!(read.body, accepted.body);
+    let unknown = site.get(0, "jobs/markets.two").await;
+    assert_eq!(
+        unknown.status,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "{unknown:?}"
+    );
+    owner.stop().await;
+    site.stop().await;
+}
