--- a/crates/verbenahitch/src/client/mod.rs
+++ b/crates/verbenahitch/src/client/mod.rs
@@ -143,6 +143,16 @@
         self.call(self.request(Method::GET, "status")).await
     }
 
+    /// How a shard stands, as `zone-index`.
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`].
+    pub async fn shard(&self, shard: &str) -> Result<Value, ClientError> {
+        let path = format!("shards/{shard}");
+        self.call(self.request(Method::GET, &path)).await
+    }
+
     /// Why a task is where it is.
     ///
     /// # Errors
--- a/crates/verbenahitch/src/cmd/mod.rs
+++ b/crates/verbenahitch/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod job;
 mod remote;
 mod replay;
+mod shard;
 mod status;
 mod submit;
 mod zone;
@@ -58,6 +59,9 @@
     /// Show processes, shards and workers
     #[bpaf(command)]
     Status(#[bpaf(external(status::args))] status::Args),
+    /// Show the workers of a shard, and whose work presses on whose
+    #[bpaf(command)]
+    Shard(#[bpaf(external(shard::args))] shard::Args),
     /// Tell why a task is where it is
     #[bpaf(command)]
     Explain(#[bpaf(external(explain::args))] explain::Args),
@@ -93,6 +97,7 @@
             Self::Diff(args) => args.execute(),
             Self::Zone(args) => args.execute(),
             Self::Status(args) => args.execute(),
+            Self::Shard(args) => args.execute(),
             Self::Explain(args) => args.execute(),
             Self::Submit(args) => args.execute(),
             Self::Job(args) => args.execute(),
