--- a/crates/verbenahitch/src/config/change.rs
+++ b/crates/verbenahitch/src/config/change.rs
@@ -105,6 +105,10 @@
         let newer = Box::new(stored.declarations);
         return Err(ChangeError::Stale { from, newer });
     }
+    let faults = stored.declarations.succession_faults(&document);
+    if !faults.is_empty() {
+        return Err(ChangeError::Faulty { faults });
+    }
     let next = Declarations {
         revision: from + 1,
         write_id: author.write_id.clone(),
--- a/crates/verbenahitch/src/config/declarations.rs
+++ b/crates/verbenahitch/src/config/declarations.rs
@@ -157,6 +157,30 @@
         faults
     }
 
+    /// Faults that `next` has as the successor of this document.
+    ///
+    /// Jobs belong to shards for good, so a shard that may hold jobs has to stay.
+    pub fn succession_faults(&self, next: &Self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for (name, zone) in &self.zones {
+            match next.zones.get(name) {
+                None => {
+                    let reason = "a declared zone is taken out, not left out".to_owned();
+                    push(&mut faults, format!("zones.{name}"), reason);
+                }
+                Some(after) if after.shards < zone.shards => {
+                    let reason = format!(
+                        "found {}, allowed is at least the {} that may hold jobs",
+                        after.shards, zone.shards
+                    );
+                    push(&mut faults, format!("zones.{name}.shards"), reason);
+                }
+                Some(_) => {}
+            }
+        }
+        faults
+    }
+
     fn profile_faults(&self, name: &str, profile: &Profile, faults: &mut Vec<Fault>) {
         let mut check = |fine: bool, key: &str, reason: String| {
             if !fine {
--- a/crates/verbenahitch/src/scheduler/daemon/owner.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/owner.rs
@@ -32,6 +32,7 @@
 
 /// Driver of a shard that this process owns.
 struct Owned {
+    session: String,
     epoch: u64,
     sender: mpsc::UnboundedSender<Message>,
     status: watch::Receiver<ShardStatus>,
@@ -166,7 +167,9 @@
             .owned
             .iter()
             .filter(|(shard, owned)| {
-                session.is_none() || owned.driver.is_finished() || newest(shard) > owned.epoch
+                session.is_none_or(|session| session.id != owned.session)
+                    || owned.driver.is_finished()
+                    || newest(shard) > owned.epoch
             })
             .map(|(shard, _)| shard.clone())
             .collect();
@@ -315,6 +318,7 @@
             status,
         );
         Owned {
+            session: session.id.clone(),
             epoch,
             sender,
             status: watched,
--- a/testsuite/tests/testsuite/settings/declared.rs
+++ b/testsuite/tests/testsuite/settings/declared.rs
@@ -67,6 +67,26 @@
     assert_eq!(shards, ["a-0", "b-0", "b-1"]);
 }
 
+#[test]
+fn shards_that_may_hold_jobs_stay() {
+    let before = parse_declarations("d.jsonc", &text("", "")).expect("no faults");
+    let faults = |change: &dyn Fn(&mut Declarations)| -> Vec<String> {
+        let mut after = before.clone();
+        change(&mut after);
+        let faults = before.succession_faults(&after);
+        faults.into_iter().map(|fault| fault.path).collect()
+    };
+    let shards = |after: &mut Declarations, count| {
+        after.zones.get_mut("b").expect("declared").shards = count;
+    };
+    assert!(faults(&|after| shards(after, 3)).is_empty());
+    assert_eq!(faults(&|after| shards(after, 1)), ["zones.b.shards"]);
+    let removed = faults(&|after| {
+        after.zones.remove("a");
+    });
+    assert_eq!(removed, ["zones.a"]);
+}
+
 #[test]
 fn differences_name_each_key() {
     let before = parse_declarations("d.jsonc", &text("", "")).expect("no faults");
