--- a/testsuite/tests/testsuite/standin/process.rs
+++ b/testsuite/tests/testsuite/standin/process.rs
@@ -1,9 +1,11 @@
 //! Stand-ins as processes of their own.
 
 use std::io::{BufRead as _, BufReader, Write as _};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
 use verbenahitch::adapter::{HostList, Store};
+use verbenahitch_standin::load::Report;
 use verbenahitch_standin::platform::Addresses;
 
 struct Process {
@@ -61,3 +63,25 @@
     let calls = reqwest::get(calls).await.unwrap().text().await.unwrap();
     assert!(calls.contains(r#""writes":1"#), "{calls}");
 }
+
+#[test]
+fn the_load_tool_prints_what_came_back() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
+    let pool = root.join("crates/standin/fixtures/kilele/pool.jsonc");
+    let process = Process::start(&["platform", "--pool", pool.to_str().unwrap()]);
+    let declarations = root.join("examples/kilele/declarations.jsonc");
+    let output = Command::new(env!("CARGO_BIN_EXE_testsuite-standin"))
+        .args(["load", "--json", "--count", "60", "--rate", "500"])
+        .args(["--callers", &process.addresses.workers[0].upstream])
+        .args(["--callers", &process.addresses.workers[1].upstream])
+        .args(["--concurrency", "8"])
+        .arg("--declarations")
+        .arg(declarations)
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{output:?}");
+    let report: Report = serde_json::from_slice(&output.stdout).unwrap();
+    let answered: Vec<u64> = report.kinds.values().map(|kind| kind.answered).collect();
+    assert_eq!(answered.len(), 3);
+    assert_eq!(answered.iter().sum::<u64>(), 60);
+}
--- a/testsuite/tests/testsuite/standin/worker.rs
+++ b/testsuite/tests/testsuite/standin/worker.rs
@@ -8,6 +8,7 @@
 use verbenahitch::port::{
     Clock as _, Command, EndKind, ManualClock, SyncError, SyncReply, SyncRequest,
 };
+use verbenahitch_standin::history::{Rules, Session, Violation, check};
 use verbenahitch_standin::worker::{Pressure, Receipt, ServiceTime, Settings, Worker};
 
 const LEASE_MS: u64 = 10_000;
@@ -145,6 +146,25 @@
     assert_eq!(reply.running.len(), 2);
 }
 
+#[tokio::test]
+async fn the_history_check_finds_what_a_worker_did_not_refuse() {
+    let settings = Settings {
+        enforced: false,
+        ..Settings::default()
+    };
+    let bench = Bench::new(settings).await;
+    let starts = vec![start(1, 10, 0), start(2, 7, 0)];
+    let reply = bench.commands(1, starts).await;
+    assert_eq!(reply.running.len(), 2);
+    let session = Session {
+        workers: vec![bench.worker.history()],
+        ..Session::default()
+    };
+    let found = check(&session, &Rules::default());
+    let overcommitted = matches!(found[..], [Violation::Overcommitted { .. }]);
+    assert!(overcommitted, "{found:?}");
+}
+
 #[tokio::test]
 async fn a_lapsed_lease_stops_the_runs_after_a_checkpoint() {
     let bench = Bench::new(Settings::default()).await;
