--- a/crates/standin/src/demo/events.rs
+++ b/crates/standin/src/demo/events.rs
@@ -77,7 +77,8 @@
         }
         if name == "pressure" {
             let pair = text("source").zip(text("victim"));
-            let slowdown = event.get("slowdown").and_then(Value::as_f64);
+            let percent = event.get("slowdown-percent").and_then(Value::as_f64);
+            let slowdown = percent.map(|percent| percent / 100.0);
             if let Some((pair, slowdown)) = pair.zip(slowdown) {
                 let largest = seen.pressure.entry(pair).or_insert(slowdown);
                 *largest = largest.max(slowdown);
