--- a/crates/verbenahitch/src/interference/relief.rs
+++ b/crates/verbenahitch/src/interference/relief.rs
@@ -22,10 +22,12 @@
 const FIRST_VARIANCE: f64 = 0.04;
 const SETTLE_MS: Millis = 2_000;
 const STALE_MS: Millis = 60_000;
-/// Part of the tolerated slowdown beyond which tasks are evicted at once.
+/// Part of the tolerated slowdown beyond which tasks are evicted early.
 const EVICT_PART: f64 = 1.4;
+/// Time above that part after which tasks are evicted.
+const EVICT_EARLY_MS: Millis = 5_000;
 /// Time above the tolerated slowdown after which tasks are evicted.
-const EVICT_MS: Millis = 10_000;
+const EVICT_MS: Millis = 20_000;
 const FIRST_RESTORE_MS: Millis = 5_000;
 /// Time after a restoration in which a slowdown may be its relapse.
 const RELAPSE_MS: Millis = 120_000;
@@ -101,13 +103,14 @@
         self.heard.is_some_and(|heard| now.since(heard) < STALE_MS)
     }
 
-    /// Slowdown beyond the predicted one that is more than noise.
+    /// Difference between the measured and the predicted slowdown that is more than noise.
     pub(crate) fn unexplained(&self, now: Monotonic) -> f64 {
         if !self.is_fresh(now) {
             return 0.0;
         }
         let deviation = (self.variance * SMOOTHING / (2.0 - SMOOTHING)).sqrt();
-        (self.surplus - SIGNIFICANT * deviation).max(0.0)
+        let noise = SIGNIFICANT * deviation;
+        self.surplus - self.surplus.clamp(-noise, noise)
     }
 }
 
@@ -205,13 +208,12 @@
     fn relieve(&mut self, worst: &Strain, suspects: &[Suspect], now: Monotonic) -> Vec<Measure> {
         self.calm = None;
         let hot = *self.hot.get_or_insert(now);
-        if self.is_settling(now) {
-            return Vec::new();
-        }
         let suspects = blamed(suspects);
         let mut measures = throttles(-worst.room(), &suspects);
         let severe = worst.added > EVICT_PART * worst.tolerated;
-        if measures.is_empty() && (severe || now.since(hot) >= EVICT_MS) {
+        let patience = if severe { EVICT_EARLY_MS } else { EVICT_MS };
+        let due = now.since(hot) >= patience && !self.is_settling(now);
+        if measures.is_empty() && due {
             measures.extend(eviction(&suspects));
         }
         if !measures.is_empty() {
--- a/crates/verbenahitch/src/placement/budget.rs
+++ b/crates/verbenahitch/src/placement/budget.rs
@@ -17,10 +17,15 @@
         if !profile.eviction.allowed {
             return false;
         }
-        let spent = self.spent.get(&task).map_or(0, |times| {
+        let budget = usize::try_from(profile.eviction.hourly_budget).unwrap_or(usize::MAX);
+        self.spent(task, now) < budget
+    }
+
+    /// Evictions of a task within the last hour.
+    pub(super) fn spent(&self, task: TaskKey, now: Monotonic) -> usize {
+        self.spent.get(&task).map_or(0, |times| {
             times.iter().filter(|at| is_recent(**at, now)).count()
-        });
-        u32::try_from(spent).unwrap_or(u32::MAX) < profile.eviction.hourly_budget
+        })
     }
 
     /// Counts an eviction.
--- a/crates/verbenahitch/src/placement/choose.rs
+++ b/crates/verbenahitch/src/placement/choose.rs
@@ -202,6 +202,7 @@
                 roster: &placer.roster,
                 racks: &placer.racks,
                 running: &placer.running,
+                overdue: is_overdue(placer, ask, now),
                 now,
             },
             profile: placer.roster.id(&ask.name),
@@ -305,6 +306,15 @@
     if first { f64::INFINITY } else { PRESSURE_LIMIT }
 }
 
+/// Whether a task has waited twice its deadline and was not evicted of late.
+///
+/// It is let in then whatever its own pressure, so that no task waits for ever;
+/// one that was evicted must wait for calm, or it would be evicted over and over.
+fn is_overdue(placer: &Placer, ask: &Ask, now: Monotonic) -> bool {
+    let long = ask.waited_ms >= ask.profile.deadline_ms.saturating_mul(2);
+    long && placer.budgets.spent(ask.task, now) == 0
+}
+
 /// Names the first resource that is short.
 fn shortfall(need: Resources, room: Resources) -> String {
     if need.millicores > room.millicores {
--- a/crates/verbenahitch/src/placement/score.rs
+++ b/crates/verbenahitch/src/placement/score.rs
@@ -11,6 +11,8 @@
 const RACK_WEIGHT: f64 = 1.0;
 const FIT_WEIGHT: f64 = 0.5;
 const LEAST_TOLERANCE: f64 = 0.02;
+/// Share of its processors at which a task must be bearable to be let in.
+const ADMITTED_SHARE: f64 = 0.5;
 /// Tasks of a profile that are tried before its pressure was measured.
 const TRIALS: u32 = 4;
 /// Measurements from which on a pressure counts as measured.
@@ -24,6 +26,8 @@
     pub(super) racks: &'a Racks,
     /// Tasks of each profile that run.
     pub(super) running: &'a [u32],
+    /// Whether the task has waited so long that its own pressure does not count.
+    pub(super) overdue: bool,
     pub(super) now: Monotonic,
 }
 
@@ -67,9 +71,8 @@
     /// Slowdown that a victim on `host` would have beside one more batch task:
     /// as things are, and once it and the tasks that yield to it are throttled.
     ///
-    /// A long overdue task does not count itself, so that no task waits for ever.
+    /// A long overdue task does not count itself.
     fn pressure_by(&self, host: &Host, ask: &Ask, id: Option<ProfileId>) -> (f64, f64) {
-        let overdue = ask.waited_ms >= ask.profile.deadline_ms.saturating_mul(2);
         let mut most: (f64, f64) = (0.0, 0.0);
         for victim in &host.victims {
             if victim.residents == 0 && !victim.is_fresh(self.now) {
@@ -77,10 +80,10 @@
             }
             let limit = tolerance(self.roster.profile(victim.profile).max_slowdown);
             let own = self.own(victim.profile, ask, id);
-            let counted = if overdue || self.is_trial(victim.profile, id) {
+            let counted = if self.overdue || self.is_trial(victim.profile, id) {
                 0.0
             } else {
-                own * ask.profile.min_share
+                own * ask.profile.min_share.max(ADMITTED_SHARE)
             };
             let unexplained = victim.unexplained(self.now);
             let (present, least) = self.present(host, victim.profile, &ask.profile);
--- a/crates/verbenahitch/src/replay/report.rs
+++ b/crates/verbenahitch/src/replay/report.rs
@@ -48,6 +48,9 @@
     }
 }
 
+/// A row's label and the figure in it.
+type Column = (&'static str, fn(&KindReport) -> Spread);
+
 /// Answers of one kind of request.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -228,7 +231,7 @@
         let Some(first) = self.policies.first() else {
             return Ok(());
         };
-        let columns: [(&str, fn(&KindReport) -> Spread); 4] = [
+        let columns: [Column; 4] = [
             ("p50 ms", |kind| kind.p50_ms),
             ("p99 ms", |kind| kind.p99_ms),
             ("p99.9 ms", |kind| kind.p999_ms),
--- a/crates/verbenahitch/src/replay/serving.rs
+++ b/crates/verbenahitch/src/replay/serving.rs
@@ -12,7 +12,7 @@
 use super::tally::Answers;
 use super::trace::{Event, Kind};
 use crate::collections::HashMap;
-use crate::domain::{JobKey, Millis, Resources, TaskKey, WorkerKey};
+use crate::domain::{JobKey, Millis, Monotonic, Resources, TaskKey, WorkerKey};
 use crate::placement::{Resident, WorkerState};
 use crate::port::{LatencyReport, TaskUsage, Usage};
 
@@ -247,8 +247,11 @@
     /// Hands over the reports that have arrived.
     pub(super) fn deliver_reports(&mut self) {
         for worker in &mut self.workers {
-            let arrived = |(at, _): &mut (_, _)| self.now.since(*at) >= REPORT_LAG_MS;
-            while let Some((at, mut usage)) = worker.reports.pop_front_if(arrived) {
+            let arrived = |at: Monotonic| self.now.since(at) >= REPORT_LAG_MS;
+            while worker.reports.front().is_some_and(|(at, _)| arrived(*at)) {
+                let Some((at, mut usage)) = worker.reports.pop_front() else {
+                    break;
+                };
                 usage.age_ms = self.now.since(at);
                 self.cells[worker.cell].observe(worker.key, &usage, self.now);
             }
--- a/testsuite/tests/testsuite/main.rs
+++ b/testsuite/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod interference;
 mod membership;
 mod placement;
+mod replay;
 mod scheduler;
 mod session;
 mod settings;
--- /dev/null
+++ b/testsuite/tests/testsuite/replay/mod.rs
@@ -0,0 +1,4 @@
+//! Replay of recorded traces.
+
+mod format;
+mod outcome;
