Let answers pay for retries after refusals

A refused request has provably not run, but its retry came out of the same budget of a tenth of the traffic as retries after failures, so that requests were given up while other upstreams had free slots. Refusals now have a budget of their own, earned by answers: it lasts while upstreams answer, and runs dry when all refuse.

--- a/crates/verbenahitch/src/gateway/admission/budget.rs
+++ b/crates/verbenahitch/src/gateway/admission/budget.rs
@@ -1,5 +1,5 @@
-//! Budget of retries: a share of the first attempts, so that an overload is not
-//! multiplied.
+//! Budget of retries: a share of the traffic that earns them, so that an
+//! overload is not multiplied.
 
 use std::sync::atomic::{AtomicI64, Ordering};
 
@@ -16,7 +16,7 @@
 }
 
 impl Budget {
-    /// Creates a budget of `percent` retries per hundred first attempts.
+    /// Creates a budget of `percent` retries per hundred requests that earn.
     pub fn new(percent: u32) -> Self {
         Self {
             hundredths: AtomicI64::new(if percent == 0 {
@@ -28,7 +28,7 @@
         }
     }
 
-    /// Notes a first attempt.
+    /// Notes a request that earns its share.
     pub fn earn(&self) {
         let earned = |held: i64| {
             let next = (held + self.percent).min(MOST_RETRIES * RETRY);
--- a/crates/verbenahitch/src/gateway/path/serve.rs
+++ b/crates/verbenahitch/src/gateway/path/serve.rs
@@ -55,6 +55,16 @@
     Unknown(Doubt, String),
 }
 
+/// Why a request is tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Retry {
+    /// An upstream refused it for lack of a slot. This says that others may
+    /// have one for as long as answers come, and each answer pays for a retry.
+    Refused,
+    /// A connection failed or made no progress.
+    Failed,
+}
+
 /// Attempts of one request.
 struct Attempts<'a> {
     shared: &'a Shared,
@@ -113,7 +123,7 @@
         count: 0,
     };
     let mut running = FuturesUnordered::new();
-    shared.budget.earn();
+    shared.failures.earn();
     running.push(attempts.start(first));
     let mut hedge = pin!(tokio::time::sleep(patience));
     let mut hedged = !call.idempotent;
@@ -123,11 +133,14 @@
             Some(outcome) = running.next() => outcome,
             () = &mut hedge, if !hedged => {
                 hedged = true;
-                running.extend(attempts.next(true).map(|choice| attempts.start(choice)));
+                running.extend(attempts.next(Retry::Failed).map(|choice| attempts.start(choice)));
                 continue;
             }
         };
-        let again = matches!(outcome, Outcome::Unknown(..));
+        let cause = match outcome {
+            Outcome::Refused => Retry::Refused,
+            _ => Retry::Failed,
+        };
         match outcome {
             Outcome::Answered(answer) => return End::Answered(answer),
             Outcome::Unknown(kind, reason) if !call.idempotent => {
@@ -136,7 +149,7 @@
             Outcome::Unknown(kind, reason) => doubt = Some((kind, reason)),
             Outcome::Refused | Outcome::NotSent(_) => {}
         }
-        running.extend(attempts.next(again).map(|choice| attempts.start(choice)));
+        running.extend(attempts.next(cause).map(|choice| attempts.start(choice)));
         if running.is_empty() {
             return failed(doubt);
         }
@@ -170,7 +183,7 @@
     ///
     /// An upstream that has refused is not asked again; one whose connection
     /// failed may answer on a fresh one if there is no other.
-    fn next(&self, again: bool) -> Option<Choice> {
+    fn next(&self, cause: Retry) -> Option<Choice> {
         let now = self.shared.now();
         if self.count >= ATTEMPTS || self.call.deadline <= now {
             return None;
@@ -178,8 +191,16 @@
         let dice = rand::rng().next_u64();
         let table = self.shared.table.load();
         let other = table.choose(now, dice, &self.tried[..self.count]);
-        let choice = other.or_else(|| table.choose(now, dice, &[]).filter(|_| again))?;
-        self.shared.budget.spend().then_some(choice)
+        let choice = other.or_else(|| {
+            table
+                .choose(now, dice, &[])
+                .filter(|_| cause == Retry::Failed)
+        })?;
+        let budget = match cause {
+            Retry::Failed => &self.shared.failures,
+            Retry::Refused => &self.shared.refusals,
+        };
+        budget.spend().then_some(choice)
     }
 
     fn start(&mut self, choice: Choice) -> impl Future<Output = Outcome> + use<'a> {
@@ -222,6 +243,7 @@
     }
     match &report.outcome {
         Outcome::Answered(_) => {
+            shared.refusals.earn();
             shared.latency.observe(&call.kind, started.elapsed());
             upstream.limit.taken(upstream.in_flight());
             if upstream.health.succeeded() {
--- a/crates/verbenahitch/src/gateway/path/shared.rs
+++ b/crates/verbenahitch/src/gateway/path/shared.rs
@@ -14,6 +14,9 @@
 use crate::gateway::once::Once;
 use crate::gateway::route::{Place, Table};
 
+/// Retries after refusals per hundred answers.
+const REFUSAL_PERCENT: u32 = 100;
+
 /// State that all requests of a gateway share; the path of a request takes no lock on it.
 pub struct Shared {
     /// Settings.
@@ -28,8 +31,10 @@
     pub latency: Latency,
     /// Routing table.
     pub table: ArcSwap<Table>,
-    /// Budget of retries.
-    pub budget: Budget,
+    /// Budget of retries after failures, earned by first attempts.
+    pub failures: Budget,
+    /// Budget of retries after refusals, earned by answers.
+    pub refusals: Budget,
     stopping: AtomicBool,
     in_flight: AtomicUsize,
     drained: Notify,
@@ -50,7 +55,8 @@
         admission: Admission,
     ) -> Self {
         Self {
-            budget: Budget::new(settings.gateway.retry_percent),
+            failures: Budget::new(settings.gateway.retry_percent),
+            refusals: Budget::new(REFUSAL_PERCENT),
             // A process that starts again must not repeat the identities of the one before.
             ids: AtomicU64::new(clock.wall_ms() << 20),
             table: ArcSwap::default(),
--- a/testsuite/tests/testsuite/gateway/admission.rs
+++ b/testsuite/tests/testsuite/gateway/admission.rs
@@ -196,6 +196,42 @@
     );
 }
 
+#[tokio::test]
+async fn answers_pay_for_retries_after_refusals() {
+    const REQUESTS: usize = 200;
+    let full = Upstream::start(|_| Act::Refuse).await;
+    let open = Upstream::answering("charged").await;
+    let gateway = Setup::over(&[full.address, open.address])
+        .with("retry-percent", 0)
+        .start()
+        .await;
+    for _ in 0..REQUESTS {
+        assert_eq!(got(gateway.post("/charge")).await.status, 200);
+    }
+    assert_eq!(open.count(), REQUESTS);
+    assert!(full.count() > 0, "no request was refused");
+}
+
+#[tokio::test]
+async fn failures_are_not_multiplied() {
+    const REQUESTS: usize = 300;
+    let mut broken = Vec::new();
+    for _ in 0..3 {
+        broken.push(Upstream::start(|_| Act::Close).await);
+    }
+    let addresses: Vec<_> = broken.iter().map(|upstream| upstream.address).collect();
+    let gateway = Setup::over(&addresses).start().await;
+    for _ in 0..REQUESTS {
+        assert_ne!(got(gateway.post("/quote")).await.status, 200);
+    }
+    let attempts: usize = broken.iter().map(Upstream::count).sum();
+    let most = REQUESTS + REQUESTS / 10 + 10;
+    assert!(
+        attempts <= most,
+        "{attempts} attempts for {REQUESTS} requests"
+    );
+}
+
 #[tokio::test]
 async fn waiting_requests_get_freed_slots() {
     const REQUESTS: usize = 40;
