--- a/crates/verbenahitch/src/gateway/path/handler.rs
+++ b/crates/verbenahitch/src/gateway/path/handler.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rocket::catcher::{self, Catcher};
 use rocket::data::Data;
@@ -70,7 +70,7 @@
 impl route::Handler for CatchAll {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> route::Outcome<'r> {
         let active = self.shared.enter();
-        let started = self.shared.now();
+        let started = Instant::now();
         let given = request.headers().get_one(REQUEST_ID).unwrap_or_default();
         let (id, kind, end) = match prepare(&self.shared, request, data).await {
             Ok(call) => {
@@ -79,8 +79,7 @@
             }
             Err(refusal) => (given.to_owned(), String::new(), End::Refused(refusal)),
         };
-        let took = self.shared.now().since(started);
-        report::ended(&id, &kind, &end, took);
+        report::ended(&id, &kind, &end, started.elapsed());
         // After a malformed request, what follows on the connection may be misread.
         let malformed = matches!(&end, End::Refused(refusal) if refusal.cause == Cause::Malformed);
         let close = malformed || self.shared.is_stopping();
--- a/crates/verbenahitch/src/gateway/path/report.rs
+++ b/crates/verbenahitch/src/gateway/path/report.rs
@@ -1,8 +1,9 @@
 //! Log entries and metrics of the request path.
 
+use std::time::Duration;
+
 use metrics::{counter, histogram};
 
-use crate::domain::Millis;
 use crate::event::{Entry, Kind};
 
 use super::serve::{Call, End};
@@ -32,7 +33,7 @@
 }
 
 /// Logs and counts what became of a request.
-pub fn ended(id: &str, kind: &str, end: &End, took_ms: Millis) {
+pub fn ended(id: &str, kind: &str, end: &End, took: Duration) {
     let (event, outcome) = match end {
         End::Answered(_) => (Kind::Answered, "answered"),
         End::Refused(refusal) => (Kind::Refused, refusal.cause.name()),
@@ -41,8 +42,8 @@
     counter!("verbenahitch_requests_total", "kind" => kind.to_owned(), "outcome" => outcome)
         .increment(1);
     if matches!(end, End::Answered(_)) {
-        let seconds = std::time::Duration::from_millis(took_ms).as_secs_f64();
-        histogram!("verbenahitch_request_seconds", "kind" => kind.to_owned()).record(seconds);
+        histogram!("verbenahitch_request_seconds", "kind" => kind.to_owned())
+            .record(took.as_secs_f64());
     }
     if !is_logged(event) {
         return;
@@ -50,7 +51,7 @@
     let entry = Entry::new(event)
         .with("request", id)
         .with("kind", kind)
-        .with("took-ms", took_ms);
+        .with("took-ms", took.as_secs_f64() * 1_000.0);
     match end {
         End::Answered(answer) => entry.with("status", answer.status).emit(),
         End::Refused(refusal) => entry
