Let a caller's short deadline not eject an upstream

Only time without progress counts now: silence-ms or the kind's target, at most half of the profile's deadline.

Seen failing with the mechanism off: short_deadlines_eject_nobody.

--- a/crates/verbenahitch/src/gateway/path/handler.rs
+++ b/crates/verbenahitch/src/gateway/path/handler.rs
@@ -145,7 +145,10 @@
         kind: name.to_owned(),
         profile: kind.profile.clone(),
         worth: profile.worth,
-        target_ms: profile.target_ms,
+        patience_ms: settings
+            .silence_ms
+            .max(profile.target_ms)
+            .min(profile.deadline_ms / 2),
         idempotent: profile.idempotent,
         key: head.key,
         deadline: started + allowed,
--- a/crates/verbenahitch/src/gateway/path/serve.rs
+++ b/crates/verbenahitch/src/gateway/path/serve.rs
@@ -32,8 +32,8 @@
     pub profile: String,
     /// What its answer is worth.
     pub worth: u32,
-    /// Latency target.
-    pub target_ms: Millis,
+    /// Time without progress after which a connection is given up.
+    pub patience_ms: Millis,
     /// Whether running it twice has the effect of running it once.
     pub idempotent: bool,
     /// Idempotency key that the caller gave.
@@ -115,7 +115,7 @@
 }
 
 async fn race(shared: &Shared, call: &Call, first: Choice) -> End {
-    let patience = patience(shared, call);
+    let hedge_ms = call.patience_ms.min(call.deadline.since(shared.now()) / 2);
     let mut attempts = Attempts {
         shared,
         call,
@@ -125,7 +125,7 @@
     let mut running = FuturesUnordered::new();
     shared.failures.earn();
     running.push(attempts.start(first));
-    let mut hedge = pin!(tokio::time::sleep(patience));
+    let mut hedge = pin!(tokio::time::sleep(Duration::from_millis(hedge_ms)));
     let mut hedged = !call.idempotent;
     let mut doubt = None;
     loop {
@@ -171,13 +171,6 @@
     End::Refused(Refusal::new(Cause::TooLate, reason))
 }
 
-/// Time without progress after which a connection is given up and another try may start.
-fn patience(shared: &Shared, call: &Call) -> Duration {
-    let silence = shared.settings.gateway.silence_ms.max(call.target_ms);
-    let remaining = call.deadline.since(shared.now());
-    Duration::from_millis(silence.min(remaining / 2))
-}
-
 impl<'a> Attempts<'a> {
     /// Chooses where to try next, if attempts, budget and deadline allow it.
     ///
@@ -230,7 +223,7 @@
     let mut send = pin!(send);
     let report = tokio::select! {
         report = &mut send => report,
-        () = tokio::time::sleep(patience(shared, call)) => {
+        () = tokio::time::sleep(Duration::from_millis(call.patience_ms)) => {
             suspect(shared, &slot, &client, "no progress");
             send.await
         }
@@ -252,6 +245,8 @@
         }
         Outcome::Refused => upstream.limit.refused(),
         Outcome::NotSent(reason) => count_failure(shared, &slot, reason),
+        // A deadline that a caller set short says nothing of the connection.
+        Outcome::Unknown(Doubt::Deadline, _) => {}
         Outcome::Unknown(_, reason) => suspect(shared, &slot, &client, reason),
     }
     report.outcome
--- a/crates/verbenahitch/src/gateway/route/upstream.rs
+++ b/crates/verbenahitch/src/gateway/route/upstream.rs
@@ -130,6 +130,9 @@
     /// Says whether `suspect` was still in use, so that many requests on one
     /// silent pool retire it once.
     pub fn retire(&self, suspect: &Arc<Client>) -> bool {
+        if !Arc::ptr_eq(&self.client.load(), suspect) {
+            return false;
+        }
         let fresh = Arc::new(client(self.silence_ms));
         let found = self.client.compare_and_swap(suspect, fresh);
         Arc::ptr_eq(&found, suspect)
--- a/testsuite/tests/testsuite/gateway/silence.rs
+++ b/testsuite/tests/testsuite/gateway/silence.rs
@@ -1,7 +1,7 @@
 //! A connection that went silent is given up, and its upstream is not.
 
-use super::fake::{Act, Upstream};
-use super::fixture::{Setup, got};
+use super::fake::{Act, Seen, Upstream};
+use super::fixture::{STUCK, Setup, got};
 
 #[tokio::test]
 async fn new_connection_replaces_a_silent_one() {
@@ -48,6 +48,40 @@
     assert_eq!(upstream.count(), OPEN + 1 + 20);
 }
 
+#[tokio::test]
+async fn short_deadlines_eject_nobody() {
+    const UPSTREAMS: usize = 4;
+    const SLOTS: usize = 8;
+    const HASTY: usize = 40;
+    let mut upstreams = Vec::new();
+    for _ in 0..UPSTREAMS {
+        let script = |seen: &Seen| match seen.field("x-hasty") {
+            Some(_) => Act::Silent,
+            None => Act::Gated("done".to_owned()),
+        };
+        upstreams.push(Upstream::start(script).await);
+    }
+    let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let gateway = Setup::over(&addresses).start().await;
+    for _ in 0..HASTY {
+        let hasty = gateway.post("/charge").header("x-hasty", "1");
+        assert_eq!(got(hasty.header("x-deadline-ms", "20")).await.status, 504);
+    }
+    let before: Vec<_> = upstreams.iter().map(Upstream::count).collect();
+    let requests: Vec<_> = (0..UPSTREAMS * SLOTS)
+        .map(|_| tokio::spawn(got(gateway.post("/charge"))))
+        .collect();
+    for (upstream, before) in upstreams.iter().zip(before) {
+        let all = upstream.arrived(before + SLOTS);
+        let stuck = tokio::time::timeout(STUCK, all).await;
+        stuck.expect("a healthy upstream was ejected");
+    }
+    upstreams.iter().for_each(Upstream::open_gate);
+    for request in requests {
+        assert_eq!(request.await.unwrap().status, 200);
+    }
+}
+
 #[tokio::test]
 async fn idempotent_request_leaves_a_silent_connection() {
     let upstream = Upstream::start(|seen| match (seen.connection, seen.number) {
