Refuse each request once in the proof of its retry

The case passed without the mechanism: an upstream that always refuses is hardly chosen any more, so that the retries saved up sufficed. Now every request is refused where it comes first.

--- a/testsuite/tests/testsuite/gateway/admission.rs
+++ b/testsuite/tests/testsuite/gateway/admission.rs
@@ -1,11 +1,14 @@
 //! Decisions of admission: who gets the next slot, who is refused, and what an
 //! overload leaves of the goodput.
 
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+
 use test_case::test_case;
 use verbenahitch::domain::{Millis, Monotonic};
 use verbenahitch::gateway::admission::{Budget, Queue, Shed, Ticket};
 
-use super::fake::{Act, Upstream};
+use super::fake::{Act, Seen, Upstream};
 use super::fixture::{Setup, got};
 
 const NOW: Monotonic = Monotonic(10_000);
@@ -199,17 +202,27 @@
 #[tokio::test]
 async fn answers_pay_for_retries_after_refusals() {
     const REQUESTS: usize = 200;
-    let full = Upstream::start(|_| Act::Refuse).await;
-    let open = Upstream::answering("charged").await;
-    let gateway = Setup::over(&[full.address, open.address])
+    // Every request is refused where it comes first and taken where it comes next.
+    let met = Arc::new(Mutex::new(BTreeSet::new()));
+    let mut upstreams = Vec::new();
+    for _ in 0..2 {
+        let met = Arc::clone(&met);
+        let script = move |seen: &Seen| match met.lock().unwrap().insert(seen.id().to_owned()) {
+            true => Act::Refuse,
+            false => Act::Answer("charged".to_owned()),
+        };
+        upstreams.push(Upstream::start(script).await);
+    }
+    let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let gateway = Setup::over(&addresses)
         .with("retry-percent", 0)
         .start()
         .await;
     for _ in 0..REQUESTS {
         assert_eq!(got(gateway.post("/charge")).await.status, 200);
     }
-    assert_eq!(open.count(), REQUESTS);
-    assert!(full.count() > 0, "no request was refused");
+    let sent: usize = upstreams.iter().map(Upstream::count).sum();
+    assert_eq!(sent, 2 * REQUESTS);
 }
 
 #[tokio::test]
