--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -9,13 +9,16 @@
 //! * `commit`: group commit of jobs' records.
 //! * `starts`: marks tasks and gives them to workers.
 //! * `syncs`: messages to workers and their answers.
-//! * `ends`: ends of runs, evictions, lapsed leases.
+//! * `found`: runs that workers report.
+//! * `ends`: what follows from the end of a run, or from a lapsed lease.
+//! * `evictions`: evictions and throttling.
 //! * `recovery`: what a new owner learns before it starts a marked task.
 //! * `zone`: declarations, the list of workers, zones taken out and returning.
 
 mod commit;
 mod ends;
 mod evictions;
+mod found;
 mod job;
 mod lane;
 mod params;
--- a/testsuite/tests/testsuite/scheduler/failures.rs
+++ b/testsuite/tests/testsuite/scheduler/failures.rs
@@ -1,69 +1,17 @@
 //! One failure at a time.
 
 use test_case::test_case;
-use verbenahitch::config::ZoneState;
-use verbenahitch::domain::{JobId, JobSpec, Millis, TaskOutcome};
+use verbenahitch::domain::{JobSpec, Millis, TaskOutcome};
 use verbenahitch::event::Kind;
 use verbenahitch::port::{EndKind, HostState};
-use verbenahitch::scheduler::{Answer, Request, SubmitError};
 
+use super::common::{LIMIT_MS, RUN_MS, accept, assert_promises, count, finish, id, logged, world};
+use super::declared::spec;
 use super::fake_worker::FAILING_PAYLOAD;
 use super::history::Seen;
-use super::world::{CAPACITY, OUTAGE_MS, PERMIT_MS, RENEW_MS, TASK_LEASE_MS, Weather, World, spec};
+use super::world::{OUTAGE_MS, TASK_LEASE_MS, Weather, World};
 
-const SEED: u64 = 7;
 const TASKS: u32 = 6;
-/// Longer than a lease lasts without renewal.
-const RUN_MS: Millis = 6_000;
-/// Long enough for every lease to lapse and every task to run twice more.
-const LIMIT_MS: Millis = OUTAGE_MS + 2 * TASK_LEASE_MS + 60_000;
-
-fn id(key: &str) -> JobId {
-    JobId::new("market", key)
-}
-
-/// World with three workers whose shard is owned and settled.
-fn world() -> World {
-    let mut world = World::new(SEED, 3);
-    assert!(world.run_while(LIMIT_MS, |world| !world.owners[0].shard.is_settled()));
-    world
-}
-
-fn accept(world: &mut World, key: &str, spec: JobSpec) {
-    let owner = world.owner().expect("the shard is owned");
-    world.submit(owner, &id(key), spec);
-    assert!(world.run_while(LIMIT_MS, |world| !world.accepted.contains(&id(key))));
-}
-
-fn finish(world: &mut World, key: &str) {
-    let finished = |world: &World| {
-        let job = world.store.jobs.get(&id(key));
-        job.is_some_and(|job| job.is_finished())
-    };
-    assert!(
-        world.run_while(LIMIT_MS, |world| !finished(world)),
-        "{key} never finished"
-    );
-}
-
-fn count(world: &World, key: &str, outcome: TaskOutcome) -> u32 {
-    world.store.jobs[&id(key)].ended.count(outcome)
-}
-
-fn assert_promises(world: &World) {
-    let found = world
-        .history
-        .violations(|task| task.job == id("settlement"), CAPACITY, PERMIT_MS);
-    assert!(found.is_empty(), "{found:#?}");
-}
-
-fn logged(world: &World, kind: Kind) -> usize {
-    world
-        .entries
-        .iter()
-        .filter(|entry| entry.kind() == kind)
-        .count()
-}
 
 struct Fault {
     profile: &'static str,
@@ -282,60 +230,6 @@
     assert_promises(&world);
 }
 
-/// How soon after a zone was taken out nothing more may start.
-struct Leaving {
-    strike: fn(&mut World),
-    allowed_ms: Millis,
-}
-
-fn cut_owner(world: &mut World) {
-    world.owners[0].cut = true;
-}
-
-fn cut_owner_with_slow_calls(world: &mut World) {
-    // Just after a renewal, so that the permit lasts as long as it may.
-    let renewed = world.now.next_multiple_of(RENEW_MS) + 5;
-    world.run_until(renewed);
-    world.owners[0].cut = true;
-    for name in ["w0", "w1", "w2"] {
-        world.slow.insert(name.to_owned(), 250);
-    }
-}
-
-fn freeze_owner(world: &mut World) {
-    world.freeze(0);
-}
-
-#[test_case(Leaving { strike: |_| {}, allowed_ms: PERMIT_MS / 2 }; "owner hears of it")]
-#[test_case(Leaving { strike: cut_owner, allowed_ms: PERMIT_MS }; "owner is cut from the store")]
-#[test_case(Leaving { strike: freeze_owner, allowed_ms: PERMIT_MS }; "owner is paused")]
-#[test_case(Leaving { strike: cut_owner_with_slow_calls, allowed_ms: PERMIT_MS }; "owner is cut off and calls are slow")]
-fn nothing_starts_in_a_zone_taken_out(case: Leaving) {
-    // One of the run times frees room just before the permit lapses, others after.
-    for run_ms in (600..2_400).step_by(60) {
-        let mut world = world();
-        accept(
-            &mut world,
-            "recalculation",
-            spec("recalculation", 40, run_ms),
-        );
-        assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 12));
-        // Time for the next tasks to be marked, which then wait for room.
-        world.run_for(200);
-        (case.strike)(&mut world);
-        world.set_zone(ZoneState::Out);
-        world.run_for(2 * PERMIT_MS);
-        if world.owners[0].frozen {
-            world.wake(0);
-        }
-        world.run_for(PERMIT_MS);
-        let found = world
-            .history
-            .violations(|_| false, CAPACITY, case.allowed_ms);
-        assert!(found.is_empty(), "run time {run_ms}: {found:#?}");
-    }
-}
-
 #[test]
 fn marked_tasks_start_during_an_outage() {
     let mut world = world();
@@ -355,91 +249,6 @@
     assert_promises(&world);
 }
 
-#[test]
-fn an_outage_refuses_new_jobs_and_loses_none() {
-    let mut world = world();
-    world.store.down = true;
-    let first = world.submit(0, &id("first"), spec("recalculation", 1, RUN_MS));
-    world.run_for(1_000);
-    let second = world.submit(0, &id("second"), spec("recalculation", 1, RUN_MS));
-    world.run_for(1_000);
-    assert_eq!(world.answers.get(&first), None);
-    assert!(matches!(
-        world.refusal(second),
-        Some(SubmitError::Unavailable { .. })
-    ));
-    let now = world.now;
-    world.store.recover(now, 3_000);
-    finish(&mut world, "first");
-    assert!(matches!(world.answers[&first], Answer::Accepted(_)));
-    assert!(!world.store.jobs.contains_key(&id("second")));
-}
-
-struct Refusal {
-    spec: JobSpec,
-    reason: &'static str,
-}
-
-#[test_case(Refusal { spec: spec("nobody", 1, 10), reason: "profile \"nobody\" is not declared" }; "unknown profile")]
-#[test_case(Refusal { spec: spec("recalculation", 0, 10), reason: "found 0 tasks" }; "no tasks")]
-#[test_case(Refusal { spec: spec("recalculation", u32::MAX, 10), reason: "found 4294967295 tasks" }; "too many tasks")]
-#[test_case(Refusal { spec: spec("recalculation", 1, 0), reason: "run time of 0 ms" }; "no run time")]
-#[test_case(Refusal { spec: spec("recalculation", 1, 1 << 53), reason: "run time of 9007199254740992 ms" }; "absurd run time")]
-#[test_case(Refusal { spec: spec("giant", 1, 10), reason: "can never run" }; "larger than every worker")]
-#[test_case(Refusal { spec: JobSpec { payload: "x".repeat(20_000), ..spec("recalculation", 1, 10) }, reason: "payload of 20000 bytes" }; "payload too long")]
-fn refusals_name_the_reason(case: Refusal) {
-    let mut world = world();
-    let request = world.submit(0, &id("refused"), case.spec);
-    let refusal = world.refusal(request).expect("a refusal").to_string();
-    assert!(refusal.contains(case.reason), "{refusal}");
-    world.run_for(1_000);
-    assert!(world.store.jobs.is_empty());
-}
-
-#[test]
-fn a_repeated_submission_is_the_same_job() {
-    let mut world = world();
-    accept(&mut world, "once", spec("recalculation", 2, RUN_MS));
-    let again = world.submit(0, &id("once"), spec("recalculation", 2, RUN_MS));
-    let other = world.submit(0, &id("once"), spec("recalculation", 3, RUN_MS));
-    assert!(matches!(world.answers[&again], Answer::Accepted(_)));
-    assert!(matches!(
-        world.refusal(other),
-        Some(SubmitError::Mismatch { .. })
-    ));
-    finish(&mut world, "once");
-    assert_eq!(world.history.starts(), 2);
-}
-
-#[test]
-fn cancelling_stops_what_runs_and_drops_what_waits() {
-    let mut world = world();
-    accept(&mut world, "long", spec("recalculation", 40, 60_000));
-    assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 12));
-    world.ask(0, Request::Cancel(id("long")));
-    finish(&mut world, "long");
-    assert_eq!(count(&world, "long", TaskOutcome::Cancelled), 40);
-    assert_eq!(world.history.starts(), 12);
-    world.run_for(1_000);
-    assert_eq!(world.owners[0].shard.status().running, 0);
-}
-
-#[test]
-fn many_submissions_share_few_commits() {
-    let mut world = world();
-    let before = world.store.batches;
-    for number in 0..200 {
-        world.submit(
-            0,
-            &id(&number.to_string()),
-            spec("recalculation", 1, 60_000),
-        );
-    }
-    assert!(world.run_while(LIMIT_MS, |world| world.accepted.len() < 200));
-    let batches = world.store.batches - before;
-    assert!(batches <= 8, "{batches} batches for 200 jobs, 30 a batch");
-}
-
 #[test]
 fn a_failing_worker_is_quarantined_and_a_failing_job_is_not_its_fault() {
     let mut world = world();
@@ -505,66 +314,3 @@
     assert!(logged(&world, Kind::Evicted) <= 8);
     assert_promises(&world);
 }
-
-#[test]
-fn a_zone_taken_out_hands_its_jobs_over_with_their_checkpoints() {
-    let mut world = world();
-    accept(&mut world, "moved", spec("settlement", 3, 20_000));
-    assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 3));
-    world.run_for(2_000);
-    world.set_zone(ZoneState::Out);
-    let moved = |world: &World| world.store.moved.contains_key(&id("moved"));
-    assert!(world.run_while(LIMIT_MS, |world| !moved(world)));
-    let (shard, record) = &world.store.moved[&id("moved")];
-    assert_eq!(shard.to_string(), "west-0");
-    assert!(record.marked.is_empty());
-    assert_eq!(record.checkpoints.len(), 3);
-    assert!(
-        record
-            .checkpoints
-            .values()
-            .all(|checkpoint| checkpoint.progress_ms >= 2_000)
-    );
-    assert_promises(&world);
-}
-
-#[test]
-fn many_jobs_are_handed_over() {
-    let mut world = world();
-    for number in 0..150 {
-        accept(
-            &mut world,
-            &number.to_string(),
-            spec("recalculation", 2, 60_000),
-        );
-    }
-    world.set_zone(ZoneState::Out);
-    assert!(world.run_while(LIMIT_MS, |world| world.store.moved.len() < 150));
-    assert!(world.store.jobs.is_empty());
-    assert_promises(&world);
-}
-
-#[test]
-fn an_adopted_job_goes_on_from_its_checkpoints() {
-    let mut world = world();
-    accept(&mut world, "moved", spec("settlement", 3, 20_000));
-    assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 3));
-    world.set_zone(ZoneState::Out);
-    assert!(world.run_while(LIMIT_MS, |world| world.store.moved.is_empty()));
-    world.set_zone(ZoneState::In);
-    world.run_for(2_000);
-    let (_, record) = world
-        .store
-        .moved
-        .remove(&id("moved"))
-        .expect("the job was moved");
-    for _ in 0..2 {
-        world.ask(0, Request::Adopt(Box::new(record.clone())));
-    }
-    finish(&mut world, "moved");
-    assert_eq!(count(&world, "moved", TaskOutcome::Done), 3);
-    let resumed = world.history.facts.iter().filter(
-        |fact| matches!(&fact.seen, Seen::Started { checkpoint_ms, .. } if *checkpoint_ms > 0),
-    );
-    assert_eq!(resumed.count(), 3);
-}
--- /dev/null
+++ b/testsuite/tests/testsuite/scheduler/requests.rs
@@ -0,0 +1,93 @@
+//! What callers are told, and what becomes of their jobs.
+
+use test_case::test_case;
+use verbenahitch::domain::{JobSpec, TaskOutcome};
+use verbenahitch::scheduler::{Answer, Request, SubmitError};
+
+use super::common::{LIMIT_MS, RUN_MS, accept, count, finish, id, world};
+use super::declared::spec;
+
+struct Refusal {
+    spec: JobSpec,
+    reason: &'static str,
+}
+
+#[test]
+fn an_outage_refuses_new_jobs_and_loses_none() {
+    let mut world = world();
+    world.store.down = true;
+    let first = world.submit(0, &id("first"), spec("recalculation", 1, RUN_MS));
+    world.run_for(1_000);
+    let second = world.submit(0, &id("second"), spec("recalculation", 1, RUN_MS));
+    world.run_for(1_000);
+    assert_eq!(world.answers.get(&first), None);
+    assert!(matches!(
+        world.refusal(second),
+        Some(SubmitError::Unavailable { .. })
+    ));
+    let now = world.now;
+    world.store.recover(now, 3_000);
+    finish(&mut world, "first");
+    assert!(matches!(world.answers[&first], Answer::Accepted(_)));
+    assert!(!world.store.jobs.contains_key(&id("second")));
+}
+
+#[test_case(Refusal { spec: spec("nobody", 1, 10), reason: "profile \"nobody\" is not declared" }; "unknown profile")]
+#[test_case(Refusal { spec: spec("recalculation", 0, 10), reason: "found 0 tasks" }; "no tasks")]
+#[test_case(Refusal { spec: spec("recalculation", u32::MAX, 10), reason: "found 4294967295 tasks" }; "too many tasks")]
+#[test_case(Refusal { spec: spec("recalculation", 1, 0), reason: "run time of 0 ms" }; "no run time")]
+#[test_case(Refusal { spec: spec("recalculation", 1, 1 << 53), reason: "run time of 9007199254740992 ms" }; "absurd run time")]
+#[test_case(Refusal { spec: spec("giant", 1, 10), reason: "can never run" }; "larger than every worker")]
+#[test_case(Refusal { spec: JobSpec { payload: "x".repeat(20_000), ..spec("recalculation", 1, 10) }, reason: "payload of 20000 bytes" }; "payload too long")]
+fn refusals_name_the_reason(case: Refusal) {
+    let mut world = world();
+    let request = world.submit(0, &id("refused"), case.spec);
+    let refusal = world.refusal(request).expect("a refusal").to_string();
+    assert!(refusal.contains(case.reason), "{refusal}");
+    world.run_for(1_000);
+    assert!(world.store.jobs.is_empty());
+}
+
+#[test]
+fn a_repeated_submission_is_the_same_job() {
+    let mut world = world();
+    accept(&mut world, "once", spec("recalculation", 2, RUN_MS));
+    let again = world.submit(0, &id("once"), spec("recalculation", 2, RUN_MS));
+    let other = world.submit(0, &id("once"), spec("recalculation", 3, RUN_MS));
+    assert!(matches!(world.answers[&again], Answer::Accepted(_)));
+    assert!(matches!(
+        world.refusal(other),
+        Some(SubmitError::Mismatch { .. })
+    ));
+    finish(&mut world, "once");
+    assert_eq!(world.history.starts(), 2);
+}
+
+#[test]
+fn cancelling_stops_what_runs_and_drops_what_waits() {
+    let mut world = world();
+    accept(&mut world, "long", spec("recalculation", 40, 60_000));
+    assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 12));
+    world.ask(0, Request::Cancel(id("long")));
+    finish(&mut world, "long");
+    assert_eq!(count(&world, "long", TaskOutcome::Cancelled), 40);
+    assert_eq!(world.history.starts(), 12);
+    world.run_for(1_000);
+    assert_eq!(world.owners[0].shard.status().running, 0);
+}
+
+#[test]
+fn many_submissions_share_few_commits() {
+    let mut world = world();
+    let before = world.store.batches;
+    for number in 0..200 {
+        world.submit(
+            0,
+            &id(&number.to_string()),
+            spec("recalculation", 1, 60_000),
+        );
+    }
+    assert!(world.run_while(LIMIT_MS, |world| world.accepted.len() < 200));
+    let batches = world.store.batches - before;
+    assert!(batches <= 8, "{batches} batches for 200 jobs, 30 a batch");
+}
--- a/testsuite/tests/testsuite/scheduler/schedules.rs
+++ b/testsuite/tests/testsuite/scheduler/schedules.rs
@@ -11,7 +11,8 @@
 use verbenahitch::port::HostState;
 use verbenahitch::scheduler::Request;
 
-use super::world::{CAPACITY, OUTAGE_MS, PERMIT_MS, TASK_LEASE_MS, Weather, World, spec};
+use super::declared::spec;
+use super::world::{CAPACITY, OUTAGE_MS, PERMIT_MS, TASK_LEASE_MS, Weather, World};
 
 const SCHEDULES: u64 = 150;
 const WORKERS: usize = 4;
--- a/testsuite/tests/testsuite/scheduler/session.rs
+++ b/testsuite/tests/testsuite/scheduler/session.rs
@@ -3,7 +3,8 @@
 use verbenahitch::domain::{JobId, TaskOutcome};
 use verbenahitch::port::HostState;
 
-use super::world::{World, spec};
+use super::declared::spec;
+use super::world::World;
 
 const SEED: u64 = 1;
 const LIMIT_MS: u64 = 60_000;
--- a/testsuite/tests/testsuite/scheduler/world.rs
+++ b/testsuite/tests/testsuite/scheduler/world.rs
@@ -8,16 +8,13 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use verbenahitch::config::{Declarations, Zone, ZoneState};
-use verbenahitch::domain::{
-    Class, Eviction, JobId, JobSpec, Millis, Monotonic, Profile, Resources, ShardId,
-};
+use verbenahitch::config::{Declarations, ZoneState};
+use verbenahitch::domain::{JobId, JobSpec, Millis, Monotonic, Resources, ShardId};
 use verbenahitch::event::Entry;
 use verbenahitch::port::{SyncError, SyncRequest};
-use verbenahitch::scheduler::{
-    Action, Answer, Batch, CommitError, Input, Params, Request, Shard, SubmitError,
-};
+use verbenahitch::scheduler::{Action, Answer, Batch, Input, Params, Request, Shard, SubmitError};
 
+use super::declared::declarations;
 use super::fake_store::FakeStore;
 use super::fake_worker::FakeWorker;
 use super::history::{History, Seen};
@@ -27,10 +24,10 @@
 pub const PERMIT_MS: Millis = 1_500;
 pub const OUTAGE_MS: Millis = 20_000;
 pub const TASK_LEASE_MS: Millis = 4_000;
-const SHARD_LEASE_MS: Millis = 3_000;
+pub const SHARD_LEASE_MS: Millis = 3_000;
 pub const RENEW_MS: Millis = 500;
 const SYNC_TIMEOUT_MS: Millis = 300;
-const LATENCY_MS: Millis = 2;
+pub const LATENCY_MS: Millis = 2;
 
 /// How badly messages fare.
 #[derive(Clone, Copy, Default)]
@@ -42,7 +39,7 @@
     pub unanswered: f64,
 }
 
-enum Event {
+pub(super) enum Event {
     Tick(usize),
     Renew(usize),
     Input(usize, u32, Box<Input>),
@@ -54,13 +51,13 @@
 pub struct Owner {
     pub shard: Shard,
     /// Rises when the process is replaced; messages for an earlier one are lost.
-    life: u32,
+    pub(super) life: u32,
     pub epoch: Option<u64>,
     pub frozen: bool,
     pub cut: bool,
-    renewed: Millis,
+    pub(super) renewed: Millis,
     backlog: VecDeque<Input>,
-    leaving: bool,
+    pub(super) leaving: bool,
     tick: Millis,
 }
 
@@ -85,58 +82,6 @@
     next_request: u64,
 }
 
-fn profile(idempotent: bool, urgent: bool, cores: u64) -> Profile {
-    Profile {
-        class: Class::Batch,
-        team: "market".to_owned(),
-        resources: Resources::new(cores, 512),
-        worth: if urgent { 100 } else { 10 },
-        target_ms: 1_000,
-        deadline_ms: 600_000,
-        max_slowdown: 1.5,
-        min_share: 0.25,
-        eviction: Eviction {
-            allowed: true,
-            grace_ms: 300,
-            hourly_budget: 100,
-        },
-        idempotent,
-        urgent,
-        pressure: 0.2,
-    }
-}
-
-pub fn declarations(revision: u64, state: ZoneState) -> Declarations {
-    let zone = |state| Zone {
-        state,
-        shards: 1,
-        ramp_ms: 1_000,
-    };
-    Declarations {
-        revision,
-        profiles: BTreeMap::from([
-            ("recalculation".to_owned(), profile(true, false, 1)),
-            ("settlement".to_owned(), profile(false, false, 1)),
-            ("urgent".to_owned(), profile(true, true, 2)),
-            ("giant".to_owned(), profile(true, false, 100)),
-        ]),
-        zones: BTreeMap::from([
-            (ZONE.to_owned(), zone(state)),
-            ("west".to_owned(), zone(ZoneState::In)),
-        ]),
-        ..Declarations::default()
-    }
-}
-
-pub fn spec(profile: &str, tasks: u32, run_ms: Millis) -> JobSpec {
-    JobSpec {
-        profile: profile.to_owned(),
-        tasks,
-        run_ms,
-        payload: String::new(),
-    }
-}
-
 fn shard(owner: usize, seed: u64) -> Shard {
     Shard::new(Params {
         shard: ShardId {
@@ -349,13 +294,13 @@
         self.feed(owner, Input::Hosts(hosts));
     }
 
-    fn push(&mut self, at: Millis, event: Event) {
+    pub(super) fn push(&mut self, at: Millis, event: Event) {
         self.next_event += 1;
         self.queue.insert((at, self.next_event), event);
     }
 
     /// Times at which a message arrives: none, one or two.
-    fn arrivals(&mut self) -> Vec<Millis> {
+    pub(super) fn arrivals(&mut self) -> Vec<Millis> {
         const LATEST_MS: Millis = 12_000;
         let mut times = Vec::new();
         let copies = 1 + usize::from(self.rng.random_bool(self.weather.repeated));
@@ -431,115 +376,6 @@
         }
     }
 
-    fn sync(&mut self, owner: usize, life: u32, worker: String, request: &SyncRequest) {
-        if self.cuts.contains(&(owner, worker.clone())) {
-            return;
-        }
-        let host = self.workers.get_mut(&worker).expect("a known worker");
-        let answer = host.sync(request, self.now, &mut self.history);
-        let seq = request.seq;
-        let input = match answer {
-            Ok(reply) => Input::Synced {
-                worker,
-                seq,
-                sent: Monotonic(self.now.saturating_sub(LATENCY_MS)),
-                reply,
-            },
-            Err(error) => Input::SyncFailed { worker, seq, error },
-        };
-        for at in self.arrivals() {
-            self.push(at, Event::Input(owner, life, Box::new(input.clone())));
-        }
-    }
-
-    /// What the daemon does to a commit: an answer that was lost is read back.
-    fn commit(&mut self, owner: usize, life: u32, epoch: u64, batch: &Batch) {
-        let reached = !self.store.down && !self.owners[owner].cut;
-        let mut result = Err(CommitError::Unavailable);
-        if reached {
-            result = self
-                .store
-                .commit(owner, epoch, batch, self.now, &mut self.history);
-        }
-        if result.is_ok() && self.rng.random_bool(self.weather.unanswered) {
-            result = Err(CommitError::Unavailable);
-        }
-        let input = Input::Committed {
-            batch: batch.number,
-            result,
-        };
-        self.push(
-            self.now + LATENCY_MS,
-            Event::Input(owner, life, Box::new(input)),
-        );
-    }
-
-    fn renew(&mut self, owner: usize) {
-        let reached = !self.store.down && !self.owners[owner].cut;
-        if !reached {
-            return self.go_on_without_store(owner);
-        }
-        self.feed(owner, Input::Declared(Arc::clone(&self.declared)));
-        if self.declared.is_in(ZONE) {
-            self.feed(owner, Input::Permit(Monotonic(self.now + PERMIT_MS)));
-        }
-        match self.owners[owner].epoch {
-            None => self.try_acquire(owner),
-            Some(epoch) => {
-                if self.store.renew(owner, epoch, self.now, SHARD_LEASE_MS) {
-                    self.owners[owner].renewed = self.now;
-                    let until = Monotonic(self.now + SHARD_LEASE_MS);
-                    self.feed(owner, Input::Authority(until));
-                } else {
-                    self.owners[owner].epoch = None;
-                    self.feed(owner, Input::Lost);
-                }
-            }
-        }
-    }
-
-    /// Peers say whether the store is down for everybody.
-    fn go_on_without_store(&mut self, owner: usize) {
-        if self.owners[owner].epoch.is_none() {
-            return;
-        }
-        let until = Monotonic(self.owners[owner].renewed + OUTAGE_MS);
-        self.feed(owner, Input::Authority(until));
-        if self.store.down && self.declared.is_in(ZONE) {
-            self.feed(owner, Input::Permit(Monotonic(self.now + PERMIT_MS)));
-        }
-    }
-
-    fn try_acquire(&mut self, owner: usize) {
-        let Some((epoch, released)) = self.store.acquire(owner, self.now, SHARD_LEASE_MS) else {
-            return;
-        };
-        self.owners[owner].epoch = Some(epoch);
-        self.owners[owner].renewed = self.now;
-        let jobs = self.store.jobs.values().cloned().collect();
-        let until = Monotonic(self.now + SHARD_LEASE_MS);
-        self.feed(owner, Input::Authority(until));
-        let input = Input::Acquired {
-            epoch,
-            jobs,
-            released,
-        };
-        self.feed(owner, input);
-    }
-
-    fn finish_release(&mut self, owner: usize) {
-        let leaving = &self.owners[owner];
-        if !leaving.leaving || !leaving.shard.is_released() || self.store.down || leaving.cut {
-            return;
-        }
-        self.owners[owner].leaving = false;
-        let settled = self.owners[owner].shard.is_settled();
-        if let Some(epoch) = self.owners[owner].epoch.take() {
-            self.store.release(owner, epoch, settled);
-            self.feed(owner, Input::Lost);
-        }
-    }
-
     /// Submits again what was not accepted, as a caller would.
     pub fn insist(&mut self, wanted: &[(JobId, JobSpec)]) {
         let Some(owner) = self.owner().filter(|owner| !self.owners[*owner].frozen) else {
