--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -110,6 +110,8 @@
     moves_due: Monotonic,
     relief_due: Monotonic,
     reported: Reported,
+    /// Time of the newest step.
+    stepped: Monotonic,
     out: Vec<Action>,
 }
 
@@ -146,12 +148,14 @@
             moves_due: Monotonic::default(),
             relief_due: Monotonic::default(),
             reported: Reported::default(),
+            stepped: Monotonic::default(),
             out: Vec::new(),
         }
     }
 
     /// Takes one input and says what to do.
     pub fn step(&mut self, input: Input, now: Monotonic) -> Vec<Action> {
+        self.stepped = now;
         match input {
             Input::Tick => {}
             Input::Declared(declared) => self.on_declared(declared, now),
--- a/crates/verbenahitch/src/scheduler/shard/requests.rs
+++ b/crates/verbenahitch/src/scheduler/shard/requests.rs
@@ -30,7 +30,7 @@
         now: Monotonic,
     ) {
         if let Request::Shard = body {
-            let body = Answer::Shard(self.status_at(now));
+            let body = Answer::Shard(self.status());
             return self.out.push(Action::Answer { request, body });
         }
         if self.owned.is_none() {
--- a/crates/verbenahitch/src/scheduler/shard/status.rs
+++ b/crates/verbenahitch/src/scheduler/shard/status.rs
@@ -2,16 +2,13 @@
 
 use super::Shard;
 use super::job::Phase;
-use crate::domain::{JobKey, Monotonic, Resources};
+use crate::domain::{JobKey, Resources};
 use crate::scheduler::{ShardStatus, WorkerStatus};
 
 impl Shard {
-    /// How the shard stands.
+    /// How the shard stood at the newest step.
     pub fn status(&self) -> ShardStatus {
-        self.status_at(Monotonic::default())
-    }
-
-    pub(super) fn status_at(&self, now: Monotonic) -> ShardStatus {
+        let now = self.stepped;
         let mut workers: Vec<WorkerStatus> = self
             .workers
             .iter()
--- a/testsuite/tests/testsuite/scheduler/requests.rs
+++ b/testsuite/tests/testsuite/scheduler/requests.rs
@@ -2,6 +2,7 @@
 
 use test_case::test_case;
 use verbenahitch::domain::{JobSpec, TaskOutcome};
+use verbenahitch::port::HostState;
 use verbenahitch::scheduler::{Answer, Request, SubmitError};
 
 use super::common::{LIMIT_MS, RUN_MS, accept, count, finish, id, world};
@@ -91,3 +92,32 @@
     let batches = world.store.batches - before;
     assert!(batches <= 8, "{batches} batches for 200 jobs, 30 a batch");
 }
+
+#[test]
+fn status_tells_how_workers_stand() {
+    let mut world = world();
+    accept(&mut world, "long", spec("recalculation", 2, 60_000));
+    assert!(world.run_while(LIMIT_MS, |world| world.history.starts() < 2));
+    world.run_for(1_000);
+    world
+        .workers
+        .get_mut("w1")
+        .expect("a known worker")
+        .host
+        .state = HostState::Leaving;
+    world.list_hosts();
+    world.cut_worker("w2");
+    world.run_for(2_000);
+    let status = world.owners[0].shard.status();
+    let states: Vec<&str> = status
+        .workers
+        .iter()
+        .map(|worker| worker.state.as_str())
+        .collect();
+    assert_eq!(states, ["open", "leaving", "not answering"]);
+    assert_eq!(
+        (status.running, status.queued, status.permitted),
+        (2, 0, true)
+    );
+    assert_eq!(status.workers[0].committed_percent, 50);
+}
