--- a/crates/verbenahitch/src/peer/node.rs
+++ b/crates/verbenahitch/src/peer/node.rs
@@ -26,10 +26,13 @@
 use crate::scheduler::{Answer, Request};
 use crate::settings::PeerSettings;
 
-/// Processes of the own availability zone that one heartbeat greets.
+/// Processes of the own availability zone that one heartbeat of a scheduler greets.
+///
+/// A gateway starts no tasks and needs no evidence for permits; it greets one
+/// process in all, and learns of changes from schedulers that greet it.
 const NEAR_FANOUT: usize = 2;
 
-/// Processes of other availability zones that one heartbeat greets.
+/// Processes of other availability zones that one heartbeat of a scheduler greets.
 const FAR_FANOUT: usize = 1;
 
 /// Processes that are not heard, to which one heartbeat tries to connect.
@@ -239,11 +242,16 @@
             let link = self.local.link(*address);
             !link.is_backing_off(shared.now())
         });
+        let (near_count, far_count) = match shared.identity.role {
+            Role::Scheduler => (NEAR_FANOUT, FAR_FANOUT),
+            Role::Gateway if near.is_empty() => (0, 1),
+            Role::Gateway => (1, 0),
+        };
         let rng = &mut *self.local.rng.borrow_mut();
         let mut targets = BTreeSet::new();
         for (mut group, count) in [
-            (near, NEAR_FANOUT),
-            (far, FAR_FANOUT),
+            (near, near_count),
+            (far, far_count),
             (missing, LOST_FANOUT),
         ] {
             group.shuffle(rng);
--- a/crates/verbenahitch/src/peer/server.rs
+++ b/crates/verbenahitch/src/peer/server.rs
@@ -31,7 +31,7 @@
 const IDLE_LIMIT_MS: Millis = 60_000;
 
 /// Most records that one answer to a greeting passes on whole.
-const RELAYED_RECORDS: usize = 4;
+const RELAYED_RECORDS: usize = 2;
 
 /// One accepted connection, before its login.
 struct LoginServer {
