--- a/crates/verbenahitch/src/scheduler/shard/commit.rs
+++ b/crates/verbenahitch/src/scheduler/shard/commit.rs
@@ -8,12 +8,13 @@
 
 use super::Shard;
 use super::job::{Effects, Phase, Stage};
-use crate::domain::{JobKey, JobRecord, Millis, Monotonic, TaskKey};
+use super::requests::unavailable;
+use crate::domain::{JobKey, JobRecord, Millis, Monotonic, TaskKey, WorkerKey};
 use crate::event::{Entry, Kind};
 use crate::scheduler::{Action, Answer, Batch, CommitError, Write};
 
-/// One of the store's 64 operations requires the shard's lock.
-const MAX_WRITES: usize = 63;
+/// The store takes 64 operations in a transaction; two hold the lock and number the batch.
+const MAX_OPS: usize = 62;
 /// The store's transactions are at most 512 KiB.
 const MAX_BATCH_BYTES: usize = 360 << 10;
 const FIRST_BACKOFF_MS: Millis = 100;
@@ -124,8 +125,9 @@
     }
 
     fn collect_writes(&mut self) -> (Vec<JobKey>, Vec<Write>) {
-        let (mut keys, mut writes, mut bytes) = (Vec::new(), Vec::new(), 0);
-        while writes.len() < MAX_WRITES && bytes < MAX_BATCH_BYTES {
+        let (mut keys, mut writes) = (Vec::new(), Vec::new());
+        let (mut ops, mut bytes) = (0, 0);
+        while ops + MOST_OPS <= MAX_OPS && bytes < MAX_BATCH_BYTES {
             let next = self.committer.urgent.pop_front();
             let Some(key) = next.or_else(|| self.committer.other.pop_front()) else {
                 break;
@@ -135,6 +137,7 @@
             };
             job.dirty = false;
             job.inflight = Some(std::mem::take(&mut job.pending));
+            ops += operations(&job.stage);
             bytes += estimated_bytes(&job.record);
             keys.push(key);
             writes.push(match &job.stage {
@@ -192,13 +195,13 @@
         };
         let effects = job.inflight.take().unwrap_or_default();
         match job.stage.clone() {
-            Stage::Removing => return self.forget_job(key),
+            Stage::Removing => return self.forget_job(key, effects),
             Stage::Moving(to) => {
                 let entry = Entry::new(Kind::JobMoved)
                     .with("job", &job.record.id)
                     .with_text("to", &to);
                 self.log(entry);
-                return self.forget_job(key);
+                return self.forget_job(key, effects);
             }
             Stage::New => {
                 job.stage = Stage::Stored;
@@ -222,12 +225,7 @@
                 self.pass_due = now;
             }
         }
-        for (worker, run) in effects.acks {
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.ending.remove(&run);
-                worker.acks.push(run);
-            }
-        }
+        self.acknowledge(effects.acks);
         for (index, from) in effects.requeues {
             self.requeue(TaskKey { job: key, index }, from, now);
         }
@@ -247,6 +245,15 @@
         }
     }
 
+    fn acknowledge(&mut self, acks: Vec<(WorkerKey, u64)>) {
+        for (worker, run) in acks {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.ending.remove(&run);
+                worker.acks.push(run);
+            }
+        }
+    }
+
     fn close_finished(&mut self, key: JobKey, now: Monotonic) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
@@ -281,11 +288,19 @@
         }
     }
 
-    fn forget_job(&mut self, key: JobKey) {
-        if let Some(job) = self.jobs.remove(key) {
-            self.lanes.file(&job.name, job.order, key, false, false);
-            self.lanes.lane(&job.name).ahead -= job.ready.len();
-            self.by_id.remove(&job.record.id);
+    /// Forgets a job that the store no longer holds for this shard.
+    fn forget_job(&mut self, key: JobKey, effects: Effects) {
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        self.lanes.file(&job.name, job.order, key, false, false);
+        self.lanes.lane(&job.name).ahead -= job.ready.len();
+        self.by_id.remove(&job.record.id);
+        for gone in [effects, job.pending] {
+            self.acknowledge(gone.acks);
+            for request in gone.accepts.into_iter().chain(gone.answers) {
+                self.refuse(request, unavailable("the job has left the shard"));
+            }
         }
     }
 
@@ -294,6 +309,22 @@
     }
 }
 
+/// Most operations of one write.
+const MOST_OPS: usize = 3;
+
+/// Operations that a write takes in the store's transaction.
+fn operations(stage: &Stage) -> usize {
+    match stage {
+        Stage::Stored => 1,
+        // The record, and the inbox if it was handed over.
+        Stage::New => 2,
+        // The record and the name.
+        Stage::Removing => 2,
+        // The record, the name and the other shard's inbox.
+        Stage::Moving(_) => MOST_OPS,
+    }
+}
+
 fn estimated_bytes(record: &JobRecord) -> usize {
     const FIXED_BYTES: usize = 512;
     const CHECKPOINT_BYTES: usize = 48;
--- a/testsuite/tests/testsuite/scheduler/world.rs
+++ b/testsuite/tests/testsuite/scheduler/world.rs
@@ -28,7 +28,7 @@
 pub const OUTAGE_MS: Millis = 20_000;
 pub const TASK_LEASE_MS: Millis = 4_000;
 const SHARD_LEASE_MS: Millis = 3_000;
-const RENEW_MS: Millis = 500;
+pub const RENEW_MS: Millis = 500;
 const SYNC_TIMEOUT_MS: Millis = 300;
 const LATENCY_MS: Millis = 2;
 
@@ -72,6 +72,8 @@
     pub workers: BTreeMap<String, FakeWorker>,
     /// Pairs of owner and worker that cannot reach each other.
     pub cuts: BTreeSet<(usize, String)>,
+    /// Time that messages to a worker take besides, in milliseconds.
+    pub slow: BTreeMap<String, Millis>,
     pub store: FakeStore,
     pub declared: Arc<Declarations>,
     pub history: History,
@@ -166,6 +168,7 @@
                 .map(|name| (name.clone(), FakeWorker::new(&name, ZONE, CAPACITY)))
                 .collect(),
             cuts: BTreeSet::new(),
+            slow: BTreeMap::new(),
             store: FakeStore::default(),
             declared: Arc::new(declarations(1, ZoneState::In)),
             history: History::default(),
@@ -373,9 +376,10 @@
                 worker, request, ..
             } => {
                 let boot = self.workers[&worker].boot;
+                let slow = self.slow.get(&worker).copied().unwrap_or(0);
                 for at in self.arrivals() {
                     let event = Event::Sync(owner, life, boot, worker.clone(), request.clone());
-                    self.push(at, event);
+                    self.push(at + slow, event);
                 }
                 let seq = request.seq;
                 let reason = "timeout".to_owned();
--- a/testsuite/tests/testsuite/session/failures.rs
+++ b/testsuite/tests/testsuite/session/failures.rs
@@ -2,60 +2,11 @@
 
 use serde_json::json;
 use test_case::test_case;
-use verbenahitch::port::EndKind;
+use verbenahitch::port::{Clock as _, EndKind, SystemClock};
+use verbenahitch_standin::history::Outage;
 
-use super::deployment::{Daemon, Deployment, Process, answer, ended, wait_until};
-
-/// Entry hosts of the sessions: two in zone a, one in zone b.
-const ZONES: [&str; 3] = ["a", "a", "b"];
-
-const TASKS: usize = 8;
-
-struct Daemons {
-    gateways: Vec<Option<Process>>,
-    schedulers: Vec<Option<Process>>,
-}
-
-impl Daemons {
-    fn start(deployment: &Deployment) -> Self {
-        let run = |daemon| (0..ZONES.len()).map(move |host| Some(deployment.run(daemon, host)));
-        Self {
-            schedulers: run(Daemon::Scheduler).collect(),
-            gateways: run(Daemon::Gateway).collect(),
-        }
-    }
-
-    fn kill_all(&mut self) {
-        for process in self.gateways.iter_mut().chain(&mut self.schedulers) {
-            drop(process.take());
-        }
-    }
-}
-
-async fn start(name: &str) -> (Deployment, Daemons) {
-    let deployment = Deployment::start(name, &ZONES);
-    let daemons = Daemons::start(&deployment);
-    deployment.declare().await;
-    deployment.wait_for_owners().await;
-    (deployment, daemons)
-}
-
-async fn submit(deployment: &Deployment) {
-    let submit = format!("submit --key job --profile recalculation --tasks {TASKS} --run-ms 2500");
-    wait_until("the job is accepted", async || {
-        deployment.team(2, &submit).status.success()
-    })
-    .await;
-}
-
-/// The job finishes, each task exactly once, and the workers saw no promise broken.
-async fn finish(deployment: &Deployment) {
-    let tasks = u64::try_from(TASKS).expect("few tasks");
-    deployment.wait_for_done(2, "bureau.job", tasks).await;
-    let done = ended(&deployment.histories().await, EndKind::Done);
-    assert_eq!(done, TASKS, "runs to the end");
-    assert_eq!(deployment.violations().await, []);
-}
+use super::daemons::{Daemons, finish, start, submit};
+use super::deployment::{Deployment, answer, ended, runs_now, wait_until};
 
 fn shard_of_job(deployment: &Deployment) -> String {
     let status = answer(&deployment.team(2, "job bureau.job"));
@@ -93,6 +44,31 @@
     assert_ne!(deployment.owner(&shard), owner);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_dies_while_a_worker_does_not_answer() {
+    let (deployment, mut daemons) = start("unheard").await;
+    let submit = "submit --key job --profile recalculation --tasks 8 --run-ms 8000";
+    assert!(deployment.team(2, submit).status.success());
+    deployment.wait_for_run().await;
+    let shard = shard_of_job(&deployment);
+    let owner = deployment.owner(&shard);
+    let histories = deployment.histories().await;
+    let busy = histories.iter().find(|worker| runs_now(worker));
+    let worker = &busy.expect("a task runs").worker;
+    let fault = format!("/workers/{worker}/fault");
+    let freeze = json!({"part": "control", "fault": "freeze"});
+    deployment.control(&fault, &freeze).await;
+    drop(daemons.schedulers[owner].take());
+    wait_until("the new owner misses the worker", async || {
+        let heir = deployment.owner(&shard);
+        heir != owner && deployment.logged(heir, "worker-unreachable", worker) > 0
+    })
+    .await;
+    let thaw = json!({"part": "control", "fault": "thaw"});
+    deployment.control(&fault, &thaw).await;
+    finish(&deployment).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_entry_hosts_are_replaced_at_once() {
     let (deployment, mut daemons) = start("replaced").await;
@@ -166,7 +142,39 @@
     wait_until("the request has run", async || ran(&deployment).await == 1).await;
     assert_eq!(charge(2).await.expect("an answer").status(), 409);
     assert_eq!(ran(&deployment).await, 1);
-    assert_eq!(deployment.violations().await, []);
+    assert_eq!(deployment.violations(Vec::new()).await, []);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_is_taken_out_while_it_is_cut_from_the_platform() {
+    let (deployment, _daemons) = start("cut").await;
+    let clock = SystemClock::default();
+    let submit = "submit --key long --profile recalculation --tasks 40 --run-ms 1000";
+    for key in ["long", "longer"] {
+        let submit = submit.replace("long", key);
+        assert!(deployment.team(0, &submit).status.success());
+    }
+    deployment.wait_for_run().await;
+    deployment.control("/zones/b/cut", &json!(null)).await;
+    let out = deployment.operate(0, "zone out b");
+    let outage = Outage {
+        zone: "b".to_owned(),
+        from: clock.wall_ms(),
+        until: None,
+    };
+    assert!(out.status.success());
+    let confirmed = answer(&out)["in-force"].to_string();
+    assert!(
+        confirmed.contains("entry-2/scheduler"),
+        "peers tell the zone of the change: {confirmed}"
+    );
+    deployment.wait_until_idle("b").await;
+    deployment.control("/zones/mend", &json!(null)).await;
+    for job in ["bureau.long", "bureau.longer"] {
+        deployment.wait_for_done(0, job, 40).await;
+    }
+    assert_eq!(ended(&deployment.histories().await, EndKind::Done), 80);
+    assert_eq!(deployment.violations(vec![outage]).await, []);
 }
 
 /// Times that the upstreams ran the request with the key `charge-1`.
