--- a/crates/verbenahitch/src/peer/node.rs
+++ b/crates/verbenahitch/src/peer/node.rs
@@ -249,11 +249,7 @@
         };
         let rng = &mut *self.local.rng.borrow_mut();
         let mut targets = BTreeSet::new();
-        for (mut group, count) in [
-            (near, near_count),
-            (far, far_count),
-            (missing, LOST_FANOUT),
-        ] {
+        for (mut group, count) in [(near, near_count), (far, far_count), (missing, LOST_FANOUT)] {
             group.shuffle(rng);
             targets.extend(group.into_iter().take(count));
         }
--- a/testsuite/tests/testsuite/membership/operators.rs
+++ b/testsuite/tests/testsuite/membership/operators.rs
@@ -255,3 +255,34 @@
     owner.stop().await;
     site.stop().await;
 }
+
+#[test_case(1; "nobody else has the change")]
+#[test_case(2; "another gateway has the change")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_that_is_not_heard_is_never_named_as_confirmed(gateways: usize) {
+    const PERMIT_MS: u64 = 3_000;
+    let site = Site::start(gateways).await;
+    assert_eq!(site.apply(0, 0, &document()).await.status, StatusCode::OK);
+    let owner = site.own("odd-0", holds_one);
+    let handles: Vec<_> = site.gateways.iter().map(|g| g.handle().clone()).collect();
+    until("all hear each other", || {
+        let known = gateways + 1;
+        handles.iter().all(|handle| handle.members().len() == known)
+    })
+    .await;
+    drop(owner);
+    let reply = site.zone(0, "odd", "out").await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    let confirmed = reply.body["in-force"].as_array().expect("a list");
+    for handle in &handles {
+        assert!(confirmed.contains(&json!(handle.name())), "{reply:?}");
+    }
+    assert_eq!(confirmed.len(), gateways, "{reply:?}");
+    let open = reply.body["not-confirmed"].as_array().expect("a list");
+    assert_eq!(open.len(), 1, "{reply:?}");
+    assert_eq!(open[0]["process"], "owner-of-odd-0");
+    let bound = open[0]["starts-stop-in-ms"].as_u64();
+    assert_eq!(bound.is_some(), gateways > 1, "{reply:?}");
+    assert!(bound.is_none_or(|bound| bound <= PERMIT_MS), "{reply:?}");
+    site.stop().await;
+}
