--- a/crates/verbenahitch/src/cmd/mod.rs
+++ b/crates/verbenahitch/src/cmd/mod.rs
@@ -3,11 +3,14 @@
 mod apply;
 mod cancel;
 mod check;
+mod daemon;
 mod diff;
 mod digest;
 mod explain;
 mod job;
 mod remote;
+mod replay;
+mod shard;
 mod status;
 mod submit;
 mod zone;
@@ -56,6 +59,9 @@
     /// Show processes, shards and workers
     #[bpaf(command)]
     Status(#[bpaf(external(status::args))] status::Args),
+    /// Show the workers of a shard, and whose work presses on whose
+    #[bpaf(command)]
+    Shard(#[bpaf(external(shard::args))] shard::Args),
     /// Tell why a task is where it is
     #[bpaf(command)]
     Explain(#[bpaf(external(explain::args))] explain::Args),
@@ -71,6 +77,15 @@
     /// Print the digest of a team's token, for the declarations
     #[bpaf(command)]
     Digest(#[bpaf(external(digest::args))] digest::Args),
+    /// Replay a recorded trace through the decisions and baselines
+    #[bpaf(command)]
+    Replay(#[bpaf(external(replay::args))] replay::Args),
+    /// Run the gateway daemon
+    #[bpaf(command)]
+    Gateway(#[bpaf(external(daemon::args))] daemon::Args),
+    /// Run the scheduler daemon
+    #[bpaf(command)]
+    Scheduler(#[bpaf(external(daemon::args))] daemon::Args),
 }
 
 impl Command {
@@ -82,11 +97,15 @@
             Self::Diff(args) => args.execute(),
             Self::Zone(args) => args.execute(),
             Self::Status(args) => args.execute(),
+            Self::Shard(args) => args.execute(),
             Self::Explain(args) => args.execute(),
             Self::Submit(args) => args.execute(),
             Self::Job(args) => args.execute(),
             Self::Cancel(args) => args.execute(),
             Self::Digest(args) => args.execute(),
+            Self::Replay(args) => args.execute(),
+            Self::Gateway(args) => args.execute(daemon::Role::Gateway),
+            Self::Scheduler(args) => args.execute(daemon::Role::Scheduler),
         }
     }
 }
--- a/crates/verbenahitch/src/membership/table.rs
+++ b/crates/verbenahitch/src/membership/table.rs
@@ -67,7 +67,7 @@
         let Some(known) = self.held(&record) else {
             return self.insert(record, proven, Some(proven));
         };
-        if record.beat < known.record.beat {
+        if record.version() < known.record.version() {
             return Learnt::Nothing;
         }
         let later = known.renew(record.beat, proven);
@@ -101,6 +101,9 @@
         let Some(known) = self.held(&record) else {
             return self.insert(record, now, None);
         };
+        if record.incarnation < known.record.incarnation {
+            return Learnt::Nothing;
+        }
         known.heard = known.heard.max(now);
         known.record.leaving |= record.leaving;
         known.revive(record.beat > known.record.beat)
@@ -137,7 +140,15 @@
         records.collect()
     }
 
-    /// All records as of `now`: what each process said, aged since.
+    /// Record of a later incarnation of the process that made `record`.
+    pub fn later(&self, record: &Member) -> Option<&Member> {
+        let key = (record.name.clone(), record.role);
+        let known = &self.known.get(&key)?.record;
+        (known.incarnation > record.incarnation).then_some(known)
+    }
+
+    /// All records as of `now`: what each process said, aged since. A process
+    /// that is presumed gone is not taken to own any shard.
     pub fn members(&self, now: Monotonic) -> Vec<Member> {
         self.known.values().map(|known| known.at(now)).collect()
     }
@@ -212,6 +223,11 @@
             age_ms,
             store_age_ms: record.store_age_ms.map(|age| age.saturating_add(age_ms)),
             permit_left_ms: record.permit_left_ms.saturating_sub(age_ms),
+            shards: if self.live {
+                record.shards.clone()
+            } else {
+                Vec::new()
+            },
             ..record.clone()
         }
     }
--- a/crates/verbenahitch/src/peer/server.rs
+++ b/crates/verbenahitch/src/peer/server.rs
@@ -108,6 +108,7 @@
         self.calls.set(self.calls.get() + 1);
     }
 
+    /// Notes a greeting, and greets back whoever is new.
     fn meet(&self, member: &Member) {
         let now = self.local.shared.now();
         let learnt = self.local.table.borrow_mut().greeted(member.clone(), now);
@@ -118,6 +119,18 @@
             tokio::task::spawn_local(local.greet(member.address));
         }
     }
+
+    /// Records to pass on whole: a later one of the greeting process itself,
+    /// which has to outlive it, and a random few of the others.
+    fn relayed(&self, records: &[Member], from: &Member) -> Vec<Member> {
+        let mut chosen: Vec<Member> = Vec::new();
+        chosen.extend(self.local.table.borrow().later(from).cloned());
+        let others: Vec<&Member> = records.iter().filter(|r| r.name != from.name).collect();
+        let rng = &mut *self.local.rng.borrow_mut();
+        let few = others.choose_multiple(rng, RELAYED_RECORDS);
+        chosen.extend(few.map(|record| (*record).clone()));
+        chosen
+    }
 }
 
 impl node::Server for NodeServer {
@@ -134,13 +147,10 @@
         let mut results = results.get();
         let records = self.local.table.borrow().relayed(now);
         let beats: Vec<_> = records.iter().map(Member::pulse).collect();
-        let others: Vec<_> = records.iter().filter(|m| m.name != from.name).collect();
-        let chosen: Vec<_> = others
-            .choose_multiple(&mut *self.local.rng.borrow_mut(), RELAYED_RECORDS)
-            .collect();
+        let chosen = self.relayed(&records, &from);
         wire::write_member(&shared.record(), results.reborrow().init_self());
         let mut known = results.reborrow().init_known(count(chosen.len()));
-        for (index, member) in (0..).zip(chosen) {
+        for (index, member) in (0..).zip(&chosen) {
             wire::write_member(member, known.reborrow().get(index));
         }
         let mut to = results.init_beats(count(beats.len()));
--- a/crates/verbenahitch/src/scheduler/shard/ends.rs
+++ b/crates/verbenahitch/src/scheduler/shard/ends.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::job::Phase;
+use super::job::{Phase, Stage};
 use super::{Run, Shard};
 use crate::domain::{
     Checkpoint, Millis, Monotonic, Profile, TaskId, TaskKey, TaskOutcome, WorkerKey,
@@ -34,6 +34,8 @@
         {
             run.seen = true;
             run.checkpoint_ms = run.checkpoint_ms.max(running.checkpoint_ms);
+            let task = run.task;
+            self.placer.set_share(key, task, running.share);
             self.hold_found(key, running, now);
             return self.evict_if_leaving(running.run, now);
         }
@@ -43,7 +45,7 @@
             self.hold_found(key, running, now);
             return self.evict_if_leaving(running.run, now);
         }
-        self.stop_stray(key, running, now);
+        self.stop_stray(key, &running.task, running.run, now);
     }
 
     fn task_key(&self, id: &TaskId) -> Option<TaskKey> {
@@ -64,7 +66,8 @@
         now: Monotonic,
     ) -> bool {
         let job = &self.jobs[task.job];
-        if job.record.ended.get(task.index).is_some() {
+        let kept = matches!(job.stage, Stage::New | Stage::Stored);
+        if !kept || job.record.ended.get(task.index).is_some() {
             return false;
         }
         if let Some(Phase::Running(other)) = job.phases.get(&task.index).copied()
@@ -144,23 +147,24 @@
     ///
     /// Says whether the run no longer counts as the one of its task.
     fn withdraw_or_stop(&mut self, run: u64, now: Monotonic) -> bool {
-        let Some(worker) = self.runs.get(&run).map(|run| run.worker) else {
+        let Some(gone) = self.remove_run(run) else {
             return false;
         };
-        let sent = self.runs[&run].sent.is_some();
-        self.remove_run(run);
-        if sent {
-            self.command(worker, Command::Stop { run }, now);
+        if gone.sent.is_some() {
+            let id = self.jobs[gone.task.job].task_id(gone.task.index);
+            self.stop_stray(gone.worker, &id, run, now);
+            self.refresh(gone.worker, now);
         }
         true
     }
 
-    fn stop_stray(&mut self, key: WorkerKey, running: &Running, now: Monotonic) {
-        self.workers[key].strays.insert(running.run);
-        self.command(key, Command::Stop { run: running.run }, now);
+    /// Stops a run that must not go on; its worker takes nothing until it has stopped.
+    fn stop_stray(&mut self, key: WorkerKey, task: &TaskId, run: u64, now: Monotonic) {
+        self.workers[key].strays.insert(run);
+        self.command(key, Command::Stop { run }, now);
         let entry = Entry::new(Kind::TaskEnded)
-            .with_text("task", &running.task)
-            .with("run", running.run)
+            .with_text("task", task)
+            .with("run", run)
             .with("worker", &self.workers[key].host.name)
             .with("reason", "superseded run is stopped");
         self.log(entry);
@@ -209,7 +213,7 @@
                 self.jobs[task.job].end(task.index, TaskOutcome::Done);
                 self.note_ack(task, key, ended.run);
             }
-            (Some(_), _) => self.workers[key].acks.push(ended.run),
+            (Some(_), _) => self.ack_noted(task, key, ended.run),
             (None, Some(Phase::Unclear)) if !stale => {
                 self.set_phase(task, None);
                 self.conclude(task, key, ended.run, ended.kind, ended.checkpoint_ms, now);
@@ -221,23 +225,38 @@
             (None, phase) => {
                 let runs = matches!(phase, Some(Phase::Running(_)));
                 if runs || !self.note_progress(task, ended) {
-                    return self.workers[key].acks.push(ended.run);
+                    return self.ack_noted(task, key, ended.run);
                 }
                 self.note_ack(task, key, ended.run);
             }
         }
     }
 
+    /// Has a run acknowledged of which the record tells already, though perhaps not durably.
+    fn ack_noted(&mut self, task: TaskKey, key: WorkerKey, run: u64) {
+        let job = &self.jobs[task.job];
+        if job.dirty || job.inflight.is_some() {
+            return self.note_ack(task, key, run);
+        }
+        self.workers[key].acks.push(run);
+    }
+
     /// Notes a newer checkpoint of a run that was given up; says whether it is newer.
     fn note_progress(&mut self, task: TaskKey, ended: &Ended) -> bool {
-        let record = &mut self.jobs[task.job].record;
-        let Some(noted) = record.checkpoints.get_mut(&task.index) else {
+        let checkpoints = &mut self.jobs[task.job].record.checkpoints;
+        let noted = checkpoints.get(&task.index).copied().unwrap_or_default();
+        if ended.run < noted.run || ended.checkpoint_ms <= noted.progress_ms {
             return false;
+        }
+        let newer = Checkpoint {
+            run: ended.run,
+            progress_ms: ended.checkpoint_ms,
         };
-        if noted.run != ended.run || ended.checkpoint_ms <= noted.progress_ms {
-            return false;
+        checkpoints.insert(task.index, newer);
+        if self.phase(task).is_none() {
+            self.jobs[task.job].again.insert(task.index);
+            self.file(task.job);
         }
-        noted.progress_ms = ended.checkpoint_ms;
         true
     }
 
