--- a/testsuite/tests/testsuite/session/deployment.rs
+++ b/testsuite/tests/testsuite/session/deployment.rs
@@ -152,7 +152,7 @@
                 "peers": format!("{ip}:7002"),
                 "sync-ms": 200,
                 "sync-timeout-ms": 500,
-                "task-lease-ms": 8_000,
+                "task-lease-ms": 15_000,
                 "shard-lease-ms": 2_000,
                 "permit-ms": 2_000,
                 "outage-ms": 60_000,
--- a/testsuite/tests/testsuite/session/failures.rs
+++ b/testsuite/tests/testsuite/session/failures.rs
@@ -47,7 +47,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_dies_while_a_worker_does_not_answer() {
     let (deployment, mut daemons) = start("unheard").await;
-    let submit = "submit --key job --profile recalculation --tasks 8 --run-ms 8000";
+    let submit = "submit --key job --profile recalculation --tasks 8 --run-ms 12000";
     assert!(deployment.team(2, submit).status.success());
     deployment.wait_for_run().await;
     let shard = shard_of_job(&deployment);
