--- a/crates/verbenahitch/src/scheduler/shard/found.rs
+++ b/crates/verbenahitch/src/scheduler/shard/found.rs
@@ -207,12 +207,18 @@
                 self.supersede(task, now);
                 self.conclude(task, key, ended.run, ended.kind, ended.checkpoint_ms, now);
             }
-            (None, phase) => {
-                let runs = matches!(phase, Some(Phase::Running(_)));
-                if runs || !self.note_progress(task, ended) {
-                    return self.ack_noted(task, key, ended.run);
+            (None, Some(Phase::Running(run))) => {
+                // Until its worker reports the newer run, this end may be needed.
+                if self.runs[&run].seen {
+                    self.ack_noted(task, key, ended.run);
+                }
+            }
+            (None, _) => {
+                if self.note_progress(task, ended) {
+                    self.note_ack(task, key, ended.run);
+                } else {
+                    self.ack_noted(task, key, ended.run);
                 }
-                self.note_ack(task, key, ended.run);
             }
         }
     }
