--- a/crates/verbenahitch/src/config/watch.rs
+++ b/crates/verbenahitch/src/config/watch.rs
@@ -17,7 +17,7 @@
 use crate::port::{Clock, StoreError};
 
 /// Time that the store may hold a watch without news, in milliseconds.
-const WAIT_MS: Millis = 1_000;
+const WAIT_MS: Millis = 500;
 
 /// Least time between two calls, in milliseconds.
 const PAUSE_MS: Millis = 100;
