Renew sessions through peers whose store contact is at most five seconds old

The limit was the peers' timeout, which a healthy watch can exceed when the timeout is short. A test cuts a zone from the store and renews through the other, and sees none when the store is down.

--- a/crates/verbenahitch/src/peer/local.rs
+++ b/crates/verbenahitch/src/peer/local.rs
@@ -31,6 +31,9 @@
 /// Most processes that are asked for one renewal.
 const RENEWAL_ATTEMPTS: usize = 3;
 
+/// Age of the store's last answer above which a process is not asked to renew, in milliseconds.
+const STORE_LOST_MS: Millis = 5_000;
+
 /// Accepts a connection whenever it last answered.
 const ANY_TIME: Monotonic = Monotonic(0);
 
@@ -300,11 +303,7 @@
         let mut able: Vec<&Member> = members
             .iter()
             .filter(|member| self.is_peer(member) && !member.leaving)
-            .filter(|member| {
-                member
-                    .store_age_ms
-                    .is_some_and(|age| age <= self.timeout_ms)
-            })
+            .filter(|member| member.store_age_ms.is_some_and(|age| age <= STORE_LOST_MS))
             .collect();
         able.sort_by_key(|member| member.store_age_ms);
         for member in able.iter().take(RENEWAL_ATTEMPTS) {
--- a/testsuite/tests/testsuite/membership/network.rs
+++ b/testsuite/tests/testsuite/membership/network.rs
@@ -20,7 +20,7 @@
 use verbenahitch::settings::{PeerSettings, Seed};
 
 /// Longest time that a condition may take, so that a failing test ends.
-const PATIENCE: Duration = Duration::from_secs(30);
+pub(super) const PATIENCE: Duration = Duration::from_secs(30);
 
 const TOKEN: &str = "peers-of-the-test";
 
--- a/testsuite/tests/testsuite/membership/relay.rs
+++ b/testsuite/tests/testsuite/membership/relay.rs
@@ -16,7 +16,7 @@
 use verbenahitch_standin::fault::Fault;
 use verbenahitch_standin::store::{Settings, Store};
 
-use super::network::{Network, Process, declarations, until};
+use super::network::{Network, PATIENCE, Process, declarations, until};
 
 const HEARTBEAT_MS: u64 = 40;
 const PERMIT_MS: u64 = 3_000;
@@ -225,6 +225,37 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_session_is_renewed_through_a_process_that_reaches_the_store() {
+    let region = Region::start().await;
+    for process in &region.processes {
+        let address = region.store.address_for(&process.zone).to_string();
+        process.handle.serve_renewals(Client::new(&address, 500));
+    }
+    let client = Client::new(&region.store.address().to_string(), 500);
+    let session = client.create_session("test", 60_000).await;
+    let session = session.expect("the session is made");
+    region.cut_store("odd");
+    let cut = &region.processes[0];
+    assert_eq!(renewed(cut, &session).await, Some(true));
+    assert_eq!(renewed(cut, "no-such-session").await, Some(false));
+    region.store.stop();
+    assert_eq!(cut.handle.renew(&session).await, None);
+}
+
+/// Outcome of the first renewal that somebody could carry out.
+async fn renewed(process: &Process, session: &str) -> Option<bool> {
+    let renewal = async {
+        loop {
+            let outcome = process.handle.renew(session).await;
+            if outcome.is_some() {
+                return outcome;
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, renewal).await.ok().flatten()
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn crossed_announcements_never_take_a_revision_back() {
     const SEED: u64 = 11;
