Tell an end that a worker forgot from one that was told

Workers may fail during a demo (--failures). With four failures in 12 s the check reported a task that was started after its end in both deployments: its worker had lost power between the end and the report, so nobody could know. Workers' histories now say whether a forgotten end had been told; only one that nobody was told of excuses a further start of an idempotent task.

--- a/crates/standin/src/command/demo.rs
+++ b/crates/standin/src/command/demo.rs
@@ -21,6 +21,9 @@
     /// Seed of the load and of the workers' draws.
     #[bpaf(argument("N"), fallback(1))]
     seed: u64,
+    /// Workers that fail on the way.
+    #[bpaf(argument("N"), fallback(0))]
+    failures: usize,
     /// File that gets the log events of all daemons.
     #[bpaf(argument("FILE"))]
     log: Option<PathBuf>,
@@ -33,6 +36,7 @@
         deployment: options.deployment,
         seconds: options.seconds,
         seed: options.seed,
+        failures: options.failures,
         log: options.log,
     };
     let report = demo::run(demo).await.context(DemoSnafu)?;
--- a/crates/standin/src/demo/mod.rs
+++ b/crates/standin/src/demo/mod.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod error;
 mod events;
+mod failures;
 mod jobs;
 mod operator;
 mod report;
--- a/crates/standin/src/demo/session.rs
+++ b/crates/standin/src/demo/session.rs
@@ -14,6 +14,7 @@
 use super::entry::{EntryHost, Folder, settings};
 use super::error::{DemoError, PlatformSnafu};
 use super::events::Events;
+use super::failures;
 use super::jobs::{self, Job};
 use super::operator;
 use super::report::{self, Report};
@@ -46,6 +47,8 @@
     pub seconds: u64,
     /// Seed of the load and of the workers' draws.
     pub seed: u64,
+    /// Workers that fail on the way.
+    pub failures: usize,
     /// File that gets the log events of all daemons.
     pub log: Option<PathBuf>,
 }
@@ -68,7 +71,15 @@
     let platform = start_platform(&options).await?;
     let hosts = start_hosts(deployment, &platform, &folder, &declarations).await?;
 
-    let (requests, jobs, zone) = drive(&options, &traffic, &declarations, &hosts, &folder).await?;
+    let (requests, jobs, zone) = drive(
+        &options,
+        &traffic,
+        &declarations,
+        &hosts,
+        &folder,
+        &platform,
+    )
+    .await?;
     let (zone, outage) = zone;
     join_all(hosts.into_iter().map(EntryHost::stop)).await;
 
@@ -138,6 +149,7 @@
     declarations: &Declarations,
     hosts: &[EntryHost],
     folder: &Folder,
+    platform: &Platform,
 ) -> Result<Driven, DemoError> {
     let duration = Duration::from_secs(options.seconds);
     let duration_ms = options.seconds.saturating_mul(1_000);
@@ -150,10 +162,20 @@
     let operator = operator.client(&folder.file("operator"))?;
     let at = |share| started + duration.mul_f64(share);
     let outage = operator::out_and_back(&operator, &traffic.zone, at(OUTAGE.0), at(OUTAGE.1));
-    let (requests, (jobs, mut reports), zone) = tokio::join!(
+    let zone = &traffic.zone;
+    let failures = failures::crash(
+        platform,
+        options.failures,
+        zone,
+        options.seed,
+        started,
+        duration,
+    );
+    let (requests, (jobs, mut reports), zone, ()) = tokio::join!(
         load::run(&plan),
         jobs::submit(jobs, started, patience),
-        outage
+        outage,
+        failures
     );
     jobs::finish(&jobs, patience, &mut reports).await;
     Ok((requests, reports, zone?))
--- a/crates/standin/src/history/check.rs
+++ b/crates/standin/src/history/check.rs
@@ -18,6 +18,8 @@
     pub zone_grace_ms: Millis,
     /// Inaccuracy of times from different clocks, in milliseconds.
     pub slack_ms: Millis,
+    /// Whether answers of workers were lost, so that an end that was told may not have been heard.
+    pub lossy: bool,
     /// Kinds of request, by the first part of the path, that must not run twice.
     pub once_kinds: BTreeSet<String>,
     /// Profiles whose tasks must not run again after an unclear end.
@@ -29,6 +31,7 @@
         Self {
             zone_grace_ms: 5_000,
             slack_ms: 2,
+            lossy: false,
             once_kinds: BTreeSet::new(),
             once_profiles: BTreeSet::new(),
         }
--- a/crates/standin/src/history/mod.rs
+++ b/crates/standin/src/history/mod.rs
@@ -11,5 +11,6 @@
 
 pub use check::{Rules, Violation, check};
 pub use record::{
-    CallOutcome, CallRecord, Outage, RequestRecord, RunEnd, RunRecord, Session, WorkerHistory,
+    CallOutcome, CallRecord, EndMemory, Outage, RequestRecord, RunEnd, RunRecord, Session,
+    WorkerHistory,
 };
--- a/crates/standin/src/history/record.rs
+++ b/crates/standin/src/history/record.rs
@@ -56,6 +56,22 @@
     pub kind: Option<EndKind>,
     /// Newest checkpoint: progress in milliseconds of work.
     pub checkpoint_ms: Millis,
+    /// Whether the worker lost its memory of the end before its acknowledgement.
+    #[serde(default)]
+    pub memory: EndMemory,
+}
+
+/// What a worker that lost power knew of an end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EndMemory {
+    /// The end is remembered, or was acknowledged.
+    #[default]
+    Kept,
+    /// The end was told and then forgotten without an acknowledgement.
+    Told,
+    /// The end was forgotten before anybody was told.
+    Untold,
 }
 
 /// One request that an upstream ran.
--- a/crates/standin/src/history/tasks.rs
+++ b/crates/standin/src/history/tasks.rs
@@ -6,7 +6,7 @@
 use verbenahitch::port::EndKind;
 
 use super::check::{Rules, Violation};
-use super::record::{Outage, RunRecord, Session, WorkerHistory};
+use super::record::{EndMemory, Outage, RunRecord, Session, WorkerHistory};
 
 /// A run with its worker.
 #[derive(Clone, Copy)]
@@ -56,7 +56,13 @@
     let task = || later.run.task.clone();
     let worker = || later.worker.worker.clone();
     let once = rules.once_profiles.contains(&later.run.profile);
-    match earlier.run.end?.kind {
+    let end = earlier.run.end?;
+    let known = match end.memory {
+        EndMemory::Kept => true,
+        EndMemory::Told => !rules.lossy,
+        EndMemory::Untold => false,
+    };
+    match end.kind.filter(|_| known) {
         Some(EndKind::Done) => Some(Violation::StartedAfterEnd {
             task: task(),
             worker: worker(),
