--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -9,13 +9,16 @@
 //! * `commit`: group commit of jobs' records.
 //! * `starts`: marks tasks and gives them to workers.
 //! * `syncs`: messages to workers and their answers.
-//! * `ends`: ends of runs, evictions, lapsed leases.
+//! * `found`: runs that workers report.
+//! * `ends`: what follows from the end of a run, or from a lapsed lease.
+//! * `evictions`: evictions and throttling.
 //! * `recovery`: what a new owner learns before it starts a marked task.
 //! * `zone`: declarations, the list of workers, zones taken out and returning.
 
 mod commit;
 mod ends;
 mod evictions;
+mod found;
 mod job;
 mod lane;
 mod params;
@@ -107,6 +110,8 @@
     moves_due: Monotonic,
     relief_due: Monotonic,
     reported: Reported,
+    /// Time of the newest step.
+    stepped: Monotonic,
     out: Vec<Action>,
 }
 
@@ -143,12 +148,14 @@
             moves_due: Monotonic::default(),
             relief_due: Monotonic::default(),
             reported: Reported::default(),
+            stepped: Monotonic::default(),
             out: Vec::new(),
         }
     }
 
     /// Takes one input and says what to do.
     pub fn step(&mut self, input: Input, now: Monotonic) -> Vec<Action> {
+        self.stepped = now;
         match input {
             Input::Tick => {}
             Input::Declared(declared) => self.on_declared(declared, now),
