Hand shards to schedulers that should rather own them

A scheduler of another zone that took a shard over kept it for ever, and after restarts one scheduler of a zone could own all its shards. Once in five seconds an owner now releases at most one shard that the ranking gives to another, and leaves it alone for a while.

--- a/crates/verbenahitch/src/scheduler/daemon/owner.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/owner.rs
@@ -5,7 +5,7 @@
 
 use metrics::gauge;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 use super::acquire::{self, Acquired};
 use super::commit::Writer;
@@ -18,7 +18,7 @@
 use crate::config::{Current, Permit};
 use crate::domain::{JobId, Monotonic, ShardId};
 use crate::event::{Entry, Kind};
-use crate::membership::{Choice, OwnedShard};
+use crate::membership::{self, Choice, OwnedShard};
 use crate::peer::{Handle, Incoming};
 use crate::port::{Clock, HostRecord};
 use crate::scheduler::{Input, Params, Shard, ShardStatus};
@@ -30,6 +30,12 @@
 /// Looks between two readings of an inbox.
 const INBOX_LOOKS: u64 = 5;
 
+/// Looks between two thoughts about giving a shard to another scheduler.
+const BALANCE_LOOKS: u64 = 25;
+
+/// Time for which a shard that was given up is left to others, in milliseconds.
+const SHUN_MS: u64 = 15_000;
+
 /// Driver of a shard that this process owns.
 struct Owned {
     session: String,
@@ -57,6 +63,10 @@
     owned: HashMap<ShardId, Owned>,
     vacant: HashMap<ShardId, Monotonic>,
     errand: Option<JoinHandle<Found>>,
+    /// Shards that are being given up.
+    leaving: JoinSet<()>,
+    /// Shards that were given up, and until when this process leaves them alone.
+    shunned: HashMap<ShardId, Monotonic>,
     looks: u64,
     inbox_due: u64,
 }
@@ -86,6 +96,8 @@
             owned: HashMap::default(),
             vacant: HashMap::default(),
             errand: None,
+            leaving: JoinSet::new(),
+            shunned: HashMap::default(),
             looks: 0,
             inbox_due: 0,
         }
@@ -137,6 +149,7 @@
         self.drop_lost(session.as_ref()).await;
         if let Some(session) = session {
             self.feed(&session, now);
+            self.balance(&session, now);
             self.consult_store(&session, now).await;
         }
         self.publish();
@@ -274,6 +287,9 @@
             .collect();
         let mut wanted = Vec::new();
         for shard in declared.shards() {
+            if self.shunned.get(&shard).is_some_and(|until| now < *until) {
+                continue;
+            }
             if self.owned.contains_key(&shard) || claimed.contains(shard.to_string().as_str()) {
                 self.vacant.remove(&shard);
                 continue;
@@ -345,26 +361,57 @@
         self.handle.set_shards(shards.collect());
     }
 
+    /// Hands a shard to a scheduler that should rather own it, one at a time.
+    fn balance(&mut self, session: &Session, now: Monotonic) {
+        while self.leaving.try_join_next().is_some() {}
+        if !self.looks.is_multiple_of(BALANCE_LOOKS) || !self.leaving.is_empty() {
+            return;
+        }
+        let members = self.handle.members();
+        let surplus = membership::surplus(&self.name, &members, self.settings.peers.timeout_ms);
+        let Some(name) = surplus else {
+            return;
+        };
+        let owned = self.owned.keys().find(|shard| shard.to_string() == name);
+        if let Some(shard) = owned.cloned() {
+            self.shunned.insert(shard.clone(), now + SHUN_MS);
+            self.give_up(shard, session);
+        }
+    }
+
+    /// Tells a driver to release its shard, and gives the shard back to the store then.
+    fn give_up(&mut self, shard: ShardId, session: &Session) {
+        let Some(owned) = self.owned.remove(&shard) else {
+            return;
+        };
+        owned.sender.send(Message::Release).ok();
+        let store = self.store.clone();
+        let name = self.name.clone();
+        let session = session.id.clone();
+        self.leaving.spawn(async move {
+            let Ok(Ended::Released { settled }) = owned.driver.await else {
+                return;
+            };
+            let released = acquire::release(&store, &shard, &session, &name, settled).await;
+            ownership(Kind::ShardReleased, &shard.to_string(), owned.epoch)
+                .with("in-store", released == Ok(true))
+                .emit();
+        });
+    }
+
     async fn release_all(mut self) {
         if let Some(errand) = self.errand.take() {
             // A shard that is acquired now is unlocked by the end of the session.
             errand.await.ok();
         }
         let session = self.sessions.borrow().clone();
-        let owned: Vec<(ShardId, Owned)> = self.owned.drain().collect();
-        for (_, owned) in &owned {
-            owned.sender.send(Message::Release).ok();
-        }
-        for (shard, owned) in owned {
-            let ended = owned.driver.await;
-            if let (Ok(Ended::Released { settled }), Some(session)) = (ended, &session) {
-                let released =
-                    acquire::release(&self.store, &shard, &session.id, &self.name, settled).await;
-                ownership(Kind::ShardReleased, &shard.to_string(), owned.epoch)
-                    .with("in-store", released == Ok(true))
-                    .emit();
+        if let Some(session) = session {
+            let shards: Vec<ShardId> = self.owned.keys().cloned().collect();
+            for shard in shards {
+                self.give_up(shard, &session);
             }
         }
+        while self.leaving.join_next().await.is_some() {}
         self.handle.set_shards(Vec::new());
     }
 }
