--- a/crates/verbenahitch/src/scheduler/shard/commit.rs
+++ b/crates/verbenahitch/src/scheduler/shard/commit.rs
@@ -222,7 +222,7 @@
             let task = TaskKey { job: key, index };
             if self.phase(task) == Some(Phase::Marking) {
                 self.set_phase(task, Some(Phase::Ready));
-                self.pass_due = now;
+                self.stir(now);
             }
         }
         self.acknowledge(effects.acks);
--- a/crates/verbenahitch/src/scheduler/shard/ends.rs
+++ b/crates/verbenahitch/src/scheduler/shard/ends.rs
@@ -61,7 +61,7 @@
             Verdict::Again(from) => self.note_requeue(task, run, progress_ms, from),
         }
         self.note_ack(task, worker, run);
-        self.pass_due = now;
+        self.stir(now);
     }
 
     /// Has a run acknowledged once the record's changes are durable.
@@ -147,6 +147,7 @@
         }
         self.jobs[task.job].again.insert(task.index);
         self.set_phase(task, None);
+        self.stir(now);
     }
 
     pub(super) fn wake_delayed(&mut self, now: Monotonic) {
@@ -155,6 +156,7 @@
             if self.phase(task) == Some(Phase::Delayed) {
                 self.jobs[task.job].again.insert(task.index);
                 self.set_phase(task, None);
+                self.stir(now);
             }
         }
     }
@@ -176,7 +178,7 @@
             return;
         };
         self.set_phase(gone.task, None);
-        self.pass_due = now;
+        self.stir(now);
         let job = &self.jobs[gone.task.job];
         if !job.is_idempotent() {
             self.end_task(gone.task, TaskOutcome::Unknown);
--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -107,6 +107,8 @@
     returning: Option<Monotonic>,
     /// When a pass over the lanes is due even if nothing has changed.
     pass_due: Monotonic,
+    /// When it is due to look for tasks to mark that are not idempotent.
+    marks_due: Monotonic,
     moves_due: Monotonic,
     relief_due: Monotonic,
     reported: Reported,
@@ -145,6 +147,7 @@
             releasing: false,
             returning: None,
             pass_due: Monotonic::default(),
+            marks_due: Monotonic::default(),
             moves_due: Monotonic::default(),
             relief_due: Monotonic::default(),
             reported: Reported::default(),
@@ -231,10 +234,10 @@
         self.settle(now);
         self.unmark_ready();
         self.move_jobs(now);
-        self.mark_ahead(now);
         self.relieve(now);
         self.report_pressures(now);
         self.start_ready(now);
+        self.mark_ahead(now);
         self.begin_commit(now);
         self.flush_syncs(now);
     }
@@ -251,7 +254,13 @@
             Kind::PermitLapsed
         };
         self.log(Entry::new(kind).with("shard", &self.name));
+        self.stir(now);
+    }
+
+    /// Has the lanes looked at again: something has changed.
+    fn stir(&mut self, now: Monotonic) {
         self.pass_due = now;
+        self.marks_due = now;
     }
 
     /// Whether a task may be started at this instant.
--- a/crates/verbenahitch/src/scheduler/shard/recovery.rs
+++ b/crates/verbenahitch/src/scheduler/shard/recovery.rs
@@ -132,7 +132,7 @@
             self.timers.insert((now, key));
             self.placer.set_state(key, worker.shown);
         }
-        self.pass_due = now;
+        self.stir(now);
     }
 
     /// Resolves what nobody has reported, once nobody can report it any more.
@@ -192,7 +192,7 @@
             } else {
                 self.set_phase(task, Some(Phase::Ready));
             }
-            self.pass_due = now;
+            self.stir(now);
         }
     }
 
--- a/crates/verbenahitch/src/scheduler/shard/requests.rs
+++ b/crates/verbenahitch/src/scheduler/shard/requests.rs
@@ -144,6 +144,7 @@
             .insert(Job::new(record, stage, self.next_job, now));
         self.by_id.insert(id, key);
         self.profile_job(key);
+        self.stir(now);
         key
     }
 
--- a/crates/verbenahitch/src/scheduler/shard/starts.rs
+++ b/crates/verbenahitch/src/scheduler/shard/starts.rs
@@ -34,8 +34,12 @@
         if self.releasing || !self.in_service() {
             return;
         }
+        let due = now >= self.marks_due;
+        if due {
+            self.marks_due = now + PASS_MS;
+        }
         for name in self.lanes.names() {
-            let budget = self.mark_budget(&name, now);
+            let budget = self.mark_budget(&name, due, now);
             while self.lanes.lane(&name).ahead < budget {
                 let Some((_, key)) = self.lanes.lane(&name).unmarked.first().copied() else {
                     break;
@@ -45,7 +49,7 @@
         }
     }
 
-    fn mark_budget(&mut self, name: &Arc<str>, now: Monotonic) -> usize {
+    fn mark_budget(&mut self, name: &Arc<str>, due: bool, now: Monotonic) -> usize {
         let Some((_, key)) = self.lanes.lane(name).unmarked.first().copied() else {
             return 0;
         };
@@ -53,7 +57,7 @@
         if job.is_idempotent() {
             return self.params.mark_ahead;
         }
-        let Some(index) = job.next_unmarked() else {
+        let Some(index) = job.next_unmarked().filter(|_| due) else {
             return 0;
         };
         if !self.may_start(now) {
@@ -99,7 +103,8 @@
                 continue;
             };
             match self.try_start(TaskKey { job: key, index }, now) {
-                Attempt::Started | Attempt::Evicting => {}
+                Attempt::Started => self.marks_due = now,
+                Attempt::Evicting => {}
                 Attempt::Blocked => blocked.push(name),
             }
         }
@@ -302,7 +307,7 @@
             return;
         };
         self.set_phase(gone.task, Some(Phase::Ready));
-        self.pass_due = now;
+        self.stir(now);
         let cancelled = self.jobs[gone.task.job].record.cancelled;
         if cancelled {
             self.cancel_waiting(gone.task.job);
--- a/crates/verbenahitch/src/scheduler/shard/zone.rs
+++ b/crates/verbenahitch/src/scheduler/shard/zone.rs
@@ -46,7 +46,7 @@
         } else if !before && !first {
             self.return_zone(now);
         }
-        self.pass_due = now;
+        self.stir(now);
     }
 
     /// This shard's part of the teams' quotas: one of all shards in service.
@@ -156,7 +156,7 @@
         }
         self.placer.set_state(key, state);
         if state != WorkerState::Closed {
-            self.pass_due = self.pass_due.min(now);
+            self.stir(now);
         }
     }
 
