--- a/crates/standin/src/command/measure.rs
+++ b/crates/standin/src/command/measure.rs
@@ -1,10 +1,12 @@
 //! Subcommand that measures what a role costs.
 
+use std::fmt::Display;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::str::FromStr;
 
 use bpaf::Bpaf;
+use serde::Serialize;
 use snafu::ResultExt;
 
 use super::{CommandError, MeasureSnafu};
@@ -13,7 +15,7 @@
 /// What to measure.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Options {
-    /// What is varied: workers, starts or requests.
+    /// What is varied: workers, starts or requests; or takeover, which kills the owner.
     #[bpaf(argument("WHAT"))]
     vary: Vary,
     /// The `verbenahitch` program.
@@ -30,7 +32,10 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Vary(Experiment);
+enum Vary {
+    Cost(Experiment),
+    Takeover,
+}
 
 #[derive(Clone, Debug)]
 struct Sizes(Vec<u32>);
@@ -40,11 +45,12 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         match text {
-            "workers" => Ok(Self(Experiment::Workers)),
-            "starts" => Ok(Self(Experiment::Starts)),
-            "requests" => Ok(Self(Experiment::Requests)),
+            "workers" => Ok(Self::Cost(Experiment::Workers)),
+            "starts" => Ok(Self::Cost(Experiment::Starts)),
+            "requests" => Ok(Self::Cost(Experiment::Requests)),
+            "takeover" => Ok(Self::Takeover),
             _ => Err(format!(
-                "found {text:?}, allowed are workers, starts and requests"
+                "found {text:?}, allowed are workers, starts, requests and takeover"
             )),
         }
     }
@@ -61,18 +67,31 @@
 }
 
 pub(super) async fn run(options: Options) -> Result<ExitCode, CommandError> {
-    let what = measure::Options {
-        experiment: options.vary.0,
+    let mut what = measure::Options {
+        experiment: Experiment::Workers,
         program: options.program,
         sizes: options.sizes.0,
         seconds: options.seconds,
     };
-    let report = measure::run(&what).await.context(MeasureSnafu)?;
-    if options.json {
-        let text = serde_json::to_string_pretty(&report);
+    match options.vary {
+        Vary::Cost(experiment) => {
+            what.experiment = experiment;
+            let report = measure::run(&what).await.context(MeasureSnafu)?;
+            print(&report, options.json);
+        }
+        Vary::Takeover => {
+            let report = measure::take_over(&what).await.context(MeasureSnafu)?;
+            print(&report, options.json);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print(report: &(impl Display + Serialize), json: bool) {
+    if json {
+        let text = serde_json::to_string_pretty(report);
         println!("{}", text.expect("a report has a JSON form"));
     } else {
         print!("{report}");
     }
-    Ok(ExitCode::SUCCESS)
 }
--- a/crates/standin/src/measure/experiment.rs
+++ b/crates/standin/src/measure/experiment.rs
@@ -16,7 +16,7 @@
 use crate::worker;
 
 /// Tasks that run on each worker while the cost of workers is measured.
-const TASKS_A_WORKER: usize = 10;
+pub(super) const TASKS_A_WORKER: usize = 10;
 
 /// Workers while the cost of starts and requests is measured.
 const FIXED_WORKERS: usize = 50;
@@ -28,7 +28,7 @@
 const LONG_RUN_MS: Millis = 3_600_000;
 
 /// Time before a measurement in which the daemons settle.
-const SETTLE: Duration = Duration::from_secs(3);
+pub(super) const SETTLE: Duration = Duration::from_secs(3);
 
 /// Jobs a second while the cost of starts is measured.
 const JOBS_A_SECOND: usize = 4;
@@ -166,7 +166,7 @@
     })
 }
 
-fn worker(number: usize) -> worker::Settings {
+pub(super) fn worker(number: usize) -> worker::Settings {
     worker::Settings {
         name: format!("a-w{number}"),
         zone: "a".to_owned(),
@@ -177,7 +177,7 @@
 }
 
 /// Submits `tasks` that run on, and waits until all run.
-async fn fill(site: &Site, tasks: usize) -> Result<(), MeasureError> {
+pub(super) async fn fill(site: &Site, tasks: usize) -> Result<(), MeasureError> {
     let team = site.team()?;
     let spec = spec(tasks, LONG_RUN_MS);
     team.submit("fill", &spec).await.context(ClientSnafu)?;
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -12,8 +12,10 @@
 mod fit;
 mod report;
 mod site;
+mod takeover;
 mod usage;
 
 pub use experiment::{Experiment, MeasureError, Options, run};
 pub use fit::{Line, fit};
 pub use report::{Report, Row};
+pub use takeover::{Takeover, Takeovers, take_over};
--- a/crates/standin/src/measure/site.rs
+++ b/crates/standin/src/measure/site.rs
@@ -26,6 +26,12 @@
 
 const TEAM_TOKEN: &str = "measured-team";
 
+/// The site's only shard.
+pub(super) const SHARD: &str = "a-0";
+
+/// Lease of the shard, in milliseconds.
+pub(super) const SHARD_LEASE_MS: u64 = 10_000;
+
 /// Running site; its processes end when it is dropped.
 pub(super) struct Site {
     pub(super) platform: Platform,
@@ -63,17 +69,10 @@
 
     /// Starts the daemons, puts the declarations in force and waits for an owner.
     pub(super) async fn run(&mut self, program: &Path) -> Result<(), MeasureError> {
-        let settings = self.write("entry.jsonc", &self.settings().to_string())?;
         for daemon in ["scheduler", "gateway"] {
-            let child = Command::new(program)
-                .arg(daemon)
-                .arg(&settings)
-                .stdin(Stdio::null())
-                .spawn()
-                .context(ProcessSnafu { path: program })?;
-            self.daemons.push(child);
+            self.spawn(program, daemon, 1)?;
         }
-        let operator = self.client("operator.token")?;
+        let operator = self.operator()?;
         let declarations = declarations();
         wait("the declarations", async || {
             operator.apply(&declarations, 0).await.is_ok()
@@ -88,6 +87,40 @@
         .await
     }
 
+    /// Starts a second scheduler and waits until the first entry host hears it.
+    pub(super) async fn run_heir(&mut self, program: &Path) -> Result<(), MeasureError> {
+        self.spawn(program, "scheduler", 2)?;
+        let operator = self.operator()?;
+        wait("the second scheduler is heard", async || {
+            let status = operator.status().await.unwrap_or_default();
+            status["members"]
+                .as_array()
+                .is_some_and(|all| all.len() >= 3)
+        })
+        .await
+    }
+
+    /// Kills the scheduler that was started first.
+    pub(super) fn kill_owner(&mut self) {
+        if let Some(owner) = self.daemons.first_mut() {
+            owner.kill().ok();
+            owner.wait().ok();
+        }
+    }
+
+    fn spawn(&mut self, program: &Path, daemon: &str, host: u8) -> Result<(), MeasureError> {
+        let settings = self.settings(host).to_string();
+        let settings = self.write(&format!("entry-{host}.jsonc"), &settings)?;
+        let child = Command::new(program)
+            .arg(daemon)
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .spawn()
+            .context(ProcessSnafu { path: program })?;
+        self.daemons.push(child);
+        Ok(())
+    }
+
     /// Scheduler and gateway.
     pub(super) fn pids(&self) -> Vec<u32> {
         self.daemons.iter().map(Child::id).collect()
@@ -100,17 +133,22 @@
 
     /// Address that callers use.
     pub(super) fn callers(&self) -> SocketAddr {
-        self.at(8_000)
+        self.at(1, 8_000)
+    }
+
+    /// Client of the operators' interface.
+    pub(super) fn operator(&self) -> Result<Client, MeasureError> {
+        self.client("operator.token")
     }
 
     fn client(&self, token: &str) -> Result<Client, MeasureError> {
         let token = self.folder.join(token);
-        Client::new(self.at(8_001), Some(&token)).context(ClientSnafu)
+        Client::new(self.at(1, 8_001), Some(&token)).context(ClientSnafu)
     }
 
-    fn at(&self, port: u16) -> SocketAddr {
+    fn at(&self, host: u8, port: u16) -> SocketAddr {
         let [second, third] = self.network;
-        SocketAddr::from((Ipv4Addr::new(127, second, third, 1), port))
+        SocketAddr::from((Ipv4Addr::new(127, second, third, host), port))
     }
 
     fn write(&self, name: &str, text: &str) -> Result<PathBuf, MeasureError> {
@@ -119,10 +157,10 @@
         Ok(path)
     }
 
-    fn settings(&self) -> serde_json::Value {
-        let file = |name| self.folder.join(name);
+    fn settings(&self, host: u8) -> serde_json::Value {
+        let file = |name: &str| self.folder.join(name);
         json!({
-            "name": "measured",
+            "name": format!("measured-{host}"),
             "zone": "a",
             "platform": {
                 "store": self.platform.store().address(),
@@ -130,17 +168,21 @@
             },
             "peers": {
                 "token-file": file("peers.token"),
-                "seeds": [{"address": self.at(7_001)}, {"address": self.at(7_002)}],
+                "seeds": [{"address": self.at(1, 7_001)}, {"address": self.at(1, 7_002)}],
             },
             "gateway": {
-                "callers": self.at(8_000),
-                "operators": self.at(8_001),
-                "metrics": self.at(8_002),
-                "peers": self.at(7_001),
+                "callers": self.at(host, 8_000),
+                "operators": self.at(host, 8_001),
+                "metrics": self.at(host, 8_002),
+                "peers": self.at(host, 7_001),
+            },
+            "scheduler": {
+                "metrics": self.at(host, 8_003),
+                "peers": self.at(host, 7_002),
+                "shard-lease-ms": SHARD_LEASE_MS,
             },
-            "scheduler": {"metrics": self.at(8_003), "peers": self.at(7_002)},
             "operators": [{"name": "operator", "token-file": file("operator.token")}],
-            "log": {"file": file("log")},
+            "log": {"file": file(&format!("log-{host}"))},
         })
     }
 }
--- a/crates/verbenahitch/src/scheduler/daemon/owner.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/owner/mod.rs
@@ -1,5 +1,8 @@
 //! Decides which shards this process owns, and feeds their drivers.
 
+mod release;
+mod vacancy;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,10 +10,10 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 
-use super::acquire::{self, Acquired};
+use super::acquire::Acquired;
 use super::commit::Writer;
-use super::driver::{Driver, Ended, Message, not_owner, ownership};
-use super::errand::{Errand, Found};
+use super::driver::{Driver, Ended, Message, not_owner};
+use super::errand::Found;
 use super::process_name;
 use super::session::Session;
 use crate::adapter::{Store, Workers};
@@ -18,7 +21,7 @@
 use crate::config::{Current, Permit};
 use crate::domain::{JobId, Monotonic, ShardId};
 use crate::event::{Entry, Kind};
-use crate::membership::{self, Choice, OwnedShard};
+use crate::membership::OwnedShard;
 use crate::peer::{Handle, Incoming};
 use crate::port::{Clock, HostRecord};
 use crate::scheduler::{Input, Params, Shard, ShardStatus};
@@ -30,12 +33,6 @@
 /// Looks between two readings of an inbox.
 const INBOX_LOOKS: u64 = 5;
 
-/// Looks between two thoughts about giving a shard to another scheduler.
-const BALANCE_LOOKS: u64 = 25;
-
-/// Time for which a shard that was given up is left to others, in milliseconds.
-const SHUN_MS: u64 = 15_000;
-
 /// Driver of a shard that this process owns.
 struct Owned {
     session: String,
@@ -223,87 +220,6 @@
         }
     }
 
-    /// Takes in what the store said, and asks it for what is due next.
-    ///
-    /// The store may take long to answer; permits and leases are fed meanwhile.
-    async fn consult_store(&mut self, session: &Session, now: Monotonic) {
-        if self
-            .errand
-            .as_ref()
-            .is_some_and(|errand| !errand.is_finished())
-        {
-            return;
-        }
-        if let Some(errand) = self.errand.take() {
-            let found = errand.await.unwrap_or_default();
-            self.take_in(found, session);
-        }
-        let inboxes: Vec<ShardId> = if self.looks >= self.inbox_due {
-            self.inbox_due = self.looks + INBOX_LOOKS;
-            self.owned.keys().cloned().collect()
-        } else {
-            Vec::new()
-        };
-        let vacant = self.wanted(now);
-        if inboxes.is_empty() && vacant.is_empty() {
-            return;
-        }
-        let errand = Errand {
-            store: self.store.clone(),
-            session: session.clone(),
-            name: self.name.clone(),
-            inboxes,
-            vacant,
-        };
-        self.errand = Some(tokio::spawn(errand.run()));
-    }
-
-    fn take_in(&mut self, found: Found, session: &Session) {
-        for (shard, records) in found.handed {
-            let Some(owned) = self.owned.get_mut(&shard) else {
-                continue;
-            };
-            for record in records {
-                if owned.handed.insert(record.id.clone()) {
-                    owned.sender.send(Message::Handed(Box::new(record))).ok();
-                }
-            }
-        }
-        for (shard, under, acquired) in found.acquired {
-            if under == session.id {
-                let owned = self.drive(&shard, session, acquired);
-                self.owned.insert(shard, owned);
-            }
-        }
-    }
-
-    /// Shards that nobody is known to own and that this process should take now.
-    fn wanted(&mut self, now: Monotonic) -> Vec<ShardId> {
-        let declared = self.current.load();
-        let members = self.handle.members();
-        let claimed: HashSet<&str> = members
-            .iter()
-            .flat_map(|member| member.shards.iter().map(|claim| claim.shard.as_str()))
-            .collect();
-        let mut wanted = Vec::new();
-        for shard in declared.shards() {
-            if self.shunned.get(&shard).is_some_and(|until| now < *until) {
-                continue;
-            }
-            if self.owned.contains_key(&shard) || claimed.contains(shard.to_string().as_str()) {
-                self.vacant.remove(&shard);
-                continue;
-            }
-            let since = *self.vacant.entry(shard.clone()).or_insert(now);
-            match Choice::of(&shard, &self.name, &members, self.settings.peers.timeout_ms) {
-                Choice::Now => wanted.push(shard),
-                Choice::After(delay) if now.since(since) >= delay => wanted.push(shard),
-                Choice::After(_) | Choice::No => {}
-            }
-        }
-        wanted
-    }
-
     fn drive(&self, shard: &ShardId, session: &Session, acquired: Acquired) -> Owned {
         let epoch = acquired.epoch;
         let params = Params::new(shard.clone(), &self.name, &self.settings.scheduler, epoch);
@@ -360,60 +276,6 @@
         });
         self.handle.set_shards(shards.collect());
     }
-
-    /// Hands a shard to a scheduler that should rather own it, one at a time.
-    fn balance(&mut self, session: &Session, now: Monotonic) {
-        while self.leaving.try_join_next().is_some() {}
-        if !self.looks.is_multiple_of(BALANCE_LOOKS) || !self.leaving.is_empty() {
-            return;
-        }
-        let members = self.handle.members();
-        let surplus = membership::surplus(&self.name, &members, self.settings.peers.timeout_ms);
-        let Some(name) = surplus else {
-            return;
-        };
-        let owned = self.owned.keys().find(|shard| shard.to_string() == name);
-        if let Some(shard) = owned.cloned() {
-            self.shunned.insert(shard.clone(), now + SHUN_MS);
-            self.give_up(shard, session);
-        }
-    }
-
-    /// Tells a driver to release its shard, and gives the shard back to the store then.
-    fn give_up(&mut self, shard: ShardId, session: &Session) {
-        let Some(owned) = self.owned.remove(&shard) else {
-            return;
-        };
-        owned.sender.send(Message::Release).ok();
-        let store = self.store.clone();
-        let name = self.name.clone();
-        let session = session.id.clone();
-        self.leaving.spawn(async move {
-            let Ok(Ended::Released { settled }) = owned.driver.await else {
-                return;
-            };
-            let released = acquire::release(&store, &shard, &session, &name, settled).await;
-            ownership(Kind::ShardReleased, &shard.to_string(), owned.epoch)
-                .with("in-store", released == Ok(true))
-                .emit();
-        });
-    }
-
-    async fn release_all(mut self) {
-        if let Some(errand) = self.errand.take() {
-            // A shard that is acquired now is unlocked by the end of the session.
-            errand.await.ok();
-        }
-        let session = self.sessions.borrow().clone();
-        if let Some(session) = session {
-            let shards: Vec<ShardId> = self.owned.keys().cloned().collect();
-            for shard in shards {
-                self.give_up(shard, &session);
-            }
-        }
-        while self.leaving.join_next().await.is_some() {}
-        self.handle.set_shards(Vec::new());
-    }
 }
 
 async fn stopped(stopping: &mut watch::Receiver<bool>) {
