--- a/crates/verbenahitch/src/replay/mod.rs
+++ b/crates/verbenahitch/src/replay/mod.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod generate;
 mod model;
+mod plan;
 mod report;
 mod serving;
 mod tally;
@@ -23,7 +24,8 @@
 use snafu::Snafu;
 
 pub use cell::Policy;
-pub use generate::{Deployment, generate};
+pub use generate::generate;
+pub use plan::Deployment;
 pub use report::{KindReport, PolicyReport, Report, Spread};
 pub use trace::{Entry, Event, Kind, Pair, Submit, Trace, Truth, Work};
 
