--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -9,13 +9,16 @@
 //! * `commit`: group commit of jobs' records.
 //! * `starts`: marks tasks and gives them to workers.
 //! * `syncs`: messages to workers and their answers.
-//! * `ends`: ends of runs, evictions, lapsed leases.
+//! * `found`: runs that workers report.
+//! * `ends`: what follows from the end of a run, or from a lapsed lease.
+//! * `evictions`: evictions and throttling.
 //! * `recovery`: what a new owner learns before it starts a marked task.
 //! * `zone`: declarations, the list of workers, zones taken out and returning.
 
 mod commit;
 mod ends;
 mod evictions;
+mod found;
 mod job;
 mod lane;
 mod params;
@@ -104,9 +107,13 @@
     returning: Option<Monotonic>,
     /// When a pass over the lanes is due even if nothing has changed.
     pass_due: Monotonic,
+    /// When it is due to look for tasks to mark that are not idempotent.
+    marks_due: Monotonic,
     moves_due: Monotonic,
     relief_due: Monotonic,
     reported: Reported,
+    /// Time of the newest step.
+    stepped: Monotonic,
     out: Vec<Action>,
 }
 
@@ -140,15 +147,18 @@
             releasing: false,
             returning: None,
             pass_due: Monotonic::default(),
+            marks_due: Monotonic::default(),
             moves_due: Monotonic::default(),
             relief_due: Monotonic::default(),
             reported: Reported::default(),
+            stepped: Monotonic::default(),
             out: Vec::new(),
         }
     }
 
     /// Takes one input and says what to do.
     pub fn step(&mut self, input: Input, now: Monotonic) -> Vec<Action> {
+        self.stepped = now;
         match input {
             Input::Tick => {}
             Input::Declared(declared) => self.on_declared(declared, now),
@@ -224,10 +234,10 @@
         self.settle(now);
         self.unmark_ready();
         self.move_jobs(now);
-        self.mark_ahead(now);
         self.relieve(now);
         self.report_pressures(now);
         self.start_ready(now);
+        self.mark_ahead(now);
         self.begin_commit(now);
         self.flush_syncs(now);
     }
@@ -244,7 +254,13 @@
             Kind::PermitLapsed
         };
         self.log(Entry::new(kind).with("shard", &self.name));
+        self.stir(now);
+    }
+
+    /// Has the lanes looked at again: something has changed.
+    fn stir(&mut self, now: Monotonic) {
         self.pass_due = now;
+        self.marks_due = now;
     }
 
     /// Whether a task may be started at this instant.
