--- a/testsuite/examples/peers.rs
+++ b/testsuite/examples/peers.rs
@@ -2,7 +2,8 @@
 //!
 //! Each process is a node with a thread and sockets of its own; all of them run
 //! in this program. Half are schedulers, half gateways, over four availability
-//! zones. `cargo run --release -p verbenahitch-testsuite --example peers`
+//! zones. `cargo run --release -p verbenahitch-testsuite --example peers -- cost`
+//! measures heartbeats, `-- spread` measures changes, and neither word does both.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -121,16 +122,30 @@
 
     async fn stop(self) {
         self.watches.iter().for_each(JoinHandle::abort);
-        for process in self.processes {
-            process.handle.stop().await;
-        }
+        let stops = self
+            .processes
+            .into_iter()
+            .map(|process| process.handle.stop());
+        futures::future::join_all(stops).await;
     }
 }
 
 #[tokio::main]
 async fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let what = arguments.first().map(String::as_str);
+    if what != Some("spread") {
+        costs().await;
+    }
+    if what != Some("cost") {
+        spreads().await;
+    }
+}
+
+async fn costs() {
     println!(
-        "| processes | run | messages/s a process | bytes/s a process, one way | processor % a process | resident MB, all |"
+        "| processes | run | messages/s a process | bytes/s sent by a process | \
+         processor % a process | resident MB, all |"
     );
     println!("| ---: | ---: | ---: | ---: | ---: | ---: |");
     for count in SIZES {
@@ -138,7 +153,9 @@
             cost(count, run).await;
         }
     }
-    println!();
+}
+
+async fn spreads() {
     println!("| processes | store reached by | p50 ms | p99 ms | max ms | changes |");
     println!("| ---: | --- | ---: | ---: | ---: | ---: |");
     for count in SPREADS {
