--- a/crates/verbenahitch/src/gateway/path/serve.rs
+++ b/crates/verbenahitch/src/gateway/path/serve.rs
@@ -32,8 +32,8 @@
     pub profile: String,
     /// What its answer is worth.
     pub worth: u32,
-    /// Latency target.
-    pub target_ms: Millis,
+    /// Time without progress after which a connection is given up.
+    pub patience_ms: Millis,
     /// Whether running it twice has the effect of running it once.
     pub idempotent: bool,
     /// Idempotency key that the caller gave.
@@ -55,6 +55,16 @@
     Unknown(Doubt, String),
 }
 
+/// Why a request is tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Retry {
+    /// An upstream refused it for lack of a slot. This says that others may
+    /// have one for as long as answers come, and each answer pays for a retry.
+    Refused,
+    /// A connection failed or made no progress.
+    Failed,
+}
+
 /// Attempts of one request.
 struct Attempts<'a> {
     shared: &'a Shared,
@@ -105,7 +115,7 @@
 }
 
 async fn race(shared: &Shared, call: &Call, first: Choice) -> End {
-    let patience = patience(shared, call);
+    let hedge_ms = call.patience_ms.min(call.deadline.since(shared.now()) / 2);
     let mut attempts = Attempts {
         shared,
         call,
@@ -113,9 +123,9 @@
         count: 0,
     };
     let mut running = FuturesUnordered::new();
-    shared.budget.earn();
+    shared.failures.earn();
     running.push(attempts.start(first));
-    let mut hedge = pin!(tokio::time::sleep(patience));
+    let mut hedge = pin!(tokio::time::sleep(Duration::from_millis(hedge_ms)));
     let mut hedged = !call.idempotent;
     let mut doubt = None;
     loop {
@@ -123,11 +133,14 @@
             Some(outcome) = running.next() => outcome,
             () = &mut hedge, if !hedged => {
                 hedged = true;
-                running.extend(attempts.next(true).map(|choice| attempts.start(choice)));
+                running.extend(attempts.next(Retry::Failed).map(|choice| attempts.start(choice)));
                 continue;
             }
         };
-        let again = matches!(outcome, Outcome::Unknown(..));
+        let cause = match outcome {
+            Outcome::Refused => Retry::Refused,
+            _ => Retry::Failed,
+        };
         match outcome {
             Outcome::Answered(answer) => return End::Answered(answer),
             Outcome::Unknown(kind, reason) if !call.idempotent => {
@@ -136,7 +149,7 @@
             Outcome::Unknown(kind, reason) => doubt = Some((kind, reason)),
             Outcome::Refused | Outcome::NotSent(_) => {}
         }
-        running.extend(attempts.next(again).map(|choice| attempts.start(choice)));
+        running.extend(attempts.next(cause).map(|choice| attempts.start(choice)));
         if running.is_empty() {
             return failed(doubt);
         }
@@ -158,19 +171,12 @@
     End::Refused(Refusal::new(Cause::TooLate, reason))
 }
 
-/// Time without progress after which a connection is given up and another try may start.
-fn patience(shared: &Shared, call: &Call) -> Duration {
-    let silence = shared.settings.gateway.silence_ms.max(call.target_ms);
-    let remaining = call.deadline.since(shared.now());
-    Duration::from_millis(silence.min(remaining / 2))
-}
-
 impl<'a> Attempts<'a> {
     /// Chooses where to try next, if attempts, budget and deadline allow it.
     ///
     /// An upstream that has refused is not asked again; one whose connection
     /// failed may answer on a fresh one if there is no other.
-    fn next(&self, again: bool) -> Option<Choice> {
+    fn next(&self, cause: Retry) -> Option<Choice> {
         let now = self.shared.now();
         if self.count >= ATTEMPTS || self.call.deadline <= now {
             return None;
@@ -178,8 +184,16 @@
         let dice = rand::rng().next_u64();
         let table = self.shared.table.load();
         let other = table.choose(now, dice, &self.tried[..self.count]);
-        let choice = other.or_else(|| table.choose(now, dice, &[]).filter(|_| again))?;
-        self.shared.budget.spend().then_some(choice)
+        let choice = other.or_else(|| {
+            table
+                .choose(now, dice, &[])
+                .filter(|_| cause == Retry::Failed)
+        })?;
+        let budget = match cause {
+            Retry::Failed => &self.shared.failures,
+            Retry::Refused => &self.shared.refusals,
+        };
+        budget.spend().then_some(choice)
     }
 
     fn start(&mut self, choice: Choice) -> impl Future<Output = Outcome> + use<'a> {
@@ -209,7 +223,7 @@
     let mut send = pin!(send);
     let report = tokio::select! {
         report = &mut send => report,
-        () = tokio::time::sleep(patience(shared, call)) => {
+        () = tokio::time::sleep(Duration::from_millis(call.patience_ms)) => {
             suspect(shared, &slot, &client, "no progress");
             send.await
         }
@@ -222,6 +236,7 @@
     }
     match &report.outcome {
         Outcome::Answered(_) => {
+            shared.refusals.earn();
             shared.latency.observe(&call.kind, started.elapsed());
             upstream.limit.taken(upstream.in_flight());
             if upstream.health.succeeded() {
@@ -230,6 +245,8 @@
         }
         Outcome::Refused => upstream.limit.refused(),
         Outcome::NotSent(reason) => count_failure(shared, &slot, reason),
+        // A deadline that a caller set short says nothing of the connection.
+        Outcome::Unknown(Doubt::Deadline, _) => {}
         Outcome::Unknown(_, reason) => suspect(shared, &slot, &client, reason),
     }
     report.outcome
