--- a/testsuite/tests/testsuite/session/whole.rs
+++ b/testsuite/tests/testsuite/session/whole.rs
@@ -107,6 +107,11 @@
     deployment.wait_for_done(1, "bureau.overnight", 6).await;
     let live = json!({"worker": on, "state": "live"});
     deployment.control("/hosts/state", &live).await;
+    let explained = answer(&deployment.operate(1, "explain bureau.overnight 0"));
+    writeln!(golden, "explained: {explained}").unwrap();
+    let shard = answer(&deployment.operate(0, "shard a-0"));
+    let workers = shard["workers"].as_array().map_or(0, Vec::len);
+    writeln!(golden, "shard {}: {workers} workers", shard["shard"]).unwrap();
     let histories = deployment.histories().await;
     let evicted = ended(&histories, EndKind::Evicted) > 0;
     writeln!(golden, "tasks done: {}", ended(&histories, EndKind::Done)).unwrap();
