--- a/crates/verbenahitch/src/scheduler/daemon/owner.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/owner/mod.rs
@@ -1,16 +1,19 @@
 //! Decides which shards this process owns, and feeds their drivers.
 
+mod release;
+mod vacancy;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use metrics::gauge;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
-use super::acquire::{self, Acquired};
+use super::acquire::Acquired;
 use super::commit::Writer;
-use super::driver::{Driver, Ended, Message, not_owner, ownership};
-use super::errand::{Errand, Found};
+use super::driver::{Driver, Ended, Message, not_owner};
+use super::errand::Found;
 use super::process_name;
 use super::session::Session;
 use crate::adapter::{Store, Workers};
@@ -18,7 +21,7 @@
 use crate::config::{Current, Permit};
 use crate::domain::{JobId, Monotonic, ShardId};
 use crate::event::{Entry, Kind};
-use crate::membership::{Choice, OwnedShard};
+use crate::membership::OwnedShard;
 use crate::peer::{Handle, Incoming};
 use crate::port::{Clock, HostRecord};
 use crate::scheduler::{Input, Params, Shard, ShardStatus};
@@ -57,6 +60,10 @@
     owned: HashMap<ShardId, Owned>,
     vacant: HashMap<ShardId, Monotonic>,
     errand: Option<JoinHandle<Found>>,
+    /// Shards that are being given up.
+    leaving: JoinSet<()>,
+    /// Shards that were given up, and until when this process leaves them alone.
+    shunned: HashMap<ShardId, Monotonic>,
     looks: u64,
     inbox_due: u64,
 }
@@ -86,6 +93,8 @@
             owned: HashMap::default(),
             vacant: HashMap::default(),
             errand: None,
+            leaving: JoinSet::new(),
+            shunned: HashMap::default(),
             looks: 0,
             inbox_due: 0,
         }
@@ -137,6 +146,7 @@
         self.drop_lost(session.as_ref()).await;
         if let Some(session) = session {
             self.feed(&session, now);
+            self.balance(&session, now);
             self.consult_store(&session, now).await;
         }
         self.publish();
@@ -210,84 +220,6 @@
         }
     }
 
-    /// Takes in what the store said, and asks it for what is due next.
-    ///
-    /// The store may take long to answer; permits and leases are fed meanwhile.
-    async fn consult_store(&mut self, session: &Session, now: Monotonic) {
-        if self
-            .errand
-            .as_ref()
-            .is_some_and(|errand| !errand.is_finished())
-        {
-            return;
-        }
-        if let Some(errand) = self.errand.take() {
-            let found = errand.await.unwrap_or_default();
-            self.take_in(found, session);
-        }
-        let inboxes: Vec<ShardId> = if self.looks >= self.inbox_due {
-            self.inbox_due = self.looks + INBOX_LOOKS;
-            self.owned.keys().cloned().collect()
-        } else {
-            Vec::new()
-        };
-        let vacant = self.wanted(now);
-        if inboxes.is_empty() && vacant.is_empty() {
-            return;
-        }
-        let errand = Errand {
-            store: self.store.clone(),
-            session: session.clone(),
-            name: self.name.clone(),
-            inboxes,
-            vacant,
-        };
-        self.errand = Some(tokio::spawn(errand.run()));
-    }
-
-    fn take_in(&mut self, found: Found, session: &Session) {
-        for (shard, records) in found.handed {
-            let Some(owned) = self.owned.get_mut(&shard) else {
-                continue;
-            };
-            for record in records {
-                if owned.handed.insert(record.id.clone()) {
-                    owned.sender.send(Message::Handed(Box::new(record))).ok();
-                }
-            }
-        }
-        for (shard, under, acquired) in found.acquired {
-            if under == session.id {
-                let owned = self.drive(&shard, session, acquired);
-                self.owned.insert(shard, owned);
-            }
-        }
-    }
-
-    /// Shards that nobody is known to own and that this process should take now.
-    fn wanted(&mut self, now: Monotonic) -> Vec<ShardId> {
-        let declared = self.current.load();
-        let members = self.handle.members();
-        let claimed: HashSet<&str> = members
-            .iter()
-            .flat_map(|member| member.shards.iter().map(|claim| claim.shard.as_str()))
-            .collect();
-        let mut wanted = Vec::new();
-        for shard in declared.shards() {
-            if self.owned.contains_key(&shard) || claimed.contains(shard.to_string().as_str()) {
-                self.vacant.remove(&shard);
-                continue;
-            }
-            let since = *self.vacant.entry(shard.clone()).or_insert(now);
-            match Choice::of(&shard, &self.name, &members, self.settings.peers.timeout_ms) {
-                Choice::Now => wanted.push(shard),
-                Choice::After(delay) if now.since(since) >= delay => wanted.push(shard),
-                Choice::After(_) | Choice::No => {}
-            }
-        }
-        wanted
-    }
-
     fn drive(&self, shard: &ShardId, session: &Session, acquired: Acquired) -> Owned {
         let epoch = acquired.epoch;
         let params = Params::new(shard.clone(), &self.name, &self.settings.scheduler, epoch);
@@ -344,29 +276,6 @@
         });
         self.handle.set_shards(shards.collect());
     }
-
-    async fn release_all(mut self) {
-        if let Some(errand) = self.errand.take() {
-            // A shard that is acquired now is unlocked by the end of the session.
-            errand.await.ok();
-        }
-        let session = self.sessions.borrow().clone();
-        let owned: Vec<(ShardId, Owned)> = self.owned.drain().collect();
-        for (_, owned) in &owned {
-            owned.sender.send(Message::Release).ok();
-        }
-        for (shard, owned) in owned {
-            let ended = owned.driver.await;
-            if let (Ok(Ended::Released { settled }), Some(session)) = (ended, &session) {
-                let released =
-                    acquire::release(&self.store, &shard, &session.id, &self.name, settled).await;
-                ownership(Kind::ShardReleased, &shard.to_string(), owned.epoch)
-                    .with("in-store", released == Ok(true))
-                    .emit();
-            }
-        }
-        self.handle.set_shards(Vec::new());
-    }
 }
 
 async fn stopped(stopping: &mut watch::Receiver<bool>) {
--- a/testsuite/tests/testsuite/gateway/admission.rs
+++ b/testsuite/tests/testsuite/gateway/admission.rs
@@ -1,11 +1,14 @@
 //! Decisions of admission: who gets the next slot, who is refused, and what an
 //! overload leaves of the goodput.
 
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+
 use test_case::test_case;
 use verbenahitch::domain::{Millis, Monotonic};
 use verbenahitch::gateway::admission::{Budget, Queue, Shed, Ticket};
 
-use super::fake::{Act, Upstream};
+use super::fake::{Act, Seen, Upstream};
 use super::fixture::{Setup, got};
 
 const NOW: Monotonic = Monotonic(10_000);
@@ -196,6 +199,52 @@
     );
 }
 
+#[tokio::test]
+async fn answers_pay_for_retries_after_refusals() {
+    const REQUESTS: usize = 200;
+    // Every request is refused where it comes first and taken where it comes next.
+    let met = Arc::new(Mutex::new(BTreeSet::new()));
+    let mut upstreams = Vec::new();
+    for _ in 0..2 {
+        let met = Arc::clone(&met);
+        let script = move |seen: &Seen| match met.lock().unwrap().insert(seen.id().to_owned()) {
+            true => Act::Refuse,
+            false => Act::Answer("charged".to_owned()),
+        };
+        upstreams.push(Upstream::start(script).await);
+    }
+    let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let gateway = Setup::over(&addresses)
+        .with("retry-percent", 0)
+        .start()
+        .await;
+    for _ in 0..REQUESTS {
+        assert_eq!(got(gateway.post("/charge")).await.status, 200);
+    }
+    let sent: usize = upstreams.iter().map(Upstream::count).sum();
+    assert_eq!(sent, 2 * REQUESTS);
+}
+
+#[tokio::test]
+async fn failures_are_not_multiplied() {
+    const REQUESTS: usize = 300;
+    let mut broken = Vec::new();
+    for _ in 0..3 {
+        broken.push(Upstream::start(|_| Act::Close).await);
+    }
+    let addresses: Vec<_> = broken.iter().map(|upstream| upstream.address).collect();
+    let gateway = Setup::over(&addresses).start().await;
+    for _ in 0..REQUESTS {
+        assert_ne!(got(gateway.post("/quote")).await.status, 200);
+    }
+    let attempts: usize = broken.iter().map(Upstream::count).sum();
+    let most = REQUESTS + REQUESTS / 10 + 10;
+    assert!(
+        attempts <= most,
+        "{attempts} attempts for {REQUESTS} requests"
+    );
+}
+
 #[tokio::test]
 async fn waiting_requests_get_freed_slots() {
     const REQUESTS: usize = 40;
