--- a/testsuite/tests/testsuite/gateway/fixture.rs
+++ b/testsuite/tests/testsuite/gateway/fixture.rs
@@ -168,6 +168,7 @@
                       "sync": profile(5, true) },
         "kinds": { "quote": { "path": "/quote", "profile": "quote" },
                    "charge": { "path": "/charge", "profile": "charge" },
+                   "refund": { "path": "/refund", "profile": "charge" },
                    "sync": { "path": "/sync", "profile": "sync" } },
         "zones": { "a": { "state": "in" }, "b": { "state": "in" } }
     })
--- a/testsuite/tests/testsuite/gateway/once.rs
+++ b/testsuite/tests/testsuite/gateway/once.rs
@@ -78,9 +78,12 @@
     let (store, upstream) = (store().await, Upstream::answering("ok").await);
     let gateway = gateway("gw-1", &store, &upstream).await;
     assert_eq!(charge(&gateway, "k").await.status, 200);
+    let refund = gateway.post("/refund").header("idempotency-key", "k");
+    assert_eq!(got(refund).await.status, 200);
     let quote = gateway.post("/quote").header("idempotency-key", "k");
     assert_eq!(got(quote).await.status, 200);
-    assert_eq!(store.keys("verbenahitch/once/").len(), 1);
+    // What is idempotent needs no claim.
+    assert_eq!(store.keys("verbenahitch/once/").len(), 2);
 }
 
 #[tokio::test]
