Send no sync that was decided on long before

A process that was paused between the decision and the sending could reach a worker that has restarted meanwhile and does not know the older call to refuse.

--- a/crates/verbenahitch/src/scheduler/daemon/driver.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/driver.rs
@@ -12,12 +12,17 @@
 use crate::collections::HashMap;
 use crate::domain::Monotonic;
 use crate::event::{Entry, Kind};
-use crate::port::{Clock, SyncRequest};
+use crate::port::{Clock, SyncError, SyncRequest};
 use crate::scheduler::{Action, Answer, Batch, Input, Request, Shard, ShardStatus, SubmitError};
 
 /// Longest time between two steps, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 100;
 
+/// Longest time between the decision on a sync and its sending, in milliseconds.
+///
+/// A worker that has restarted meanwhile would not know an older call to refuse.
+const SEND_LIMIT_MS: u64 = 500;
+
 /// Least time between two publications of the status, in milliseconds.
 const PUBLISH_MS: u64 = 200;
 
@@ -196,11 +201,17 @@
     fn sync(&mut self, worker: String, address: String, request: SyncRequest) {
         let workers = self.workers.clone();
         let sender = self.sender.clone();
-        let sent = self.clock.now();
+        let clock = Arc::clone(&self.clock);
+        let sent = clock.now();
         while self.syncs.try_join_next().is_some() {}
         self.syncs.spawn(async move {
             let seq = request.seq;
-            let answer = workers.sync(&address, &request).await;
+            let answer = if clock.now().since(sent) > SEND_LIMIT_MS {
+                let reason = "the process was paused before the call was sent".to_owned();
+                Err(SyncError::Unreachable { reason })
+            } else {
+                workers.sync(&address, &request).await
+            };
             let outcome = if answer.is_ok() { "answered" } else { "failed" };
             counter!("verbenahitch_syncs_total", "outcome" => outcome).increment(1);
             let input = match answer {
