Log the store's state once, and allow no permit shorter than two watches

The watch of the declarations and the keeper of the session both logged that the store is down. A permit shorter than a watch and its answer would lapse while all is well.

--- a/crates/verbenahitch/src/scheduler/daemon/session.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/session.rs
@@ -7,7 +7,6 @@
 
 use crate::adapter::Store;
 use crate::domain::{Millis, Monotonic};
-use crate::event::{Entry, Kind};
 use crate::peer::Handle;
 use crate::port::Clock;
 
@@ -34,45 +33,30 @@
     /// Runs until the receivers are gone or the task is aborted.
     pub(super) async fn run(self) {
         let pause = Duration::from_millis(self.lease_ms / 5);
-        let mut reached = true;
         while !self.current.is_closed() {
             let held = self.current.borrow().clone();
-            let answered = match held {
+            match held {
                 Some(session) => self.renew(session).await,
                 None => self.create().await,
-            };
-            if answered != reached {
-                reached = answered;
-                let kind = if answered {
-                    Kind::StoreUp
-                } else {
-                    Kind::StoreDown
-                };
-                Entry::new(kind).emit();
             }
             tokio::time::sleep(pause).await;
         }
     }
 
-    async fn create(&self) -> bool {
+    async fn create(&self) {
         let sent = self.clock.now();
-        match self.store.create_session(&self.name, self.lease_ms).await {
-            Ok(id) => {
-                let session = Session { id, renewed: sent };
-                self.current.send_replace(Some(session));
-                true
-            }
-            Err(_) => false,
+        if let Ok(id) = self.store.create_session(&self.name, self.lease_ms).await {
+            let session = Session { id, renewed: sent };
+            self.current.send_replace(Some(session));
         }
     }
 
     /// Renews directly, or through another process if the store does not answer.
-    async fn renew(&self, session: Session) -> bool {
+    async fn renew(&self, session: Session) {
         let sent = self.clock.now();
-        let direct = self.store.renew_session(&session.id).await.ok();
-        let renewed = match direct {
-            Some(renewed) => Some(renewed),
-            None => self.handle.renew(&session.id).await,
+        let renewed = match self.store.renew_session(&session.id).await {
+            Ok(renewed) => Some(renewed),
+            Err(_) => self.handle.renew(&session.id).await,
         };
         match renewed {
             Some(true) => {
@@ -85,6 +69,5 @@
             }
             None => {}
         }
-        direct.is_some()
     }
 }
--- a/crates/verbenahitch/src/settings/table.rs
+++ b/crates/verbenahitch/src/settings/table.rs
@@ -190,7 +190,7 @@
     ),
     Field::or(
         "permit-ms",
-        whole(100, 5_000),
+        whole(1_500, 5_000),
         "3000",
         "time after which a start permit lapses",
     ),
