--- a/crates/verbenahitch/src/client/mod.rs
+++ b/crates/verbenahitch/src/client/mod.rs
@@ -1,7 +1,7 @@
 //! Client of the operators' and submitters' interface of a gateway.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use reqwest::{Method, RequestBuilder, StatusCode};
 use serde::Serialize;
@@ -12,6 +12,7 @@
 use crate::adapter::{CallError, Http};
 use crate::config::Declarations;
 use crate::domain::{JobSpec, Millis};
+use crate::settings::{TokenError, read_token};
 
 /// Environment variable that holds the bearer token if no file is named.
 pub const TOKEN_VARIABLE: &str = "VERBENAHITCH_TOKEN";
@@ -30,13 +31,11 @@
 /// Why a call brought no result.
 #[derive(Debug, Snafu)]
 pub enum ClientError {
-    /// The token file cannot be read.
-    #[snafu(display("token file {}: {source}", path.display()))]
-    TokenFile {
-        /// File.
-        path: PathBuf,
+    /// The token file cannot be used.
+    #[snafu(display("{source}"))]
+    Token {
         /// Cause.
-        source: std::io::Error,
+        source: TokenError,
     },
     /// No token was given.
     #[snafu(display("no token: name a file by --token-file or set {TOKEN_VARIABLE}"))]
@@ -93,7 +92,7 @@
     /// When there is no token or its file cannot be read.
     pub fn new(gateway: SocketAddr, file: Option<&Path>) -> Result<Self, ClientError> {
         let token = match file {
-            Some(path) => std::fs::read_to_string(path).context(TokenFileSnafu { path })?,
+            Some(path) => read_token(path).context(TokenSnafu)?,
             None => std::env::var(TOKEN_VARIABLE).map_err(|_| ClientError::NoToken)?,
         };
         Ok(Self {
--- a/crates/verbenahitch/src/gateway/daemon.rs
+++ b/crates/verbenahitch/src/gateway/daemon.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinHandle;
 
 use super::error::GatewayError;
-use super::operators::{self, Office, read_token};
+use super::operators::{self, Office};
 use super::path::{Callers, Deps};
 use crate::adapter::{HostList, Store};
 use crate::config::{self, Current, change};
@@ -17,7 +17,7 @@
 use crate::http::{Exporter, Listener};
 use crate::peer::{Handle, Identity, Node, Role};
 use crate::port::{Clock, SystemClock};
-use crate::settings::Settings;
+use crate::settings::{Settings, read_token};
 
 /// Time between two reads of the declarations while no scheduler is heard, in milliseconds.
 const FALLBACK_INTERVAL_MS: Millis = 2_000;
--- a/crates/verbenahitch/src/gateway/error.rs
+++ b/crates/verbenahitch/src/gateway/error.rs
@@ -4,9 +4,9 @@
 
 use snafu::Snafu;
 
-use super::operators::TokenError;
 use crate::http::ListenError;
 use crate::peer::PeerError;
+use crate::settings::TokenError;
 
 /// Why the gateway could not start.
 #[derive(Debug, Snafu)]
--- a/crates/verbenahitch/src/gateway/operators/mod.rs
+++ b/crates/verbenahitch/src/gateway/operators/mod.rs
@@ -14,7 +14,6 @@
 
 pub use error::Failure;
 pub use office::Office;
-pub use token::{TokenError, read_token};
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/verbenahitch/src/gateway/operators/office.rs
+++ b/crates/verbenahitch/src/gateway/operators/office.rs
@@ -7,9 +7,7 @@
 use crate::domain::{Millis, Monotonic};
 use crate::peer::{Handle, Member};
 use crate::port::Clock;
-use crate::settings::Settings;
-
-use super::token::{TokenError, read_token};
+use crate::settings::{Settings, TokenError, read_token};
 
 /// What the interface works with.
 pub struct Office {
--- a/crates/verbenahitch/src/scheduler/daemon/mod.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/mod.rs
@@ -10,7 +10,6 @@
 mod session;
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 
 use snafu::{ResultExt, Snafu};
@@ -23,18 +22,16 @@
 use crate::http::{Exporter, ListenError};
 use crate::peer::{Handle, Identity, Incoming, Node, PeerError, Role};
 use crate::port::{Clock, SystemClock};
-use crate::settings::Settings;
+use crate::settings::{Settings, TokenError, read_token};
 
 /// Why the scheduler could not start.
 #[derive(Debug, Snafu)]
 pub enum DaemonError {
     /// The token that processes show each other cannot be read.
-    #[snafu(display("token file {}: {source}", path.display()))]
-    TokenFile {
-        /// File.
-        path: PathBuf,
+    #[snafu(display("{source}"))]
+    Token {
         /// Cause.
-        source: std::io::Error,
+        source: TokenError,
     },
     /// The metrics cannot be served.
     #[snafu(display("metrics: {source}"))]
@@ -127,8 +124,7 @@
     current: &Current,
     clock: &Arc<dyn Clock>,
 ) -> Result<(Handle, mpsc::Receiver<Incoming>), DaemonError> {
-    let path = &settings.peers.token_file;
-    let token = std::fs::read_to_string(path).context(TokenFileSnafu { path })?;
+    let token = read_token(&settings.peers.token_file).context(TokenSnafu)?;
     let identity = Identity {
         name: process_name(settings),
         zone: settings.zone.clone(),
@@ -136,7 +132,6 @@
         listen: settings.scheduler.peers,
         incarnation: clock.wall_ms(),
     };
-    let token = token.trim().to_owned();
     Node::start(
         identity,
         &settings.peers,
--- a/crates/verbenahitch/src/settings/mod.rs
+++ b/crates/verbenahitch/src/settings/mod.rs
@@ -12,6 +12,7 @@
 mod schema;
 mod shape;
 mod table;
+mod token;
 
 pub use declared::DECLARATIONS;
 pub use fault::{Located, SettingsError};
@@ -22,3 +23,4 @@
 };
 pub use shape::{Fallback, Field, Shape};
 pub use table::SETTINGS;
+pub use token::{TokenError, read_token};
