--- a/crates/standin/src/demo/session.rs
+++ b/crates/standin/src/demo/session.rs
@@ -27,6 +27,8 @@
 const START_LIMIT_S: u64 = 120;
 /// Longest time after the load until all jobs have ended, in seconds.
 const END_LIMIT_S: u64 = 300;
+/// Daemons of an entry host.
+const DAEMONS: usize = 2;
 /// Most calls in progress.
 const CONCURRENCY: usize = 512;
 /// Time limit of a call, in milliseconds.
@@ -133,6 +135,12 @@
     let declared = async || hosts.iter().all(EntryHost::is_declared);
     let what = "every gateway has the declarations in force";
     operator::until(what, patience, declared).await?;
+    let heard = async || {
+        let status = client.status().await.unwrap_or_default();
+        let members = status["members"].as_array().map_or(0, Vec::len);
+        members >= DAEMONS * hosts.len()
+    };
+    operator::until("every process is heard", patience, heard).await?;
     Ok(hosts)
 }
 
--- a/testsuite/tests/testsuite/gateway/once.rs
+++ b/testsuite/tests/testsuite/gateway/once.rs
@@ -14,7 +14,8 @@
 const SWEPT_BUCKETS: u64 = 3;
 
 async fn store() -> Store {
-    let address: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    // Not the address of outgoing connections, which could take its port while it is stopped.
+    let address: SocketAddr = "127.9.0.1:0".parse().unwrap();
     Store::start(address, Settings::default()).await.unwrap()
 }
 
--- a/testsuite/tests/testsuite/membership/gateway.rs
+++ b/testsuite/tests/testsuite/membership/gateway.rs
@@ -46,7 +46,7 @@
         for (file, token) in [("first", OPERATOR), ("second", SECOND), ("peers", "peers")] {
             std::fs::write(directory.join(file), format!("{token}\n")).expect("a file can be made");
         }
-        let free = "127.0.0.1:0".parse().expect("an address");
+        let free = "127.9.0.2:0".parse().expect("an address");
         let store = Store::start(free, StoreSettings::default()).await;
         let mut site = Self {
             store: store.expect("the store starts"),
--- a/testsuite/tests/testsuite/standin/fault.rs
+++ b/testsuite/tests/testsuite/standin/fault.rs
@@ -17,8 +17,11 @@
 const LONG_MS: u64 = 10_000;
 
 async fn start() -> Platform {
+    // Not the address of outgoing connections, which could take its port while it is stopped.
+    let address = "127.9.0.4:0".parse().unwrap();
     let parts = Parts {
         zones: vec!["a".to_owned(), "b".to_owned()],
+        store: Some((address, verbenahitch_standin::store::Settings::default())),
         ..Parts::new(vec![worker::Settings::default()])
     };
     Platform::start(parts).await.unwrap()
--- a/testsuite/tests/testsuite/standin/worker.rs
+++ b/testsuite/tests/testsuite/standin/worker.rs
@@ -24,7 +24,7 @@
     async fn new(settings: Settings) -> Self {
         let clock = Arc::new(ManualClock::default());
         clock.advance(1_000);
-        let free = "127.0.0.1:0".parse().unwrap();
+        let free = "127.9.0.3:0".parse().unwrap();
         let shared = Arc::clone(&clock);
         let worker = Worker::with_clock(free, free, &[], settings, shared).await;
         let worker = worker.unwrap();
