Write a batch in one transaction, as the shard has cut it to fit

The writer still split a batch over several transactions, though the shard has kept each batch within one since its operations are counted there. The split was dead, and a repeated part of it could have handed a job over twice.

--- a/crates/verbenahitch/src/scheduler/daemon/commit.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/commit.rs
@@ -11,12 +11,6 @@
 use crate::port::{Op, StoreError, Txn};
 use crate::scheduler::{Batch, CommitError, Write};
 
-/// Most operations that the store takes in one transaction.
-const TXN_OPS: usize = 64;
-
-/// Operations that every transaction carries for itself.
-const OWN_OPS: usize = 2;
-
 /// Writer of one shard for one epoch.
 #[derive(Debug)]
 pub(super) struct Writer {
@@ -52,21 +46,10 @@
     ///
     /// # Errors
     ///
-    /// When the store gives no answer or another process owns the shard. Some of
-    /// the writes may have taken effect; each is safe to repeat.
+    /// When the store gives no answer or another process owns the shard.
     pub(super) async fn commit(&mut self, batch: &Batch) -> Result<(), CommitError> {
-        let mut ops = Vec::new();
-        let mut part = 0;
-        for write in &batch.writes {
-            let next = self.ops(write);
-            if ops.len() + next.len() + OWN_OPS > TXN_OPS {
-                self.transact(batch.number, part, std::mem::take(&mut ops))
-                    .await?;
-                part += 1;
-            }
-            ops.extend(next);
-        }
-        self.transact(batch.number, part, ops).await?;
+        let ops = batch.writes.iter().flat_map(|write| self.ops(write));
+        self.transact(batch.number, ops.collect()).await?;
         for write in &batch.writes {
             if let Write::Put(record) = write {
                 self.handed.remove(&record.id);
@@ -112,16 +95,10 @@
         }
     }
 
-    async fn transact(
-        &mut self,
-        number: u64,
-        part: usize,
-        writes: Vec<Op>,
-    ) -> Result<(), CommitError> {
+    async fn transact(&mut self, number: u64, writes: Vec<Op>) -> Result<(), CommitError> {
         let value = keys::encode(&BatchValue {
             epoch: self.epoch,
             number,
-            part,
         });
         let mut ops = vec![
             Op::CheckSession {
--- a/crates/verbenahitch/src/scheduler/daemon/keys.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/keys.rs
@@ -25,8 +25,6 @@
     pub(super) epoch: u64,
     /// Number of the batch.
     pub(super) number: u64,
-    /// Number of the transaction in the batch.
-    pub(super) part: usize,
 }
 
 /// Key of the lock of a shard.
