Run the whole path on the platform: dispatcher, entry host, adapter

Cause: nothing of the product started on the users' platform. Change: a dispatching core without I/O (jobs of steps, standing and filling tasks, take-over from records), the entry host around it (acceptance by any host, one elected owner), and platform/, which only translates.

--- /dev/null
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -0,0 +1,130 @@
+//! What the store is told, and what its acknowledgement allows.
+
+use super::report::{ProgressRecord, RunRecord, TaskRecord, Write};
+use super::table::Job;
+use super::{Dispatcher, JobId, Phase};
+use crate::domain::Monotonic;
+use crate::event::{Entry, Kind};
+
+impl Dispatcher {
+    /// Takes up to `limit` records that have changed; none while others are under way.
+    pub fn take_writes(&mut self, limit: usize) -> Vec<Write> {
+        if !self.writing.is_empty() || self.is_fenced {
+            return Vec::new();
+        }
+        let count = self.dirty.len().min(limit);
+        let ids: Vec<JobId> = self.dirty.drain(..count).collect();
+        let mut writes = Vec::with_capacity(ids.len());
+        for id in ids {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let write = Write {
+                job: id,
+                version: job.version,
+                record: self.progress(job),
+            };
+            self.writing.insert(id, write.version);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.is_dirty = false;
+            }
+            writes.push(write);
+        }
+        writes
+    }
+
+    fn progress(&self, job: &Job) -> ProgressRecord {
+        let mut tasks = Vec::new();
+        for round in &job.rounds {
+            for (step, (state, _)) in (0u32..).zip(round.steps.iter().zip(&job.record.spec.steps)) {
+                for (index, task) in (0u32..).zip(&state.tasks) {
+                    if task.last_run == 0 {
+                        continue;
+                    }
+                    let runs = task.runs.iter().filter_map(|key| self.runs.get(*key));
+                    tasks.push(TaskRecord {
+                        at: (round.number, step, index),
+                        done: task.done,
+                        run: task.last_run,
+                        failed: task.failed,
+                        runs: runs
+                            .map(|run| {
+                                let info = &self.workers[run.worker].info;
+                                RunRecord(run.number, info.name.clone(), info.born)
+                            })
+                            .collect(),
+                        checkpoint: task.checkpoint.clone(),
+                    });
+                }
+            }
+        }
+        ProgressRecord {
+            state: job.state,
+            tasks,
+        }
+    }
+
+    /// Notes that the store holds the records under way.
+    pub fn written(&mut self, now: Monotonic) {
+        let written = std::mem::take(&mut self.writing);
+        for (id, version) in written {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            job.written = version;
+            if job.version == version && job.shown != job.state {
+                job.shown = job.state;
+                if job.state.is_final() {
+                    Entry::new(Kind::JobFinished)
+                        .with_text("job", id)
+                        .with("state", job.state)
+                        .emit();
+                }
+            }
+            self.release_recorded(id, version, now);
+            self.close(id);
+        }
+    }
+
+    /// Puts the records under way back, after the store refused them.
+    pub fn unwritten(&mut self) {
+        let back: Vec<JobId> = self.writing.drain().map(|(id, _)| id).collect();
+        for id in back {
+            if let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_dirty) {
+                job.is_dirty = true;
+                self.dirty.push(id);
+            }
+        }
+    }
+
+    /// Lets runs start whose assignment the store holds.
+    fn release_recorded(&mut self, id: JobId, version: u64, now: Monotonic) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let tasks = job.rounds.iter().flat_map(|round| &round.steps);
+        let keys = tasks
+            .flat_map(|step| &step.tasks)
+            .flat_map(|task| &task.runs);
+        for key in keys.copied().collect::<Vec<_>>() {
+            let run = &mut self.runs[key];
+            if run.phase == Phase::Recording && run.recorded_in <= version {
+                run.phase = Phase::Starting;
+                run.started = now;
+                run.moved_at = now;
+            }
+        }
+    }
+
+    /// Forgets the particulars of a job that has ended, once the store holds its end.
+    pub(super) fn close(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.shown.is_final() && job.is_idle() && job.written == job.version {
+            job.rounds.clear();
+            job.record.spec.steps.clear();
+            self.open.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -0,0 +1,96 @@
+//! Take-over: what an earlier owner recorded.
+
+use super::report::{ProgressRecord, TaskRecord};
+use super::worker::{WorkerInfo, WorkerKey};
+use super::{Dispatcher, JobId, JobRecord, JobState, Now, Phase, TaskId, Worker};
+use crate::domain::Monotonic;
+
+impl Dispatcher {
+    /// Takes in a job with its recorded progress.
+    pub fn recover(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        progress: Option<ProgressRecord>,
+        now: Now,
+    ) {
+        self.admit(id, record, now);
+        let Some(progress) = progress else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.state = progress.state;
+        job.shown = progress.state;
+        job.has_started = !progress.tasks.is_empty();
+        let last = progress.tasks.iter().map(|task| task.at.0).max();
+        while job.begun <= last.unwrap_or(0) && job.begun < job.times() {
+            job.begin_round();
+        }
+        for task in progress.tasks {
+            self.recover_task(id, task, now.at);
+        }
+        self.close(id);
+    }
+
+    fn recover_task(&mut self, id: JobId, record: TaskRecord, now: Monotonic) {
+        let (round, step, index) = record.at;
+        let at = TaskId {
+            job: id,
+            round,
+            step,
+            index,
+        };
+        let Some(task) = self.task_mut(at) else {
+            log::warn!("the record of {at} does not fit its job");
+            return;
+        };
+        task.done = record.done;
+        task.last_run = record.run;
+        task.failed = record.failed;
+        task.checkpoint = record.checkpoint;
+        if record.done
+            && let Some(step) = self
+                .jobs
+                .get_mut(&id)
+                .and_then(|job| job.round_mut(round))
+                .and_then(|round| round.steps.get_mut(step as usize))
+        {
+            step.left = step.left.saturating_sub(1);
+        }
+        let is_unwanted = record.done || self.is_final(id);
+        for run in record.runs {
+            let worker = self.worker_named(&run.1, run.2);
+            let key = self.insert_run(at, run.0, worker, now);
+            let state = &mut self.runs[key];
+            state.phase = Phase::Live;
+            state.inherited = true;
+            state.stop = is_unwanted;
+            if let Some(task) = self.task_mut(at) {
+                task.runs.push(key);
+            }
+        }
+    }
+
+    fn is_final(&self, id: JobId) -> bool {
+        let state = self.jobs.get(&id).map(|job| job.state);
+        state.is_some_and(JobState::is_final)
+    }
+
+    /// Worker of that name; one that the registry does not list has no address.
+    fn worker_named(&mut self, name: &str, born: u64) -> WorkerKey {
+        if let Some(key) = self.names.get(name) {
+            return *key;
+        }
+        let mut worker = Worker::new(WorkerInfo {
+            name: name.to_owned(),
+            born,
+            ..WorkerInfo::default()
+        });
+        worker.listed = false;
+        let key = self.workers.insert(worker);
+        self.names.insert(name.to_owned(), key);
+        key
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/entry/link.rs
@@ -0,0 +1,293 @@
+//! Calls of an entry host to the owner, over Cap'n Proto.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use snafu::Snafu;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use super::owner::OwnerEvent;
+use crate::dispatch::{JobId, JobRecord, JobState};
+use crate::domain::Millis;
+use crate::owner_capnp::{State, owner};
+
+/// Longest time that a call may take, connecting included, in milliseconds.
+/// A busy owner's answer takes tens of them.
+const CALL_LIMIT_MS: Millis = 350;
+
+/// Sender of events to the owner's loop, while this process owns the dispatching.
+pub(super) type Inbox = Rc<RefCell<Option<mpsc::UnboundedSender<OwnerEvent>>>>;
+
+/// The owner cannot be asked.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("the owner cannot be asked: {cause}"))]
+pub(super) struct LinkError {
+    cause: String,
+}
+
+fn failed(cause: impl ToString) -> LinkError {
+    LinkError {
+        cause: cause.to_string(),
+    }
+}
+
+/// One established connection; dropping it closes it.
+struct Session {
+    address: SocketAddr,
+    client: owner::Client,
+    transport: AbortHandle,
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.transport.abort();
+    }
+}
+
+/// Connection to whichever process owns the dispatching.
+#[derive(Default)]
+pub(super) struct Link {
+    session: RefCell<Option<Rc<Session>>>,
+}
+
+impl Link {
+    /// Tells of a job.
+    pub async fn submitted(
+        &self,
+        address: SocketAddr,
+        id: JobId,
+        record: &[u8],
+    ) -> Result<(), LinkError> {
+        self.call(address, async |client: owner::Client| {
+            let mut request = client.submitted_request();
+            request.get().set_job(id.to_string());
+            request.get().set_record(record);
+            request.send().promise.await.map(|_| ())
+        })
+        .await
+    }
+
+    /// Tells of a cancel.
+    pub async fn cancelled(&self, address: SocketAddr, id: JobId) -> Result<(), LinkError> {
+        self.call(address, async |client: owner::Client| {
+            let mut request = client.cancelled_request();
+            request.get().set_job(id.to_string());
+            request.send().promise.await.map(|_| ())
+        })
+        .await
+    }
+
+    /// State of a job, none if the owner does not know it.
+    pub async fn state(
+        &self,
+        address: SocketAddr,
+        id: JobId,
+    ) -> Result<Option<JobState>, LinkError> {
+        self.call(address, async |client: owner::Client| {
+            let mut request = client.state_request();
+            request.get().set_job(id.to_string());
+            let response = request.send().promise.await?;
+            Ok(decode(response.get()?.get_state()?))
+        })
+        .await
+    }
+
+    /// Jobs of a queue of which no task has started.
+    pub async fn waiting(&self, address: SocketAddr, queue: &str) -> Result<usize, LinkError> {
+        self.call(address, async |client: owner::Client| {
+            let mut request = client.waiting_request();
+            request.get().set_queue(queue);
+            let response = request.send().promise.await?;
+            Ok(response.get()?.get_count() as usize)
+        })
+        .await
+    }
+
+    /// Calls the owner; a connection that fails or stays silent is given up.
+    async fn call<T>(
+        &self,
+        address: SocketAddr,
+        call: impl AsyncFn(owner::Client) -> capnp::Result<T>,
+    ) -> Result<T, LinkError> {
+        let limit = Duration::from_millis(CALL_LIMIT_MS);
+        let attempt = async {
+            let session = self.open(address).await?;
+            call(session.client.clone()).await.map_err(failed)
+        };
+        let result = match tokio::time::timeout(limit, attempt).await {
+            Ok(result) => result,
+            Err(_) => Err(failed("no answer in time")),
+        };
+        if result.is_err() {
+            self.session.replace(None);
+        }
+        result
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<Rc<Session>, LinkError> {
+        let held = self.session.borrow().clone();
+        if let Some(session) = held.filter(|session| session.address == address) {
+            return Ok(session);
+        }
+        let stream = TcpStream::connect(address).await.map_err(failed)?;
+        stream.set_nodelay(true).map_err(failed)?;
+        let mut rpc = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
+        let client: owner::Client = rpc.bootstrap(Side::Server);
+        let transport = tokio::task::spawn_local(async move {
+            if let Err(error) = rpc.await {
+                log::debug!("connection to {address} ended: {error}");
+            }
+        });
+        let session = Rc::new(Session {
+            address,
+            client,
+            transport: transport.abort_handle(),
+        });
+        self.session.replace(Some(Rc::clone(&session)));
+        Ok(session)
+    }
+}
+
+/// Serves the calls of other hosts until it is dropped.
+pub(super) async fn serve(listener: TcpListener, inbox: Inbox) {
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("a connection of another host cannot be accepted: {error}");
+                super::follow::pause().await;
+                continue;
+            }
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("connection from {from}: {error}");
+            continue;
+        }
+        let client: owner::Client = capnp_rpc::new_client(OwnerServer {
+            inbox: Rc::clone(&inbox),
+        });
+        let rpc = RpcSystem::new(Box::new(network(stream, Side::Server)), Some(client.client));
+        tokio::task::spawn_local(async move {
+            if let Err(error) = rpc.await {
+                log::debug!("connection from {from} ended: {error}");
+            }
+        });
+    }
+}
+
+fn network(stream: TcpStream, side: Side) -> twoparty::VatNetwork<impl futures::AsyncRead + Unpin> {
+    let (read, write) = futures::AsyncReadExt::split(stream.compat());
+    twoparty::VatNetwork::new(read, write, side, capnp::message::ReaderOptions::new())
+}
+
+struct OwnerServer {
+    inbox: Inbox,
+}
+
+impl OwnerServer {
+    fn tell(&self, event: OwnerEvent) -> capnp::Result<()> {
+        let inbox = self.inbox.borrow();
+        let sent = inbox.as_ref().map(|inbox| inbox.send(event));
+        match sent {
+            Some(Ok(())) => Ok(()),
+            _ => Err(capnp::Error::disconnected(
+                "this process does not own the dispatching".to_owned(),
+            )),
+        }
+    }
+
+    async fn ask<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> OwnerEvent,
+    ) -> capnp::Result<T> {
+        let (sender, answer) = oneshot::channel();
+        self.tell(event(sender))?;
+        answer
+            .await
+            .map_err(|_| capnp::Error::disconnected("the ownership has ended".to_owned()))
+    }
+}
+
+fn parse(text: capnp::text::Reader<'_>) -> capnp::Result<JobId> {
+    let text = text.to_str()?;
+    text.parse()
+        .map_err(|error: crate::dispatch::IdError| capnp::Error::failed(error.to_string()))
+}
+
+impl owner::Server for OwnerServer {
+    async fn submitted(
+        self: Rc<Self>,
+        params: owner::SubmittedParams,
+        _: owner::SubmittedResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let id = parse(params.get_job()?)?;
+        let record: JobRecord = serde_json::from_slice(params.get_record()?)
+            .map_err(|error| capnp::Error::failed(error.to_string()))?;
+        self.tell(OwnerEvent::Submitted(id, Box::new(record)))
+    }
+
+    async fn cancelled(
+        self: Rc<Self>,
+        params: owner::CancelledParams,
+        _: owner::CancelledResults,
+    ) -> capnp::Result<()> {
+        let id = parse(params.get()?.get_job()?)?;
+        self.tell(OwnerEvent::Cancelled(id))
+    }
+
+    async fn state(
+        self: Rc<Self>,
+        params: owner::StateParams,
+        mut results: owner::StateResults,
+    ) -> capnp::Result<()> {
+        let id = parse(params.get()?.get_job()?)?;
+        let state = self.ask(|answer| OwnerEvent::State(id, answer)).await?;
+        results.get().set_state(encode(state));
+        Ok(())
+    }
+
+    async fn waiting(
+        self: Rc<Self>,
+        params: owner::WaitingParams,
+        mut results: owner::WaitingResults,
+    ) -> capnp::Result<()> {
+        let queue = params.get()?.get_queue()?.to_string()?;
+        let count = self
+            .ask(|answer| OwnerEvent::Waiting(queue, answer))
+            .await?;
+        results
+            .get()
+            .set_count(u32::try_from(count).unwrap_or(u32::MAX));
+        Ok(())
+    }
+}
+
+fn encode(state: Option<JobState>) -> State {
+    match state {
+        None => State::Unknown,
+        Some(JobState::Queued) => State::Queued,
+        Some(JobState::Running) => State::Running,
+        Some(JobState::Completed) => State::Completed,
+        Some(JobState::Failed) => State::Failed,
+        Some(JobState::Cancelled) => State::Cancelled,
+    }
+}
+
+fn decode(state: State) -> Option<JobState> {
+    match state {
+        State::Unknown => None,
+        State::Queued => Some(JobState::Queued),
+        State::Running => Some(JobState::Running),
+        State::Completed => Some(JobState::Completed),
+        State::Failed => Some(JobState::Failed),
+        State::Cancelled => Some(JobState::Cancelled),
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/entry/pause.rs
@@ -0,0 +1,42 @@
+//! Detection of pauses of this process or its host.
+
+use nix::time::{ClockId, clock_gettime};
+
+use crate::domain::Millis;
+
+/// Gap between two readings that counts as a pause, in milliseconds. Half of the
+/// shortest time after which another host may own the dispatching.
+const PAUSE_MS: Millis = 700;
+
+/// Compares readings of the clock that goes on while the host is suspended.
+#[derive(Debug)]
+pub(super) struct PauseDetector {
+    last: Millis,
+}
+
+impl PauseDetector {
+    pub fn new() -> Self {
+        Self { last: boot_ms() }
+    }
+
+    /// Whether the process stood still since the last reading.
+    pub fn has_paused(&mut self) -> bool {
+        let now = boot_ms();
+        let gap = now.saturating_sub(self.last);
+        self.last = now;
+        gap > PAUSE_MS
+    }
+}
+
+fn boot_ms() -> Millis {
+    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+        Ok(time) => {
+            let millis = time.tv_sec() * 1000 + time.tv_nsec() / 1_000_000;
+            Millis::try_from(millis).unwrap_or(0)
+        }
+        Err(error) => {
+            log::error!("the boot-time clock cannot be read: {error}");
+            0
+        }
+    }
+}
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -73,6 +73,9 @@
     ShardRecovered = 301, "shard-recovered", Info, "Every worker of a shard has answered or its leases have lapsed.";
     ShardLost = 302, "shard-lost", Warn, "This process no longer owns a shard.";
     ShardReleased = 303, "shard-released", Info, "This process gave a shard up.";
+    OwnerElected = 304, "owner-elected", Info, "This process owns the dispatching.";
+    OwnerLost = 305, "owner-lost", Warn, "This process no longer owns the dispatching.";
+    OwnerChanged = 306, "owner-changed", Info, "Another process owns the dispatching, or none.";
     StoreDown = 310, "store-down", Warn, "The platform's store does not answer.";
     StoreUp = 311, "store-up", Info, "The platform's store answers again.";
     PermitLapsed = 312, "permit-lapsed", Warn, "No task may start until it is known that the zone is in service.";
@@ -84,4 +87,5 @@
     PeerRejected = 404, "peer-rejected", Warn, "A call from another process had no valid token.";
     PeerLost = 405, "peer-lost", Warn, "Another process is no longer heard.";
     PeerHeard = 406, "peer-heard", Info, "Another process is heard, first or again.";
+    DeclarationUnreadable = 407, "declaration-unreadable", Warn, "What operators or workers wrote cannot be read; the last good one stays.";
 }
--- a/crates/verbenahitch/src/lib.rs
+++ b/crates/verbenahitch/src/lib.rs
@@ -19,7 +19,9 @@
 pub mod client;
 pub mod collections;
 pub mod config;
+pub mod dispatch;
 pub mod domain;
+pub mod entry;
 pub mod event;
 pub mod gateway;
 mod generated;
@@ -33,4 +35,4 @@
 pub mod scheduler;
 pub mod settings;
 
-use generated::peer_capnp;
+use generated::{owner_capnp, peer_capnp};
--- a/crates/verbenahitch/src/port/mod.rs
+++ b/crates/verbenahitch/src/port/mod.rs
@@ -4,12 +4,16 @@
 //! translate them to the published protocols.
 
 mod clock;
+mod dispatch;
 mod hosts;
+mod kv;
 mod store;
 mod worker;
 
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use dispatch::{Directive, Platform, QueueRoute, Queues};
 pub use hosts::{HostRecord, HostState};
+pub use kv::{Change, Item, KeyValue, KvError, Put, Transaction};
 pub use store::{Entry, Op, StoreError, Txn};
 pub use worker::{
     Command, EndKind, Ended, LatencyReport, Refusal, Running, SyncError, SyncReply, SyncRequest,
