Relieve standing tasks by pairs of images

Cause: one harmful filler paced down all fillers of its worker, and no filler was placed there meanwhile; half of the recalculations were late. Ruled out: lack of processors (fillers got 86% of their request at every load). Seen in 6,496 looks: 4 of 45 pairs of images harm, 3 to 20 times the target; the others do not show. Change: suspicion is kept for each pair, the suspect is moved or paced, others go on.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -193,6 +193,7 @@
             percent: 0,
             moved_at: now,
             pace: 100,
+            wanted_pace: 100,
             tail_ms: 0,
         });
         let state = &mut self.workers[worker];
--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -1,8 +1,9 @@
 //! Looks at workers: what they extend, and what their answers tell.
 
+use super::press::{Act, Filler, Serving};
 use super::report::{CallFailure, EndCause, Look, Order, Report, RunningEntry};
 use super::worker::{ListedEnd, WorkerKey};
-use super::{Dispatcher, Phase, RunKey, TaskId, health, place, press};
+use super::{Dispatcher, Phase, RunKey, StepSpec, TaskId, health, place};
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
@@ -26,6 +27,9 @@
 /// Most ends that a worker lists at once. From the workers' interface.
 const LISTED_ENDS: usize = 500;
 
+/// Time in which a tail or a new filler shows in a worker's figures, in milliseconds.
+const OBSERVE_MS: Millis = 500;
+
 /// Percent at which a standing task is at work.
 const AT_WORK: u8 = 100;
 
@@ -220,75 +224,125 @@
         runs.iter().find(is_it).copied()
     }
 
-    /// Paces the fillers of a worker by the tails of its standing tasks.
+    /// Relieves the standing tasks of a worker from the fillers beside them.
     fn relieve(&mut self, key: WorkerKey, now: Monotonic) {
-        let worker = &self.workers[key];
-        let mut worst: f64 = 0.0;
-        let mut fillers = Vec::new();
-        for run in worker.runs.iter().map(|run| &self.runs[*run]) {
-            let Some(spec) = self.spec_of(run.task) else {
+        let (serving, fillers) = self.neighbours(key, now);
+        if fillers.is_empty() {
+            return;
+        }
+        let worker = &mut self.workers[key];
+        if now.since(worker.observed) >= OBSERVE_MS {
+            worker.observed = now;
+            for task in &serving {
+                self.presses.observe(*task, &fillers);
+            }
+        }
+        let acts = self
+            .presses
+            .relieve(&mut worker.relief, &serving, &fillers, now);
+        for act in acts {
+            let (run, percent) = match act {
+                Act::Move(run) => (run, None),
+                Act::Pace(run, percent) => (run, Some(percent)),
+            };
+            let worst = serving.iter().map(|task| task.ratio).fold(0.0, f64::max);
+            let state = &mut self.runs[run];
+            Entry::new(Kind::Throttled)
+                .with_text("task", state.task)
+                .with("worker", &self.workers[key].info.name)
+                .with("percent", percent)
+                .with("tail-to-target", worst)
+                .emit();
+            match percent {
+                Some(percent) => state.wanted_pace = percent,
+                None => {
+                    state.stop = true;
+                    let task = state.task;
+                    if let Some(task) = self.task_mut(task) {
+                        task.avoid = Some(key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Standing tasks with a target, and fillers, at work on a worker.
+    fn neighbours(&mut self, key: WorkerKey, now: Monotonic) -> (Vec<Serving>, Vec<Filler>) {
+        let (mut serving, mut fillers) = (Vec::new(), Vec::new());
+        for &run_key in &self.workers[key].runs {
+            let run = &self.runs[run_key];
+            let Some(spec) = self
+                .jobs
+                .get(&run.task.job)
+                .and_then(|job| job.step_spec(run.task.step))
+            else {
                 continue;
             };
-            if spec.filler && run.phase == Phase::Live && !run.stop {
-                fillers.push(spec.image.clone());
+            if run.stop || run.phase != Phase::Live {
+                continue;
             }
-            if spec.target_ms > 0 && run.percent == AT_WORK {
+            if spec.filler {
+                fillers.push(Filler {
+                    key: run_key,
+                    image: self.presses.image(&spec.image),
+                    pace: run.wanted_pace,
+                    percent: run.percent,
+                    checkpoints: spec.checkpoints,
+                    is_settled: now.since(run.started) >= OBSERVE_MS,
+                });
+            } else if spec.target_ms > 0 && run.percent == AT_WORK {
                 #[expect(
                     clippy::cast_precision_loss,
                     reason = "latencies are far below 2^52 ms"
                 )]
                 let ratio = run.tail_ms as f64 / spec.target_ms as f64;
-                worst = worst.max(ratio);
-            }
-        }
-        if worker.filler_pace == 100 {
-            for image in &fillers {
-                self.presses.observe(image, worst);
+                serving.push(Serving {
+                    image: self.presses.image(&spec.image),
+                    ratio,
+                });
             }
         }
-        let worker = &mut self.workers[key];
-        if fillers.is_empty() && worker.filler_pace < 100 {
-            worker.filler_pace = 100;
-            worker.pace_changed = now;
-            return;
-        }
-        if fillers.is_empty() {
-            return;
-        }
-        if let Some(pace) = press::pace(worker, worst, now) {
-            Entry::new(Kind::Throttled)
-                .with("worker", &worker.info.name)
-                .with("percent", pace)
-                .with("tail-to-target", worst)
-                .emit();
-        }
+        (serving, fillers)
     }
 
     /// Load of a worker for the choice of a place.
     pub(super) fn load(&self, key: WorkerKey) -> place::Load {
         let mut load = place::Load::default();
-        let worker = &self.workers[key];
-        for run in worker.runs.iter().map(|run| &self.runs[*run]) {
-            let Some(spec) = self.spec_of(run.task) else {
-                continue;
-            };
-            if spec.filler {
-                load.pressure += self.presses.of(&spec.image);
-            } else if spec.standing {
+        for run in self.workers[key].runs.iter().map(|run| &self.runs[*run]) {
+            if let Some(spec) = self.spec_of(run.task).filter(|spec| spec.standing) {
                 load.standing += spec.amount.cpu_milli;
-                if spec.target_ms > 0 {
-                    #[expect(
-                        clippy::cast_precision_loss,
-                        reason = "latencies are far below 2^52 ms"
-                    )]
-                    let ratio = run.tail_ms as f64 / spec.target_ms as f64;
-                    load.tension += 0.1 + ratio;
-                }
             }
         }
         load
     }
 
+    /// Highest suspicion that a task of `step` would harm what runs on a worker, or
+    /// be harmed by it.
+    pub(super) fn harm(&self, key: WorkerKey, step: &StepSpec) -> f64 {
+        if !step.filler && step.target_ms == 0 {
+            return 0.0;
+        }
+        let Some(own) = self.presses.known(&step.image) else {
+            return 0.0;
+        };
+        let runs = self.workers[key].runs.iter().map(|run| &self.runs[*run]);
+        let mut worst: f64 = 0.0;
+        for spec in runs.filter_map(|run| self.spec_of(run.task)) {
+            let Some(other) = self.presses.known(&spec.image) else {
+                continue;
+            };
+            let suspicion = if step.filler && spec.target_ms > 0 {
+                self.presses.suspicion(own, other)
+            } else if !step.filler && spec.filler {
+                self.presses.suspicion(other, own)
+            } else {
+                continue;
+            };
+            worst = worst.max(suspicion);
+        }
+        worst
+    }
+
     /// Handles a worker that has started again under its name.
     fn begin_life(&mut self, key: WorkerKey, born: u64, now: Monotonic) {
         let worker = &mut self.workers[key];
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -139,7 +139,6 @@
         let job = &self.jobs[&step.job];
         let pool = self.terms(job).pool.clone();
         let spec = job.record.spec.steps[step.step as usize].clone();
-        let weight = self.presses.of(&spec.image);
         let round = job.rounds.iter().find(|round| round.number == step.round);
         let Some(tasks) = round.map(|round| &round.steps[step.step as usize].tasks) else {
             return;
@@ -154,7 +153,7 @@
             *same.entry(self.runs[*run].worker).or_default() += 1;
         }
         for (index, avoid) in waiting {
-            let choice = self.choose(&pool, &spec, weight, usable, loads, &same, avoid);
+            let choice = self.choose(&pool, &spec, usable, loads, &same, avoid);
             let Some(worker) = choice else {
                 return;
             };
@@ -170,15 +169,10 @@
         }
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the inputs of one decision, each of another origin"
-    )]
     fn choose(
         &self,
         pool: &str,
         spec: &StepSpec,
-        weight: f64,
         usable: &[WorkerKey],
         loads: &HashMap<WorkerKey, place::Load>,
         same: &HashMap<WorkerKey, u32>,
@@ -191,7 +185,8 @@
                 continue;
             }
             let same_step = same.get(&key).copied().unwrap_or(0);
-            let Some(mut cost) = place::cost(worker, loads[&key], spec, same_step, weight) else {
+            let harm = self.harm(key, spec);
+            let Some(mut cost) = place::cost(worker, loads[&key], spec, same_step, harm) else {
                 continue;
             };
             if avoid == Some(key) {
@@ -260,9 +255,8 @@
         if phase == Phase::Starting {
             return self.start(key, target, now);
         }
-        let is_filler = self.spec_of(task).is_some_and(|spec| spec.filler);
-        let wanted = self.workers[self.runs[key].worker].filler_pace;
-        (is_filler && wanted != pace && phase == Phase::Live).then_some(Order::Pace(target, wanted))
+        let wanted = self.runs[key].wanted_pace;
+        (wanted != pace && phase == Phase::Live).then_some(Order::Pace(target, wanted))
     }
 
     fn start(&mut self, key: RunKey, target: Target, now: Monotonic) -> Option<Order> {
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -10,11 +10,12 @@
 //! as old as the last look, at most a second or so.
 
 use super::job::{Amount, StepSpec};
+use super::press;
 use super::worker::Worker;
 
-/// Share of its committed processors that a standing task uses. Half, and some
-/// for the peaks of its load.
-const STANDING_USE: f64 = 0.6;
+/// Share of its committed processors that a standing task uses: a little under
+/// half on the average, and some for the peaks of its load.
+const STANDING_USE: f64 = 0.5;
 
 /// Share of a filler's request that must be idle for it to start there.
 const FILLER_FIT: f64 = 0.9;
@@ -22,21 +23,20 @@
 /// Cost of a rack that is not that of the data, in parts of a worker.
 const REMOTE_COST: f64 = 10.0;
 
+/// Cost of each task of the same step that is there already, in parts of a worker.
+const CROWD_COST: f64 = 0.05;
+
 /// Cost of the worker on which the task failed before.
 pub(super) const AVOID_COST: f64 = 20.0;
 
-/// Cost of a processor-share in percent that a worker's fillers are paced down by.
-const PACED_COST: f64 = 0.02;
+/// Cost of a pair that is surely harmful, in parts of a worker.
+const HARM_COST: f64 = 3.0;
 
 /// What a choice looks at, for one worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Load {
     /// Processors of standing tasks in thousandths.
     pub standing: u64,
-    /// Standing tasks with a latency target, each weighted by how near it is to it.
-    pub tension: f64,
-    /// Pressure of the fillers at work.
-    pub pressure: f64,
 }
 
 /// Processors in thousandths that are idle beside all that runs, negative if short.
@@ -53,7 +53,7 @@
     load: Load,
     step: &StepSpec,
     same_step: u32,
-    weight: f64,
+    harm: f64,
 ) -> Option<f64> {
     let info = &worker.info;
     if !step.label.is_empty() && !info.labels.contains(&step.label) {
@@ -70,7 +70,7 @@
     let remote = !step.rack.is_empty() && step.rack != worker.rack();
     let distance = if remote { REMOTE_COST } else { 0.0 };
     if step.filler {
-        if worker.filler_pace < 100 {
+        if harm >= press::HARMFUL {
             return None;
         }
         let idle = idle_milli(worker, load);
@@ -78,18 +78,11 @@
         if idle < request * FILLER_FIT {
             return None;
         }
-        let press = weight * load.tension;
-        return Some(distance + press - idle / capacity);
+        return Some(distance + harm * HARM_COST - idle / capacity);
     }
     let used = as_float(worker.committed.cpu_milli) / capacity;
-    let paced = f64::from(100 - worker.filler_pace) * PACED_COST;
-    let crowd = f64::from(same_step) * 0.05;
-    let pressed = if step.target_ms > 0 {
-        load.pressure
-    } else {
-        0.0
-    };
-    Some(distance + used + paced + crowd + pressed)
+    let crowd = f64::from(same_step) * CROWD_COST;
+    Some(distance + used + crowd + harm * HARM_COST)
 }
 
 /// What a task of `step` takes of a worker's capacity.
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -4,6 +4,7 @@
 use slotmap::new_key_type;
 
 use super::job::{Amount, JobId, TaskId};
+use super::press::Relief;
 use crate::collections::HashSet;
 use crate::domain::{Millis, Monotonic};
 
@@ -89,10 +90,9 @@
     pub failures: u32,
     pub last_failure: Option<JobId>,
     pub shunned_until: Monotonic,
-    /// Share of processors that its fillers get, in percent.
-    pub filler_pace: u8,
-    pub pace_changed: Monotonic,
-    pub relaxed_since: Option<Monotonic>,
+    pub relief: Relief,
+    /// Last time that its tails were learned from.
+    pub observed: Monotonic,
 }
 
 impl Worker {
@@ -100,7 +100,6 @@
         Self {
             info,
             listed: true,
-            filler_pace: 100,
             ..Self::default()
         }
     }
@@ -150,7 +149,6 @@
         self.acked = 0;
         self.failures = 0;
         self.shunned_until = Monotonic::default();
-        self.filler_pace = 100;
     }
 }
 
@@ -192,7 +190,9 @@
     pub started: Monotonic,
     pub percent: u8,
     pub moved_at: Monotonic,
-    /// Pace in force and pace wanted, in percent.
+    /// Share of its processors in force, in percent.
     pub pace: u8,
+    /// Share of its processors that it is to have, in percent.
+    pub wanted_pace: u8,
     pub tail_ms: Millis,
 }
