Learn the pressure of each pair of images, and gather standing images

Cause: a suspicion per pair could not tell a small filler from a large one and stuck after single events; with standing images spread everywhere a harmful filler found no worker without a victim. Unplaceable steps were tried anew in each pass and took the owner's processor. Change: tails are fitted as the logarithm of growth by share; fillers go where the sum stays small; standing tasks of one image share workers; loads are computed once a pass; what was learned survives a change of owner.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -174,8 +174,11 @@
         let filling = spec
             .filter(|spec| spec.filler)
             .map_or(0, |spec| spec.amount.cpu_milli);
+        let image = spec.map(|spec| spec.image.clone()).unwrap_or_default();
+        let image = self.presses.image(&image);
         let key = self.runs.insert(Run {
             task,
+            image,
             number,
             worker,
             amount,
@@ -211,10 +214,14 @@
         let Some(run) = self.runs.remove(key) else {
             return;
         };
+        self.has_news = true;
         let worker = &mut self.workers[run.worker];
         worker.runs.remove(&key);
         worker.committed.remove(run.amount);
         worker.filling = worker.filling.saturating_sub(run.filling);
+        if run.filling > 0 {
+            worker.relief.changed = Some(now);
+        }
         let name = worker.info.name.clone();
         match cause {
             EndCause::Done => health::done(worker),
--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -231,7 +231,9 @@
             return;
         }
         let worker = &mut self.workers[key];
-        if now.since(worker.observed) >= OBSERVE_MS {
+        let is_settled =
+            !worker.relief.is_settling(now) && fillers.iter().all(|filler| filler.is_settled);
+        if is_settled && now.since(worker.observed) >= OBSERVE_MS {
             worker.observed = now;
             for task in &serving {
                 self.presses.observe(*task, &fillers);
@@ -267,8 +269,9 @@
     }
 
     /// Standing tasks with a target, and fillers, at work on a worker.
-    fn neighbours(&mut self, key: WorkerKey, now: Monotonic) -> (Vec<Serving>, Vec<Filler>) {
+    fn neighbours(&self, key: WorkerKey, now: Monotonic) -> (Vec<Serving>, Vec<Filler>) {
         let (mut serving, mut fillers) = (Vec::new(), Vec::new());
+        let capacity = self.workers[key].info.capacity.cpu_milli;
         for &run_key in &self.workers[key].runs {
             let run = &self.runs[run_key];
             let Some(spec) = self
@@ -284,7 +287,8 @@
             if spec.filler {
                 fillers.push(Filler {
                     key: run_key,
-                    image: self.presses.image(&spec.image),
+                    image: run.image,
+                    share: place::share_of(spec.amount.cpu_milli, capacity),
                     pace: run.wanted_pace,
                     percent: run.percent,
                     checkpoints: spec.checkpoints,
@@ -297,7 +301,7 @@
                 )]
                 let ratio = run.tail_ms as f64 / spec.target_ms as f64;
                 serving.push(Serving {
-                    image: self.presses.image(&spec.image),
+                    image: run.image,
                     ratio,
                 });
             }
@@ -308,39 +312,29 @@
     /// Load of a worker for the choice of a place.
     pub(super) fn load(&self, key: WorkerKey) -> place::Load {
         let mut load = place::Load::default();
-        for run in self.workers[key].runs.iter().map(|run| &self.runs[*run]) {
-            if let Some(spec) = self.spec_of(run.task).filter(|spec| spec.standing) {
+        let worker = &self.workers[key];
+        let capacity = worker.info.capacity.cpu_milli;
+        for run in worker.runs.iter().map(|run| &self.runs[*run]) {
+            let Some(spec) = self.spec_of(run.task) else {
+                continue;
+            };
+            if spec.standing {
                 load.standing += spec.amount.cpu_milli;
             }
+            if spec.filler {
+                let share = place::share_of(spec.amount.cpu_milli, capacity);
+                load.fillers.push((run.image, share));
+            } else if spec.target_ms > 0 {
+                load.tails.push((run.image, 0.0));
+            }
         }
-        load
-    }
-
-    /// Highest suspicion that a task of `step` would harm what runs on a worker, or
-    /// be harmed by it.
-    pub(super) fn harm(&self, key: WorkerKey, step: &StepSpec) -> f64 {
-        if !step.filler && step.target_ms == 0 {
-            return 0.0;
-        }
-        let Some(own) = self.presses.known(&step.image) else {
-            return 0.0;
-        };
-        let runs = self.workers[key].runs.iter().map(|run| &self.runs[*run]);
-        let mut worst: f64 = 0.0;
-        for spec in runs.filter_map(|run| self.spec_of(run.task)) {
-            let Some(other) = self.presses.known(&spec.image) else {
-                continue;
-            };
-            let suspicion = if step.filler && spec.target_ms > 0 {
-                self.presses.suspicion(own, other)
-            } else if !step.filler && spec.filler {
-                self.presses.suspicion(other, own)
-            } else {
-                continue;
-            };
-            worst = worst.max(suspicion);
+        for (tail, growth) in &mut load.tails {
+            let each = load.fillers.iter();
+            *growth = each
+                .map(|(filler, share)| self.presses.pressure(*filler, *tail) * share)
+                .sum();
         }
-        worst
+        load
     }
 
     /// Handles a worker that has started again under its name.
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -43,6 +43,7 @@
     TaskId,
 };
 use press::Presses;
+pub use press::Pressure;
 pub use report::{
     CallFailure, EndCause, EndedEntry, Look, Order, ProgressRecord, Report, RunRecord,
     RunningEntry, Start, Target, TaskRecord, Write,
@@ -89,6 +90,10 @@
     presses: Presses,
     dirty: Vec<JobId>,
     writing: HashMap<JobId, u64>,
+    /// Whether something has changed that may let a waiting task start.
+    has_news: bool,
+    /// Last attempt to assign waiting tasks.
+    assigned: Monotonic,
     is_fenced: bool,
     is_suspended: bool,
     started: Monotonic,
@@ -113,6 +118,8 @@
             presses: Presses::default(),
             dirty: Vec::new(),
             writing: HashMap::default(),
+            has_news: true,
+            assigned: now,
             is_fenced: false,
             is_suspended: false,
             started: now,
@@ -146,6 +153,7 @@
         let job = Job::new(record, now);
         self.jobs.insert(id, job);
         self.open.insert(id);
+        self.has_news = true;
     }
 
     /// Takes in that a job ended in an earlier ownership.
@@ -242,6 +250,16 @@
             .map_or_else(|| Arc::from(""), |job| Arc::clone(&job.record.spec.payload))
     }
 
+    /// Pressures between images that were learned.
+    pub fn learned(&self) -> Vec<Pressure> {
+        self.presses.learned()
+    }
+
+    /// Takes in pressures that an earlier owner has learned.
+    pub fn relearn(&mut self, learned: &[Pressure]) {
+        self.presses.relearn(learned);
+    }
+
     /// Number of workers that can be given tasks, and of runs.
     pub fn counts(&self, now: Monotonic) -> (usize, usize) {
         let usable = self
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -13,6 +13,14 @@
 /// Longer than a look with its grace.
 const FRESH_MS: Millis = 1_800;
 
+/// Time after which waiting tasks are tried again though nothing has changed, in
+/// milliseconds.
+const RETRY_MS: Millis = 100;
+
+/// Steps that find no place after which one pass tries no more: those behind them
+/// are as large and less urgent, as a rule.
+const FULL_STEPS: usize = 8;
+
 /// Most runs of a task that may race.
 const RACING_RUNS: usize = 2;
 
@@ -36,7 +44,11 @@
         self.stop_hanging(now.at);
         self.due_looks(now.at, &mut orders);
         if self.may_act(now.at) {
-            self.assign(now.at);
+            if self.has_news || now.at.since(self.assigned) >= RETRY_MS {
+                self.has_news = false;
+                self.assigned = now.at;
+                self.assign(now.at);
+            }
             self.due_orders(now.at, &mut orders);
         }
         orders
@@ -124,24 +136,31 @@
             .collect();
         let mut loads: HashMap<WorkerKey, place::Load> =
             usable.iter().map(|key| (*key, self.load(*key))).collect();
+        let mut full = 0;
         for step in waiting {
-            self.assign_step(&step, &usable, &mut loads, now);
+            if !self.assign_step(&step, &usable, &mut loads, now) {
+                full += 1;
+            }
+            if full >= FULL_STEPS {
+                return;
+            }
         }
     }
 
+    /// Assigns the waiting tasks of a step; false if some found no place.
     fn assign_step(
         &mut self,
         step: &Waiting,
         usable: &[WorkerKey],
         loads: &mut HashMap<WorkerKey, place::Load>,
         now: Monotonic,
-    ) {
+    ) -> bool {
         let job = &self.jobs[&step.job];
         let pool = self.terms(job).pool.clone();
         let spec = job.record.spec.steps[step.step as usize].clone();
         let round = job.rounds.iter().find(|round| round.number == step.round);
         let Some(tasks) = round.map(|round| &round.steps[step.step as usize].tasks) else {
-            return;
+            return true;
         };
         let waiting: Vec<(u32, Option<WorkerKey>)> = (0u32..)
             .zip(tasks)
@@ -155,7 +174,7 @@
         for (index, avoid) in waiting {
             let choice = self.choose(&pool, &spec, usable, loads, &same, avoid);
             let Some(worker) = choice else {
-                return;
+                return false;
             };
             *same.entry(worker).or_default() += 1;
             let task = TaskId {
@@ -167,6 +186,7 @@
             self.assign_task(task, worker, now);
             loads.insert(worker, self.load(worker));
         }
+        true
     }
 
     fn choose(
@@ -185,8 +205,10 @@
                 continue;
             }
             let same_step = same.get(&key).copied().unwrap_or(0);
-            let harm = self.harm(key, spec);
-            let Some(mut cost) = place::cost(worker, loads[&key], spec, same_step, harm) else {
+            let load = &loads[&key];
+            let growth = place::growth(&self.presses, load, spec, worker.info.capacity.cpu_milli);
+            let image = self.presses.known(&spec.image);
+            let Some(mut cost) = place::cost(worker, load, spec, same_step, growth, image) else {
                 continue;
             };
             if avoid == Some(key) {
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -10,7 +10,7 @@
 //! as old as the last look, at most a second or so.
 
 use super::job::{Amount, StepSpec};
-use super::press;
+use super::press::{self, ImageId, Presses};
 use super::worker::Worker;
 
 /// Share of its committed processors that a standing task uses: a little under
@@ -29,18 +29,61 @@
 /// Cost of the worker on which the task failed before.
 pub(super) const AVOID_COST: f64 = 20.0;
 
-/// Cost of a pair that is surely harmful, in parts of a worker.
-const HARM_COST: f64 = 3.0;
+/// Cost of the growth of a tail, in parts of a worker.
+const HARM_COST: f64 = 1.0;
+
+/// Cost of a worker's commitment for a standing task, in parts of a worker.
+const FILL_COST: f64 = 0.3;
+
+/// Cost of a worker where no task of the same image serves, in parts of a worker:
+/// more than that of a worker which is almost full.
+const OPEN_COST: f64 = 0.5;
+
+/// Cost of each task of another image that serves there, in parts of a worker.
+const FOREIGN_COST: f64 = 0.2;
 
 /// What a choice looks at, for one worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Load {
     /// Processors of standing tasks in thousandths.
     pub standing: u64,
+    /// Standing images with a target, and how much their tails grow by the fillers.
+    pub tails: Vec<(ImageId, f64)>,
+    /// Fillers with their shares of the worker's processors.
+    pub fillers: Vec<(ImageId, f64)>,
+}
+
+/// Most that a tail on a worker grows with one more task of `step`, as a logarithm.
+pub(super) fn growth(presses: &Presses, load: &Load, step: &StepSpec, capacity: u64) -> f64 {
+    let Some(image) = presses.known(&step.image) else {
+        return 0.0;
+    };
+    if step.filler {
+        let share = share_of(step.amount.cpu_milli, capacity);
+        let grown = load
+            .tails
+            .iter()
+            .map(|(tail, growth)| growth + presses.pressure(image, *tail) * share);
+        grown.fold(0.0, f64::max)
+    } else if step.target_ms > 0 {
+        let each = load.fillers.iter();
+        each.map(|(filler, share)| presses.pressure(*filler, image) * share)
+            .sum()
+    } else {
+        0.0
+    }
+}
+
+/// Part of `whole`, zero of nothing.
+pub(super) fn share_of(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    as_float(part) / as_float(whole)
 }
 
 /// Processors in thousandths that are idle beside all that runs, negative if short.
-pub(super) fn idle_milli(worker: &Worker, load: Load) -> f64 {
+pub(super) fn idle_milli(worker: &Worker, load: &Load) -> f64 {
     let capacity = as_float(worker.info.capacity.cpu_milli);
     let standing = as_float(load.standing);
     let others = as_float(worker.committed.cpu_milli) - standing;
@@ -50,10 +93,11 @@
 /// Cost of one more task of `step` on `worker`, none if it cannot go there.
 pub(super) fn cost(
     worker: &Worker,
-    load: Load,
+    load: &Load,
     step: &StepSpec,
     same_step: u32,
-    harm: f64,
+    growth: f64,
+    image: Option<ImageId>,
 ) -> Option<f64> {
     let info = &worker.info;
     if !step.label.is_empty() && !info.labels.contains(&step.label) {
@@ -70,7 +114,7 @@
     let remote = !step.rack.is_empty() && step.rack != worker.rack();
     let distance = if remote { REMOTE_COST } else { 0.0 };
     if step.filler {
-        if harm >= press::HARMFUL {
+        if growth >= press::GROWTH_LIMIT {
             return None;
         }
         let idle = idle_milli(worker, load);
@@ -78,11 +122,30 @@
         if idle < request * FILLER_FIT {
             return None;
         }
-        return Some(distance + harm * HARM_COST - idle / capacity);
+        return Some(distance + growth * HARM_COST - idle / capacity);
     }
     let used = as_float(worker.committed.cpu_milli) / capacity;
+    if step.target_ms > 0 {
+        let cost = distance + used * FILL_COST + apart(load, image) + growth * HARM_COST;
+        return Some(cost + f64::from(same_step) * CROWD_COST);
+    }
     let crowd = f64::from(same_step) * CROWD_COST;
-    Some(distance + used + crowd + harm * HARM_COST)
+    Some(distance + used + crowd + growth * HARM_COST)
+}
+
+/// Cost of a worker for a standing task by the images that serve there: tasks of one
+/// image gather, so that a filler which harms it finds workers without it.
+fn apart(load: &Load, image: Option<ImageId>) -> f64 {
+    let is_same = |(tail, _): &&(ImageId, f64)| Some(*tail) == image;
+    let same = load.tails.iter().filter(is_same).count();
+    let foreign = load.tails.len() - same;
+    let open = if same == 0 { OPEN_COST } else { 0.0 };
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a worker runs a few dozen tasks"
+    )]
+    let mixed = foreign as f64 * FOREIGN_COST;
+    open + mixed
 }
 
 /// What a task of `step` takes of a worker's capacity.
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -4,7 +4,7 @@
 use slotmap::new_key_type;
 
 use super::job::{Amount, JobId, TaskId};
-use super::press::Relief;
+use super::press::{ImageId, Relief};
 use crate::collections::HashSet;
 use crate::domain::{Millis, Monotonic};
 
@@ -170,6 +170,7 @@
     pub number: u32,
     pub worker: WorkerKey,
     pub amount: Amount,
+    pub image: ImageId,
     /// Processors that it fills, in thousandths.
     pub filling: u64,
     pub phase: Phase,
--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -26,6 +26,9 @@
 /// out late finds another revision than it expects.
 pub(super) const COMMIT: &str = "commit/last";
 
+/// Key of what was learned of images.
+pub(super) const LEARNED: &str = "learned/pressures";
+
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/verbenahitch/src/entry/owner.rs
+++ b/crates/verbenahitch/src/entry/owner.rs
@@ -13,8 +13,8 @@
 use super::pause::PauseDetector;
 use crate::collections::HashMap;
 use crate::dispatch::{
-    Bounds, CallFailure, Dispatcher, JobId, JobRecord, JobState, Now, Order, ProgressRecord,
-    Report, RunKey, WorkerKey, Write,
+    Bounds, CallFailure, Dispatcher, JobId, JobRecord, JobState, Now, Order, Pressure,
+    ProgressRecord, Report, RunKey, WorkerKey, Write,
 };
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
@@ -40,9 +40,13 @@
 /// the bound on its return after an outage of the store, with some for the watch.
 const RELIST_MS: Millis = 2_500;
 
-/// Most jobs in one commit: three entries each and the conditions make up what one
-/// transaction takes.
-const COMMIT_JOBS: usize = 9;
+/// Most jobs in one commit: three entries each, the conditions, the mark and what was
+/// learned make up what one transaction takes.
+const COMMIT_JOBS: usize = 8;
+
+/// Time between two records of what was learned, in milliseconds. Few enough not to
+/// show among the commits.
+const LEARNED_MS: Millis = 3_000;
 
 /// Longest time that a planned hand-over waits for a commit under way, in milliseconds.
 const HANDOVER_MS: Millis = 500;
@@ -181,6 +185,8 @@
     /// Names by key of the registry.
     listed: HashMap<String, String>,
     commit_revision: u64,
+    learned: Vec<Pressure>,
+    learned_at: Monotonic,
     commit: Option<(Transaction, Instant)>,
     calls: JoinSet<()>,
 }
@@ -195,11 +201,12 @@
     ) -> Result<Self, KvError> {
         let began = Instant::now();
         let kv = shared.platform.kv();
-        let (registry, progress, intake, commit) = tokio::join!(
+        let (registry, progress, intake, commit, learned) = tokio::join!(
             kv.range(shared.platform.registry_prefix()),
             kv.range(keys::PROGRESS),
             kv.range(keys::INTAKE),
             kv.get(keys::COMMIT),
+            kv.get(keys::LEARNED),
         );
         let bounds = Bounds {
             lease_ms: WORKER_LEASE_MS.min(shared.settings.lease_max),
@@ -215,8 +222,13 @@
             listed: HashMap::default(),
             commit_revision: commit?.map_or(0, |item| item.revision),
             commit: None,
+            learned: Vec::new(),
+            learned_at: clock.now(),
             calls: JoinSet::new(),
         };
+        if let Some(learned) = learned?.as_ref().and_then(read::<Vec<Pressure>>) {
+            driver.dispatcher.relearn(&learned);
+        }
         driver.declare();
         driver.hear_registry(News::All(registry?.0));
         let mut records: HashMap<JobId, ProgressRecord> = HashMap::default();
@@ -428,7 +440,8 @@
         if self.commit.is_none() {
             let writes = self.dispatcher.take_writes(COMMIT_JOBS);
             if !writes.is_empty() {
-                let transaction = self.transaction(&writes);
+                let mut transaction = self.transaction(&writes);
+                self.add_learned(&mut transaction);
                 self.commit = Some((transaction, Instant::now()));
                 self.send_commit();
             }
@@ -497,6 +510,24 @@
         transaction
     }
 
+    /// Adds what was learned of images, from time to time.
+    fn add_learned(&mut self, transaction: &mut Transaction) {
+        let now = self.clock.now();
+        if now.since(self.learned_at) < LEARNED_MS {
+            return;
+        }
+        self.learned_at = now;
+        let learned = self.dispatcher.learned();
+        if learned != self.learned {
+            transaction.puts.push(Put {
+                key: keys::LEARNED.to_owned(),
+                value: to_json(&learned),
+                lease: 0,
+            });
+            self.learned = learned;
+        }
+    }
+
     fn send_commit(&mut self) {
         let Some((transaction, _)) = &self.commit else {
             return;
