Let steps without a place hold up only fillers

Cause: eight steps that fit nowhere (large standing tasks) ended each pass, so that what stood behind them waited for as long as they did.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -17,8 +17,8 @@
 /// milliseconds.
 const RETRY_MS: Millis = 100;
 
-/// Steps that find no place after which one pass tries no more: those behind them
-/// are as large and less urgent, as a rule.
+/// Steps of fillers that find no place after which one pass tries no more of them:
+/// those behind them are as large and less urgent, as a rule.
 const FULL_STEPS: usize = 8;
 
 /// Most runs of a task that may race.
@@ -30,6 +30,7 @@
     job: JobId,
     round: u32,
     step: u32,
+    filler: bool,
 }
 
 impl Dispatcher {
@@ -112,6 +113,7 @@
                         job: *id,
                         round: round.number,
                         step,
+                        filler: spec.filler,
                     });
                 }
             }
@@ -138,11 +140,12 @@
             usable.iter().map(|key| (*key, self.load(*key))).collect();
         let mut full = 0;
         for step in waiting {
-            if !self.assign_step(&step, &usable, &mut loads, now) {
-                full += 1;
+            if step.filler && full >= FULL_STEPS {
+                continue;
             }
-            if full >= FULL_STEPS {
-                return;
+            let is_placed = self.assign_step(&step, &usable, &mut loads, now);
+            if step.filler && !is_placed {
+                full += 1;
             }
         }
     }
