Keep workers without standing tasks for fillers that harm widely

Change: such places cost more for harmless fillers; pressures are learned slower, as single tails are noisy with small shares.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -202,6 +202,8 @@
         avoid: Option<WorkerKey>,
     ) -> Option<WorkerKey> {
         let mut best: Option<(f64, WorkerKey)> = None;
+        let image = self.presses.known(&spec.image);
+        let weight = image.map_or(0.0, |image| self.presses.weight(image));
         for &key in usable {
             let worker = &self.workers[key];
             if worker.info.pool != pool {
@@ -210,8 +212,8 @@
             let same_step = same.get(&key).copied().unwrap_or(0);
             let load = &loads[&key];
             let growth = place::growth(&self.presses, load, spec, worker.info.capacity.cpu_milli);
-            let image = self.presses.known(&spec.image);
-            let Some(mut cost) = place::cost(worker, load, spec, same_step, growth, image) else {
+            let cost = place::cost(worker, load, spec, same_step, growth, image, weight);
+            let Some(mut cost) = cost else {
                 continue;
             };
             if avoid == Some(key) {
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -42,6 +42,10 @@
 /// Cost of each task of another image that serves there, in parts of a worker.
 const FOREIGN_COST: f64 = 0.2;
 
+/// Cost of a worker without standing tasks for a filler that harms nobody, in parts
+/// of a worker: such places are for those that do.
+const RESERVE_COST: f64 = 0.6;
+
 /// What a choice looks at, for one worker.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Load {
@@ -98,6 +102,7 @@
     same_step: u32,
     growth: f64,
     image: Option<ImageId>,
+    weight: f64,
 ) -> Option<f64> {
     let info = &worker.info;
     if !step.label.is_empty() && !info.labels.contains(&step.label) {
@@ -122,7 +127,12 @@
         if idle < request * FILLER_FIT {
             return None;
         }
-        return Some(distance + growth * HARM_COST - idle / capacity);
+        let reserved = if load.tails.is_empty() {
+            RESERVE_COST * (1.0 - weight)
+        } else {
+            0.0
+        };
+        return Some(distance + reserved + growth * HARM_COST - idle / capacity);
     }
     let used = as_float(worker.committed.cpu_milli) / capacity;
     if step.target_ms > 0 {
--- a/crates/verbenahitch/src/dispatch/press.rs
+++ b/crates/verbenahitch/src/dispatch/press.rs
@@ -42,14 +42,14 @@
 const PRESSURE_MAX: f64 = 14.0;
 
 /// Share of the error that one observation corrects.
-const LEARNING: f64 = 0.5;
+const LEARNING: f64 = 0.2;
 
 /// Weight of the tail alone among what an observation corrects; a worker's fillers
 /// weigh about a tenth.
 const BASE_WEIGHT: f64 = 0.02;
 
 /// Largest error that one observation counts, as a logarithm.
-const ERROR_MAX: f64 = 1.5;
+const ERROR_MAX: f64 = 2.0;
 
 /// Least tail over target that is told from a smaller one.
 const RATIO_MIN: f64 = 0.15;
@@ -181,6 +181,21 @@
         pair.copied().unwrap_or(PRIOR)
     }
 
+    /// How widely `filler` harms, between zero and one: its mean pressure on the
+    /// standing images that were seen, as a part of a harmful one.
+    pub fn weight(&self, filler: ImageId) -> f64 {
+        let mut sum = 0.0;
+        let mut count = 0u32;
+        for standing in self.bases.keys() {
+            sum += self.pressure(filler, *standing);
+            count += 1;
+        }
+        if count == 0 {
+            return 0.0;
+        }
+        (sum / f64::from(count) / HARMFUL).min(1.0)
+    }
+
     /// Pressures that were learned.
     pub fn learned(&self) -> Vec<Pressure> {
         let mut learned: Vec<Pressure> = self
