Place fillers by the tails as they are

Cause: the load of standing tasks swings over ten seconds and fillers last two or three; a limit on learned growth alone ignored where the load stands now.

--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -1,8 +1,8 @@
 //! Looks at workers: what they extend, and what their answers tell.
 
-use super::press::{Act, Filler, Serving};
+use super::press::{Act, Filler, ImageId, Serving};
 use super::report::{CallFailure, EndCause, Look, Order, Report, RunningEntry};
-use super::worker::{ListedEnd, WorkerKey};
+use super::worker::{ListedEnd, Run, WorkerKey};
 use super::{Dispatcher, Phase, RunKey, StepSpec, TaskId, health, place};
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
@@ -294,12 +294,7 @@
                     checkpoints: spec.checkpoints,
                     is_settled: now.since(run.started) >= OBSERVE_MS,
                 });
-            } else if spec.target_ms > 0 && run.percent == AT_WORK {
-                #[expect(
-                    clippy::cast_precision_loss,
-                    reason = "latencies are far below 2^52 ms"
-                )]
-                let ratio = run.tail_ms as f64 / spec.target_ms as f64;
+            } else if let Some(ratio) = ratio_of(run, spec) {
                 serving.push(Serving {
                     image: run.image,
                     ratio,
@@ -310,8 +305,9 @@
     }
 
     /// Load of a worker for the choice of a place.
-    pub(super) fn load(&self, key: WorkerKey) -> place::Load {
+    pub(super) fn load(&self, key: WorkerKey, now: Monotonic) -> place::Load {
         let mut load = place::Load::default();
+        let mut unseen = Vec::new();
         let worker = &self.workers[key];
         let capacity = worker.info.capacity.cpu_milli;
         for run in worker.runs.iter().map(|run| &self.runs[*run]) {
@@ -324,15 +320,31 @@
             if spec.filler {
                 let share = place::share_of(spec.amount.cpu_milli, capacity);
                 load.fillers.push((run.image, share));
+                if now.since(run.started) < OBSERVE_MS || run.phase != Phase::Live {
+                    unseen.push((run.image, share));
+                }
             } else if spec.target_ms > 0 {
-                load.tails.push((run.image, 0.0));
+                let base = self.presses.base(run.image);
+                let expected = match ratio_of(run, spec) {
+                    Some(ratio) => ratio.ln(),
+                    None => base,
+                };
+                load.tails.push(place::Tail {
+                    image: run.image,
+                    growth: 0.0,
+                    expected: expected.max(base),
+                });
             }
         }
-        for (tail, growth) in &mut load.tails {
-            let each = load.fillers.iter();
-            *growth = each
-                .map(|(filler, share)| self.presses.pressure(*filler, *tail) * share)
-                .sum();
+        let presses = &self.presses;
+        let sum = |fillers: &[(ImageId, f64)], tail: ImageId| -> f64 {
+            let each = fillers.iter();
+            each.map(|(filler, share)| presses.pressure(*filler, tail) * share)
+                .sum()
+        };
+        for tail in &mut load.tails {
+            tail.growth = sum(&load.fillers, tail.image);
+            tail.expected += sum(&unseen, tail.image);
         }
         load
     }
@@ -391,3 +403,16 @@
         }
     }
 }
+
+/// Tail over target of a standing task at work, none without a target.
+fn ratio_of(run: &Run, spec: &StepSpec) -> Option<f64> {
+    if spec.target_ms == 0 || run.percent != AT_WORK || run.phase != Phase::Live {
+        return None;
+    }
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "latencies are far below 2^52 ms"
+    )]
+    let ratio = run.tail_ms.max(1) as f64 / spec.target_ms as f64;
+    Some(ratio)
+}
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -136,8 +136,10 @@
             .into_iter()
             .filter(|key| self.is_usable(*key, now))
             .collect();
-        let mut loads: HashMap<WorkerKey, place::Load> =
-            usable.iter().map(|key| (*key, self.load(*key))).collect();
+        let mut loads: HashMap<WorkerKey, place::Load> = usable
+            .iter()
+            .map(|key| (*key, self.load(*key, now)))
+            .collect();
         let mut full = 0;
         for step in waiting {
             if step.filler && full >= FULL_STEPS {
@@ -187,7 +189,7 @@
                 index,
             };
             self.assign_task(task, worker, now);
-            loads.insert(worker, self.load(worker));
+            loads.insert(worker, self.load(worker, now));
         }
         true
     }
@@ -211,8 +213,8 @@
             }
             let same_step = same.get(&key).copied().unwrap_or(0);
             let load = &loads[&key];
-            let growth = place::growth(&self.presses, load, spec, worker.info.capacity.cpu_milli);
-            let cost = place::cost(worker, load, spec, same_step, growth, image, weight);
+            let harm = place::harm(&self.presses, load, spec, worker.info.capacity.cpu_milli);
+            let cost = place::cost(worker, load, spec, same_step, harm, image, weight);
             let Some(mut cost) = cost else {
                 continue;
             };
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -32,6 +32,9 @@
 /// Cost of the growth of a tail, in parts of a worker.
 const HARM_COST: f64 = 1.0;
 
+/// Weight of a tail that is high already against growth.
+const EXCESS_WEIGHT: f64 = 0.5;
+
 /// Cost of a worker's commitment for a standing task, in parts of a worker.
 const FILL_COST: f64 = 0.3;
 
@@ -51,30 +54,71 @@
 pub(super) struct Load {
     /// Processors of standing tasks in thousandths.
     pub standing: u64,
-    /// Standing images with a target, and how much their tails grow by the fillers.
-    pub tails: Vec<(ImageId, f64)>,
+    /// Standing tasks with a target.
+    pub tails: Vec<Tail>,
     /// Fillers with their shares of the worker's processors.
     pub fillers: Vec<(ImageId, f64)>,
 }
 
-/// Most that a tail on a worker grows with one more task of `step`, as a logarithm.
-pub(super) fn growth(presses: &Presses, load: &Load, step: &StepSpec, capacity: u64) -> f64 {
+/// Tail of a standing task, as logarithms.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Tail {
+    pub image: ImageId,
+    /// Growth by the fillers beside it.
+    pub growth: f64,
+    /// Tail over target as last seen, with what has been added since.
+    pub expected: f64,
+}
+
+/// What one more task does to the tails on a worker, as logarithms.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Harm {
+    /// Largest growth.
+    pub growth: f64,
+    /// Largest tail over target.
+    pub expected: f64,
+}
+
+impl Harm {
+    fn is_too_much(self) -> bool {
+        self.growth > press::GROWTH_LIMIT || self.expected > press::PLACED.ln()
+    }
+
+    fn cost(self) -> f64 {
+        let excess = (self.expected - press::UNPRESSED.ln()).max(0.0);
+        (self.growth + excess * EXCESS_WEIGHT) * HARM_COST
+    }
+}
+
+/// What one more task of `step` does to the tails on a worker.
+pub(super) fn harm(presses: &Presses, load: &Load, step: &StepSpec, capacity: u64) -> Harm {
+    let none = Harm {
+        growth: 0.0,
+        expected: f64::NEG_INFINITY,
+    };
     let Some(image) = presses.known(&step.image) else {
-        return 0.0;
+        return none;
     };
     if step.filler {
         let share = share_of(step.amount.cpu_milli, capacity);
-        let grown = load
-            .tails
-            .iter()
-            .map(|(tail, growth)| growth + presses.pressure(image, *tail) * share);
-        grown.fold(0.0, f64::max)
+        load.tails.iter().fold(none, |worst, tail| {
+            let added = presses.pressure(image, tail.image) * share;
+            Harm {
+                growth: worst.growth.max(tail.growth + added),
+                expected: worst.expected.max(tail.expected + added),
+            }
+        })
     } else if step.target_ms > 0 {
         let each = load.fillers.iter();
-        each.map(|(filler, share)| presses.pressure(*filler, image) * share)
-            .sum()
+        let growth: f64 = each
+            .map(|(filler, share)| presses.pressure(*filler, image) * share)
+            .sum();
+        Harm {
+            growth,
+            expected: presses.base(image) + growth,
+        }
     } else {
-        0.0
+        none
     }
 }
 
@@ -100,7 +144,7 @@
     load: &Load,
     step: &StepSpec,
     same_step: u32,
-    growth: f64,
+    harm: Harm,
     image: Option<ImageId>,
     weight: f64,
 ) -> Option<f64> {
@@ -119,7 +163,7 @@
     let remote = !step.rack.is_empty() && step.rack != worker.rack();
     let distance = if remote { REMOTE_COST } else { 0.0 };
     if step.filler {
-        if growth >= press::GROWTH_LIMIT {
+        if harm.is_too_much() {
             return None;
         }
         let idle = idle_milli(worker, load);
@@ -132,21 +176,21 @@
         } else {
             0.0
         };
-        return Some(distance + reserved + growth * HARM_COST - idle / capacity);
+        return Some(distance + reserved + harm.cost() - idle / capacity);
     }
     let used = as_float(worker.committed.cpu_milli) / capacity;
     if step.target_ms > 0 {
-        let cost = distance + used * FILL_COST + apart(load, image) + growth * HARM_COST;
+        let cost = distance + used * FILL_COST + apart(load, image) + harm.cost();
         return Some(cost + f64::from(same_step) * CROWD_COST);
     }
     let crowd = f64::from(same_step) * CROWD_COST;
-    Some(distance + used + crowd + growth * HARM_COST)
+    Some(distance + used + crowd + harm.cost())
 }
 
 /// Cost of a worker for a standing task by the images that serve there: tasks of one
 /// image gather, so that a filler which harms it finds workers without it.
 fn apart(load: &Load, image: Option<ImageId>) -> f64 {
-    let is_same = |(tail, _): &&(ImageId, f64)| Some(*tail) == image;
+    let is_same = |tail: &&Tail| Some(tail.image) == image;
     let same = load.tails.iter().filter(is_same).count();
     let foreign = load.tails.len() - same;
     let open = if same == 0 { OPEN_COST } else { 0.0 };
--- a/crates/verbenahitch/src/dispatch/press.rs
+++ b/crates/verbenahitch/src/dispatch/press.rs
@@ -55,8 +55,15 @@
 const RATIO_MIN: f64 = 0.15;
 
 /// Growth of a tail up to which fillers are placed beside a task, as a logarithm:
-/// a task at a usual peak of its load then stays under its target.
-pub(super) const GROWTH_LIMIT: f64 = 0.3;
+/// a task at a usual peak of its load then stays near its target.
+pub(super) const GROWTH_LIMIT: f64 = 0.25;
+
+/// Tail over target up to which fillers are placed beside a task, by what they are
+/// expected to add.
+pub(super) const PLACED: f64 = 0.7;
+
+/// Tail over target without fillers from which a task costs nothing to be beside.
+pub(super) const UNPRESSED: f64 = 0.4;
 
 /// Pressure from which a pair is reported as harmful: an eighth of a worker brings
 /// the growth to the limit.
@@ -228,8 +235,7 @@
         for filler in fillers {
             *shares.entry(filler.image).or_default() += filler.paced_share();
         }
-        let base = self.bases.get(&serving.image).copied();
-        let base = base.unwrap_or_else(|| BASE.ln());
+        let base = self.base(serving.image);
         let growth: f64 = shares
             .iter()
             .map(|(image, share)| self.pressure(*image, serving.image) * share)
@@ -264,6 +270,12 @@
         self.names.get(image.0 as usize).map_or("", String::as_str)
     }
 
+    /// Logarithm of the tail over target of an image alone.
+    pub fn base(&self, standing: ImageId) -> f64 {
+        let base = self.bases.get(&standing).copied();
+        base.unwrap_or_else(|| BASE.ln())
+    }
+
     fn growth(&self, filler: &Filler, serving: &Serving) -> f64 {
         self.pressure(filler.image, serving.image) * filler.paced_share()
     }
@@ -301,10 +313,19 @@
             if filler.pace == 0 || (is_enough && !acts.is_empty()) {
                 break;
             }
-            let is_known = self.pressure(filler.image, worst.image) >= HARMFUL;
+            let is_known = growth >= GROWTH_MIN;
             let is_cheap = filler.checkpoints || filler.percent < KEEP_PERCENT;
             acts.push(if is_known && is_cheap {
                 Act::Move(filler.key)
+            } else if is_known && needed < growth && filler.pace > SLOW_PACE {
+                let part = f64::from(filler.pace) * (1.0 - needed.max(0.0) / growth);
+                #[expect(
+                    clippy::cast_possible_truncation,
+                    clippy::cast_sign_loss,
+                    reason = "a percentage"
+                )]
+                let pace = (part as u8).clamp(SLOW_PACE, 60);
+                Act::Pace(filler.key, pace)
             } else if filler.pace > SLOW_PACE {
                 Act::Pace(filler.key, SLOW_PACE)
             } else {
