Find slow runs by their peers; log why a step waits

Cause: workers that turn slow for seconds hold tasks six times as long; nothing noticed as long as percentages moved. Change: a run that would take three times its peers' time is raced or started elsewhere; leases of eight seconds, so that a zone cut off goes on working; a waiting step says once which workers it cannot use and why.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -193,7 +193,9 @@
             retry_at: now,
             tries: 0,
             started: now,
+            resumed: false,
             percent: 0,
+            seen_at: now,
             moved_at: now,
             pace: 100,
             wanted_pace: 100,
@@ -277,6 +279,7 @@
             _ => {}
         }
         let is_new = task.done && !was_done;
+        task.wants_copy = false;
         let is_lost = !is_standing && !task.done && task.failed >= attempts;
         let others = if is_new {
             task.runs.clone()
@@ -287,14 +290,15 @@
             self.runs[other].stop = true;
         }
         if is_new {
-            self.step_done(run.task);
+            self.step_done(run, now);
         } else if is_lost {
             self.fail(id, now);
         }
         self.touch(id);
     }
 
-    fn step_done(&mut self, task: TaskId) {
+    fn step_done(&mut self, run: &Run, now: Monotonic) {
+        let task = run.task;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -302,6 +306,9 @@
             && let Some(step) = round.steps.get_mut(task.step as usize)
         {
             step.left = step.left.saturating_sub(1);
+            if !run.resumed && run.wanted_pace == 100 {
+                step.durations.push(now.since(run.started));
+            }
         }
         let is_done = job.begun == job.times() && job.rounds.iter().all(super::Round::is_done);
         if is_done && !job.state.is_final() {
--- a/crates/verbenahitch/src/dispatch/health.rs
+++ b/crates/verbenahitch/src/dispatch/health.rs
@@ -23,6 +23,12 @@
 /// How long a worker on which tasks stand still is shunned, in milliseconds.
 const SHUN_HANGING_MS: Millis = 4_000;
 
+/// How long a worker that slows tasks of several jobs is shunned, in milliseconds.
+const SHUN_SLOW_MS: Millis = 2_500;
+
+/// Time within which slow tasks of two jobs tell of a slow worker, in milliseconds.
+const SLOW_MEMORY_MS: Millis = 4_000;
+
 /// Time without progress after which a run hangs, in milliseconds. A run that is
 /// slowed eight times still moves by a percent in this time.
 pub(super) const HANG_MS: Millis = 1_500;
@@ -56,6 +62,17 @@
     shun(worker, now + SHUN_HANGING_MS);
 }
 
+/// Notes a run that was far slower than its peers.
+pub(super) fn slow(worker: &mut Worker, job: JobId, now: Monotonic) {
+    let is_new = worker.last_slow != Some(job);
+    worker.last_slow = Some(job);
+    let is_lasting = now.since(worker.slow_at) < SLOW_MEMORY_MS;
+    if is_new && is_lasting && worker.slow_at != Monotonic::default() {
+        shun(worker, now + SHUN_SLOW_MS);
+    }
+    worker.slow_at = now;
+}
+
 fn shun(worker: &mut Worker, until: Monotonic) {
     worker.shunned_until = worker.shunned_until.max(until);
 }
--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -181,6 +181,7 @@
     fn progress_of(&mut self, key: RunKey, entry: &RunningEntry, now: Monotonic) {
         let run = &mut self.runs[key];
         run.inherited = false;
+        run.seen_at = now;
         if run.phase != Phase::Live {
             run.phase = Phase::Live;
             run.confirmed.get_or_insert(now);
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -14,7 +14,7 @@
 //!
 //! Decisions stand apart, each under the load pattern that it answers: [`wait`]
 //! (order of waiting steps), `place` (choice of a worker), `press` (relief from
-//! fillers), `health` (workers to keep away from).
+//! fillers), `health` (workers to keep away from), `slow` (runs behind their peers).
 
 mod commit;
 mod ends;
@@ -26,6 +26,7 @@
 mod press;
 mod recover;
 mod report;
+mod slow;
 mod table;
 pub mod wait;
 mod worker;
@@ -94,6 +95,8 @@
     has_news: bool,
     /// Last attempt to assign waiting tasks.
     assigned: Monotonic,
+    /// Last search for slow runs.
+    reviewed: Monotonic,
     is_fenced: bool,
     is_suspended: bool,
     started: Monotonic,
@@ -120,6 +123,7 @@
             writing: HashMap::default(),
             has_news: true,
             assigned: now,
+            reviewed: now,
             is_fenced: false,
             is_suspended: false,
             started: now,
@@ -142,8 +146,12 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        Entry::new(Kind::JobAccepted)
+            .with_text("job", id)
+            .with("queue", &record.queue.name)
+            .with("steps", record.spec.steps.len())
+            .emit();
         self.admit(id, record, now);
-        Entry::new(Kind::JobAccepted).with_text("job", id).emit();
         if self.early_cancels.remove(&id) {
             self.cancel(id, now.at);
         }
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -1,6 +1,6 @@
 //! One pass of decisions: what to look at, start, stop and pace now.
 
-use super::place;
+use super::place::{self, Misfit};
 use super::report::{Order, Start, Target};
 use super::wait::Standing;
 use super::worker::WorkerKey;
@@ -21,9 +21,6 @@
 /// those behind them are as large and less urgent, as a rule.
 const FULL_STEPS: usize = 8;
 
-/// Most runs of a task that may race.
-const RACING_RUNS: usize = 2;
-
 /// A step with tasks to place.
 struct Waiting {
     standing: Standing,
@@ -33,6 +30,28 @@
     filler: bool,
 }
 
+/// Workers that a task cannot go to, by the reason.
+#[derive(Clone, Copy, Debug, Default)]
+struct Misfits {
+    label: u32,
+    spread: u32,
+    room: u32,
+    busy: u32,
+    harm: u32,
+}
+
+impl Misfits {
+    fn note(&mut self, misfit: Misfit) {
+        *match misfit {
+            Misfit::Label => &mut self.label,
+            Misfit::Spread => &mut self.spread,
+            Misfit::Room => &mut self.room,
+            Misfit::Busy => &mut self.busy,
+            Misfit::Harm => &mut self.harm,
+        } += 1;
+    }
+}
+
 impl Dispatcher {
     /// Decides on everything that is due.
     pub fn pass(&mut self, now: Now) -> Vec<Order> {
@@ -42,7 +61,7 @@
         }
         self.expire(now.at);
         self.begin_rounds(now.wall_ms);
-        self.stop_hanging(now.at);
+        self.review(now.at);
         self.due_looks(now.at, &mut orders);
         if self.may_act(now.at) {
             if self.has_news || now.at.since(self.assigned) >= RETRY_MS {
@@ -99,7 +118,7 @@
             for round in &job.rounds {
                 for (step, state) in (0u32..).zip(&round.steps) {
                     let spec = &job.record.spec.steps[step as usize];
-                    let is_waiting = state.tasks.iter().any(|t| !t.done && t.runs.is_empty());
+                    let is_waiting = state.tasks.iter().any(super::table::Task::is_waiting);
                     if !is_waiting || !round.is_ready(spec) {
                         continue;
                     }
@@ -169,7 +188,7 @@
         };
         let waiting: Vec<(u32, Option<WorkerKey>)> = (0u32..)
             .zip(tasks)
-            .filter(|(_, task)| !task.done && task.runs.is_empty())
+            .filter(|(_, task)| task.is_waiting())
             .map(|(index, task)| (index, task.avoid))
             .collect();
         let mut same: HashMap<WorkerKey, u32> = HashMap::default();
@@ -177,8 +196,10 @@
             *same.entry(self.runs[*run].worker).or_default() += 1;
         }
         for (index, avoid) in waiting {
-            let choice = self.choose(&pool, &spec, usable, loads, &same, avoid);
+            let mut misfits = Misfits::default();
+            let choice = self.choose(&pool, &spec, usable, loads, &same, avoid, &mut misfits);
             let Some(worker) = choice else {
+                self.note_waiting(step, usable.len(), misfits);
                 return false;
             };
             *same.entry(worker).or_default() += 1;
@@ -194,6 +215,34 @@
         true
     }
 
+    /// Logs once why a step waits.
+    fn note_waiting(&mut self, step: &Waiting, usable: usize, misfits: Misfits) {
+        let job = self.jobs.get_mut(&step.job);
+        let Some(state) = job
+            .and_then(|job| job.round_mut(step.round))
+            .and_then(|round| round.steps.get_mut(step.step as usize))
+        else {
+            return;
+        };
+        if std::mem::replace(&mut state.is_noted, true) {
+            return;
+        }
+        Entry::new(Kind::Waiting)
+            .with_text("job", step.job)
+            .with("step", step.step)
+            .with("workers", usable)
+            .with("no-label", misfits.label)
+            .with("spread", misfits.spread)
+            .with("no-room", misfits.room)
+            .with("busy", misfits.busy)
+            .with("harm", misfits.harm)
+            .emit();
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the inputs of one decision, each of another origin"
+    )]
     fn choose(
         &self,
         pool: &str,
@@ -202,6 +251,7 @@
         loads: &HashMap<WorkerKey, place::Load>,
         same: &HashMap<WorkerKey, u32>,
         avoid: Option<WorkerKey>,
+        misfits: &mut Misfits,
     ) -> Option<WorkerKey> {
         let mut best: Option<(f64, WorkerKey)> = None;
         let image = self.presses.known(&spec.image);
@@ -215,8 +265,12 @@
             let load = &loads[&key];
             let harm = place::harm(&self.presses, load, spec, worker.info.capacity.cpu_milli);
             let cost = place::cost(worker, load, spec, same_step, harm, image, weight);
-            let Some(mut cost) = cost else {
-                continue;
+            let mut cost = match cost {
+                Ok(cost) => cost,
+                Err(misfit) => {
+                    misfits.note(misfit);
+                    continue;
+                }
             };
             if avoid == Some(key) {
                 cost += place::AVOID_COST;
@@ -299,6 +353,7 @@
         let lease_end = worker.lease_end(now, lease_ms)?;
         worker.lease_end = worker.lease_end.max(lease_end);
         self.runs[key].tries += 1;
+        self.runs[key].resumed = !checkpoint.is_empty();
         Some(Order::Start(Start {
             target,
             payload,
@@ -347,11 +402,6 @@
         }
     }
 
-    /// Most runs of one task at a time.
-    pub(super) fn most_runs(spec: &StepSpec) -> usize {
-        if spec.speculative { RACING_RUNS } else { 1 }
-    }
-
     /// Notes that a worker refused or never got an order.
     pub(super) fn shun(&mut self, key: WorkerKey, now: Monotonic) {
         if let Some(worker) = self.workers.get_mut(key) {
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -138,7 +138,26 @@
     capacity - standing * STANDING_USE - others - as_float(worker.filling)
 }
 
-/// Cost of one more task of `step` on `worker`, none if it cannot go there.
+/// Why a task cannot go to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Misfit {
+    /// The worker lacks the label.
+    Label,
+    /// Enough tasks of the step are there.
+    Spread,
+    /// Its room is committed.
+    Room,
+    /// Its processors are not idle enough for a filler.
+    Busy,
+    /// A task there would be slowed too much.
+    Harm,
+}
+
+/// Cost of one more task of `step` on `worker`.
+///
+/// # Errors
+///
+/// When it cannot go there.
 pub(super) fn cost(
     worker: &Worker,
     load: &Load,
@@ -147,44 +166,44 @@
     harm: Harm,
     image: Option<ImageId>,
     weight: f64,
-) -> Option<f64> {
+) -> Result<f64, Misfit> {
     let info = &worker.info;
     if !step.label.is_empty() && !info.labels.contains(&step.label) {
-        return None;
+        return Err(Misfit::Label);
     }
     if step.spread > 0 && same_step >= step.spread {
-        return None;
+        return Err(Misfit::Spread);
     }
     let amount = committed(step);
     if !amount.fits(info.capacity.less(worker.committed)) {
-        return None;
+        return Err(Misfit::Room);
     }
     let capacity = as_float(info.capacity.cpu_milli.max(1));
     let remote = !step.rack.is_empty() && step.rack != worker.rack();
     let distance = if remote { REMOTE_COST } else { 0.0 };
     if step.filler {
         if harm.is_too_much() {
-            return None;
+            return Err(Misfit::Harm);
         }
         let idle = idle_milli(worker, load);
         let request = as_float(step.amount.cpu_milli);
         if idle < request * FILLER_FIT {
-            return None;
+            return Err(Misfit::Busy);
         }
         let reserved = if load.tails.is_empty() {
             RESERVE_COST * (1.0 - weight)
         } else {
             0.0
         };
-        return Some(distance + reserved + harm.cost() - idle / capacity);
+        return Ok(distance + reserved + harm.cost() - idle / capacity);
     }
     let used = as_float(worker.committed.cpu_milli) / capacity;
     if step.target_ms > 0 {
         let cost = distance + used * FILL_COST + apart(load, image) + harm.cost();
-        return Some(cost + f64::from(same_step) * CROWD_COST);
+        return Ok(cost + f64::from(same_step) * CROWD_COST);
     }
     let crowd = f64::from(same_step) * CROWD_COST;
-    Some(distance + used + crowd + harm.cost())
+    Ok(distance + used + crowd + harm.cost())
 }
 
 /// Cost of a worker for a standing task by the images that serve there: tasks of one
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -19,6 +19,15 @@
     pub checkpoint: String,
     /// Worker on which the last run failed.
     pub avoid: Option<WorkerKey>,
+    /// Whether a second run is to race the first.
+    pub wants_copy: bool,
+}
+
+impl Task {
+    /// Whether a run of it is to be placed.
+    pub fn is_waiting(&self) -> bool {
+        !self.done && (self.runs.is_empty() || (self.wants_copy && self.runs.len() == 1))
+    }
 }
 
 /// One step of a round.
@@ -27,6 +36,10 @@
     pub tasks: Vec<Task>,
     /// Tasks that are not done.
     pub left: u32,
+    /// Whether it was logged that it waits.
+    pub is_noted: bool,
+    /// Durations of runs that were done, in milliseconds.
+    pub durations: Vec<Millis>,
 }
 
 /// One repetition of a job.
@@ -41,6 +54,8 @@
         let step = |spec: &StepSpec| Step {
             tasks: vec![Task::default(); spec.count as usize],
             left: spec.count,
+            is_noted: false,
+            durations: Vec::new(),
         };
         Self {
             number,
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -89,6 +89,9 @@
     /// Failures in a row of different jobs.
     pub failures: u32,
     pub last_failure: Option<JobId>,
+    /// Last run that was far slower than its peers, and its job.
+    pub slow_at: Monotonic,
+    pub last_slow: Option<JobId>,
     pub shunned_until: Monotonic,
     pub relief: Relief,
     /// Last time that its tails were learned from.
@@ -189,7 +192,12 @@
     pub retry_at: Monotonic,
     pub tries: u32,
     pub started: Monotonic,
+    /// Whether it went on from a checkpoint.
+    pub resumed: bool,
     pub percent: u8,
+    /// When its worker listed it last.
+    pub seen_at: Monotonic,
+    /// When its percentage changed last.
     pub moved_at: Monotonic,
     /// Share of its processors in force, in percent.
     pub pace: u8,
--- a/crates/verbenahitch/src/entry/owner.rs
+++ b/crates/verbenahitch/src/entry/owner.rs
@@ -28,10 +28,10 @@
 /// Time between two renewals of the owner's lease, in milliseconds.
 const RENEW_MS: Millis = LEASE_MS / 4;
 
-/// Length of the workers' leases in milliseconds, if they give as much: longer
-/// than a change of owner takes, and short enough that the tasks of a lost worker
-/// start elsewhere soon.
-const WORKER_LEASE_MS: Millis = 4_000;
+/// Length of the workers' leases in milliseconds, if they give as much: a zone that
+/// is cut off for some seconds goes on working, and the tasks of a worker that is
+/// lost for good start elsewhere not much later.
+const WORKER_LEASE_MS: Millis = 8_000;
 
 /// How long an owner acts without the store or most workers, in milliseconds.
 const QUORUM_MS: Millis = 1_500;
