Let the leases of a silent worker lapse; test the dispatching by its loads

Cause: each look that a silent worker did not answer moved the end of its leases on, so that its tasks never counted as lapsed. Found by dispatch::recovery::tasks_of_a_silent_worker_start_elsewhere_only_after_their_lease, which failed before the change and passes now. Change: leases are extended only after an answered look.

--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -55,7 +55,11 @@
             }
             let acked = worker.acked;
             worker.listed_ends.retain(|end| end.number > acked);
-            let lease_end = worker.lease_end(now, lease_ms).filter(|_| may_act);
+            // A silent worker may have got each call that it did not answer: its leases
+            // have to lapse before its tasks can start elsewhere.
+            let lease_end = worker
+                .lease_end(now, lease_ms)
+                .filter(|_| may_act && worker.failed_looks == 0);
             worker.lease_end = worker.lease_end.max(lease_end.unwrap_or(0));
             worker.look_sent = Some(now);
             let is_waiting =
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -336,6 +336,9 @@
             return (run.stopped.is_none()).then_some(Order::Stop(target));
         }
         if phase == Phase::Starting {
+            if !worker.answers(now, FRESH_MS) {
+                return None;
+            }
             return self.start(key, target, now);
         }
         let wanted = self.runs[key].wanted_pace;
--- /dev/null
+++ b/testsuite/tests/testsuite/dispatch/load.rs
@@ -0,0 +1,134 @@
+//! The loads that each decision answers, replayed.
+
+use super::world::{World, filler, job, standing, step};
+
+/// Eight standing jobs that fit nowhere must not hold up what stands behind them.
+#[test]
+fn steps_without_a_place_hold_up_nothing_else() {
+    let mut world = World::new(4);
+    for number in 0..10 {
+        world.submit(number, "push", job(vec![standing(1, 15, "large")]));
+    }
+    world.run(1_000);
+    let small = world.submit(100, "push", job(vec![step(4, 1, 300)]));
+    world.run(1_500);
+    assert!(world.finished.contains_key(&small));
+}
+
+/// Harmful fillers beside many standing tasks: tails are relieved within the bound
+/// of three and a half seconds, and the batch work is finished.
+#[test]
+fn harmful_fillers_are_kept_from_the_images_they_slow() {
+    let mut world = World::new(8);
+    let pair = ("heavy".to_owned(), "weak".to_owned());
+    world.harm.insert(pair, 12.0);
+    for number in 0..3 {
+        world.submit(number, "push", job(vec![standing(3, 4, "weak")]));
+        world.submit(10 + number, "push", job(vec![standing(3, 4, "strong")]));
+    }
+    world.run(1_500);
+    let mut fillers = Vec::new();
+    for wave in 0..10 {
+        let image = if wave % 2 == 0 { "heavy" } else { "light" };
+        fillers.push(world.submit(100 + wave, "batch", job(vec![filler(4, 2, 1_500, image)])));
+        world.run(1_000);
+    }
+    let learning = world.over_ms;
+    for wave in 0..10 {
+        fillers.push(world.submit(200 + wave, "batch", job(vec![filler(4, 2, 1_500, "heavy")])));
+        world.run(1_000);
+    }
+    let learned = world.over_ms - learning;
+    world.run(6_000);
+    let done = fillers.iter().filter(|id| world.finished.contains_key(id));
+    assert_eq!(done.count(), fillers.len());
+    // Nine standing tasks of the image, twenty seconds.
+    assert!(learned <= 9 * 20_000 / 100, "{learned} ms over the target");
+}
+
+/// What was learned of images is still known after a change of the owner.
+#[test]
+fn learned_pressures_survive_a_change_of_the_owner() {
+    let mut world = World::new(2);
+    let pair = ("heavy".to_owned(), "weak".to_owned());
+    world.harm.insert(pair, 12.0);
+    world.submit(1, "push", job(vec![standing(6, 4, "weak")]));
+    world.run(1_000);
+    for wave in 0..6 {
+        world.submit(100 + wave, "batch", job(vec![filler(2, 2, 1_500, "heavy")]));
+        world.run(1_500);
+    }
+    let learned = world.dispatcher.learned();
+    let heavy = learned.iter().find(|pressure| pressure.0 == "heavy");
+    assert!(
+        heavy.is_some_and(|pressure| pressure.2 > 2.0),
+        "{learned:?}"
+    );
+    world.take_over();
+    world.dispatcher.relearn(&learned);
+    assert_eq!(world.dispatcher.learned(), learned);
+}
+
+/// A tenth of the workers turns six times slower, while their looks are answered.
+#[test]
+fn tasks_on_slow_workers_are_overtaken() {
+    let mut world = World::new(10);
+    world.run(500);
+    world.workers.get_mut("w03").unwrap().speed = 0.15;
+    let mut jobs = Vec::new();
+    for number in 0..12 {
+        jobs.push((
+            world.submit(number, "push", job(vec![step(10, 1, 1_000)])),
+            world.now,
+        ));
+        world.run(300);
+    }
+    world.run(5_000);
+    for (id, since) in jobs {
+        let took = world.finished.get(&id).map(|at| at - since);
+        assert!(took.is_some_and(|took| took <= 3_500), "{took:?}");
+    }
+}
+
+/// One worker fails all that it starts, and looks idle for it.
+#[test]
+fn a_worker_that_fails_everything_gets_little() {
+    let mut world = World::new(6);
+    world.run(500);
+    world.workers.get_mut("w02").unwrap().failing = true;
+    for number in 0..40 {
+        world.submit(number, "push", job(vec![step(4, 1, 400)]));
+        world.run(150);
+    }
+    world.run(2_000);
+    let wasted = world.starts.iter().filter(|start| start.worker == "w02");
+    assert!(wasted.count() <= 20, "a sixth would be 27 and more");
+    assert_eq!(world.finished.len(), 40);
+}
+
+/// Tasks on a worker stand still for good.
+#[test]
+fn tasks_that_stand_still_start_elsewhere() {
+    let mut world = World::new(4);
+    world.run(500);
+    world.workers.get_mut("w01").unwrap().speed = 0.0;
+    let id = world.submit(1, "push", job(vec![step(8, 4, 1_000)]));
+    world.run(5_000);
+    assert!(world.finished.contains_key(&id));
+}
+
+/// A burst of batch work of three times what is idle: the order is kept, and what
+/// runs gets its processors whole.
+#[test]
+fn a_burst_is_worked_off_in_order() {
+    let mut world = World::new(4);
+    world.run(500);
+    let jobs: Vec<_> = (0..12)
+        .map(|number| world.submit(number, "batch", job(vec![filler(8, 2, 1_000, "f")])))
+        .collect();
+    world.run(1_500);
+    let early = jobs.iter().filter(|id| world.finished.contains_key(id));
+    assert!(early.count() >= 3, "shared out, none would be finished yet");
+    world.run(5_000);
+    assert_eq!(world.finished.len(), 12);
+}
--- /dev/null
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -0,0 +1,107 @@
+//! Lost workers, and changes of the owner.
+
+use verbenahitch::dispatch::JobState;
+
+use super::world::{BOUNDS, World, job, step};
+
+#[test]
+fn tasks_of_a_silent_worker_start_elsewhere_only_after_their_lease() {
+    let mut world = World::new(3);
+    let id = world.submit(1, "push", job(vec![step(1, 1, 20_000)]));
+    world.run(1_000);
+    let place = world.starts_of(id)[0].worker.clone();
+    world.workers.get_mut(&place).unwrap().silent = true;
+    let cut = world.now;
+    world.run(8_000);
+    let starts = world.starts_of(id);
+    assert_eq!(starts.len(), 2);
+    let held = world.workers[&place].lease_end;
+    assert!(starts[1].at >= held, "the first run may still be at work");
+    assert!(starts[1].at <= cut + BOUNDS.lease_ms + 500);
+}
+
+#[test]
+fn a_successor_goes_on_with_what_runs() {
+    let mut world = World::new(3);
+    let id = world.submit(1, "batch", job(vec![step(4, 1, 3_000)]));
+    world.run(1_000);
+    world.take_over();
+    world.run(4_000);
+    assert_eq!(world.starts_of(id).len(), 4);
+    assert_eq!(world.state(id), Some(JobState::Completed));
+}
+
+#[test]
+fn a_successor_starts_what_its_predecessor_recorded_and_never_ordered() {
+    let mut world = World::new(3);
+    world.run(500);
+    let id = world.submit(1, "batch", job(vec![step(2, 1, 500)]));
+    // Up to the commit of the assignment, but not to the order.
+    while world.records.is_empty() {
+        world.run(5);
+    }
+    for worker in world.workers.values_mut() {
+        worker.runs.clear();
+    }
+    world.starts.clear();
+    world.take_over();
+    world.run(2_000);
+    assert_eq!(world.starts_of(id).len(), 2);
+    assert!(world.starts_of(id).iter().all(|start| start.run == 2));
+    assert_eq!(world.state(id), Some(JobState::Completed));
+}
+
+#[test]
+fn a_successor_waits_for_the_lease_of_a_worker_that_it_cannot_reach() {
+    let mut world = World::new(4);
+    let id = world.submit(1, "batch", job(vec![step(1, 1, 30_000)]));
+    world.run(1_000);
+    let place = world.starts_of(id)[0].worker.clone();
+    world.workers.get_mut(&place).unwrap().silent = true;
+    world.take_over();
+    let taken = world.now;
+    world.run(12_000);
+    let starts = world.starts_of(id);
+    assert_eq!(starts.len(), 2);
+    assert!(starts[1].at >= taken + BOUNDS.lease_ms + BOUNDS.quorum_ms);
+}
+
+#[test]
+fn an_owner_without_store_and_most_workers_extends_nothing() {
+    let mut world = World::new(4);
+    world.submit(1, "batch", job(vec![step(4, 6, 60_000)]));
+    world.run(1_000);
+    world.store = false;
+    for name in ["w00", "w01", "w02"] {
+        world.workers.get_mut(name).unwrap().silent = true;
+    }
+    world.run(3_500);
+    let held = world.workers["w03"].lease_end;
+    world.run(1_000);
+    assert_eq!(world.workers["w03"].lease_end, held);
+}
+
+#[test]
+fn an_owner_without_the_store_goes_on_with_most_workers() {
+    let mut world = World::new(4);
+    let id = world.submit(1, "batch", job(vec![step(2, 6, 60_000)]));
+    world.run(1_000);
+    world.store = false;
+    world.run(10_000);
+    assert_eq!(world.places(id).len(), 2);
+    assert_eq!(world.starts_of(id).len(), 2);
+}
+
+#[test]
+fn an_owner_that_a_worker_has_fenced_orders_nothing() {
+    let mut world = World::new(2);
+    world.run(500);
+    for worker in world.workers.values_mut() {
+        worker.fence = 9;
+    }
+    world.run(2_000);
+    assert!(world.dispatcher.is_fenced());
+    let id = world.submit(1, "push", job(vec![step(1, 1, 300)]));
+    world.run(1_000);
+    assert!(world.starts_of(id).is_empty());
+}
--- /dev/null
+++ b/testsuite/tests/testsuite/dispatch/world.rs
@@ -0,0 +1,541 @@
+//! Workers and a store as the dispatcher sees them, on a clock set by hand.
+//!
+//! The model of work is one page: a run works at its worker's speed, a filler at
+//! its pace, and the tail of a standing task grows by the logarithm of the shares
+//! of the fillers that harm its image. The dispatcher sees only reports.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use verbenahitch::dispatch::{
+    Amount, Bounds, CallFailure, Dispatcher, EndCause, EndedEntry, JobId, JobRecord, JobSpec,
+    JobState, Look, Now, Order, Queue, Report, RunKey, RunningEntry, Start, StepSpec, Target,
+    TaskId, WorkerInfo, WorkerKey, Write,
+};
+use verbenahitch::domain::{Millis, Monotonic};
+
+/// One step of the clock in milliseconds.
+const TICK_MS: Millis = 5;
+
+/// Way to a worker and back, and of a commit, in milliseconds.
+const CALL_MS: Millis = 5;
+
+/// Tail over target of a standing task alone.
+const ALONE: f64 = 0.4;
+
+pub const TARGET_MS: Millis = 20;
+
+pub struct FakeRun {
+    pub task: TaskId,
+    pub run: u32,
+    pub worked_ms: f64,
+    pub pace: u8,
+}
+
+#[derive(Default)]
+pub struct FakeWorker {
+    pub info: WorkerInfo,
+    pub runs: Vec<FakeRun>,
+    pub ended: Vec<EndedEntry>,
+    pub ends: u64,
+    pub fence: u64,
+    pub lease_end: Millis,
+    /// Does not answer, but works on.
+    pub silent: bool,
+    /// Carries starts out without answering them.
+    pub mute_starts: bool,
+    pub failing: bool,
+    pub speed: f64,
+}
+
+enum Event {
+    Looked(WorkerKey, Result<Report, CallFailure>),
+    Started(RunKey, Result<Millis, CallFailure>),
+    Stopped(RunKey, Result<Millis, CallFailure>),
+    Paced(RunKey, u8),
+    Written,
+}
+
+/// A start that a worker carried out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Started {
+    pub at: Millis,
+    pub task: TaskId,
+    pub run: u32,
+    pub worker: String,
+}
+
+pub struct World {
+    pub now: Millis,
+    pub dispatcher: Dispatcher,
+    pub workers: BTreeMap<String, FakeWorker>,
+    pub specs: BTreeMap<JobId, JobSpec>,
+    /// Growth of tails for a whole worker, by image of filler and standing task.
+    pub harm: BTreeMap<(String, String), f64>,
+    pub starts: Vec<Started>,
+    pub records: BTreeMap<JobId, Write>,
+    /// Whether the store answers.
+    pub store: bool,
+    pub acked: BTreeMap<String, u64>,
+    pub fence: u64,
+    /// Milliseconds that standing tasks were over their target.
+    pub over_ms: Millis,
+    pub finished: BTreeMap<JobId, Millis>,
+    looks: Vec<(Millis, Look)>,
+    events: Vec<(Millis, Event)>,
+    writing: Vec<Write>,
+}
+
+pub fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        pool: "pool".to_owned(),
+        priority,
+        attempts: 3,
+        stretch: 2.0,
+        target_ms: 500,
+    }
+}
+
+pub fn step(count: u32, cores: u64, estimate_ms: Millis) -> StepSpec {
+    StepSpec {
+        count,
+        amount: Amount {
+            cpu_milli: cores * 1_000,
+            memory_mb: 100,
+            gpus: 0,
+        },
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+pub fn filler(count: u32, cores: u64, estimate_ms: Millis, image: &str) -> StepSpec {
+    StepSpec {
+        filler: true,
+        checkpoints: true,
+        image: image.to_owned(),
+        ..step(count, cores, estimate_ms)
+    }
+}
+
+pub fn standing(count: u32, cores: u64, image: &str) -> StepSpec {
+    StepSpec {
+        standing: true,
+        image: image.to_owned(),
+        target_ms: TARGET_MS,
+        ..step(count, cores, 500)
+    }
+}
+
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        payload: "input".into(),
+        steps,
+        repeat: None,
+    }
+}
+
+pub const BOUNDS: Bounds = Bounds {
+    lease_ms: 4_000,
+    quorum_ms: 1_500,
+    relist_ms: 2_500,
+};
+
+impl World {
+    /// A world with `count` workers of 16 cores.
+    pub fn new(count: usize) -> Self {
+        let mut world = Self {
+            now: 10_000,
+            dispatcher: Dispatcher::new(BOUNDS, Monotonic(10_000)),
+            workers: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            harm: BTreeMap::new(),
+            starts: Vec::new(),
+            records: BTreeMap::new(),
+            store: true,
+            acked: BTreeMap::new(),
+            fence: 1,
+            over_ms: 0,
+            finished: BTreeMap::new(),
+            looks: Vec::new(),
+            events: Vec::new(),
+            writing: Vec::new(),
+        };
+        for number in 0..count {
+            world.add_worker(&format!("w{number:02}"), 16);
+        }
+        world.declare();
+        world
+    }
+
+    fn declare(&mut self) {
+        self.dispatcher
+            .declare(&[queue("push", 0), queue("batch", 2)], &[]);
+    }
+
+    pub fn add_worker(&mut self, name: &str, cores: u64) {
+        let info = WorkerInfo {
+            name: name.to_owned(),
+            pool: "pool".to_owned(),
+            address: format!("{name}:1"),
+            zone: "zone".to_owned(),
+            capacity: Amount {
+                cpu_milli: cores * 1_000,
+                memory_mb: 64_000,
+                gpus: 0,
+            },
+            born: 1,
+            ..WorkerInfo::default()
+        };
+        self.dispatcher
+            .list_worker(info.clone(), Monotonic(self.now));
+        let worker = FakeWorker {
+            info,
+            speed: 1.0,
+            ..FakeWorker::default()
+        };
+        self.workers.insert(name.to_owned(), worker);
+    }
+
+    pub fn clock(&self) -> Now {
+        Now {
+            at: Monotonic(self.now),
+            wall_ms: self.now,
+        }
+    }
+
+    pub fn record(&self, name: &str, spec: &JobSpec) -> JobRecord {
+        JobRecord {
+            queue: queue(name, if name == "push" { 0 } else { 2 }),
+            spec: spec.clone(),
+            accepted_ms: self.now,
+        }
+    }
+
+    pub fn submit(&mut self, id: u64, name: &str, spec: JobSpec) -> JobId {
+        let id = JobId(id);
+        let record = self.record(name, &spec);
+        self.specs.insert(id, spec);
+        let now = self.clock();
+        self.dispatcher.submit(id, record, now);
+        id
+    }
+
+    /// Replaces the owner: a new one knows the records and the registry.
+    pub fn take_over(&mut self) {
+        self.fence += 1;
+        self.looks.clear();
+        self.events.clear();
+        self.writing.clear();
+        self.dispatcher = Dispatcher::new(BOUNDS, Monotonic(self.now));
+        self.declare();
+        for worker in self.workers.values() {
+            self.dispatcher
+                .list_worker(worker.info.clone(), Monotonic(self.now));
+        }
+        let now = self.clock();
+        for (id, spec) in &self.specs {
+            let record = self.record("batch", spec);
+            let progress = self.records.get(id).map(|write| write.record.clone());
+            self.dispatcher.recover(*id, record, progress, now);
+        }
+    }
+
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        self.dispatcher.state(id)
+    }
+
+    pub fn starts_of(&self, id: JobId) -> Vec<&Started> {
+        let starts = self.starts.iter();
+        starts.filter(|start| start.task.job == id).collect()
+    }
+
+    /// Workers on which a job has runs.
+    pub fn places(&self, id: JobId) -> BTreeSet<&str> {
+        let workers = self.workers.values();
+        let has = |worker: &&FakeWorker| worker.runs.iter().any(|run| run.task.job == id);
+        workers
+            .filter(has)
+            .map(|worker| worker.info.name.as_str())
+            .collect()
+    }
+
+    pub fn run(&mut self, millis: Millis) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK_MS;
+        self.work();
+        self.answer_looks();
+        self.deliver();
+        if self.store {
+            self.dispatcher.confirm(Monotonic(self.now));
+        }
+        for order in self.dispatcher.pass(self.clock()) {
+            self.carry_out(order);
+        }
+        if self.store && self.writing.is_empty() {
+            self.writing = self.dispatcher.take_writes(16);
+            if !self.writing.is_empty() {
+                self.events.push((self.now + CALL_MS, Event::Written));
+            }
+        }
+        for (id, _) in &self.specs {
+            if self.dispatcher.state(*id) == Some(JobState::Completed) {
+                self.finished.entry(*id).or_insert(self.now);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.events)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.events = later;
+        let due: Vec<(Millis, Event)> = due;
+        let at = Monotonic(now);
+        for (_, event) in due {
+            match event {
+                Event::Looked(key, result) => self.dispatcher.looked(key, result, at),
+                Event::Started(key, result) => self.dispatcher.started(key, result, at),
+                Event::Stopped(key, result) => self.dispatcher.stopped(key, result, at),
+                Event::Paced(key, percent) => {
+                    self.dispatcher.paced(key, percent, Ok(now), at);
+                }
+                Event::Written => {
+                    for write in std::mem::take(&mut self.writing) {
+                        self.records.insert(write.job, write);
+                    }
+                    self.dispatcher.written(at);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        let at = self.now + CALL_MS;
+        match order {
+            Order::Look(look) => {
+                self.acked.insert(look.name.clone(), look.acked);
+                self.looks.push((self.now + look.wait_ms, look));
+            }
+            Order::Start(start) => {
+                let key = start.target.key;
+                let result = self.start(&start);
+                self.events.push((at, Event::Started(key, result)));
+            }
+            Order::Stop(target) => {
+                let result = self.stop(&target);
+                self.events.push((at, Event::Stopped(target.key, result)));
+            }
+            Order::Pace(target, percent) => {
+                let worker = self.workers.get_mut(&target.name).unwrap();
+                let run = worker.runs.iter_mut().find(|run| run.task == target.task);
+                if let Some(run) = run {
+                    run.pace = percent;
+                }
+                self.events.push((at, Event::Paced(target.key, percent)));
+            }
+        }
+    }
+
+    fn start(&mut self, start: &Start) -> Result<Millis, CallFailure> {
+        let now = self.now;
+        let worker = self.workers.get_mut(&start.target.name).unwrap();
+        if worker.silent {
+            return Err(CallFailure::Unanswered("silent".to_owned()));
+        }
+        worker.lease_end = worker.lease_end.max(start.lease_end);
+        let (task, run) = (start.target.task, start.target.run);
+        if !worker.runs.iter().any(|held| held.task == task) {
+            worker.runs.push(FakeRun {
+                task,
+                run,
+                worked_ms: start.checkpoint.parse().unwrap_or(0.0),
+                pace: 100,
+            });
+            self.starts.push(Started {
+                at: now,
+                task,
+                run,
+                worker: start.target.name.clone(),
+            });
+        }
+        if worker.mute_starts {
+            return Err(CallFailure::Unanswered("mute".to_owned()));
+        }
+        Ok(now)
+    }
+
+    fn stop(&mut self, target: &Target) -> Result<Millis, CallFailure> {
+        let worker = self.workers.get_mut(&target.name).unwrap();
+        if worker.silent {
+            return Err(CallFailure::Unanswered("silent".to_owned()));
+        }
+        worker.end(target.task, EndCause::Stopped);
+        Ok(self.now)
+    }
+
+    fn answer_looks(&mut self) {
+        let now = self.now;
+        let looks = std::mem::take(&mut self.looks);
+        for (due, look) in looks {
+            let worker = &self.workers[&look.name];
+            let has_end = worker.ended.iter().any(|end| end.number > look.acked);
+            if !worker.silent && !has_end && now < due {
+                self.looks.push((due, look));
+                continue;
+            }
+            let result = self.report(&look);
+            self.events
+                .push((now + CALL_MS, Event::Looked(look.worker, result)));
+        }
+    }
+
+    fn report(&mut self, look: &Look) -> Result<Report, CallFailure> {
+        let fence = self.fence;
+        let tails = self.tails(&look.name);
+        let worker = self.workers.get_mut(&look.name).unwrap();
+        if worker.silent {
+            return Err(CallFailure::Unanswered("silent".to_owned()));
+        }
+        if fence < worker.fence {
+            return Err(CallFailure::Fenced);
+        }
+        worker.fence = fence;
+        worker.lease_end = worker.lease_end.max(look.lease_end.unwrap_or(0));
+        worker.ended.retain(|end| end.number > look.acked);
+        let specs = &self.specs;
+        let running = worker.runs.iter().zip(tails).map(|(run, tail)| {
+            let spec = &specs[&run.task.job].steps[run.task.step as usize];
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                clippy::cast_precision_loss,
+                reason = "a percentage"
+            )]
+            let percent = (run.worked_ms * 100.0 / spec.estimate_ms as f64) as u8;
+            RunningEntry {
+                task: run.task,
+                run: run.run,
+                checkpoint: if spec.checkpoints {
+                    run.worked_ms.to_string()
+                } else {
+                    String::new()
+                },
+                percent: if spec.standing { 100 } else { percent.min(99) },
+                figure: tail,
+            }
+        });
+        Ok(Report {
+            born: worker.info.born,
+            clock_ms: self.now,
+            running: running.collect(),
+            ended: worker.ended.clone(),
+        })
+    }
+
+    /// Tails of the standing tasks of a worker, zero for its other runs.
+    fn tails(&self, name: &str) -> Vec<Millis> {
+        let worker = &self.workers[name];
+        let spec = |run: &FakeRun| &self.specs[&run.task.job].steps[run.task.step as usize];
+        let share = |run: &FakeRun| {
+            #[expect(clippy::cast_precision_loss, reason = "a few cores")]
+            let share = spec(run).amount.cpu_milli as f64 / worker.info.capacity.cpu_milli as f64;
+            share * f64::from(run.pace) / 100.0
+        };
+        let tail = |run: &FakeRun| {
+            let own = spec(run);
+            if !own.standing {
+                return 0;
+            }
+            let fillers = worker.runs.iter().filter(|run| spec(run).filler);
+            let growth: f64 = fillers
+                .map(|filler| {
+                    let pair = (spec(filler).image.clone(), own.image.clone());
+                    self.harm.get(&pair).copied().unwrap_or(0.0) * share(filler)
+                })
+                .sum();
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                clippy::cast_precision_loss,
+                reason = "a few hundred milliseconds"
+            )]
+            let tail = (TARGET_MS as f64 * ALONE * growth.exp()) as Millis;
+            tail
+        };
+        worker.runs.iter().map(tail).collect()
+    }
+
+    fn work(&mut self) {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            let over = self.tails(&name).iter().filter(|t| **t > TARGET_MS).count();
+            self.over_ms += over as Millis * TICK_MS;
+            let worker = self.workers.get_mut(&name).unwrap();
+            if worker.lease_end < self.now && worker.lease_end > 0 {
+                for task in worker.tasks() {
+                    worker.end(task, EndCause::Lapsed);
+                }
+            }
+            let (speed, failing) = (worker.speed, worker.failing);
+            let mut ends = Vec::new();
+            for run in &mut worker.runs {
+                let spec = &self.specs[&run.task.job].steps[run.task.step as usize];
+                #[expect(clippy::cast_precision_loss, reason = "a few milliseconds")]
+                let tick = TICK_MS as f64;
+                run.worked_ms += tick * speed * f64::from(run.pace) / 100.0;
+                #[expect(clippy::cast_precision_loss, reason = "a few seconds")]
+                let whole = spec.estimate_ms as f64;
+                if failing && run.worked_ms > whole / 4.0 {
+                    ends.push((run.task, EndCause::Failed));
+                } else if !spec.standing && run.worked_ms >= whole {
+                    ends.push((run.task, EndCause::Done));
+                }
+            }
+            for (task, cause) in ends {
+                worker.end(task, cause);
+            }
+        }
+    }
+}
+
+impl FakeWorker {
+    fn tasks(&self) -> Vec<TaskId> {
+        self.runs.iter().map(|run| run.task).collect()
+    }
+
+    fn end(&mut self, task: TaskId, cause: EndCause) {
+        let Some(index) = self.runs.iter().position(|run| run.task == task) else {
+            return;
+        };
+        let run = self.runs.remove(index);
+        self.ends += 1;
+        self.ended.push(EndedEntry {
+            number: self.ends,
+            task,
+            run: run.run,
+            cause,
+            checkpoint: String::new(),
+        });
+    }
+
+    /// Cores that its runs commit, without fillers.
+    pub fn committed(&self, specs: &BTreeMap<JobId, JobSpec>) -> u64 {
+        let spec = |run: &FakeRun| &specs[&run.task.job].steps[run.task.step as usize];
+        let cores = |run: &FakeRun| {
+            if spec(run).filler {
+                0
+            } else {
+                spec(run).amount.cpu_milli / 1_000
+            }
+        };
+        self.runs.iter().map(cores).sum()
+    }
+}
--- a/testsuite/tests/testsuite/main.rs
+++ b/testsuite/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of verbenahitch by feature.
 
+mod dispatch;
 mod gateway;
 mod interference;
 mod membership;
