--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -225,16 +225,14 @@
             worker.relief.changed = Some(now);
         }
         let name = worker.info.name.clone();
-        match cause {
-            EndCause::Done => health::done(worker),
-            EndCause::Failed => {
-                if health::failed(worker, run.task.job, now) {
-                    Entry::new(Kind::WorkerQuarantined)
-                        .with("worker", &name)
-                        .emit();
-                }
-            }
-            _ => {}
+        if cause == EndCause::Done {
+            health::done(worker);
+        }
+        let is_sick = cause == EndCause::Failed && health::failed(worker, run.task.job, now);
+        if is_sick {
+            Entry::new(Kind::WorkerQuarantined)
+                .with("worker", &name)
+                .emit();
         }
         Entry::new(Kind::TaskEnded)
             .with_text("task", run.task)
@@ -336,9 +334,9 @@
             let run = &mut self.runs[key];
             run.stop = true;
             run.retry_at = now;
-            if run.phase == Phase::Recording {
-                self.end(key, EndCause::Stopped, "", now);
-            } else if run.phase == Phase::Starting && run.tries == 0 {
+            // What was never ordered has nothing to stop.
+            let is_ordered = run.phase == Phase::Live || run.tries > 0;
+            if !is_ordered {
                 self.end(key, EndCause::Stopped, "", now);
             }
         }
--- a/crates/verbenahitch/src/entry/owner.rs
+++ b/crates/verbenahitch/src/entry/owner.rs
@@ -571,9 +571,7 @@
                 log::info!("a commit is repeated: {error}");
                 let sender = self.sender.clone();
                 let kv = self.shared.platform.kv().clone();
-                let Some((transaction, _)) = self.commit.clone() else {
-                    return None;
-                };
+                let (transaction, _) = self.commit.clone()?;
                 self.calls.spawn_local(async move {
                     follow::pause().await;
                     let result = kv.commit(&transaction).await;
--- a/testsuite/tests/testsuite/dispatch/world.rs
+++ b/testsuite/tests/testsuite/dispatch/world.rs
@@ -284,7 +284,7 @@
                 self.events.push((self.now + CALL_MS, Event::Written));
             }
         }
-        for (id, _) in &self.specs {
+        for id in self.specs.keys() {
             if self.dispatcher.state(*id) == Some(JobState::Completed) {
                 self.finished.entry(*id).or_insert(self.now);
             }
