Log to standard output through a bounded queue; count and time what is done

Cause: lines were written to standard error by the deciding thread, one call each. Change: one thread writes many lines at once and drops, counted, what nobody reads; counters and histograms for answers, orders and commits.

--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod lead;
 mod link;
 mod node;
+pub mod observe;
 mod owner;
 mod pause;
 
--- a/crates/verbenahitch/src/entry/owner.rs
+++ b/crates/verbenahitch/src/entry/owner.rs
@@ -10,6 +10,7 @@
 use super::keys::{self, IntakeKey, JobEntry};
 use super::lead::{LEASE_MS, Term};
 use super::node::Shared;
+use super::observe;
 use super::pause::PauseDetector;
 use crate::collections::HashMap;
 use crate::dispatch::{
@@ -453,6 +454,7 @@
         let sender = self.sender.clone();
         let fence = self.term.fence;
         self.calls.spawn_local(async move {
+            let began = Instant::now();
             let event = match order {
                 Order::Look(look) => {
                     OwnerEvent::Looked(look.worker, platform.look(&look, fence).await)
@@ -468,6 +470,14 @@
                     OwnerEvent::Paced(target.key, percent, result)
                 }
             };
+            let (kind, is_ok) = match &event {
+                OwnerEvent::Looked(_, result) => ("look", result.is_ok()),
+                OwnerEvent::Started(_, result) => ("start", result.is_ok()),
+                OwnerEvent::Stopped(_, result) => ("stop", result.is_ok()),
+                OwnerEvent::Paced(_, _, result) => ("pace", result.is_ok()),
+                _ => ("other", true),
+            };
+            observe::ordered(kind, is_ok, began.elapsed());
             // The loop may have ended meanwhile.
             let _ = sender.send(event);
         });
@@ -517,6 +527,8 @@
             return;
         }
         self.learned_at = now;
+        let (workers, runs) = self.dispatcher.counts(now);
+        observe::owned(workers, runs);
         let learned = self.dispatcher.learned();
         if learned != self.learned {
             transaction.puts.push(Put {
@@ -543,6 +555,9 @@
 
     fn committed(&mut self, result: Result<u64, KvError>) -> Option<Outcome> {
         let now = self.clock.now();
+        if let Some((_, since)) = &self.commit {
+            observe::committed(result.is_ok(), since.elapsed());
+        }
         match result {
             Ok(revision) => {
                 self.commit_revision = revision;
--- a/crates/verbenahitch/src/event/logger.rs
+++ b/crates/verbenahitch/src/event/logger.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use super::queue::{self, LogGuard};
+
 /// Least level that is written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -46,6 +48,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// The thread that writes the log cannot be started.
+    #[snafu(display("the log cannot be written: {source}"))]
+    Thread {
+        /// Cause.
+        source: std::io::Error,
+    },
     /// A log was set up before.
     #[snafu(display("a log is set up already"))]
     Twice {
@@ -60,11 +68,38 @@
 ///
 /// When the file cannot be opened, or a log is set up already.
 pub fn start_logging(process: &str, level: Level, file: Option<&Path>) -> Result<(), LogError> {
+    let dispatch = dispatch(process, level);
+    let dispatch = match file {
+        Some(path) => dispatch.chain(fern::log_file(path).context(OpenSnafu { path })?),
+        None => dispatch.chain(std::io::stderr()),
+    };
+    dispatch.apply().context(TwiceSnafu)
+}
+
+/// Writes log lines at `level` and above to standard output without ever waiting
+/// for its reader; dropping the guard writes what is queued.
+///
+/// # Errors
+///
+/// When the writing thread cannot be started, or a log is set up already.
+pub fn start_queued_logging(process: &str, level: Level) -> Result<LogGuard, LogError> {
+    let (writer, guard) = queue::start(std::io::stdout()).context(ThreadSnafu)?;
+    let writer: Box<dyn std::io::Write + Send> = Box::new(writer);
+    let dispatch = dispatch(process, level).chain(fern::Output::writer(writer, "\n"));
+    dispatch.apply().context(TwiceSnafu)?;
+    Ok(guard)
+}
+
+/// One JSON object a line.
+fn dispatch(process: &str, level: Level) -> fern::Dispatch {
     let process = serde_json::Value::from(process).to_string();
-    let dispatch = fern::Dispatch::new()
+    fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
+        // Rocket warns of each answer that a handler made itself.
+        .level_for("rocket", log::LevelFilter::Error)
         .level_for("event", level.into())
         .level_for("verbenahitch", level.into())
+        .level_for("verbenahitch_platform", level.into())
         .format(move |out, message, record| {
             let time = SystemTime::now()
                 .duration_since(UNIX_EPOCH)
@@ -80,10 +115,5 @@
                     r#"{{"time":{time},"level":"{level}","process":{process},"text":{text}}}"#
                 ));
             }
-        });
-    let dispatch = match file {
-        Some(path) => dispatch.chain(fern::log_file(path).context(OpenSnafu { path })?),
-        None => dispatch.chain(std::io::stderr()),
-    };
-    dispatch.apply().context(TwiceSnafu)
+        })
 }
--- a/crates/verbenahitch/src/event/mod.rs
+++ b/crates/verbenahitch/src/event/mod.rs
@@ -6,7 +6,9 @@
 mod entry;
 mod kind;
 mod logger;
+mod queue;
 
 pub use entry::Entry;
 pub use kind::Kind;
-pub use logger::{Level, LogError, start_logging};
+pub use logger::{Level, LogError, start_logging, start_queued_logging};
+pub use queue::LogGuard;
