--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -128,6 +128,7 @@
                             age_ms: now.since(job.arrived),
                             left_ms: job.chains[step as usize],
                             objective_ms: stretched + terms.target_ms,
+                            lasting: spec.standing,
                         },
                         job: *id,
                         round: round.number,
@@ -227,6 +228,11 @@
         if std::mem::replace(&mut state.is_noted, true) {
             return;
         }
+        let free = self
+            .workers
+            .values()
+            .map(|worker| worker.info.capacity.less(worker.committed));
+        let most = free.max_by_key(|free| free.cpu_milli).unwrap_or_default();
         Entry::new(Kind::Waiting)
             .with_text("job", step.job)
             .with("step", step.step)
@@ -234,6 +240,7 @@
             .with("no-label", misfits.label)
             .with("spread", misfits.spread)
             .with("no-room", misfits.room)
+            .with("most-free", most)
             .with("busy", misfits.busy)
             .with("harm", misfits.harm)
             .emit();
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -17,6 +17,10 @@
 /// half on the average, and some for the peaks of its load.
 const STANDING_USE: f64 = 0.5;
 
+/// Part of the memory beside free processors that fillers leave, as a divisor: other
+/// work needs about half of what a worker has for each processor.
+const RESERVE_DIVISOR: u64 = 2;
+
 /// Share of a filler's request that must be idle for it to start there.
 const FILLER_FIT: f64 = 0.9;
 
@@ -185,6 +189,10 @@
         if harm.is_too_much() {
             return Err(Misfit::Harm);
         }
+        let free = info.capacity.less(worker.committed);
+        if amount.memory_mb + reserve_mb(info.capacity, free) > free.memory_mb {
+            return Err(Misfit::Room);
+        }
         let idle = idle_milli(worker, load);
         let request = as_float(step.amount.cpu_milli);
         if idle < request * FILLER_FIT {
@@ -206,6 +214,11 @@
     Ok(distance + used + crowd + harm.cost())
 }
 
+/// Memory that fillers leave for the processors that are not committed, in MB.
+fn reserve_mb(capacity: Amount, free: Amount) -> u64 {
+    free.cpu_milli * capacity.memory_mb / capacity.cpu_milli.max(1) / RESERVE_DIVISOR
+}
+
 /// Cost of a worker for a standing task by the images that serve there: tasks of one
 /// image gather, so that a filler which harms it finds workers without it.
 fn apart(load: &Load, image: Option<ImageId>) -> f64 {
--- a/crates/verbenahitch/src/dispatch/wait.rs
+++ b/crates/verbenahitch/src/dispatch/wait.rs
@@ -32,11 +32,14 @@
     pub left_ms: Millis,
     /// Objective in milliseconds since acceptance.
     pub objective_ms: Millis,
+    /// Whether the step runs until it is cancelled: it loses by every moment.
+    pub lasting: bool,
 }
 
 /// What a job can still earn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Prospect {
+    Lasting,
     InTime,
     Starved,
     Late,
@@ -56,7 +59,9 @@
             reason = "durations are far below 2^52 ms"
         )]
         let is_lost = end as f64 > last;
-        if end <= self.objective_ms {
+        if self.lasting {
+            Prospect::Lasting
+        } else if end <= self.objective_ms {
             Prospect::InTime
         } else if self.age_ms > self.objective_ms + STARVATION_MS {
             Prospect::Starved
--- a/testsuite/tests/testsuite/dispatch/load.rs
+++ b/testsuite/tests/testsuite/dispatch/load.rs
@@ -132,3 +132,49 @@
     world.run(5_000);
     assert_eq!(world.finished.len(), 12);
 }
+
+/// Fillers with much memory on every worker, then urgent work that needs memory for
+/// the processors that are free.
+#[test]
+fn fillers_leave_memory_for_the_processors_that_are_free() {
+    let mut world = World::new(4);
+    world.run(500);
+    let mut large = filler(24, 1, 4_000, "f");
+    large.amount.memory_mb = 12_000;
+    let batch = world.submit(1, "batch", job(vec![large]));
+    world.run(1_000);
+    let mut urgent = step(8, 4, 500);
+    urgent.amount.memory_mb = 8_000;
+    let since = world.now;
+    let push = world.submit(2, "push", job(vec![urgent]));
+    world.run(1_500);
+    let took = world.finished.get(&push).map(|at| at - since);
+    assert!(took.is_some_and(|took| took <= 1_000), "{took:?}");
+    world.run(15_000);
+    assert!(world.finished.contains_key(&batch));
+}
+
+/// Every processor is committed, fresh urgent work never stops, and a standing task
+/// fails that was submitted long ago.
+#[test]
+fn a_standing_task_that_fails_gets_the_next_place() {
+    let mut world = World::new(2);
+    let lasting = world.submit(1, "push", job(vec![standing(2, 4, "s")]));
+    world.run(5_000);
+    let mut count = 0;
+    let mut press = |world: &mut World, millis: u64| {
+        for _ in 0..millis / 100 {
+            count += 1;
+            world.submit(100 + count, "push", job(vec![step(2, 4, 600)]));
+            world.run(100);
+        }
+    };
+    press(&mut world, 1_000);
+    let place = (*world.places(lasting).first().unwrap()).to_owned();
+    world.workers.get_mut(&place).unwrap().failing = true;
+    press(&mut world, 300);
+    world.workers.get_mut(&place).unwrap().failing = false;
+    press(&mut world, 2_500);
+    let running = world.workers.values().flat_map(|worker| &worker.runs);
+    assert_eq!(running.filter(|run| run.task.job == lasting).count(), 2);
+}
--- a/testsuite/tests/testsuite/dispatch/order.rs
+++ b/testsuite/tests/testsuite/dispatch/order.rs
@@ -16,6 +16,7 @@
     age_ms: 0,
     left_ms: 1_000,
     objective_ms: 3_000,
+    lasting: false,
 };
 
 #[test_case(Case {
@@ -38,6 +39,10 @@
     first: Standing { age_ms: 9_500, ..FRESH },
     second: Standing { age_ms: 4_000, ..FRESH },
 }; "what has waited very long goes before what is late")]
+#[test_case(Case {
+    first: Standing { age_ms: 60_000, lasting: true, ..FRESH },
+    second: Standing { age_ms: 2_000, ..FRESH },
+}; "a lasting task that is away goes before all of its priority")]
 fn goes_before(case: Case) {
     assert_eq!(case.first.compare(&case.second), Ordering::Less);
     assert_eq!(case.second.compare(&case.first), Ordering::Greater);
