--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -1,9 +1,8 @@
 //! Looks at workers: what they extend, and what their answers tell.
 
-use super::press::{Act, Filler, ImageId, Serving};
 use super::report::{CallFailure, EndCause, Look, Order, Report, RunningEntry};
-use super::worker::{ListedEnd, Run, WorkerKey};
-use super::{Dispatcher, Phase, RunKey, StepSpec, TaskId, health, place};
+use super::worker::{ListedEnd, WorkerKey};
+use super::{Dispatcher, Phase, RunKey, TaskId, health};
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
@@ -27,11 +26,8 @@
 /// Most ends that a worker lists at once. From the workers' interface.
 const LISTED_ENDS: usize = 500;
 
-/// Time in which a tail or a new filler shows in a worker's figures, in milliseconds.
-const OBSERVE_MS: Millis = 500;
-
 /// Percent at which a standing task is at work.
-const AT_WORK: u8 = 100;
+pub(super) const AT_WORK: u8 = 100;
 
 impl Dispatcher {
     /// Looks that are due.
@@ -229,131 +225,6 @@
         runs.iter().find(is_it).copied()
     }
 
-    /// Relieves the standing tasks of a worker from the fillers beside them.
-    fn relieve(&mut self, key: WorkerKey, now: Monotonic) {
-        let (serving, fillers) = self.neighbours(key, now);
-        if fillers.is_empty() {
-            return;
-        }
-        let worker = &mut self.workers[key];
-        let is_settled =
-            !worker.relief.is_settling(now) && fillers.iter().all(|filler| filler.is_settled);
-        if is_settled && now.since(worker.observed) >= OBSERVE_MS {
-            worker.observed = now;
-            for task in &serving {
-                self.presses.observe(*task, &fillers);
-            }
-        }
-        let acts = self
-            .presses
-            .relieve(&mut worker.relief, &serving, &fillers, now);
-        for act in acts {
-            let (run, percent) = match act {
-                Act::Move(run) => (run, None),
-                Act::Pace(run, percent) => (run, Some(percent)),
-            };
-            let worst = serving.iter().map(|task| task.ratio).fold(0.0, f64::max);
-            let state = &mut self.runs[run];
-            Entry::new(Kind::Throttled)
-                .with_text("task", state.task)
-                .with("worker", &self.workers[key].info.name)
-                .with("percent", percent)
-                .with("tail-to-target", worst)
-                .emit();
-            match percent {
-                Some(percent) => state.wanted_pace = percent,
-                None => {
-                    state.stop = true;
-                    let task = state.task;
-                    if let Some(task) = self.task_mut(task) {
-                        task.avoid = Some(key);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Standing tasks with a target, and fillers, at work on a worker.
-    fn neighbours(&self, key: WorkerKey, now: Monotonic) -> (Vec<Serving>, Vec<Filler>) {
-        let (mut serving, mut fillers) = (Vec::new(), Vec::new());
-        let capacity = self.workers[key].info.capacity.cpu_milli;
-        for &run_key in &self.workers[key].runs {
-            let run = &self.runs[run_key];
-            let Some(spec) = self
-                .jobs
-                .get(&run.task.job)
-                .and_then(|job| job.step_spec(run.task.step))
-            else {
-                continue;
-            };
-            if run.stop || run.phase != Phase::Live {
-                continue;
-            }
-            if spec.filler {
-                fillers.push(Filler {
-                    key: run_key,
-                    image: run.image,
-                    share: place::share_of(spec.amount.cpu_milli, capacity),
-                    pace: run.wanted_pace,
-                    percent: run.percent,
-                    checkpoints: spec.checkpoints,
-                    is_settled: now.since(run.started) >= OBSERVE_MS,
-                });
-            } else if let Some(ratio) = ratio_of(run, spec) {
-                serving.push(Serving {
-                    image: run.image,
-                    ratio,
-                });
-            }
-        }
-        (serving, fillers)
-    }
-
-    /// Load of a worker for the choice of a place.
-    pub(super) fn load(&self, key: WorkerKey, now: Monotonic) -> place::Load {
-        let mut load = place::Load::default();
-        let mut unseen = Vec::new();
-        let worker = &self.workers[key];
-        let capacity = worker.info.capacity.cpu_milli;
-        for run in worker.runs.iter().map(|run| &self.runs[*run]) {
-            let Some(spec) = self.spec_of(run.task) else {
-                continue;
-            };
-            if spec.standing {
-                load.standing += spec.amount.cpu_milli;
-            }
-            if spec.filler {
-                let share = place::share_of(spec.amount.cpu_milli, capacity);
-                load.fillers.push((run.image, share));
-                if now.since(run.started) < OBSERVE_MS || run.phase != Phase::Live {
-                    unseen.push((run.image, share));
-                }
-            } else if spec.target_ms > 0 {
-                let base = self.presses.base(run.image);
-                let expected = match ratio_of(run, spec) {
-                    Some(ratio) => ratio.ln(),
-                    None => base,
-                };
-                load.tails.push(place::Tail {
-                    image: run.image,
-                    growth: 0.0,
-                    expected: expected.max(base),
-                });
-            }
-        }
-        let presses = &self.presses;
-        let sum = |fillers: &[(ImageId, f64)], tail: ImageId| -> f64 {
-            let each = fillers.iter();
-            each.map(|(filler, share)| presses.pressure(*filler, tail) * share)
-                .sum()
-        };
-        for tail in &mut load.tails {
-            tail.growth = sum(&load.fillers, tail.image);
-            tail.expected += sum(&unseen, tail.image);
-        }
-        load
-    }
-
     /// Handles a worker that has started again under its name.
     fn begin_life(&mut self, key: WorkerKey, born: u64, now: Monotonic) {
         let worker = &mut self.workers[key];
@@ -408,16 +279,3 @@
         }
     }
 }
-
-/// Tail over target of a standing task at work, none without a target.
-fn ratio_of(run: &Run, spec: &StepSpec) -> Option<f64> {
-    if spec.target_ms == 0 || run.percent != AT_WORK || run.phase != Phase::Live {
-        return None;
-    }
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "latencies are far below 2^52 ms"
-    )]
-    let ratio = run.tail_ms.max(1) as f64 / spec.target_ms as f64;
-    Some(ratio)
-}
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 //! (order of waiting steps), `place` (choice of a worker), `press` (relief from
 //! fillers), `health` (workers to keep away from), `slow` (runs behind their peers).
 
+mod assign;
 mod commit;
 mod ends;
 mod health;
@@ -25,6 +26,7 @@
 mod place;
 mod press;
 mod recover;
+mod relief;
 mod report;
 mod slow;
 mod table;
--- a/testsuite/tests/testsuite/dispatch/world.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -7,12 +7,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use verbenahitch::dispatch::{
-    Amount, Bounds, CallFailure, Dispatcher, EndCause, EndedEntry, JobId, JobRecord, JobSpec,
-    JobState, Look, Now, Order, Queue, Report, RunKey, RunningEntry, Start, StepSpec, Target,
-    TaskId, WorkerInfo, WorkerKey, Write,
+    Amount, Bounds, CallFailure, Dispatcher, EndCause, JobId, JobRecord, JobSpec, JobState, Look,
+    Now, Order, Report, RunKey, RunningEntry, Start, Target, TaskId, WorkerInfo, WorkerKey, Write,
 };
 use verbenahitch::domain::{Millis, Monotonic};
 
+mod jobs;
+mod worker;
+
+pub use jobs::{TARGET_MS, filler, job, queue, standing, step};
+pub use worker::{FakeRun, FakeWorker};
+
 /// One step of the clock in milliseconds.
 const TICK_MS: Millis = 5;
 
@@ -22,31 +27,6 @@
 /// Tail over target of a standing task alone.
 const ALONE: f64 = 0.4;
 
-pub const TARGET_MS: Millis = 20;
-
-pub struct FakeRun {
-    pub task: TaskId,
-    pub run: u32,
-    pub worked_ms: f64,
-    pub pace: u8,
-}
-
-#[derive(Default)]
-pub struct FakeWorker {
-    pub info: WorkerInfo,
-    pub runs: Vec<FakeRun>,
-    pub ended: Vec<EndedEntry>,
-    pub ends: u64,
-    pub fence: u64,
-    pub lease_end: Millis,
-    /// Does not answer, but works on.
-    pub silent: bool,
-    /// Carries starts out without answering them.
-    pub mute_starts: bool,
-    pub failing: bool,
-    pub speed: f64,
-}
-
 enum Event {
     Looked(WorkerKey, Result<Report, CallFailure>),
     Started(RunKey, Result<Millis, CallFailure>),
@@ -85,56 +65,6 @@
     writing: Vec<Write>,
 }
 
-pub fn queue(name: &str, priority: u32) -> Queue {
-    Queue {
-        name: name.to_owned(),
-        pool: "pool".to_owned(),
-        priority,
-        attempts: 3,
-        stretch: 2.0,
-        target_ms: 500,
-    }
-}
-
-pub fn step(count: u32, cores: u64, estimate_ms: Millis) -> StepSpec {
-    StepSpec {
-        count,
-        amount: Amount {
-            cpu_milli: cores * 1_000,
-            memory_mb: 100,
-            gpus: 0,
-        },
-        estimate_ms,
-        ..StepSpec::default()
-    }
-}
-
-pub fn filler(count: u32, cores: u64, estimate_ms: Millis, image: &str) -> StepSpec {
-    StepSpec {
-        filler: true,
-        checkpoints: true,
-        image: image.to_owned(),
-        ..step(count, cores, estimate_ms)
-    }
-}
-
-pub fn standing(count: u32, cores: u64, image: &str) -> StepSpec {
-    StepSpec {
-        standing: true,
-        image: image.to_owned(),
-        target_ms: TARGET_MS,
-        ..step(count, cores, 500)
-    }
-}
-
-pub fn job(steps: Vec<StepSpec>) -> JobSpec {
-    JobSpec {
-        payload: "input".into(),
-        steps,
-        repeat: None,
-    }
-}
-
 pub const BOUNDS: Bounds = Bounds {
     lease_ms: 4_000,
     quorum_ms: 1_500,
@@ -505,37 +435,3 @@
         }
     }
 }
-
-impl FakeWorker {
-    fn tasks(&self) -> Vec<TaskId> {
-        self.runs.iter().map(|run| run.task).collect()
-    }
-
-    fn end(&mut self, task: TaskId, cause: EndCause) {
-        let Some(index) = self.runs.iter().position(|run| run.task == task) else {
-            return;
-        };
-        let run = self.runs.remove(index);
-        self.ends += 1;
-        self.ended.push(EndedEntry {
-            number: self.ends,
-            task,
-            run: run.run,
-            cause,
-            checkpoint: String::new(),
-        });
-    }
-
-    /// Cores that its runs commit, without fillers.
-    pub fn committed(&self, specs: &BTreeMap<JobId, JobSpec>) -> u64 {
-        let spec = |run: &FakeRun| &specs[&run.task.job].steps[run.task.step as usize];
-        let cores = |run: &FakeRun| {
-            if spec(run).filler {
-                0
-            } else {
-                spec(run).amount.cpu_milli / 1_000
-            }
-        };
-        self.runs.iter().map(cores).sum()
-    }
-}
