--- a/crates/verbenahitch/src/event/logger.rs
+++ b/crates/verbenahitch/src/event/logger.rs
@@ -76,16 +76,23 @@
     dispatch.apply().context(TwiceSnafu)
 }
 
-/// Writes log lines at `level` and above to standard output without ever waiting
-/// for its reader; dropping the guard writes what is queued.
+/// Writes log lines at `level` and above, of this crate and of `module`, to standard
+/// output without ever waiting for its reader; dropping the guard writes what is
+/// queued.
 ///
 /// # Errors
 ///
 /// When the writing thread cannot be started, or a log is set up already.
-pub fn start_queued_logging(process: &str, level: Level) -> Result<LogGuard, LogError> {
+pub fn start_queued_logging(
+    process: &str,
+    level: Level,
+    module: &'static str,
+) -> Result<LogGuard, LogError> {
     let (writer, guard) = queue::start(std::io::stdout()).context(ThreadSnafu)?;
     let writer: Box<dyn std::io::Write + Send> = Box::new(writer);
-    let dispatch = dispatch(process, level).chain(fern::Output::writer(writer, "\n"));
+    let dispatch = dispatch(process, level)
+        .level_for(module, level.into())
+        .chain(fern::Output::writer(writer, "\n"));
     dispatch.apply().context(TwiceSnafu)?;
     Ok(guard)
 }
@@ -99,7 +106,6 @@
         .level_for("rocket", log::LevelFilter::Error)
         .level_for("event", level.into())
         .level_for("verbenahitch", level.into())
-        .level_for("verbenahitch_platform", level.into())
         .format(move |out, message, record| {
             let time = SystemTime::now()
                 .duration_since(UNIX_EPOCH)
