--- a/crates/verbenahitch/src/lib.rs
+++ b/crates/verbenahitch/src/lib.rs
@@ -11,7 +11,10 @@
 //! [`peer`]. What must last lives in the platform's key-value service, which
 //! [`adapter::Store`] speaks to.
 //!
-//! The decision logic ([`scheduler`], [`placement`], [`interference`], and the
+//! On the users' platform one process a host does both: [`entry`] accepts jobs of
+//! dependent steps, and one elected owner drives [`dispatch`] for all workers.
+//!
+//! The decision logic ([`dispatch`], [`scheduler`], [`placement`], [`interference`], and the
 //! routing in [`gateway`]) does no I/O and reads no clock, so that tests and
 //! recorded traces drive the very code that the daemons run.
 
