--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -2,7 +2,7 @@
 
 use super::report::{CallFailure, EndCause, Look, Order, Report, RunningEntry};
 use super::worker::{ListedEnd, WorkerKey};
-use super::{Dispatcher, Phase, RunKey, TaskId, health};
+use super::{Dispatcher, Phase, RunKey, TaskId};
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
@@ -10,10 +10,6 @@
 /// are seen several times within the time that they may be over their target.
 const LOOK_WAIT_MS: Millis = 700;
 
-/// How long a look may take beyond its wait, in milliseconds. Twice the longest
-/// way between zones with a busy host at both ends.
-pub const LOOK_GRACE_MS: Millis = 500;
-
 /// Pause before a worker without tasks is looked at again, in milliseconds.
 const IDLE_PAUSE_MS: Millis = 900;
 
@@ -242,40 +238,4 @@
             }
         }
     }
-
-    /// Stops runs that make no progress, so that they start elsewhere.
-    pub(super) fn stop_hanging(&mut self, now: Monotonic) {
-        let hanging: Vec<RunKey> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| {
-                run.phase == Phase::Live
-                    && !run.stop
-                    && run.pace >= 100
-                    && now.since(run.moved_at) > health::HANG_MS
-                    && self.workers[run.worker].answers(now, LOOK_WAIT_MS + LOOK_GRACE_MS)
-            })
-            .map(|(key, _)| key)
-            .collect();
-        for key in hanging {
-            let run = &self.runs[key];
-            let Some(spec) = self.spec_of(run.task) else {
-                continue;
-            };
-            if spec.standing && run.percent == AT_WORK {
-                continue;
-            }
-            let (task, worker) = (run.task, run.worker);
-            Entry::new(Kind::Evicted)
-                .with_text("task", task)
-                .with("worker", &self.workers[worker].info.name)
-                .with("cause", "no progress")
-                .emit();
-            self.runs[key].stop = true;
-            health::hung(&mut self.workers[worker], now);
-            if let Some(state) = self.task_mut(task) {
-                state.avoid = Some(worker);
-            }
-        }
-    }
 }
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -101,7 +101,6 @@
     reviewed: Monotonic,
     is_fenced: bool,
     is_suspended: bool,
-    started: Monotonic,
     quorum_at: Option<Monotonic>,
     store_at: Monotonic,
 }
@@ -128,7 +127,6 @@
             reviewed: now,
             is_fenced: false,
             is_suspended: false,
-            started: now,
             quorum_at: None,
             store_at: now,
         }
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -150,7 +150,7 @@
     /// Instant at which leases that an earlier owner gave have surely lapsed:
     /// it could extend them until it lost the answers of most workers.
     fn inherited_lapse(&self) -> Option<Monotonic> {
-        let base = self.quorum_at?.max(self.started);
+        let base = self.quorum_at?;
         let slowest = self.bounds.lease_ms + self.bounds.lease_ms / 20;
         Some(base + self.bounds.quorum_ms + slowest)
     }
--- a/crates/verbenahitch/src/dispatch/relief.rs
+++ b/crates/verbenahitch/src/dispatch/relief.rs
@@ -42,13 +42,7 @@
                 .emit();
             match percent {
                 Some(percent) => state.wanted_pace = percent,
-                None => {
-                    state.stop = true;
-                    let task = state.task;
-                    if let Some(task) = self.task_mut(task) {
-                        task.avoid = Some(key);
-                    }
-                }
+                None => self.restart_elsewhere(run),
             }
         }
     }
@@ -59,11 +53,7 @@
         let capacity = self.workers[key].info.capacity.cpu_milli;
         for &run_key in &self.workers[key].runs {
             let run = &self.runs[run_key];
-            let Some(spec) = self
-                .jobs
-                .get(&run.task.job)
-                .and_then(|job| job.step_spec(run.task.step))
-            else {
+            let Some(spec) = self.spec_of(run.task) else {
                 continue;
             };
             if run.stop || run.phase != Phase::Live {
--- a/crates/verbenahitch/src/dispatch/slow.rs
+++ b/crates/verbenahitch/src/dispatch/slow.rs
@@ -8,7 +8,8 @@
 //!
 //! Inputs: progress in percent, as old as the last look.
 
-use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, Phase, RunKey, TaskId, health};
+use super::looks::AT_WORK;
+use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, Phase, RunKey, health};
 
 /// Time between two reviews, in milliseconds; progress is seen about as often.
 const REVIEW_MS: Millis = 200;
@@ -16,6 +17,10 @@
 /// Age from which the progress of a run tells its speed, in milliseconds.
 const MIN_AGE_MS: Millis = 400;
 
+/// Age of a worker's last answer up to which it is known that a run stands still, in
+/// milliseconds: longer than a look waits for an end.
+const HEARD_MS: Millis = 1_200;
+
 /// Fewest peers with a known speed.
 const MIN_PEERS: usize = 2;
 
@@ -105,17 +110,57 @@
             .with("worker", &self.workers[worker].info.name)
             .with("cause", if is_racing { "raced" } else { "slow" })
             .emit();
-        if !is_racing {
-            self.runs[key].stop = true;
+        if is_racing {
+            if let Some(state) = self.task_mut(task) {
+                state.avoid = Some(worker);
+                state.wants_copy = true;
+            }
+        } else {
+            self.restart_elsewhere(key);
         }
-        self.avoid(task, worker, is_racing);
         self.has_news = true;
     }
 
-    fn avoid(&mut self, task: TaskId, worker: super::WorkerKey, wants_copy: bool) {
+    /// Stops runs that make no progress, so that they start elsewhere.
+    fn stop_hanging(&mut self, now: Monotonic) {
+        let hanging: Vec<RunKey> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| {
+                run.phase == Phase::Live
+                    && !run.stop
+                    && run.pace >= 100
+                    && now.since(run.moved_at) > health::HANG_MS
+                    && self.workers[run.worker].answers(now, HEARD_MS)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in hanging {
+            let run = &self.runs[key];
+            let Some(spec) = self.spec_of(run.task) else {
+                continue;
+            };
+            if spec.standing && run.percent == AT_WORK {
+                continue;
+            }
+            let (task, worker) = (run.task, run.worker);
+            Entry::new(Kind::Evicted)
+                .with_text("task", task)
+                .with("worker", &self.workers[worker].info.name)
+                .with("cause", "no progress")
+                .emit();
+            health::hung(&mut self.workers[worker], now);
+            self.restart_elsewhere(key);
+        }
+    }
+
+    /// Stops a run, so that its task starts on another worker.
+    pub(super) fn restart_elsewhere(&mut self, key: RunKey) {
+        let run = &mut self.runs[key];
+        run.stop = true;
+        let (task, worker) = (run.task, run.worker);
         if let Some(state) = self.task_mut(task) {
             state.avoid = Some(worker);
-            state.wants_copy |= wants_copy;
         }
     }
 }
--- a/crates/verbenahitch/src/entry/link.rs
+++ b/crates/verbenahitch/src/entry/link.rs
@@ -5,18 +5,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, twoparty};
 use snafu::Snafu;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
-use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use super::owner::OwnerEvent;
 use crate::dispatch::{JobId, JobRecord, JobState};
 use crate::domain::Millis;
 use crate::owner_capnp::{State, owner};
+use crate::peer::network;
 
 /// Longest time that a call may take, connecting included, in milliseconds.
 /// A busy owner's answer takes tens of them.
@@ -182,11 +182,6 @@
     }
 }
 
-fn network(stream: TcpStream, side: Side) -> twoparty::VatNetwork<impl futures::AsyncRead + Unpin> {
-    let (read, write) = futures::AsyncReadExt::split(stream.compat());
-    twoparty::VatNetwork::new(read, write, side, capnp::message::ReaderOptions::new())
-}
-
 struct OwnerServer {
     inbox: Inbox,
 }
--- a/crates/verbenahitch/src/peer/link.rs
+++ b/crates/verbenahitch/src/peer/link.rs
@@ -163,7 +163,7 @@
 }
 
 /// One side of a connection between two processes.
-pub(super) fn network(
+pub(crate) fn network(
     stream: TcpStream,
     side: Side,
 ) -> twoparty::VatNetwork<impl futures::AsyncRead + Unpin + 'static> {
--- a/crates/verbenahitch/src/peer/mod.rs
+++ b/crates/verbenahitch/src/peer/mod.rs
@@ -21,5 +21,6 @@
 pub use crate::membership::{Member, OwnedShard, Role, Testimony};
 pub use error::PeerError;
 pub use handle::Handle;
+pub(crate) use link::network;
 pub use node::{Identity, Incoming, Node};
 pub use shared::Evidence;
