Look at a worker again only once its ends are stored

A worker that lists an end answers at once, and until the commit of that end every look came back after 25 ms with nothing new.

A look is put off until the store holds the listed ends, by 300 ms at most.

--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -16,6 +16,11 @@
 /// Pause after a look, in which ends gather, in milliseconds.
 const LOOK_PAUSE_MS: Millis = 25;
 
+/// How long a look is put off for ends that the store does not hold yet, in
+/// milliseconds: while a worker lists one, it answers at once, with nothing new as a
+/// rule. A commit takes a tenth of it; it bounds what an outage of the store delays.
+const COMMIT_WAIT_MS: Millis = 300;
+
 /// Pause after a look without an answer, in milliseconds.
 const FAILED_PAUSE_MS: Millis = 150;
 
@@ -47,6 +52,9 @@
             }
             let acked = worker.acked;
             worker.listed_ends.retain(|end| end.number > acked);
+            if !worker.listed_ends.is_empty() && now < worker.next_look + COMMIT_WAIT_MS {
+                continue;
+            }
             // A silent worker may have got each call that it did not answer: its leases
             // have to lapse before its tasks can start elsewhere.
             let lease_end = worker
--- a/testsuite/tests/testsuite/dispatch/load.rs
+++ b/testsuite/tests/testsuite/dispatch/load.rs
@@ -199,3 +199,21 @@
     let least = took.min().expect("it was tried");
     assert!(least <= Duration::from_millis(100), "{least:?}");
 }
+
+/// Many short tasks beside a store that takes a tenth of a second for a commit: a
+/// worker is looked at once for each end, and not again until that is stored.
+#[test]
+fn ends_that_wait_for_the_store_cause_no_more_looks() {
+    let mut world = World::new(5);
+    world.commit_ms = 100;
+    world.run(500);
+    for number in 0..40 {
+        world.submit(number, "push", job(vec![step(5, 1, 300)]));
+        world.run(100);
+    }
+    world.run(2_000);
+    assert_eq!(world.finished.len(), 40);
+    // One for each end, one to acknowledge it, and one in 700 ms for 6.5 s.
+    let most = 2 * 200 + 5 * 10;
+    assert!(world.look_count <= most, "{} of {most}", world.look_count);
+}
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -55,7 +55,11 @@
     pub records: BTreeMap<JobId, Write>,
     /// Whether the store answers.
     pub store: bool,
+    /// Time that the store takes for a commit.
+    pub commit_ms: Millis,
     pub acked: BTreeMap<String, u64>,
+    /// Looks at all workers.
+    pub look_count: usize,
     pub fence: u64,
     /// Milliseconds that standing tasks were over their target.
     pub over_ms: Millis,
@@ -83,7 +87,9 @@
             starts: Vec::new(),
             records: BTreeMap::new(),
             store: true,
+            commit_ms: CALL_MS,
             acked: BTreeMap::new(),
+            look_count: 0,
             fence: 1,
             over_ms: 0,
             finished: BTreeMap::new(),
@@ -211,7 +217,8 @@
         if self.store && self.writing.is_empty() {
             self.writing = self.dispatcher.take_writes(16);
             if !self.writing.is_empty() {
-                self.events.push((self.now + CALL_MS, Event::Written));
+                let at = self.now + self.commit_ms;
+                self.events.push((at, Event::Written));
             }
         }
         for id in self.specs.keys() {
@@ -251,6 +258,7 @@
         let at = self.now + CALL_MS;
         match order {
             Order::Look(look) => {
+                self.look_count += 1;
                 self.acked.insert(look.name.clone(), look.acked);
                 self.looks.push((self.now + look.wait_ms, look));
             }
