Look only through the runs that a worker is to be told something of

Each pass went through all runs, some thousands on a grown site, and looked up the step of each run beside a candidate worker. Runs with an order to give are now kept in a set, and a run knows its target and whether it serves.

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -112,6 +112,7 @@
                 run.phase = Phase::Starting;
                 run.started = now;
                 run.moved_at = now;
+                self.due.insert(key);
             }
         }
     }
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -52,7 +52,7 @@
         for run in runs {
             let task = self.runs[run].task;
             if self.spec_of(task).is_some_and(|spec| spec.standing) {
-                self.runs[run].stop = true;
+                self.stop_run(run);
             }
         }
     }
@@ -105,7 +105,7 @@
                     .emit();
                 run.retry_at = now + UNWILLING_MS;
                 // An earlier try without an answer may still be carried out.
-                run.stop = true;
+                self.stop_run(key);
                 let is_clear = tries == 1;
                 self.shun(worker, now);
                 if is_clear {
@@ -174,6 +174,8 @@
         let filling = spec
             .filter(|spec| spec.filler)
             .map_or(0, |spec| spec.amount.cpu_milli);
+        let standing = spec.is_some_and(|spec| spec.standing);
+        let target_ms = spec.map_or(0, |spec| spec.target_ms);
         let image = spec.map(|spec| spec.image.clone()).unwrap_or_default();
         let image = self.presses.image(&image);
         let key = self.runs.insert(Run {
@@ -183,6 +185,8 @@
             worker,
             amount,
             filling,
+            standing,
+            target_ms,
             phase: Phase::Recording,
             recorded_in: 0,
             confirmed: None,
@@ -211,6 +215,12 @@
         key
     }
 
+    /// Has a run stopped by its worker.
+    pub(super) fn stop_run(&mut self, key: RunKey) {
+        self.runs[key].stop = true;
+        self.due.insert(key);
+    }
+
     /// Ends a run: frees its room and decides on its task.
     pub(super) fn end(&mut self, key: RunKey, cause: EndCause, checkpoint: &str, now: Monotonic) {
         let Some(run) = self.runs.remove(key) else {
@@ -285,7 +295,7 @@
             Vec::new()
         };
         for other in others {
-            self.runs[other].stop = true;
+            self.stop_run(other);
         }
         if is_new {
             self.step_done(run, now);
@@ -331,8 +341,8 @@
         let tasks = steps.flat_map(|step| &step.tasks);
         let keys: Vec<RunKey> = tasks.flat_map(|task| task.runs.iter().copied()).collect();
         for key in keys {
+            self.stop_run(key);
             let run = &mut self.runs[key];
-            run.stop = true;
             run.retry_at = now;
             // What was never ordered has nothing to stop.
             let is_ordered = run.phase == Phase::Live || run.tries > 0;
--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -215,7 +215,7 @@
         let run = self.insert_run(entry.task, entry.run, key, now);
         let state = &mut self.runs[run];
         state.phase = Phase::Live;
-        state.stop = true;
+        self.stop_run(run);
         run
     }
 
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -86,6 +86,8 @@
     names: HashMap<String, WorkerKey>,
     unlisted: HashMap<WorkerKey, Monotonic>,
     runs: SlotMap<RunKey, Run>,
+    /// Runs whose worker may have to be told something.
+    due: HashSet<RunKey>,
     queues: HashMap<String, Queue>,
     evacuated: HashSet<String>,
     /// Cancels that came before their jobs.
@@ -116,6 +118,7 @@
             names: HashMap::default(),
             unlisted: HashMap::default(),
             runs: SlotMap::with_key(),
+            due: HashSet::default(),
             queues: HashMap::default(),
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -1,7 +1,7 @@
 //! One pass of decisions: what to look at, start, stop and pace now.
 
 use super::report::{Order, Start, Target};
-use super::worker::WorkerKey;
+use super::worker::{Run, WorkerKey};
 use super::{Dispatcher, Millis, Monotonic, Now, Phase, RunKey, health};
 
 /// Age of a worker's last answer up to which it is given tasks, in milliseconds.
@@ -60,13 +60,15 @@
 
     /// Orders about runs that are due.
     fn due_orders(&mut self, now: Monotonic, orders: &mut Vec<Order>) {
-        let due: Vec<RunKey> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| !run.busy && run.retry_at <= now && run.phase != Phase::Recording)
-            .map(|(key, _)| key)
-            .collect();
-        for key in due {
+        let runs = &self.runs;
+        self.due
+            .retain(|key| runs.get(*key).is_some_and(Run::is_due));
+        let is_ripe = |key: &&RunKey| {
+            let run = &runs[**key];
+            !run.busy && run.retry_at <= now
+        };
+        let ripe: Vec<RunKey> = self.due.iter().filter(is_ripe).copied().collect();
+        for key in ripe {
             if let Some(order) = self.order(key, now) {
                 self.runs[key].busy = true;
                 orders.push(order);
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -66,7 +66,9 @@
             let state = &mut self.runs[key];
             state.phase = Phase::Live;
             state.inherited = true;
-            state.stop = is_unwanted;
+            if is_unwanted {
+                self.stop_run(key);
+            }
             if let Some(task) = self.task_mut(at) {
                 task.runs.push(key);
             }
--- a/crates/verbenahitch/src/dispatch/relief.rs
+++ b/crates/verbenahitch/src/dispatch/relief.rs
@@ -3,7 +3,7 @@
 use super::looks::AT_WORK;
 use super::press::{Act, Filler, ImageId, Serving};
 use super::worker::{Run, WorkerKey};
-use super::{Dispatcher, Entry, Kind, Millis, Monotonic, Phase, StepSpec, place};
+use super::{Dispatcher, Entry, Kind, Millis, Monotonic, Phase, place};
 
 /// Time in which a tail or a new filler shows in a worker's figures, in milliseconds.
 const OBSERVE_MS: Millis = 500;
@@ -41,7 +41,10 @@
                 .with("tail-to-target", worst)
                 .emit();
             match percent {
-                Some(percent) => state.wanted_pace = percent,
+                Some(percent) => {
+                    state.wanted_pace = percent;
+                    self.due.insert(run);
+                }
                 None => self.restart_elsewhere(run),
             }
         }
@@ -69,7 +72,7 @@
                     checkpoints: spec.checkpoints,
                     is_settled: now.since(run.started) >= OBSERVE_MS,
                 });
-            } else if let Some(ratio) = ratio_of(run, spec) {
+            } else if let Some(ratio) = ratio_of(run) {
                 serving.push(Serving {
                     image: run.image,
                     ratio,
@@ -86,21 +89,18 @@
         let worker = &self.workers[key];
         let capacity = worker.info.capacity.cpu_milli;
         for run in worker.runs.iter().map(|run| &self.runs[*run]) {
-            let Some(spec) = self.spec_of(run.task) else {
-                continue;
-            };
-            if spec.standing {
-                load.standing += spec.amount.cpu_milli;
+            if run.standing {
+                load.standing += run.amount.cpu_milli;
             }
-            if spec.filler {
-                let share = place::share_of(spec.amount.cpu_milli, capacity);
+            if run.filling > 0 {
+                let share = place::share_of(run.filling, capacity);
                 load.fillers.push((run.image, share));
                 if now.since(run.started) < OBSERVE_MS || run.phase != Phase::Live {
                     unseen.push((run.image, share));
                 }
-            } else if spec.target_ms > 0 {
+            } else if run.target_ms > 0 {
                 let base = self.presses.base(run.image);
-                let expected = match ratio_of(run, spec) {
+                let expected = match ratio_of(run) {
                     Some(ratio) => ratio.ln(),
                     None => base,
                 };
@@ -126,14 +126,14 @@
 }
 
 /// Tail over target of a standing task at work, none without a target.
-fn ratio_of(run: &Run, spec: &StepSpec) -> Option<f64> {
-    if spec.target_ms == 0 || run.percent != AT_WORK || run.phase != Phase::Live {
+fn ratio_of(run: &Run) -> Option<f64> {
+    if run.target_ms == 0 || run.percent != AT_WORK || run.phase != Phase::Live {
         return None;
     }
     #[expect(
         clippy::cast_precision_loss,
         reason = "latencies are far below 2^52 ms"
     )]
-    let ratio = run.tail_ms.max(1) as f64 / spec.target_ms as f64;
+    let ratio = run.tail_ms.max(1) as f64 / run.target_ms as f64;
     Some(ratio)
 }
--- a/crates/verbenahitch/src/dispatch/slow.rs
+++ b/crates/verbenahitch/src/dispatch/slow.rs
@@ -156,8 +156,8 @@
 
     /// Stops a run, so that its task starts on another worker.
     pub(super) fn restart_elsewhere(&mut self, key: RunKey) {
-        let run = &mut self.runs[key];
-        run.stop = true;
+        self.stop_run(key);
+        let run = &self.runs[key];
         let (task, worker) = (run.task, run.worker);
         if let Some(state) = self.task_mut(task) {
             state.avoid = Some(worker);
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -176,6 +176,10 @@
     pub image: ImageId,
     /// Processors that it fills, in thousandths.
     pub filling: u64,
+    /// Whether it serves until its job is cancelled.
+    pub standing: bool,
+    /// Target of its tail in milliseconds, zero for none.
+    pub target_ms: Millis,
     pub phase: Phase,
     /// Version of the job that first shows the assignment.
     pub recorded_in: u64,
@@ -205,3 +209,15 @@
     pub wanted_pace: u8,
     pub tail_ms: Millis,
 }
+
+impl Run {
+    /// Whether its worker is to be told something.
+    pub fn is_due(&self) -> bool {
+        match (self.phase, self.stop) {
+            (Phase::Recording, _) => false,
+            (_, true) => self.stopped.is_none(),
+            (Phase::Starting, false) => true,
+            (Phase::Live, false) => self.wanted_pace != self.pace,
+        }
+    }
+}
