Keep worked-out loads and the jobs with tasks to place between passes

Every assignment looked through all tasks of all open jobs and worked out the load of all workers anew. A load is now kept until a look, a start or an end changes it; jobs without a ready task that waits are not looked through.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -26,8 +26,6 @@
 /// What one pass of assignments looks at.
 struct Search {
     usable: Vec<WorkerKey>,
-    /// Loads that were worked out, without those that have changed since.
-    loads: SecondaryMap<WorkerKey, place::Load>,
     /// Pools and steps that found no worker with the label and the room.
     hopeless: Vec<(String, StepSpec)>,
     now: Monotonic,
@@ -112,45 +110,15 @@
 
 impl Dispatcher {
     /// Waiting steps in the order in which they are placed.
-    fn waiting_steps(&self, now: Monotonic) -> Vec<Waiting> {
+    fn waiting_steps(&mut self, now: Monotonic) -> Vec<Waiting> {
         let mut found = Vec::new();
-        for id in &self.open {
-            let job = &self.jobs[id];
-            if job.state.is_final() {
-                continue;
-            }
-            let terms = self.terms(job);
-            let longest = job.chains.iter().max().copied().unwrap_or(0);
-            #[expect(
-                clippy::cast_precision_loss,
-                clippy::cast_possible_truncation,
-                clippy::cast_sign_loss,
-                reason = "durations are far below 2^52 ms"
-            )]
-            let stretched = (longest as f64 * terms.stretch.max(0.0)) as Millis;
-            for round in &job.rounds {
-                for (step, state) in (0u32..).zip(&round.steps) {
-                    let spec = &job.record.spec.steps[step as usize];
-                    let is_waiting = state.tasks.iter().any(super::table::Task::is_waiting);
-                    if !is_waiting || !round.is_ready(spec) {
-                        continue;
-                    }
-                    found.push(Waiting {
-                        standing: Standing {
-                            priority: terms.priority,
-                            age_ms: now.since(job.arrived),
-                            left_ms: job.chains[step as usize],
-                            objective_ms: stretched + terms.target_ms,
-                            lasting: spec.standing,
-                        },
-                        job: *id,
-                        round: round.number,
-                        step,
-                        filler: spec.filler,
-                    });
-                }
-            }
-        }
+        let mut hungry = std::mem::take(&mut self.hungry);
+        hungry.retain(|id| {
+            let before = found.len();
+            self.add_waiting(*id, now, &mut found);
+            found.len() > before
+        });
+        self.hungry = hungry;
         found.sort_by(|a, b| {
             let order = a.standing.compare(&b.standing);
             order.then(a.job.cmp(&b.job)).then(a.step.cmp(&b.step))
@@ -158,6 +126,44 @@
         found
     }
 
+    /// Adds the waiting steps of a job.
+    fn add_waiting(&self, id: JobId, now: Monotonic, found: &mut Vec<Waiting>) {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.state.is_final()) else {
+            return;
+        };
+        let terms = self.terms(job);
+        let longest = job.chains.iter().max().copied().unwrap_or(0);
+        #[expect(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "durations are far below 2^52 ms"
+        )]
+        let stretched = (longest as f64 * terms.stretch.max(0.0)) as Millis;
+        for round in &job.rounds {
+            for (step, state) in (0u32..).zip(&round.steps) {
+                let spec = &job.record.spec.steps[step as usize];
+                let is_waiting = state.tasks.iter().any(super::table::Task::is_waiting);
+                if !is_waiting || !round.is_ready(spec) {
+                    continue;
+                }
+                found.push(Waiting {
+                    standing: Standing {
+                        priority: terms.priority,
+                        age_ms: now.since(job.arrived),
+                        left_ms: job.chains[step as usize],
+                        objective_ms: stretched + terms.target_ms,
+                        lasting: spec.standing,
+                    },
+                    job: id,
+                    round: round.number,
+                    step,
+                    filler: spec.filler,
+                });
+            }
+        }
+    }
+
     /// Assigns waiting tasks to workers.
     pub(super) fn assign(&mut self, now: Monotonic) {
         let waiting = self.waiting_steps(now);
@@ -170,7 +176,6 @@
                 .into_iter()
                 .filter(|key| self.is_usable(*key, now))
                 .collect(),
-            loads: SecondaryMap::new(),
             hopeless: Vec::new(),
             now,
         };
@@ -227,8 +232,7 @@
                 index,
             };
             self.assign_task(task, worker, search.now);
-            search.loads.remove(worker);
-            match self.cost(worker, &wanted, count, search) {
+            match self.cost(worker, &wanted, count, search.now) {
                 Ok(cost) => offers.push(Offer { cost, worker }),
                 Err(misfit) => misfits.note(misfit),
             }
@@ -238,11 +242,11 @@
 
     /// Workers that a step can go to, and why the others cannot take it.
     fn offers(
-        &self,
+        &mut self,
         pool: &str,
         wanted: &place::Wanted<'_>,
         same: &SecondaryMap<WorkerKey, u32>,
-        search: &mut Search,
+        search: &Search,
     ) -> (BinaryHeap<Offer>, Misfits) {
         let mut misfits = Misfits::default();
         let mut offers = Vec::with_capacity(search.usable.len());
@@ -252,7 +256,7 @@
                 continue;
             }
             let count = same.get(worker).copied().unwrap_or(0);
-            match self.cost(worker, wanted, count, search) {
+            match self.cost(worker, wanted, count, search.now) {
                 Ok(cost) => offers.push(Offer { cost, worker }),
                 Err(misfit) => misfits.note(misfit),
             }
@@ -261,25 +265,22 @@
     }
 
     fn cost(
-        &self,
+        &mut self,
         key: WorkerKey,
         wanted: &place::Wanted<'_>,
         same: u32,
-        search: &mut Search,
+        now: Monotonic,
     ) -> Result<f64, Misfit> {
         let worker = &self.workers[key];
         place::fit(worker, wanted.step, same)?;
         if !wanted.needs_load() {
             return Ok(place::plain_cost(worker, wanted.step, same));
         }
-        let load = match search.loads.get(key) {
-            Some(load) => load,
-            None => {
-                search.loads.insert(key, self.load(key, search.now));
-                &search.loads[key]
-            }
-        };
-        place::cost(worker, load, wanted, same, &self.presses)
+        if !self.loads.contains_key(key) {
+            self.loads.insert(key, self.load(key, now));
+        }
+        let load = &self.loads[key];
+        place::cost(&self.workers[key], load, wanted, same, &self.presses)
     }
 
     /// Logs once why a step waits.
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -84,6 +84,7 @@
                 run.confirmed = Some(now);
                 run.moved_at = now;
                 run.pace = 100;
+                self.loads.remove(worker);
                 self.workers[worker].read_clock(clock_ms, now);
                 self.mark_started(id);
             }
@@ -205,6 +206,7 @@
             wanted_pace: 100,
             tail_ms: 0,
         });
+        self.loads.remove(worker);
         let state = &mut self.workers[worker];
         state.committed.add(amount);
         state.filling += filling;
@@ -227,6 +229,7 @@
             return;
         };
         self.has_news = true;
+        self.loads.remove(run.worker);
         let worker = &mut self.workers[run.worker];
         worker.runs.remove(&key);
         worker.committed.remove(run.amount);
@@ -302,6 +305,7 @@
         } else if is_lost {
             self.fail(id, now);
         }
+        self.hungry.insert(id);
         self.touch(id);
     }
 
--- a/crates/verbenahitch/src/dispatch/looks.rs
+++ b/crates/verbenahitch/src/dispatch/looks.rs
@@ -104,6 +104,7 @@
         if report.born != 0 && worker.info.born != 0 && report.born != worker.info.born {
             self.begin_life(key, report.born, now);
         }
+        self.loads.remove(key);
         let worker = &mut self.workers[key];
         if worker.info.born == 0 {
             worker.info.born = report.born;
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -35,7 +35,7 @@
 
 use std::sync::Arc;
 
-use slotmap::SlotMap;
+use slotmap::{SecondaryMap, SlotMap};
 
 use crate::collections::{HashMap, HashSet};
 use crate::domain::{Millis, Monotonic};
@@ -86,8 +86,14 @@
     names: HashMap<String, WorkerKey>,
     unlisted: HashMap<WorkerKey, Monotonic>,
     runs: SlotMap<RunKey, Run>,
+    /// Loads of workers that were worked out, without those that have changed since.
+    loads: SecondaryMap<WorkerKey, place::Load>,
     /// Runs whose worker may have to be told something.
     due: HashSet<RunKey>,
+    /// Jobs that may have tasks to place.
+    hungry: HashSet<JobId>,
+    /// Jobs with repetitions to come.
+    timed: Vec<JobId>,
     queues: HashMap<String, Queue>,
     evacuated: HashSet<String>,
     /// Cancels that came before their jobs.
@@ -118,7 +124,10 @@
             names: HashMap::default(),
             unlisted: HashMap::default(),
             runs: SlotMap::with_key(),
+            loads: SecondaryMap::new(),
             due: HashSet::default(),
+            hungry: HashSet::default(),
+            timed: Vec::new(),
             queues: HashMap::default(),
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
@@ -162,8 +171,12 @@
 
     fn admit(&mut self, id: JobId, record: JobRecord, now: Now) {
         let job = Job::new(record, now);
+        if job.begun < job.times() {
+            self.timed.push(id);
+        }
         self.jobs.insert(id, job);
         self.open.insert(id);
+        self.hungry.insert(id);
         self.has_news = true;
     }
 
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -51,11 +51,19 @@
     }
 
     fn begin_rounds(&mut self, wall_ms: Millis) {
-        for id in &self.open {
-            if let Some(job) = self.jobs.get_mut(id).filter(|job| !job.state.is_final()) {
-                job.begin_due(wall_ms);
+        let (jobs, hungry) = (&mut self.jobs, &mut self.hungry);
+        self.timed.retain(|id| {
+            let job = jobs.get_mut(id).filter(|job| !job.state.is_final());
+            let Some(job) = job else {
+                return false;
+            };
+            let begun = job.begun;
+            job.begin_due(wall_ms);
+            if job.begun > begun {
+                hungry.insert(*id);
             }
-        }
+            job.begun < job.times()
+        });
     }
 
     /// Orders about runs that are due.
--- a/crates/verbenahitch/src/dispatch/slow.rs
+++ b/crates/verbenahitch/src/dispatch/slow.rs
@@ -115,6 +115,7 @@
                 state.avoid = Some(worker);
                 state.wants_copy = true;
             }
+            self.hungry.insert(task.job);
         } else {
             self.restart_elsewhere(key);
         }
