--- a/crates/verbenahitch/src/cmd/mod.rs
+++ b/crates/verbenahitch/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 mod shard;
 mod status;
 mod submit;
+mod trace;
 mod zone;
 
 use std::process::ExitCode;
@@ -80,6 +81,9 @@
     /// Replay a recorded trace through the decisions and baselines
     #[bpaf(command)]
     Replay(#[bpaf(external(replay::args))] replay::Args),
+    /// Show the way of a job or task through the logs of several processes
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace::args))] trace::Args),
     /// Run the gateway daemon
     #[bpaf(command)]
     Gateway(#[bpaf(external(daemon::args))] daemon::Args),
@@ -104,6 +108,7 @@
             Self::Cancel(args) => args.execute(),
             Self::Digest(args) => args.execute(),
             Self::Replay(args) => args.execute(),
+            Self::Trace(args) => args.execute(),
             Self::Gateway(args) => args.execute(daemon::Role::Gateway),
             Self::Scheduler(args) => args.execute(daemon::Role::Scheduler),
         }
--- a/crates/verbenahitch/src/event/mod.rs
+++ b/crates/verbenahitch/src/event/mod.rs
@@ -7,8 +7,10 @@
 mod kind;
 mod logger;
 mod queue;
+mod trace;
 
 pub use entry::Entry;
 pub use kind::Kind;
 pub use logger::{Level, LogError, start_logging, start_queued_logging};
 pub use queue::LogGuard;
+pub use trace::{Line, Trace, trace};
--- /dev/null
+++ b/testsuite/tests/testsuite/event/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the log.
+
+mod trace;
--- a/testsuite/tests/testsuite/main.rs
+++ b/testsuite/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of verbenahitch by feature.
 
 mod dispatch;
+mod event;
 mod gateway;
 mod interference;
 mod membership;
