--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::{mpsc, oneshot};
@@ -64,6 +65,7 @@
 pub struct Intake {
     pub(super) calls: mpsc::UnboundedSender<Call>,
     pub(super) queues: Arc<ArcSwapOption<Queues>>,
+    pub(super) store_up: Arc<AtomicBool>,
 }
 
 impl Intake {
@@ -72,6 +74,12 @@
         self.queues.load_full()
     }
 
+    /// Whether jobs can be accepted, as far as this host knows: callers that come
+    /// while the store turns it away alone are better off at another host.
+    pub fn is_ready(&self) -> bool {
+        self.queues.load().is_some() && self.store_up.load(Ordering::Relaxed)
+    }
+
     /// Accepts a job.
     pub async fn submit(&self, id: JobId, record: JobRecord) -> Accepted {
         let answer = self.ask(|sender| Call::Submit(id, Box::new(record), sender));
@@ -161,7 +169,7 @@
 
     /// Creates a key; a key that exists already counts as stored.
     async fn store(&self, key: String, value: Vec<u8>) -> Accepted {
-        if !self.shared.store_up.get() {
+        if !self.shared.store_up.load(Ordering::Relaxed) {
             return Accepted::Refused;
         }
         let transaction = Transaction {
@@ -220,7 +228,7 @@
     }
 
     async fn cancel(&self, id: JobId) -> Accepted {
-        if !self.shared.store_up.get() {
+        if !self.shared.store_up.load(Ordering::Relaxed) {
             return Accepted::Refused;
         }
         match self.shared.platform.kv().get(&keys::job(id)).await {
--- a/crates/verbenahitch/src/entry/node.rs
+++ b/crates/verbenahitch/src/entry/node.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwapOption;
 use tokio::net::TcpListener;
@@ -50,7 +51,8 @@
     pub owner: watch::Sender<Option<OwnerRecord>>,
     /// Whether the key of the owner was read since the store answered last.
     pub knows_owner: Cell<bool>,
-    pub store_up: Cell<bool>,
+    /// Whether the store has answered this host lately.
+    pub store_up: Arc<AtomicBool>,
     pub inbox: Inbox,
     pub stopping: watch::Receiver<bool>,
 }
@@ -82,7 +84,7 @@
     }
 
     fn hear_store(&self, is_up: bool, cause: Option<String>) {
-        if self.store_up.replace(is_up) == is_up {
+        if self.store_up.swap(is_up, Ordering::Relaxed) == is_up {
             return;
         }
         let kind = if is_up {
@@ -106,6 +108,7 @@
     pub fn new(platform: P, settings: EntrySettings, stopping: watch::Receiver<bool>) -> Self {
         let (sender, calls) = mpsc::unbounded_channel();
         let queues = Arc::new(ArcSwapOption::empty());
+        let store_up = Arc::new(AtomicBool::new(false));
         let shared = Shared {
             platform,
             settings,
@@ -113,7 +116,7 @@
             evacuated: RefCell::new(Vec::new()),
             owner: watch::channel(None).0,
             knows_owner: Cell::new(false),
-            store_up: Cell::new(false),
+            store_up: Arc::clone(&store_up),
             inbox: Rc::new(RefCell::new(None)),
             stopping,
         };
@@ -122,6 +125,7 @@
             intake: Intake {
                 calls: sender,
                 queues,
+                store_up,
             },
             calls,
         }
