--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -6,6 +6,7 @@
 use slotmap::SecondaryMap;
 
 use super::place::{self, Misfit};
+use super::table::Task;
 use super::wait::Standing;
 use super::worker::WorkerKey;
 use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, StepSpec, TaskId};
@@ -27,14 +28,14 @@
 struct Search {
     usable: Vec<WorkerKey>,
     /// Pools and steps that found no worker with the label and the room.
-    hopeless: Vec<(String, StepSpec)>,
+    unplaced: Vec<(String, StepSpec)>,
     now: Monotonic,
 }
 
 impl Search {
     /// Whether a step that needs no more was tried in vain.
-    fn is_hopeless(&self, pool: &str, step: &StepSpec) -> bool {
-        self.hopeless.iter().any(|(tried, other)| {
+    fn is_unplaceable(&self, pool: &str, step: &StepSpec) -> bool {
+        self.unplaced.iter().any(|(tried, other)| {
             tried == pool
                 && other.label == step.label
                 && place::committed(other).fits(place::committed(step))
@@ -86,6 +87,11 @@
     Some(first.worker)
 }
 
+/// Tasks of a step on a worker.
+fn count(same: &SecondaryMap<WorkerKey, u32>, worker: WorkerKey) -> u32 {
+    same.get(worker).copied().unwrap_or(0)
+}
+
 /// Workers that a task cannot go to, by the reason.
 #[derive(Clone, Copy, Debug, Default)]
 struct Misfits {
@@ -112,13 +118,13 @@
     /// Waiting steps in the order in which they are placed.
     fn waiting_steps(&mut self, now: Monotonic) -> Vec<Waiting> {
         let mut found = Vec::new();
-        let mut hungry = std::mem::take(&mut self.hungry);
-        hungry.retain(|id| {
+        let mut pending = std::mem::take(&mut self.pending);
+        pending.retain(|id| {
             let before = found.len();
             self.add_waiting(*id, now, &mut found);
             found.len() > before
         });
-        self.hungry = hungry;
+        self.pending = pending;
         found.sort_by(|a, b| {
             let order = a.standing.compare(&b.standing);
             order.then(a.job.cmp(&b.job)).then(a.step.cmp(&b.step))
@@ -143,7 +149,7 @@
         for round in &job.rounds {
             for (step, state) in (0u32..).zip(&round.steps) {
                 let spec = &job.record.spec.steps[step as usize];
-                let is_waiting = state.tasks.iter().any(super::table::Task::is_waiting);
+                let is_waiting = state.tasks.iter().any(Task::is_waiting);
                 if !is_waiting || !round.is_ready(spec) {
                     continue;
                 }
@@ -176,7 +182,7 @@
                 .into_iter()
                 .filter(|key| self.is_usable(*key, now))
                 .collect(),
-            hopeless: Vec::new(),
+            unplaced: Vec::new(),
             now,
         };
         let mut full = 0;
@@ -195,7 +201,7 @@
     fn assign_step(&mut self, step: &Waiting, search: &mut Search) -> bool {
         let job = &self.jobs[&step.job];
         let spec = &job.record.spec.steps[step.step as usize];
-        if !spec.filler && search.is_hopeless(&self.terms(job).pool, spec) {
+        if !spec.filler && search.is_unplaceable(&self.terms(job).pool, spec) {
             return false;
         }
         let round = job.rounds.iter().find(|round| round.number == step.round);
@@ -209,7 +215,8 @@
             .collect();
         let mut same: SecondaryMap<WorkerKey, u32> = SecondaryMap::new();
         for run in tasks.iter().flat_map(|task| &task.runs) {
-            *same.entry(self.runs[*run].worker).unwrap().or_default() += 1;
+            let worker = self.runs[*run].worker;
+            same.insert(worker, count(&same, worker) + 1);
         }
         let pool = self.terms(job).pool.clone();
         let spec = spec.clone();
@@ -218,13 +225,13 @@
         for (index, avoid) in waiting {
             let Some(worker) = cheapest(&mut offers, avoid) else {
                 if !spec.filler && misfits.spread == 0 {
-                    search.hopeless.push((pool, spec));
+                    search.unplaced.push((pool, spec));
                 }
                 self.note_waiting(step, search.usable.len(), misfits);
                 return false;
             };
-            let count = same.get(worker).copied().unwrap_or(0) + 1;
-            same.insert(worker, count);
+            let taken = count(&same, worker) + 1;
+            same.insert(worker, taken);
             let task = TaskId {
                 job: step.job,
                 round: step.round,
@@ -232,7 +239,7 @@
                 index,
             };
             self.assign_task(task, worker, search.now);
-            match self.cost(worker, &wanted, count, search.now) {
+            match self.cost(worker, &wanted, taken, search.now) {
                 Ok(cost) => offers.push(Offer { cost, worker }),
                 Err(misfit) => misfits.note(misfit),
             }
@@ -255,8 +262,7 @@
             if self.workers[worker].info.pool != pool {
                 continue;
             }
-            let count = same.get(worker).copied().unwrap_or(0);
-            match self.cost(worker, wanted, count, search.now) {
+            match self.cost(worker, wanted, count(same, worker), search.now) {
                 Ok(cost) => offers.push(Offer { cost, worker }),
                 Err(misfit) => misfits.note(misfit),
             }
@@ -264,6 +270,7 @@
         (BinaryHeap::from(offers), misfits)
     }
 
+    /// Cost of one more task on a worker; its load is worked out if it is needed.
     fn cost(
         &mut self,
         key: WorkerKey,
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -305,7 +305,7 @@
         } else if is_lost {
             self.fail(id, now);
         }
-        self.hungry.insert(id);
+        self.pending.insert(id);
         self.touch(id);
     }
 
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -91,9 +91,9 @@
     /// Runs whose worker may have to be told something.
     due: HashSet<RunKey>,
     /// Jobs that may have tasks to place.
-    hungry: HashSet<JobId>,
+    pending: HashSet<JobId>,
     /// Jobs with repetitions to come.
-    timed: Vec<JobId>,
+    recurring: Vec<JobId>,
     queues: HashMap<String, Queue>,
     evacuated: HashSet<String>,
     /// Cancels that came before their jobs.
@@ -126,8 +126,8 @@
             runs: SlotMap::with_key(),
             loads: SecondaryMap::new(),
             due: HashSet::default(),
-            hungry: HashSet::default(),
-            timed: Vec::new(),
+            pending: HashSet::default(),
+            recurring: Vec::new(),
             queues: HashMap::default(),
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
@@ -172,11 +172,11 @@
     fn admit(&mut self, id: JobId, record: JobRecord, now: Now) {
         let job = Job::new(record, now);
         if job.begun < job.times() {
-            self.timed.push(id);
+            self.recurring.push(id);
         }
         self.jobs.insert(id, job);
         self.open.insert(id);
-        self.hungry.insert(id);
+        self.pending.insert(id);
         self.has_news = true;
     }
 
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -51,8 +51,8 @@
     }
 
     fn begin_rounds(&mut self, wall_ms: Millis) {
-        let (jobs, hungry) = (&mut self.jobs, &mut self.hungry);
-        self.timed.retain(|id| {
+        let (jobs, pending) = (&mut self.jobs, &mut self.pending);
+        self.recurring.retain(|id| {
             let job = jobs.get_mut(id).filter(|job| !job.state.is_final());
             let Some(job) = job else {
                 return false;
@@ -60,7 +60,7 @@
             let begun = job.begun;
             job.begin_due(wall_ms);
             if job.begun > begun {
-                hungry.insert(*id);
+                pending.insert(*id);
             }
             job.begun < job.times()
         });
--- a/crates/verbenahitch/src/dispatch/slow.rs
+++ b/crates/verbenahitch/src/dispatch/slow.rs
@@ -115,7 +115,7 @@
                 state.avoid = Some(worker);
                 state.wants_copy = true;
             }
-            self.hungry.insert(task.job);
+            self.pending.insert(task.job);
         } else {
             self.restart_elsewhere(key);
         }
