Entry and dispatch: one piece where there were two

* The inbox of the owner's loop tells and asks by itself; the host and the server of other hosts' calls had a copy each.
* Records are written by one function, and a submitted job once: the entry that the store gets is also what the owner is sent, in place of a second encoding.
* A commit is sent and repeated by one function, a lease given up by one.
The line about a lease that could not be given up in an election is at INFO now.
* Orders are carried out in one match; the arm that no order could reach is gone.
* Runs of a job and a step by its place are methods of the job.
* How widely an image harms is worked out for fillers only, which alone use it.
* Removed: Dispatcher::unwritten, JobSpec::is_standing, Line from the interface.

--- a/crates/verbenahitch/schema/owner.capnp
+++ b/crates/verbenahitch/schema/owner.capnp
@@ -3,7 +3,7 @@
 
 interface Owner {
   submitted @0 (job :Text, record :Data) -> ();
-  # Tells of a job that the store holds; the record is the JSON form of `JobRecord`.
+  # Tells of a job; the record is what the store holds of it, the JSON form of `JobEntry`.
 
   cancelled @1 (job :Text) -> ();
   # Tells of a cancel that the store holds.
--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -293,10 +293,7 @@
     /// Logs once why a step waits.
     fn note_waiting(&mut self, step: &Waiting, usable: usize, misfits: Misfits) {
         let job = self.jobs.get_mut(&step.job);
-        let Some(state) = job
-            .and_then(|job| job.round_mut(step.round))
-            .and_then(|round| round.steps.get_mut(step.step as usize))
-        else {
+        let Some(state) = job.and_then(|job| job.step_mut(step.round, step.step)) else {
             return;
         };
         if std::mem::replace(&mut state.is_noted, true) {
--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -86,27 +86,12 @@
         }
     }
 
-    /// Puts the records under way back, after the store refused them.
-    pub fn unwritten(&mut self) {
-        let back: Vec<JobId> = self.writing.drain().map(|(id, _)| id).collect();
-        for id in back {
-            if let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_dirty) {
-                job.is_dirty = true;
-                self.dirty.push(id);
-            }
-        }
-    }
-
     /// Lets runs start whose assignment the store holds.
     fn release_recorded(&mut self, id: JobId, version: u64, now: Monotonic) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let tasks = job.rounds.iter().flat_map(|round| &round.steps);
-        let keys = tasks
-            .flat_map(|step| &step.tasks)
-            .flat_map(|task| &task.runs);
-        for key in keys.copied().collect::<Vec<_>>() {
+        for key in job.runs().collect::<Vec<_>>() {
             let run = &mut self.runs[key];
             if run.phase == Phase::Recording && run.recorded_in <= version {
                 run.phase = Phase::Starting;
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -170,15 +170,15 @@
         worker: WorkerKey,
         now: Monotonic,
     ) -> RunKey {
-        let spec = self.spec_of(task);
-        let amount = spec.map(place::committed).unwrap_or_default();
-        let filling = spec
-            .filter(|spec| spec.filler)
-            .map_or(0, |spec| spec.amount.cpu_milli);
-        let standing = spec.is_some_and(|spec| spec.standing);
-        let target_ms = spec.map_or(0, |spec| spec.target_ms);
-        let image = spec.map(|spec| spec.image.clone()).unwrap_or_default();
-        let image = self.presses.image(&image);
+        // A run that nothing is known of takes nothing.
+        let spec = self.spec_of(task).cloned().unwrap_or_default();
+        let amount = place::committed(&spec);
+        let filling = if spec.filler {
+            spec.amount.cpu_milli
+        } else {
+            0
+        };
+        let image = self.presses.image(&spec.image);
         let key = self.runs.insert(Run {
             task,
             image,
@@ -186,8 +186,8 @@
             worker,
             amount,
             filling,
-            standing,
-            target_ms,
+            standing: spec.standing,
+            target_ms: spec.target_ms,
             phase: Phase::Recording,
             recorded_in: 0,
             confirmed: None,
@@ -314,9 +314,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        if let Some(round) = job.round_mut(task.round)
-            && let Some(step) = round.steps.get_mut(task.step as usize)
-        {
+        if let Some(step) = job.step_mut(task.round, task.step) {
             step.left = step.left.saturating_sub(1);
             if !run.resumed && run.wanted_pace == 100 {
                 step.durations.push(now.since(run.started));
@@ -341,9 +339,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let steps = job.rounds.iter().flat_map(|round| &round.steps);
-        let tasks = steps.flat_map(|step| &step.tasks);
-        let keys: Vec<RunKey> = tasks.flat_map(|task| task.runs.iter().copied()).collect();
+        let keys: Vec<RunKey> = job.runs().collect();
         for key in keys {
             self.stop_run(key);
             let run = &mut self.runs[key];
--- a/crates/verbenahitch/src/dispatch/job.rs
+++ b/crates/verbenahitch/src/dispatch/job.rs
@@ -267,11 +267,6 @@
         }
         Ok(())
     }
-
-    /// Whether some step runs until the job is cancelled.
-    pub fn is_standing(&self) -> bool {
-        self.steps.iter().any(|step| step.standing)
-    }
 }
 
 /// Terms under which a queue runs its jobs.
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -99,7 +99,7 @@
 pub(super) struct Wanted<'a> {
     pub step: &'a StepSpec,
     image: ImageId,
-    /// How widely it harms, as a filler.
+    /// How widely it harms, zero for what does not fill.
     weight: f64,
 }
 
@@ -109,7 +109,11 @@
         Self {
             step,
             image,
-            weight: presses.weight(image),
+            weight: if step.filler {
+                presses.weight(image)
+            } else {
+                0.0
+            },
         }
     }
 
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -51,11 +51,8 @@
         task.failed = record.failed;
         task.checkpoint = record.checkpoint;
         if record.done
-            && let Some(step) = self
-                .jobs
-                .get_mut(&id)
-                .and_then(|job| job.round_mut(round))
-                .and_then(|round| round.steps.get_mut(step as usize))
+            && let Some(job) = self.jobs.get_mut(&id)
+            && let Some(step) = job.step_mut(round, step)
         {
             step.left = step.left.saturating_sub(1);
         }
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -168,14 +168,21 @@
         self.rounds.iter_mut().find(|round| round.number == number)
     }
 
+    /// Step, if its round is in progress.
+    pub fn step_mut(&mut self, round: u32, step: u32) -> Option<&mut Step> {
+        self.round_mut(round)?.steps.get_mut(step as usize)
+    }
+
     /// Task, if its round is in progress.
     pub fn task_mut(&mut self, round: u32, step: u32, index: u32) -> Option<&mut Task> {
-        let round = self.round_mut(round)?;
-        round
-            .steps
-            .get_mut(step as usize)?
-            .tasks
-            .get_mut(index as usize)
+        self.step_mut(round, step)?.tasks.get_mut(index as usize)
+    }
+
+    /// Runs of all tasks.
+    pub fn runs(&self) -> impl Iterator<Item = RunKey> {
+        let steps = self.rounds.iter().flat_map(|round| &round.steps);
+        let tasks = steps.flat_map(|step| &step.tasks);
+        tasks.flat_map(|task| task.runs.iter().copied())
     }
 
     /// Declaration of a step.
@@ -185,9 +192,6 @@
 
     /// Whether nothing is left to do or to stop.
     pub fn is_idle(&self) -> bool {
-        let tasks = self.rounds.iter().flat_map(|round| &round.steps);
-        tasks
-            .flat_map(|step| &step.tasks)
-            .all(|task| task.runs.is_empty())
+        self.runs().next().is_none()
     }
 }
--- a/crates/verbenahitch/src/entry/follow.rs
+++ b/crates/verbenahitch/src/entry/follow.rs
@@ -81,8 +81,12 @@
     }
 }
 
+/// Random time until the next attempt.
+pub(super) fn retry_wait() -> Duration {
+    Duration::from_millis(rand::rng().random_range(RETRY_MIN_MS..=RETRY_MAX_MS))
+}
+
 /// Waits a random time before the next attempt.
 pub(super) async fn pause() {
-    let wait = rand::rng().random_range(RETRY_MIN_MS..=RETRY_MAX_MS);
-    tokio::time::sleep(Duration::from_millis(wait)).await;
+    tokio::time::sleep(retry_wait()).await;
 }
--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -138,7 +138,7 @@
         // A caller that has gone away needs no answer.
         match call {
             Call::Submit(id, record, answer) => {
-                let _ = answer.send(self.submit(id, &record).await);
+                let _ = answer.send(self.submit(id, *record).await);
             }
             Call::Cancel(id, answer) => {
                 let _ = answer.send(self.cancel(id).await);
@@ -152,33 +152,24 @@
         }
     }
 
-    async fn submit(&self, id: JobId, record: &JobRecord) -> Accepted {
-        let entry = match serde_json::to_vec(&JobEntry::Open(record.clone())) {
-            Ok(entry) => entry,
-            Err(error) => {
-                log::error!("job {id} cannot be written: {error}");
-                return Accepted::Refused;
-            }
-        };
-        let outcome = self.store(keys::job(id), entry).await;
+    async fn submit(&self, id: JobId, record: JobRecord) -> Accepted {
+        let entry = JobEntry::Open(record);
+        let bytes = keys::encode(&entry);
+        let outcome = self.store(keys::job(id), bytes.clone()).await;
         if outcome == Accepted::Stored {
-            self.announce(id, record).await;
+            self.announce(id, entry, bytes);
         }
         outcome
     }
 
     /// Creates a key; a key that exists already counts as stored.
     async fn store(&self, key: String, value: Vec<u8>) -> Accepted {
-        if !self.shared.store_up.load(Ordering::Relaxed) {
+        if !self.shared.is_store_up() {
             return Accepted::Refused;
         }
         let transaction = Transaction {
             expected: vec![(key.clone(), 0)],
-            puts: vec![Put {
-                key,
-                value,
-                lease: 0,
-            }],
+            puts: vec![Put::lasting(key, value)],
             removes: Vec::new(),
         };
         let kv = self.shared.platform.kv();
@@ -202,23 +193,18 @@
     }
 
     /// Tells the owner of a job, which otherwise finds it by its watch.
-    async fn announce(&self, id: JobId, record: &JobRecord) {
-        if self
-            .shared
-            .tell(OwnerEvent::Submitted(id, Box::new(record.clone())))
+    fn announce(&self, id: JobId, entry: JobEntry, bytes: Vec<u8>) {
+        if let JobEntry::Open(record) = entry
+            && self
+                .shared
+                .inbox
+                .tell(OwnerEvent::Submitted(id, Box::new(record)))
         {
             return;
         }
         let Some(address) = self.owner() else {
             return;
         };
-        let bytes = match serde_json::to_vec(record) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!("job {id} cannot be passed on: {error}");
-                return;
-            }
-        };
         let link = Rc::clone(&self.link);
         tokio::task::spawn_local(async move {
             if let Err(error) = link.submitted(address, id, &bytes).await {
@@ -228,7 +214,7 @@
     }
 
     async fn cancel(&self, id: JobId) -> Accepted {
-        if !self.shared.store_up.load(Ordering::Relaxed) {
+        if !self.shared.is_store_up() {
             return Accepted::Refused;
         }
         match self.shared.platform.kv().get(&keys::job(id)).await {
@@ -240,7 +226,7 @@
             }
         }
         let outcome = self.store(keys::cancel(id), b"{}".to_vec()).await;
-        if outcome == Accepted::Stored && !self.shared.tell(OwnerEvent::Cancelled(id)) {
+        if outcome == Accepted::Stored && !self.shared.inbox.tell(OwnerEvent::Cancelled(id)) {
             let Some(address) = self.owner() else {
                 return outcome;
             };
@@ -254,6 +240,7 @@
     async fn state(&self, id: JobId) -> Status {
         let asked = match self
             .shared
+            .inbox
             .ask(|answer| OwnerEvent::State(id, answer))
             .await
         {
@@ -305,6 +292,7 @@
         let name = queue.to_owned();
         if let Some(count) = self
             .shared
+            .inbox
             .ask(|answer| OwnerEvent::Waiting(name, answer))
             .await
         {
--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -51,6 +51,11 @@
     pub nonce: u64,
 }
 
+/// Value of a key.
+pub(super) fn encode<T: Serialize>(record: &T) -> Vec<u8> {
+    serde_json::to_vec(record).expect("records have only string keys")
+}
+
 pub(super) fn job(id: JobId) -> String {
     format!("{JOBS}{id}")
 }
--- a/crates/verbenahitch/src/entry/lead.rs
+++ b/crates/verbenahitch/src/entry/lead.rs
@@ -109,14 +109,11 @@
         address: shared.settings.address.to_string(),
         nonce: rand::rng().random(),
     };
-    let value = serde_json::to_vec(&record).map_err(|error| KvError::Refused {
-        cause: error.to_string(),
-    })?;
     let transaction = Transaction {
         expected: vec![(keys::OWNER.to_owned(), 0)],
         puts: vec![Put {
             key: keys::OWNER.to_owned(),
-            value,
+            value: keys::encode(&record),
             lease,
         }],
         removes: Vec::new(),
@@ -150,8 +147,9 @@
     }
 }
 
-async fn abandon<K: KeyValue>(kv: &K, lease: u64) {
+/// Ends a lease, so that nobody has to wait for it.
+pub(super) async fn abandon<K: KeyValue>(kv: &K, lease: u64) {
     if let Err(error) = kv.revoke(lease).await {
-        log::debug!("lease {lease} is left to end by itself: {error}");
+        log::info!("lease {lease} is left to end by itself: {error}");
     }
 }
--- a/crates/verbenahitch/src/entry/link.rs
+++ b/crates/verbenahitch/src/entry/link.rs
@@ -12,8 +12,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
+use super::keys::JobEntry;
 use super::owner::OwnerEvent;
-use crate::dispatch::{JobId, JobRecord, JobState};
+use crate::dispatch::{JobId, JobState};
 use crate::domain::Millis;
 use crate::owner_capnp::{State, owner};
 use crate::peer::network;
@@ -22,8 +23,33 @@
 /// A busy owner's answer takes tens of them.
 const CALL_LIMIT_MS: Millis = 350;
 
-/// Sender of events to the owner's loop, while this process owns the dispatching.
-pub(super) type Inbox = Rc<RefCell<Option<mpsc::UnboundedSender<OwnerEvent>>>>;
+/// Way to the owner's loop of this process, while there is one; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Inbox(Rc<RefCell<Option<mpsc::UnboundedSender<OwnerEvent>>>>);
+
+impl Inbox {
+    /// Opens the way to a loop, or closes it.
+    pub fn set(&self, sender: Option<mpsc::UnboundedSender<OwnerEvent>>) {
+        self.0.replace(sender);
+    }
+
+    /// Tells the loop; false if there is none.
+    pub fn tell(&self, event: OwnerEvent) -> bool {
+        let sender = self.0.borrow();
+        sender
+            .as_ref()
+            .is_some_and(|sender| sender.send(event).is_ok())
+    }
+
+    /// Asks the loop; none if there is none, or it ends meanwhile.
+    pub async fn ask<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> OwnerEvent) -> Option<T> {
+        let (sender, answer) = oneshot::channel();
+        if !self.tell(event(sender)) {
+            return None;
+        }
+        answer.await.ok()
+    }
+}
 
 /// The owner cannot be asked.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -58,17 +84,17 @@
 }
 
 impl Link {
-    /// Tells of a job.
+    /// Tells of a job, by the entry that the store holds.
     pub async fn submitted(
         &self,
         address: SocketAddr,
         id: JobId,
-        record: &[u8],
+        entry: &[u8],
     ) -> Result<(), LinkError> {
         self.call(address, async |client: owner::Client| {
             let mut request = client.submitted_request();
             request.get().set_job(id.to_string());
-            request.get().set_record(record);
+            request.get().set_record(entry);
             request.send().promise.await.map(|_| ())
         })
         .await
@@ -171,7 +197,7 @@
             continue;
         }
         let client: owner::Client = capnp_rpc::new_client(OwnerServer {
-            inbox: Rc::clone(&inbox),
+            inbox: inbox.clone(),
         });
         let rpc = RpcSystem::new(Box::new(network(stream, Side::Server)), Some(client.client));
         tokio::task::spawn_local(async move {
@@ -186,28 +212,19 @@
     inbox: Inbox,
 }
 
+/// Refusal of a call that only the owner can serve.
+fn not_owner() -> capnp::Error {
+    capnp::Error::disconnected("this process does not own the dispatching".to_owned())
+}
+
 impl OwnerServer {
     fn tell(&self, event: OwnerEvent) -> capnp::Result<()> {
-        let inbox = self.inbox.borrow();
-        let sent = inbox.as_ref().map(|inbox| inbox.send(event));
-        match sent {
-            Some(Ok(())) => Ok(()),
-            _ => Err(capnp::Error::disconnected(
-                "this process does not own the dispatching".to_owned(),
-            )),
+        if self.inbox.tell(event) {
+            Ok(())
+        } else {
+            Err(not_owner())
         }
     }
-
-    async fn ask<T>(
-        &self,
-        event: impl FnOnce(oneshot::Sender<T>) -> OwnerEvent,
-    ) -> capnp::Result<T> {
-        let (sender, answer) = oneshot::channel();
-        self.tell(event(sender))?;
-        answer
-            .await
-            .map_err(|_| capnp::Error::disconnected("the ownership has ended".to_owned()))
-    }
 }
 
 fn parse(text: capnp::text::Reader<'_>) -> capnp::Result<JobId> {
@@ -224,9 +241,12 @@
     ) -> capnp::Result<()> {
         let params = params.get()?;
         let id = parse(params.get_job()?)?;
-        let record: JobRecord = serde_json::from_slice(params.get_record()?)
+        let entry: JobEntry = serde_json::from_slice(params.get_record()?)
             .map_err(|error| capnp::Error::failed(error.to_string()))?;
-        self.tell(OwnerEvent::Submitted(id, Box::new(record)))
+        match entry {
+            JobEntry::Open(record) => self.tell(OwnerEvent::Submitted(id, Box::new(record))),
+            JobEntry::Ended(_) => Err(capnp::Error::failed("the job has ended".to_owned())),
+        }
     }
 
     async fn cancelled(
@@ -244,8 +264,10 @@
         mut results: owner::StateResults,
     ) -> capnp::Result<()> {
         let id = parse(params.get()?.get_job()?)?;
-        let state = self.ask(|answer| OwnerEvent::State(id, answer)).await?;
-        results.get().set_state(encode(state));
+        let state = self.inbox.ask(|answer| OwnerEvent::State(id, answer)).await;
+        results
+            .get()
+            .set_state(encode(state.ok_or_else(not_owner)?));
         Ok(())
     }
 
@@ -256,8 +278,10 @@
     ) -> capnp::Result<()> {
         let queue = params.get()?.get_queue()?.to_string()?;
         let count = self
+            .inbox
             .ask(|answer| OwnerEvent::Waiting(queue, answer))
-            .await?;
+            .await
+            .ok_or_else(not_owner)?;
         results
             .get()
             .set_count(u32::try_from(count).unwrap_or(u32::MAX));
--- a/crates/verbenahitch/src/entry/node.rs
+++ b/crates/verbenahitch/src/entry/node.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwapOption;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 
 use super::follow::{News, Pacing, follow};
 use super::intake::{self, Intake};
@@ -58,21 +58,9 @@
 }
 
 impl<P: Platform> Shared<P> {
-    /// Tells the owner's loop of this process; false if there is none.
-    pub fn tell(&self, event: OwnerEvent) -> bool {
-        let inbox = self.inbox.borrow();
-        inbox
-            .as_ref()
-            .is_some_and(|inbox| inbox.send(event).is_ok())
-    }
-
-    /// Asks the owner's loop of this process; none if there is none.
-    pub async fn ask<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> OwnerEvent) -> Option<T> {
-        let (sender, answer) = oneshot::channel();
-        if !self.tell(event(sender)) {
-            return None;
-        }
-        answer.await.ok()
+    /// Whether the store has answered this host lately.
+    pub fn is_store_up(&self) -> bool {
+        self.store_up.load(Ordering::Relaxed)
     }
 
     /// Queues in force, and the zones that get nothing.
@@ -117,7 +105,7 @@
             owner: watch::channel(None).0,
             knows_owner: Cell::new(false),
             store_up: Arc::clone(&store_up),
-            inbox: Rc::new(RefCell::new(None)),
+            inbox: Inbox::default(),
             stopping,
         };
         Self {
@@ -150,7 +138,7 @@
         drop(intake);
         let listener = TcpListener::bind(shared.settings.address).await?;
         tokio::join!(
-            link::serve(listener, Rc::clone(&shared.inbox)),
+            link::serve(listener, shared.inbox.clone()),
             intake::serve(Rc::clone(&shared), calls),
             follow_operators(&shared),
             follow_owner(&shared),
@@ -197,7 +185,7 @@
             Entry::new(Kind::Declared).with("zones-out", &out).emit();
             shared.evacuated.replace(out);
         }
-        shared.tell(OwnerEvent::Declared);
+        shared.inbox.tell(OwnerEvent::Declared);
     })
     .await;
 }
@@ -270,8 +258,8 @@
 /// Runs the owner's part while this process holds `term`.
 pub(super) async fn own<P: Platform>(shared: &Rc<Shared<P>>, term: lead::Term) -> owner::Outcome {
     let (sender, events) = mpsc::unbounded_channel();
-    shared.inbox.replace(Some(sender.clone()));
+    shared.inbox.set(Some(sender.clone()));
     let outcome = owner::run(shared, term, sender, events).await;
-    shared.inbox.replace(None);
+    shared.inbox.set(None);
     outcome
 }
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -1,7 +1,9 @@
 //! Commits of the owner: one under way at a time, each on the condition that this
 //! process still owns the dispatching and that the commit before it was the last.
 
-use super::driver::{Driver, to_json};
+use std::time::Duration;
+
+use super::driver::Driver;
 use super::{Outcome, OwnerEvent};
 use crate::dispatch::{JobState, Write};
 use crate::domain::Millis;
@@ -15,18 +17,13 @@
 
 impl<P: Platform> Driver<P> {
     pub(super) fn transaction(&self, writes: &[Write]) -> Transaction {
-        let put = |key: String, value: Vec<u8>| Put {
-            key,
-            value,
-            lease: 0,
-        };
         let mark = format!("{:016x}", rand::random::<u64>());
         let mut transaction = Transaction {
             expected: vec![
                 (keys::OWNER.to_owned(), self.term.fence),
                 (keys::COMMIT.to_owned(), self.commit_revision),
             ],
-            puts: vec![put(keys::COMMIT.to_owned(), mark.into_bytes())],
+            puts: vec![Put::lasting(keys::COMMIT.to_owned(), mark.into_bytes())],
             removes: Vec::new(),
         };
         for write in writes {
@@ -35,17 +32,15 @@
                 record.state.is_final() && record.tasks.iter().all(|task| task.runs.is_empty());
             if is_over {
                 let entry = JobEntry::Ended(record.state);
-                transaction
-                    .puts
-                    .push(put(keys::job(write.job), to_json(&entry)));
+                let put = Put::lasting(keys::job(write.job), keys::encode(&entry));
+                transaction.puts.push(put);
                 transaction.removes.push(keys::progress(write.job));
                 if record.state == JobState::Cancelled {
                     transaction.removes.push(keys::cancel(write.job));
                 }
             } else {
-                transaction
-                    .puts
-                    .push(put(keys::progress(write.job), to_json(record)));
+                let put = Put::lasting(keys::progress(write.job), keys::encode(record));
+                transaction.puts.push(put);
             }
         }
         transaction
@@ -62,16 +57,14 @@
         observe::owned(workers, runs);
         let learned = self.dispatcher.learned();
         if learned != self.learned {
-            transaction.puts.push(Put {
-                key: keys::LEARNED.to_owned(),
-                value: to_json(&learned),
-                lease: 0,
-            });
+            let put = Put::lasting(keys::LEARNED.to_owned(), keys::encode(&learned));
+            transaction.puts.push(put);
             self.learned = learned;
         }
     }
 
-    pub(super) fn send_commit(&mut self) {
+    /// Sends the commit under way, after a pause.
+    pub(super) fn send_commit(&mut self, pause: Duration) {
         let Some((transaction, _)) = &self.commit else {
             return;
         };
@@ -79,7 +72,9 @@
         let kv = self.shared.platform.kv().clone();
         let sender = self.sender.clone();
         self.calls.spawn_local(async move {
+            tokio::time::sleep(pause).await;
             let result = kv.commit(&transaction).await;
+            // The loop may have ended meanwhile.
             let _ = sender.send(OwnerEvent::Committed(result));
         });
     }
@@ -115,14 +110,7 @@
             }
             Err(error) => {
                 log::info!("a commit is repeated: {error}");
-                let sender = self.sender.clone();
-                let kv = self.shared.platform.kv().clone();
-                let (transaction, _) = self.commit.clone()?;
-                self.calls.spawn_local(async move {
-                    follow::pause().await;
-                    let result = kv.commit(&transaction).await;
-                    let _ = sender.send(OwnerEvent::Committed(result));
-                });
+                self.send_commit(follow::retry_wait());
             }
         }
         None
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -232,7 +232,7 @@
                 let mut transaction = self.transaction(&writes);
                 self.add_learned(&mut transaction);
                 self.commit = Some((transaction, Instant::now()));
-                self.send_commit();
+                self.send_commit(Duration::ZERO);
             }
         }
     }
@@ -243,28 +243,33 @@
         let fence = self.term.fence;
         self.calls.spawn_local(async move {
             let began = Instant::now();
-            let event = match order {
+            let (kind, is_ok, event) = match order {
                 Order::Look(look) => {
-                    OwnerEvent::Looked(look.worker, platform.look(&look, fence).await)
+                    let result = platform.look(&look, fence).await;
+                    let is_ok = result.is_ok();
+                    ("look", is_ok, OwnerEvent::Looked(look.worker, result))
                 }
                 Order::Start(start) => {
-                    OwnerEvent::Started(start.target.key, platform.start(&start, fence).await)
+                    let result = platform.start(&start, fence).await;
+                    let is_ok = result.is_ok();
+                    (
+                        "start",
+                        is_ok,
+                        OwnerEvent::Started(start.target.key, result),
+                    )
                 }
                 Order::Stop(target) => {
-                    OwnerEvent::Stopped(target.key, platform.stop(&target, fence).await)
+                    let result = platform.stop(&target, fence).await;
+                    let is_ok = result.is_ok();
+                    ("stop", is_ok, OwnerEvent::Stopped(target.key, result))
                 }
                 Order::Pace(target, percent) => {
                     let result = platform.pace(&target, percent, fence).await;
-                    OwnerEvent::Paced(target.key, percent, result)
+                    let is_ok = result.is_ok();
+                    let event = OwnerEvent::Paced(target.key, percent, result);
+                    ("pace", is_ok, event)
                 }
             };
-            let (kind, is_ok) = match &event {
-                OwnerEvent::Looked(_, result) => ("look", result.is_ok()),
-                OwnerEvent::Started(_, result) => ("start", result.is_ok()),
-                OwnerEvent::Stopped(_, result) => ("stop", result.is_ok()),
-                OwnerEvent::Paced(_, _, result) => ("pace", result.is_ok()),
-                _ => ("other", true),
-            };
             observe::ordered(kind, is_ok, began.elapsed());
             // The loop may have ended meanwhile.
             let _ = sender.send(event);
@@ -282,7 +287,3 @@
         }
     }
 }
-
-pub(super) fn to_json<T: serde::Serialize>(value: &T) -> Vec<u8> {
-    serde_json::to_vec(value).expect("records have only string keys")
-}
--- a/crates/verbenahitch/src/entry/owner/mod.rs
+++ b/crates/verbenahitch/src/entry/owner/mod.rs
@@ -12,7 +12,7 @@
 
 use super::follow::{self, News, Pacing, follow};
 use super::keys;
-use super::lead::{LEASE_MS, Term};
+use super::lead::{self, LEASE_MS, Term};
 use super::node::Shared;
 use crate::dispatch::{CallFailure, JobId, JobRecord, JobState, Report, RunKey, WorkerKey};
 use crate::domain::{Millis, Monotonic};
@@ -83,7 +83,7 @@
         Ok(driver) => driver,
         Err(error) => {
             log::error!("the state cannot be read: {error}");
-            hand_over(shared, term).await;
+            lead::abandon(shared.platform.kv(), term.lease).await;
             return Outcome::Unreadable;
         }
     };
@@ -93,17 +93,11 @@
     let outcome = driver.drive(&mut events).await;
     if outcome == Outcome::Stopped {
         driver.settle(&mut events).await;
-        hand_over(shared, term).await;
+        lead::abandon(shared.platform.kv(), term.lease).await;
     }
     outcome
 }
 
-async fn hand_over<P: Platform>(shared: &Shared<P>, term: Term) {
-    if let Err(error) = shared.platform.kv().revoke(term.lease).await {
-        log::info!("the owner's lease is left to end by itself: {error}");
-    }
-}
-
 async fn renew<P: Platform>(shared: Rc<Shared<P>>, term: Term, clock: SystemClock, sender: Sender) {
     loop {
         let sent = clock.now();
--- a/crates/verbenahitch/src/event/mod.rs
+++ b/crates/verbenahitch/src/event/mod.rs
@@ -13,4 +13,4 @@
 pub use kind::Kind;
 pub use logger::{Level, LogError, start_logging, start_queued_logging};
 pub use queue::LogGuard;
-pub use trace::{Line, Trace, trace};
+pub use trace::{Trace, trace};
--- a/crates/verbenahitch/src/event/trace.rs
+++ b/crates/verbenahitch/src/event/trace.rs
@@ -11,22 +11,22 @@
 
 /// One line of a log.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Line {
+struct Line {
     /// Wall-clock time, Unix milliseconds.
-    pub time: Millis,
+    time: Millis,
     /// Process that wrote it.
-    pub process: String,
+    process: String,
     /// Fields of an event, none for free text.
-    pub fields: Map<String, Value>,
+    fields: Map<String, Value>,
     /// Free text, empty for an event.
-    pub text: String,
+    text: String,
 }
 
 impl Line {
     /// Reads a line; what stands before its first brace is left out.
     ///
     /// None is returned for what is not a line of a log.
-    pub fn parse(text: &str) -> Option<Self> {
+    fn parse(text: &str) -> Option<Self> {
         let start = text.find('{')?;
         let value: Value = serde_json::from_str(text[start..].trim_end()).ok()?;
         let text = |name: &str| value[name].as_str().unwrap_or_default().to_owned();
--- a/crates/verbenahitch/src/port/kv.rs
+++ b/crates/verbenahitch/src/port/kv.rs
@@ -48,6 +48,17 @@
     pub lease: u64,
 }
 
+impl Put {
+    /// A key that stays until it is removed.
+    pub fn lasting(key: String, value: Vec<u8>) -> Self {
+        Self {
+            key,
+            value,
+            lease: 0,
+        }
+    }
+}
+
 /// Why a call brought no result.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum KvError {
