Hand the ownership over to a host that can carry more

Cause: larger hosts only waited less before an election.

Change: the owner's record names the share of a core. A host with more than 1.5 times that, or with as much as an owner whose event loop runs late, asks for the ownership under a key; the owner puts the successor's record into its own key in the last transaction of its term, with the conditions of a commit, so that there is no vacancy. The fencing token is the revision of that write. Shares that are missing, no numbers or absurd count as the smallest. A host whose term ended keeps what it knows of a new owner.

--- a/crates/verbenahitch/src/entry/election.rs
+++ b/crates/verbenahitch/src/entry/election.rs
@@ -1,16 +1,22 @@
-//! Election of the owner by a key attached to a lease.
+//! Election of the owner by a key attached to a lease, and hand-over of the ownership.
 //!
 //! Load pattern: the owner crashes, hangs, loses its network or is stopped while
 //! jobs arrive. All candidates wait until the key is removed. Larger hosts try
 //! first; the store accepts the first write.
+//!
+//! A host that can carry more than the owner writes the key [`keys::SUCCESSOR`]. The
+//! owner then replaces the record in its own key by the successor's, attached to the
+//! successor's lease, in the last transaction of its term. So there is no moment
+//! without an owner, and no third host can come between.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
+use tokio::sync::watch;
 
-use super::host::{self, Shared};
-use super::keys::{self, OwnerRecord};
+use super::host::{self, KnownOwner, Shared};
+use super::keys::{self, OwnerRecord, SuccessorRecord};
 use super::owner::Outcome;
 use super::watcher;
 use crate::domain::Millis;
@@ -22,9 +28,6 @@
 /// latency of the store.
 pub(super) const LEASE_MS: Millis = 1_500;
 
-/// Delay of the smallest host before it tries, in milliseconds; larger hosts wait less.
-const RANK_WAIT_MS: f64 = 120.0;
-
 /// Largest random addition to the delay, in milliseconds.
 const JITTER_MS: Millis = 40;
 
@@ -33,10 +36,21 @@
 pub(super) struct Term {
     /// Lease that the owner's key is attached to.
     pub lease: u64,
-    /// Fencing token: the revision at which the key was created.
+    /// Fencing token: the revision at which the key was written.
     pub fence: u64,
 }
 
+/// Time between two requests of a host for the ownership, in milliseconds, and the time
+/// over which the lag of its own event loop is measured before the first one.
+const REQUEST_INTERVAL_MS: Millis = 700;
+
+/// Lag of a host's own event loop up to which it asks for the ownership, in milliseconds.
+const REQUEST_LAG_MS: Millis = 150;
+
+/// How long a host waits for the owner's answer to its request, in milliseconds. Longer
+/// than a commit at sixty times the usual latency of the store, shorter than the lease.
+const ANSWER_TIMEOUT_MS: Millis = 1_200;
+
 /// Takes part in elections until the host stops.
 pub(super) async fn campaign<P: Platform>(shared: &Rc<Shared<P>>) {
     let mut owner = shared.owner.subscribe();
@@ -45,70 +59,165 @@
         if *shared.stopping.borrow() {
             return;
         }
-        if !skip_wait {
-            wait_for_vacancy(shared, &mut owner).await;
-        }
+        let attempt = if skip_wait {
+            elect(shared).await
+        } else {
+            match wait_for_chance(shared, &mut owner).await {
+                Some(Chance::Vacancy) => elect(shared).await,
+                Some(Chance::Succession(fence)) => succeed(shared, &mut owner, fence).await,
+                None => return,
+            }
+        };
         skip_wait = false;
-        if *shared.stopping.borrow() {
-            return;
-        }
-        match elect(shared).await {
+        match attempt {
             Ok(Some(term)) => {
                 Entry::new(Kind::OwnerElected)
                     .with("fence", term.fence)
+                    .with("share", shared.settings.share)
                     .emit();
                 let outcome = host::run_owner(shared, term).await;
                 Entry::new(Kind::OwnerLost)
                     .with("fence", term.fence)
                     .with_text("cause", format!("{outcome:?}"))
                     .emit();
-                shared.owner.send_replace(None);
+                shared.owner.send_if_modified(|owner| {
+                    let is_own = owner.as_ref().is_some_and(|held| held.fence == term.fence);
+                    if is_own {
+                        *owner = None;
+                    }
+                    is_own
+                });
                 skip_wait = outcome == Outcome::LeaseEnded;
             }
             Ok(None) => watcher::back_off().await,
             Err(error) => {
-                log::info!("the election attempt failed: {error}");
+                log::info!("the attempt to become owner failed: {error}");
                 watcher::back_off().await;
             }
         }
     }
 }
 
-async fn wait_for_vacancy<P: Platform>(
+/// Reason to try to become owner.
+enum Chance {
+    /// There is no owner.
+    Vacancy,
+    /// The owner with this fencing token can carry less than this host.
+    Succession(u64),
+}
+
+/// Waits until this host should try to become owner; `None` when the host is dropped.
+async fn wait_for_chance<P: Platform>(
     shared: &Shared<P>,
-    owner: &mut tokio::sync::watch::Receiver<Option<OwnerRecord>>,
-) {
+    owner: &mut watch::Receiver<Option<KnownOwner>>,
+) -> Option<Chance> {
     loop {
-        let is_vacant = owner.borrow_and_update().is_none() && shared.knows_owner.get();
-        if is_vacant {
-            let rank_wait = (1.0 - shared.settings.share).clamp(0.0, 1.0) * RANK_WAIT_MS;
-            let jitter = rand::rng().random_range(0..=JITTER_MS);
-            #[expect(
-                clippy::cast_possible_truncation,
-                clippy::cast_sign_loss,
-                reason = "the wait is between zero and RANK_WAIT_MS"
-            )]
-            let wait = rank_wait as Millis + jitter;
-            tokio::time::sleep(Duration::from_millis(wait)).await;
-            if owner.borrow_and_update().is_none() && shared.knows_owner.get() {
-                return;
-            }
+        if *shared.stopping.borrow() {
+            return None;
         }
-        if owner.changed().await.is_err() {
-            return;
+        let known = owner.borrow_and_update().clone();
+        match known {
+            None if shared.knows_owner.get() => {
+                let wait = shared.capability().rank_wait(shared.largest_share.get());
+                let jitter = rand::rng().random_range(0..=JITTER_MS);
+                tokio::time::sleep(Duration::from_millis(wait + jitter)).await;
+                if owner.borrow_and_update().is_none() && shared.knows_owner.get() {
+                    return Some(Chance::Vacancy);
+                }
+                continue;
+            }
+            Some(known) if shared.capability().should_succeed(known.capability()) => {
+                let jitter = rand::rng().random_range(0..REQUEST_INTERVAL_MS);
+                let wait = Duration::from_millis(REQUEST_INTERVAL_MS + jitter);
+                let began = Instant::now();
+                tokio::time::sleep(wait).await;
+                let lag = began.elapsed().saturating_sub(wait);
+                let is_on_time = lag <= Duration::from_millis(REQUEST_LAG_MS);
+                let is_unchanged = owner
+                    .borrow()
+                    .as_ref()
+                    .is_some_and(|held| held.fence == known.fence && held.slow == known.slow);
+                if is_on_time && is_unchanged && shared.is_store_up() && shared.knows_owner.get() {
+                    return Some(Chance::Succession(known.fence));
+                }
+                continue;
+            }
+            None | Some(_) => {}
         }
+        owner.changed().await.ok()?;
     }
 }
 
-/// Tries to create the owner's key; `None` if another host holds it.
-async fn elect<P: Platform>(shared: &Shared<P>) -> Result<Option<Term>, KvError> {
+/// Asks the owner with the token `fence` for the ownership; `None` if it keeps it.
+async fn succeed<P: Platform>(
+    shared: &Shared<P>,
+    owner: &mut watch::Receiver<Option<KnownOwner>>,
+    fence: u64,
+) -> Result<Option<Term>, KvError> {
     let kv = shared.platform.kv();
     let lease = kv.grant(LEASE_MS).await?;
-    let record = OwnerRecord {
+    let record = own_record(shared);
+    let nonce = record.nonce;
+    let request = SuccessorRecord {
+        owner: record,
+        lease,
+    };
+    let transaction = Transaction {
+        expected: vec![
+            (keys::OWNER.to_owned(), fence),
+            (keys::SUCCESSOR.to_owned(), 0),
+        ],
+        puts: vec![Put {
+            key: keys::SUCCESSOR.to_owned(),
+            value: keys::encode(&request),
+            lease,
+        }],
+        removes: Vec::new(),
+    };
+    match kv.commit(&transaction).await {
+        Ok(_) | Err(KvError::Unanswered { .. }) => {}
+        Err(error) => {
+            revoke_lease(kv, lease).await;
+            return match error {
+                KvError::Conflict { .. } | KvError::NoLease => Ok(None),
+                error => Err(error),
+            };
+        }
+    }
+    let is_own = |known: &Option<KnownOwner>| {
+        known
+            .as_ref()
+            .is_some_and(|known| known.record.nonce == nonce)
+    };
+    let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
+    let answer = tokio::time::timeout(limit, owner.wait_for(is_own)).await;
+    if let Ok(Ok(known)) = answer
+        && let Some(known) = known.as_ref()
+    {
+        return Ok(Some(Term {
+            lease,
+            fence: known.fence,
+        }));
+    }
+    // Also removes the owner's key if the owner has just handed it over.
+    revoke_lease(kv, lease).await;
+    Ok(None)
+}
+
+fn own_record<P: Platform>(shared: &Shared<P>) -> OwnerRecord {
+    OwnerRecord {
         name: shared.settings.name.clone(),
         address: shared.settings.address.to_string(),
         nonce: rand::rng().random(),
-    };
+        share: shared.settings.share,
+    }
+}
+
+/// Tries to create the owner's key; `None` if another host holds it.
+async fn elect<P: Platform>(shared: &Shared<P>) -> Result<Option<Term>, KvError> {
+    let kv = shared.platform.kv();
+    let lease = kv.grant(LEASE_MS).await?;
+    let record = own_record(shared);
     let transaction = Transaction {
         expected: vec![(keys::OWNER.to_owned(), 0)],
         puts: vec![Put {
@@ -137,7 +246,7 @@
             }
             Ok(own_key.map(|item| Term {
                 lease,
-                fence: item.created,
+                fence: item.revision,
             }))
         }
         Err(error) => {
--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -11,9 +11,10 @@
 use tokio::sync::{mpsc, watch};
 
 use super::intake::{self, Intake};
-use super::keys::{self, OwnerRecord};
+use super::keys::{self, OwnerRecord, SuccessorRecord};
 use super::link::{self, Inbox};
 use super::owner::OwnerEvent;
+use super::succession::Capability;
 use super::watcher::{WatchTiming, WatchUpdate, watch_prefix};
 use super::{election, owner};
 use crate::collections::HashMap;
@@ -42,13 +43,34 @@
     pub lease_max: Millis,
 }
 
+/// The owner that the store names.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct KnownOwner {
+    pub record: OwnerRecord,
+    /// Fencing token.
+    pub fence: u64,
+    /// Whether it reports that its event loop runs late.
+    pub slow: bool,
+}
+
+impl KnownOwner {
+    pub fn capability(&self) -> Capability {
+        Capability {
+            share: self.record.share,
+            slow: self.slow,
+        }
+    }
+}
+
 /// State that the parts of a host share.
 pub(super) struct Shared<P> {
     pub platform: P,
     pub settings: EntrySettings,
     pub queues: Arc<ArcSwapOption<Queues>>,
     pub evacuated_zones: RefCell<Vec<String>>,
-    pub owner: watch::Sender<Option<OwnerRecord>>,
+    pub owner: watch::Sender<Option<KnownOwner>>,
+    /// Largest share of a core of this host and of all owners seen.
+    pub largest_share: Cell<f64>,
     /// Whether the last read or watch of the owner's key succeeded.
     pub knows_owner: Cell<bool>,
     /// Whether the last read or watch of the operators' keys succeeded.
@@ -71,6 +93,63 @@
         (queues, self.evacuated_zones.borrow().clone())
     }
 
+    /// Capability of this host while its event loop is on time.
+    pub fn capability(&self) -> Capability {
+        Capability {
+            share: self.settings.share,
+            slow: false,
+        }
+    }
+
+    fn apply_owner_change(&self, change: &Change) {
+        match change {
+            Change::Put(item) if item.key == keys::OWNER => self.set_owner(Some(read_owner(item))),
+            Change::Put(item) if item.key == keys::SLOW => self.set_slow(Some(item)),
+            Change::Put(item) if item.key == keys::SUCCESSOR => self.offer_successor(item),
+            Change::Removed(key) if key == keys::OWNER => self.set_owner(None),
+            Change::Removed(key) if key == keys::SLOW => self.set_slow(None),
+            Change::Put(_) | Change::Removed(_) => {}
+        }
+    }
+
+    fn set_owner(&self, owner: Option<KnownOwner>) {
+        let known = self.owner.borrow().as_ref().map(|known| known.fence);
+        if known == owner.as_ref().map(|owner| owner.fence) {
+            return;
+        }
+        let record = owner.as_ref().map(|owner| &owner.record);
+        Entry::new(Kind::OwnerChanged)
+            .with("owner", record.map(|record| &record.name))
+            .with("share", record.map(|record| record.share))
+            .with("fence", owner.as_ref().map(|owner| owner.fence))
+            .emit();
+        let share = owner.as_ref().map_or(0.0, |owner| owner.record.share);
+        self.largest_share.set(self.largest_share.get().max(share));
+        self.owner.send_replace(owner);
+    }
+
+    /// Applies the key that exists while the owner is slow.
+    fn set_slow(&self, item: Option<&Item>) {
+        let fence = item.and_then(|item| serde_json::from_slice::<u64>(&item.value).ok());
+        self.owner.send_if_modified(|owner| {
+            let Some(owner) = owner else {
+                return false;
+            };
+            let slow = fence == Some(owner.fence);
+            std::mem::replace(&mut owner.slow, slow) != slow
+        });
+    }
+
+    /// Passes the request of another host to the owner's loop, if it runs here.
+    fn offer_successor(&self, item: &Item) {
+        match serde_json::from_slice::<SuccessorRecord>(&item.value) {
+            Ok(record) => {
+                self.inbox.send(OwnerEvent::Offered(Box::new(record)));
+            }
+            Err(error) => log::error!("the successor's record cannot be parsed: {error}"),
+        }
+    }
+
     fn set_store_up(&self, is_up: bool, cause: Option<String>) {
         if self.store_up.swap(is_up, Ordering::Relaxed) == is_up {
             return;
@@ -103,6 +182,7 @@
             queues: Arc::clone(&queues),
             evacuated_zones: RefCell::new(Vec::new()),
             owner: watch::channel(None).0,
+            largest_share: Cell::new(0.0),
             knows_owner: Cell::new(false),
             store_up: Arc::clone(&store_up),
             inbox: Inbox::default(),
@@ -222,18 +302,6 @@
 }
 
 async fn watch_owner<P: Platform>(shared: &Shared<P>) {
-    let set = |record: Option<OwnerRecord>| {
-        if *shared.owner.borrow() != record {
-            Entry::new(Kind::OwnerChanged)
-                .with("owner", record.as_ref().map(|record| &record.name))
-                .emit();
-            shared.owner.send_replace(record);
-        }
-    };
-    let read = |item: &Item| match serde_json::from_slice(&item.value) {
-        Ok(record) => set(Some(record)),
-        Err(error) => log::error!("the owner's record cannot be parsed: {error}"),
-    };
     let kv = shared.platform.kv();
     watch_prefix(
         kv,
@@ -242,9 +310,11 @@
         |update| match update {
             WatchUpdate::Listed(items) => {
                 shared.knows_owner.set(true);
-                match items.iter().find(|item| item.key == keys::OWNER) {
-                    Some(item) => read(item),
-                    None => set(None),
+                let find = |key: &str| items.iter().find(|item| item.key == key);
+                shared.set_owner(find(keys::OWNER).map(read_owner));
+                shared.set_slow(find(keys::SLOW));
+                if let Some(item) = find(keys::SUCCESSOR) {
+                    shared.offer_successor(item);
                 }
                 // Wakes waiting candidates even when nothing has changed, since they check
                 // `knows_owner` too.
@@ -253,11 +323,7 @@
             WatchUpdate::Changes(changes) => {
                 shared.knows_owner.set(true);
                 for change in changes {
-                    match change {
-                        Change::Put(item) if item.key == keys::OWNER => read(&item),
-                        Change::Removed(key) if key == keys::OWNER => set(None),
-                        Change::Put(_) | Change::Removed(_) => {}
-                    }
+                    shared.apply_owner_change(&change);
                 }
             }
             WatchUpdate::Unchanged => shared.knows_owner.set(true),
@@ -267,6 +333,20 @@
     .await;
 }
 
+/// Reads the owner's key. A record that cannot be parsed counts as that of the smallest
+/// host, so that others can ask for the ownership.
+fn read_owner(item: &Item) -> KnownOwner {
+    let record = serde_json::from_slice(&item.value).unwrap_or_else(|error| {
+        log::error!("the owner's record cannot be parsed: {error}");
+        OwnerRecord::default()
+    });
+    KnownOwner {
+        record,
+        fence: item.revision,
+        slow: false,
+    }
+}
+
 /// Runs the owner's loop for the length of `term`.
 pub(super) async fn run_owner<P: Platform>(
     shared: &Rc<Shared<P>>,
--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -312,6 +312,8 @@
 
     fn owner_address(&self) -> Option<SocketAddr> {
         let owner = self.shared.owner.borrow();
-        owner.as_ref().and_then(|owner| owner.address.parse().ok())
+        owner
+            .as_ref()
+            .and_then(|owner| owner.record.address.parse().ok())
     }
 }
--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -19,9 +19,16 @@
 /// Prefix of the owner's key.
 pub(super) const OWNER_PREFIX: &str = "lead/";
 
-/// Key of the owner; the revision of its creation is the fencing token.
+/// Key of the owner; its revision is the fencing token. It is written only when the
+/// ownership begins.
 pub(super) const OWNER: &str = "lead/owner";
 
+/// Key of the host that asks for the ownership.
+pub(super) const SUCCESSOR: &str = "lead/successor";
+
+/// Key that exists while the owner is slow; its value is the owner's fencing token.
+pub(super) const SLOW: &str = "lead/slow";
+
 /// Key that every commit of an owner changes, so that a delayed commit conflicts
 /// with the ones made after it was sent.
 pub(super) const COMMIT: &str = "commit/last";
@@ -40,7 +47,7 @@
 }
 
 /// Value of the owner's key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(super) struct OwnerRecord {
     /// Name of the host.
@@ -49,6 +56,20 @@
     pub address: String,
     /// Random number that identifies one election attempt of a host.
     pub nonce: u64,
+    /// Share of a core that the host has; zero if a version that does not report it wrote
+    /// the record.
+    #[serde(default)]
+    pub share: f64,
+}
+
+/// Value of the key [`SUCCESSOR`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct SuccessorRecord {
+    /// Record of the host as owner.
+    pub owner: OwnerRecord,
+    /// Lease that the owner's key is to be attached to.
+    pub lease: u64,
 }
 
 /// Encodes the value of a key.
--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -6,7 +6,7 @@
 //! otherwise find the job through its own watch. Accepting, cancelling and reading
 //! the state of a job need only the store when the owner does not answer.
 //!
-//! [`intake`] serves callers, `election` elects the owner, `owner` runs the
+//! [`intake`] serves callers, `election` elects the owner by the rules in [`succession`], `owner` runs the
 //! [`Dispatcher`](crate::dispatch::Dispatcher), `link` carries calls to the owner.
 
 mod election;
@@ -17,6 +17,7 @@
 pub mod observe;
 mod owner;
 mod pause;
+pub mod succession;
 mod watcher;
 
 pub use host::{EntryHost, EntrySettings};
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -12,9 +12,10 @@
 use crate::domain::{Millis, Monotonic};
 use crate::entry::election::Term;
 use crate::entry::host::Shared;
-use crate::entry::keys::{self, IntakeKey, JobEntry};
+use crate::entry::keys::{self, IntakeKey, JobEntry, SuccessorRecord};
 use crate::entry::observe;
 use crate::entry::pause::PauseDetector;
+use crate::entry::succession::Capability;
 use crate::entry::watcher::WatchUpdate;
 use crate::event::{Entry, Kind};
 use crate::port::{Clock, Item, KeyValue, KvError, Platform, SystemClock, Transaction};
@@ -59,6 +60,12 @@
     pub(super) checked_at: Monotonic,
     pub(super) pending_commit: Option<(Transaction, Instant)>,
     pub(super) calls: JoinSet<()>,
+    /// Begin of the term.
+    pub(super) since: Monotonic,
+    /// What this host can carry.
+    pub(super) capability: Capability,
+    /// Host that the ownership is to be given to.
+    pub(super) successor: Option<SuccessorRecord>,
 }
 
 impl<P: Platform> Driver<P> {
@@ -95,6 +102,9 @@
             stored_pressures: Vec::new(),
             checked_at: clock.now(),
             calls: JoinSet::new(),
+            since: clock.now(),
+            capability: shared.capability(),
+            successor: None,
         };
         if let Some(learned) = learned?.as_ref().and_then(decode::<Vec<Pressure>>) {
             driver.dispatcher.restore_pressures(&learned);
@@ -178,22 +188,26 @@
         }
     }
 
-    /// Waits for the commit in flight before a planned hand-over.
-    pub(super) async fn finish_commit(&mut self, events: &mut mpsc::UnboundedReceiver<OwnerEvent>) {
+    /// Waits for the commit in flight before a planned hand-over; returns the outcome of
+    /// the term if it ends meanwhile.
+    pub(super) async fn finish_commit(
+        &mut self,
+        events: &mut mpsc::UnboundedReceiver<OwnerEvent>,
+    ) -> Option<Outcome> {
         let limit = Duration::from_millis(HANDOVER_TIMEOUT_MS);
         let waiting = async {
             while self.pending_commit.is_some() {
-                let Some(event) = events.recv().await else {
-                    return;
-                };
-                if self.handle(event).is_some() {
-                    return;
+                if let Some(outcome) = self.handle(events.recv().await?) {
+                    return Some(outcome);
                 }
             }
+            None
         };
-        if tokio::time::timeout(limit, waiting).await.is_err() {
+        let outcome = tokio::time::timeout(limit, waiting).await;
+        outcome.unwrap_or_else(|_| {
             log::info!("no answer to the last commit before the hand-over");
-        }
+            None
+        })
     }
 
     fn handle(&mut self, event: OwnerEvent) -> Option<Outcome> {
@@ -226,6 +240,8 @@
                 self.dispatcher.set_suspended(false);
             }
             OwnerEvent::LeaseEnded => return Some(Outcome::LeaseEnded),
+            OwnerEvent::Offered(request) => return self.consider(*request),
+            OwnerEvent::Slow(slow) => self.publish_slow(slow),
             OwnerEvent::Stop => return Some(Outcome::Stopped),
         }
         None
--- /dev/null
+++ b/crates/verbenahitch/src/entry/owner/handover.rs
@@ -0,0 +1,114 @@
+//! Hand-over of the ownership to a host that can carry more.
+//!
+//! The last transaction of a term puts the successor's record into the owner's key. It
+//! has the conditions of a commit, so no commit of this term can follow it.
+
+use tokio::sync::mpsc;
+
+use super::driver::Driver;
+use super::{Outcome, OwnerEvent};
+use crate::entry::keys::{self, SuccessorRecord};
+use crate::entry::succession::Capability;
+use crate::event::{Entry, Kind};
+use crate::port::{Clock, KeyValue, KvError, Platform, Put, Transaction};
+
+/// Attempts at the transaction while its outcome is unknown.
+const ATTEMPTS: u32 = 3;
+
+impl<P: Platform> Driver<P> {
+    /// Considers the request of another host for the ownership.
+    pub(super) fn consider(&mut self, request: SuccessorRecord) -> Option<Outcome> {
+        let successor = Capability {
+            share: request.owner.share,
+            slow: false,
+        };
+        let term_ms = self.clock.now().since(self.since);
+        let yields = self.capability.yields_to(successor, term_ms);
+        Entry::new(Kind::OwnershipRequested)
+            .with("successor", &request.owner.name)
+            .with("share", successor.share)
+            .with("own-share", self.capability.share)
+            .with("slow", self.capability.slow)
+            .with("term-ms", term_ms)
+            .with("yields", yields)
+            .emit();
+        if !yields {
+            return None;
+        }
+        self.successor = Some(request);
+        Some(Outcome::Outranked)
+    }
+
+    /// Publishes whether this owner is slow. The key is removed with the owner's lease.
+    pub(super) fn publish_slow(&mut self, slow: bool) {
+        self.capability.slow = slow;
+        let mut transaction = Transaction {
+            expected: vec![(keys::OWNER.to_owned(), self.term.fence)],
+            ..Transaction::default()
+        };
+        if slow {
+            transaction.puts.push(Put {
+                key: keys::SLOW.to_owned(),
+                value: keys::encode(&self.term.fence),
+                lease: self.term.lease,
+            });
+        } else {
+            transaction.removes.push(keys::SLOW.to_owned());
+        }
+        let kv = self.shared.platform.kv().clone();
+        self.calls.spawn_local(async move {
+            if let Err(error) = kv.commit(&transaction).await {
+                log::info!("the state of the owner's event loop was not published: {error}");
+            }
+        });
+    }
+
+    /// Gives the ownership to the successor; returns the outcome of the term, or `None`
+    /// if this host remains owner.
+    pub(super) async fn hand_over(
+        &mut self,
+        events: &mut mpsc::UnboundedReceiver<OwnerEvent>,
+    ) -> Option<Outcome> {
+        let request = self.successor.take()?;
+        if let Some(outcome) = self.finish_commit(events).await {
+            return Some(outcome);
+        }
+        if self.pending_commit.is_some() {
+            return None;
+        }
+        let transaction = Transaction {
+            expected: vec![
+                (keys::OWNER.to_owned(), self.term.fence),
+                (keys::COMMIT.to_owned(), self.commit_revision),
+            ],
+            puts: vec![Put {
+                key: keys::OWNER.to_owned(),
+                value: keys::encode(&request.owner),
+                lease: request.lease,
+            }],
+            removes: vec![keys::SUCCESSOR.to_owned(), keys::SLOW.to_owned()],
+        };
+        for _ in 0..ATTEMPTS {
+            match self.shared.platform.kv().commit(&transaction).await {
+                Ok(_) => return Some(Outcome::HandedOver),
+                // Has no effect: the successor has withdrawn its request.
+                Err(KvError::NoLease | KvError::Refused { .. } | KvError::Compacted) => {
+                    return None;
+                }
+                Err(KvError::Conflict { items }) => {
+                    let owner = items.iter().find(|item| item.key == keys::OWNER);
+                    let is_owner = owner.is_some_and(|item| item.revision == self.term.fence);
+                    return Some(match owner {
+                        None => Outcome::LeaseEnded,
+                        Some(_) if is_owner => Outcome::Superseded,
+                        Some(_) => Outcome::HandedOver,
+                    });
+                }
+                Err(KvError::Unanswered { cause }) => {
+                    log::info!("no answer to the hand-over, which is sent again: {cause}");
+                }
+            }
+        }
+        Some(Outcome::HandedOver)
+    }
+}
--- a/crates/verbenahitch/src/entry/owner/mod.rs
+++ b/crates/verbenahitch/src/entry/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod commit;
 mod driver;
+mod handover;
 mod updates;
 
 use std::rc::Rc;
@@ -12,16 +13,21 @@
 
 use super::election::{self, LEASE_MS, Term};
 use super::host::Shared;
-use super::keys;
+use super::keys::{self, SuccessorRecord};
+use super::succession::LagMeter;
 use super::watcher::{self, WatchTiming, WatchUpdate, watch_prefix};
 use crate::dispatch::{CallFailure, JobId, JobRecord, JobState, Report, RunKey, WorkerKey};
 use crate::domain::{Millis, Monotonic};
+use crate::event::{Entry, Kind};
 use crate::port::{Clock, KeyValue, KvError, Platform, SystemClock};
 use driver::Driver;
 
 /// Time between two renewals of the owner's lease, in milliseconds.
 const RENEW_MS: Millis = LEASE_MS / 4;
 
+/// Time between two measurements of the lag of the owner's event loop, in milliseconds.
+const LAG_PROBE_MS: Millis = 100;
+
 /// Timing of the watch on the intake. It can be slow, since hosts notify the owner of
 /// most jobs directly.
 const INTAKE_WATCH: WatchTiming = WatchTiming {
@@ -52,6 +58,10 @@
     Declared,
     Renewed(Monotonic),
     LeaseEnded,
+    /// Another host asks for the ownership.
+    Offered(Box<SuccessorRecord>),
+    /// The event loop began, or ceased, to run late.
+    Slow(bool),
     Stop,
 }
 
@@ -64,6 +74,10 @@
     Superseded,
     /// The stored state could not be read.
     Unreadable,
+    /// Another host asks for the ownership and can carry more.
+    Outranked,
+    /// The ownership was given to another host, or may have been.
+    HandedOver,
     /// The process is stopping.
     Stopped,
 }
@@ -90,13 +104,44 @@
     };
     background.spawn_local(forward_stop(shared.stopping.clone(), sender.clone()));
     background.spawn_local(watch_intake(Rc::clone(shared), sender.clone()));
-    background.spawn_local(watch_registry(Rc::clone(shared), sender));
-    let outcome = driver.drive(&mut events).await;
-    if outcome == Outcome::Stopped {
-        driver.finish_commit(&mut events).await;
-        election::revoke_lease(shared.platform.kv(), term.lease).await;
+    background.spawn_local(watch_registry(Rc::clone(shared), sender.clone()));
+    background.spawn_local(measure_lag(clock, sender));
+    loop {
+        let mut outcome = driver.drive(&mut events).await;
+        if outcome == Outcome::Outranked {
+            match driver.hand_over(&mut events).await {
+                Some(ended) => outcome = ended,
+                None => continue,
+            }
+        }
+        if outcome == Outcome::Stopped {
+            driver.finish_commit(&mut events).await;
+            election::revoke_lease(shared.platform.kv(), term.lease).await;
+        }
+        return outcome;
+    }
+}
+
+/// Reports to the owner's loop whether timers of this process fire late.
+async fn measure_lag(clock: SystemClock, sender: Sender) {
+    let mut meter = LagMeter::default();
+    let mut was_slow = false;
+    loop {
+        let began = clock.now();
+        tokio::time::sleep(Duration::from_millis(LAG_PROBE_MS)).await;
+        let now = clock.now();
+        let slow = meter.record(now.since(began).saturating_sub(LAG_PROBE_MS), now);
+        if slow != was_slow {
+            was_slow = slow;
+            Entry::new(Kind::OwnerLag)
+                .with("lag-ms", meter.lag_ms())
+                .with("slow", slow)
+                .emit();
+            if sender.send(OwnerEvent::Slow(slow)).is_err() {
+                return;
+            }
+        }
     }
-    outcome
 }
 
 async fn renew<P: Platform>(shared: Rc<Shared<P>>, term: Term, clock: SystemClock, sender: Sender) {
--- /dev/null
+++ b/crates/verbenahitch/src/entry/succession.rs
@@ -0,0 +1,142 @@
+//! Decisions on who owns the dispatching and when the ownership moves.
+//!
+//! Load pattern: hosts whose shares of a core differ by a factor of seven start within
+//! a few hundred milliseconds, in any order, so that the first to reach the store may
+//! be one that cannot dispatch for the whole deployment. An owner that has enough CPU
+//! may also be slowed down later. A host that can carry more then asks for the
+//! ownership, and the owner hands it over in one transaction, without a vacancy.
+//!
+//! Inputs: shares, fixed while a process runs; lags, the largest of the last
+//! [`LAG_WINDOW_MS`]; the lag of the owner, as old as its last change of state.
+
+use serde::{Deserialize, Serialize};
+
+use crate::domain::{Millis, Monotonic};
+
+/// Longest delay of a candidate by its share before it tries to become owner, in
+/// milliseconds. Exceeds the differences by which hosts learn of a vacancy.
+const RANK_WAIT_MS: f64 = 160.0;
+
+/// Multiple of the owner's share from which a host asks for the ownership. A hand-over
+/// costs about as much as a tenth of a second without dispatching.
+const SHARE_RATIO: f64 = 1.5;
+
+/// Largest share that a settings file may sensibly name, in cores.
+const SHARE_MAX: f64 = 64.0;
+
+/// Lag from which a host counts as slow, in milliseconds. With less, jobs still start
+/// within the shortest objective.
+const SLOW_LAG_MS: Millis = 800;
+
+/// Lag from which a slow host stays slow, in milliseconds.
+const RECOVERED_LAG_MS: Millis = 250;
+
+/// Time that a measured lag counts, in milliseconds.
+const LAG_WINDOW_MS: Millis = 2_000;
+
+/// Shortest ownership before a hand-over for a larger share, in milliseconds. Bounds
+/// how often the ownership moves while hosts start one after the other.
+const SHARE_TERM_MS: Millis = 1_000;
+
+/// Shortest ownership before a hand-over for lag, in milliseconds. A new owner lags
+/// while it loads the stored state.
+const LAG_TERM_MS: Millis = 5_000;
+
+/// What a host can carry as owner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Capability {
+    /// Share of a core; zero for an owner of a version that does not report it.
+    #[serde(default)]
+    pub share: f64,
+    /// Whether its event loop runs late.
+    #[serde(default)]
+    pub slow: bool,
+}
+
+impl Capability {
+    /// Share for comparisons. An impossible share counts as the smallest, so that such a
+    /// host owns only while no other does.
+    fn rank(self) -> f64 {
+        if self.share.is_finite() && (0.0..=SHARE_MAX).contains(&self.share) {
+            self.share
+        } else {
+            0.0
+        }
+    }
+
+    /// Whether a host with `self` should ask the host with `owner` for the ownership.
+    pub fn should_succeed(self, owner: Self) -> bool {
+        if self.slow {
+            return false;
+        }
+        if owner.slow {
+            return self.rank() >= owner.rank();
+        }
+        self.rank() > owner.rank() * SHARE_RATIO
+    }
+
+    /// Whether an owner with `self`, owner for `term_ms`, hands over to a host with
+    /// `successor`.
+    pub fn yields_to(self, successor: Self, term_ms: Millis) -> bool {
+        let least_ms = if self.slow {
+            LAG_TERM_MS
+        } else {
+            SHARE_TERM_MS
+        };
+        term_ms >= least_ms && successor.should_succeed(self)
+    }
+
+    /// Delay before a candidate tries to become owner, in milliseconds. `largest` is the
+    /// largest share of an earlier owner, zero if none is known; it decides who tries
+    /// first.
+    pub fn rank_wait(self, largest: f64) -> Millis {
+        let known = Self {
+            share: largest,
+            slow: false,
+        };
+        let most = if known.rank() > 0.0 {
+            known.rank()
+        } else {
+            1.0
+        };
+        let missing = 1.0 - (self.rank() / most).min(1.0);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the wait is between zero and RANK_WAIT_MS"
+        )]
+        let wait = (missing * RANK_WAIT_MS) as Millis;
+        wait
+    }
+}
+
+/// Recent lag of an event loop, with hysteresis.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LagMeter {
+    worst_ms: Millis,
+    worst_at: Monotonic,
+    slow: bool,
+}
+
+impl LagMeter {
+    /// Records that a timer fired `lag_ms` late; returns whether the loop counts as slow.
+    pub fn record(&mut self, lag_ms: Millis, now: Monotonic) -> bool {
+        if lag_ms >= self.worst_ms || now.since(self.worst_at) > LAG_WINDOW_MS {
+            self.worst_ms = lag_ms;
+            self.worst_at = now;
+        }
+        let limit = if self.slow {
+            RECOVERED_LAG_MS
+        } else {
+            SLOW_LAG_MS
+        };
+        self.slow = self.worst_ms >= limit;
+        self.slow
+    }
+
+    /// Lag of the last seconds in milliseconds.
+    pub fn lag_ms(&self) -> Millis {
+        self.worst_ms
+    }
+}
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -76,6 +76,8 @@
     OwnerElected = 304, "owner-elected", Info, "This process was elected owner and runs the dispatcher.";
     OwnerLost = 305, "owner-lost", Warn, "This process is no longer the owner.";
     OwnerChanged = 306, "owner-changed", Info, "There is a new owner, or no owner.";
+    OwnershipRequested = 307, "ownership-requested", Info, "Another host asks this owner for the ownership.";
+    OwnerLag = 308, "owner-lag", Warn, "The owner's event loop began, or ceased, to run late.";
     StoreDown = 310, "store-down", Warn, "The platform's store does not answer.";
     StoreUp = 311, "store-up", Info, "The platform's store answers, for the first time or again.";
     PermitLapsed = 312, "permit-lapsed", Warn, "No task may start until the zone is confirmed to be in service.";
--- /dev/null
+++ b/testsuite/tests/testsuite/entry/mod.rs
@@ -0,0 +1,3 @@
+//! Entry hosts: decisions without I/O.
+
+mod succession;
--- /dev/null
+++ b/testsuite/tests/testsuite/entry/succession.rs
@@ -0,0 +1,80 @@
+//! Who owns the dispatching, and when the ownership moves.
+
+use test_case::test_case;
+use verbenahitch::domain::{Millis, Monotonic};
+use verbenahitch::entry::succession::{Capability, LagMeter};
+
+const fn host(share: f64) -> Capability {
+    Capability { share, slow: false }
+}
+
+const fn slow(share: f64) -> Capability {
+    Capability { share, slow: true }
+}
+
+struct Request {
+    owner: Capability,
+    successor: Capability,
+    term_ms: Millis,
+    yields: bool,
+}
+
+#[test_case(Request { owner: host(0.069), successor: host(0.5), term_ms: 1_500, yields: true }; "to a larger host")]
+#[test_case(Request { owner: host(0.5), successor: host(0.069), term_ms: 60_000, yields: false }; "not to a smaller one")]
+#[test_case(Request { owner: host(0.1), successor: host(0.1), term_ms: 60_000, yields: false }; "not among equals")]
+#[test_case(Request { owner: host(0.4), successor: host(0.5), term_ms: 60_000, yields: false }; "not for a small gain")]
+#[test_case(Request { owner: host(0.069), successor: host(0.5), term_ms: 200, yields: false }; "not at once after an election")]
+#[test_case(Request { owner: slow(0.5), successor: host(0.5), term_ms: 6_000, yields: true }; "from a slow host to an equal one")]
+#[test_case(Request { owner: slow(0.5), successor: host(0.1), term_ms: 60_000, yields: false }; "from a slow host not to a smaller one")]
+#[test_case(Request { owner: slow(0.5), successor: host(0.5), term_ms: 3_000, yields: false }; "a new owner is slow while it loads")]
+#[test_case(Request { owner: host(0.069), successor: slow(0.5), term_ms: 60_000, yields: false }; "not to a slow host")]
+#[test_case(Request { owner: host(0.0), successor: host(0.069), term_ms: 2_000, yields: true }; "an owner that reports no share counts as smallest")]
+#[test_case(Request { owner: host(f64::NAN), successor: host(0.069), term_ms: 2_000, yields: true }; "a share that is no number counts as smallest")]
+#[test_case(Request { owner: host(0.069), successor: host(1e9), term_ms: 2_000, yields: false }; "an absurd share counts as smallest")]
+#[test_case(Request { owner: host(0.069), successor: host(-0.5), term_ms: 2_000, yields: false }; "a negative share counts as smallest")]
+fn yields(case: Request) {
+    assert_eq!(
+        case.owner.yields_to(case.successor, case.term_ms),
+        case.yields
+    );
+}
+
+struct Wait {
+    first: f64,
+    second: f64,
+    largest: f64,
+    least_ms: Millis,
+}
+
+#[test_case(Wait { first: 0.5, second: 0.069, largest: 0.0, least_ms: 60 }; "larger first before any owner is known")]
+#[test_case(Wait { first: 0.5, second: 0.069, largest: 0.5, least_ms: 100 }; "larger first after a large owner")]
+#[test_case(Wait { first: 0.5, second: f64::NAN, largest: 0.5, least_ms: 100 }; "no number last")]
+#[test_case(Wait { first: 0.5, second: 1e9, largest: 0.5, least_ms: 100 }; "absurd share last")]
+fn waits_less(case: Wait) {
+    let first = host(case.first).rank_wait(case.largest);
+    let second = host(case.second).rank_wait(case.largest);
+    assert!(second >= first + case.least_ms, "{first} {second}");
+}
+
+/// Where no larger host was ever owner, nobody waits for one.
+#[test]
+fn equal_hosts_do_not_wait_for_a_larger_one() {
+    assert_eq!(host(0.1).rank_wait(0.1), 0);
+}
+
+#[test]
+fn lag_counts_for_a_while_and_has_hysteresis() {
+    let mut meter = LagMeter::default();
+    let steps: [(Millis, Millis, bool); 6] = [
+        (0, 100, false),
+        (100, 900, true),
+        (200, 0, true),
+        // The large lag no longer counts, but the lag has not come down enough.
+        (2_300, 400, true),
+        (3_000, 0, true),
+        (4_500, 100, false),
+    ];
+    for (at, lag, slow) in steps {
+        assert_eq!(meter.record(lag, Monotonic(at)), slow, "at {at}");
+    }
+}
--- a/testsuite/tests/testsuite/main.rs
+++ b/testsuite/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of verbenahitch by feature.
 
 mod dispatch;
+mod entry;
 mod event;
 mod gateway;
 mod interference;
