Measure the owner's lag through its own queue of events

Change: probes go through the owner's queue; the mean lag of about a second decides, with hysteresis, so that one stall whose probes are handled together does not. After an unanswered attempt at a hand-over a refused one no longer counts as none.

--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -15,7 +15,7 @@
 use crate::entry::keys::{self, IntakeKey, JobEntry, SuccessorRecord};
 use crate::entry::observe;
 use crate::entry::pause::PauseDetector;
-use crate::entry::succession::Capability;
+use crate::entry::succession::{Capability, LagMeter};
 use crate::entry::watcher::WatchUpdate;
 use crate::event::{Entry, Kind};
 use crate::port::{Clock, Item, KeyValue, KvError, Platform, SystemClock, Transaction};
@@ -64,6 +64,7 @@
     pub(super) since: Monotonic,
     /// What this host can carry.
     pub(super) capability: Capability,
+    pub(super) lag: LagMeter,
     /// Host that the ownership is to be given to.
     pub(super) successor: Option<SuccessorRecord>,
 }
@@ -104,6 +105,7 @@
             calls: JoinSet::new(),
             since: clock.now(),
             capability: shared.capability(),
+            lag: LagMeter::default(),
             successor: None,
         };
         if let Some(learned) = learned?.as_ref().and_then(decode::<Vec<Pressure>>) {
@@ -241,7 +243,7 @@
             }
             OwnerEvent::LeaseEnded => return Some(Outcome::LeaseEnded),
             OwnerEvent::Offered(request) => return self.consider(*request),
-            OwnerEvent::Slow(slow) => self.publish_slow(slow),
+            OwnerEvent::Probe(due) => self.record_lag(now.at.since(due)),
             OwnerEvent::Stop => return Some(Outcome::Stopped),
         }
         None
--- a/crates/verbenahitch/src/entry/owner/handover.rs
+++ b/crates/verbenahitch/src/entry/owner/handover.rs
@@ -7,6 +7,7 @@
 
 use super::driver::Driver;
 use super::{Outcome, OwnerEvent};
+use crate::domain::Millis;
 use crate::entry::keys::{self, SuccessorRecord};
 use crate::entry::succession::Capability;
 use crate::event::{Entry, Kind};
@@ -39,9 +40,21 @@
         Some(Outcome::Outranked)
     }
 
+    /// Records the lag of a probe.
+    pub(super) fn record_lag(&mut self, lag_ms: Millis) {
+        let slow = self.lag.record(lag_ms);
+        if slow != self.capability.slow {
+            self.capability.slow = slow;
+            Entry::new(Kind::OwnerLag)
+                .with("lag-ms", self.lag.mean_ms().round())
+                .with("slow", slow)
+                .emit();
+            self.publish_slow(slow);
+        }
+    }
+
     /// Publishes whether this owner is slow. The key is removed with the owner's lease.
-    pub(super) fn publish_slow(&mut self, slow: bool) {
-        self.capability.slow = slow;
+    fn publish_slow(&mut self, slow: bool) {
         let mut transaction = Transaction {
             expected: vec![(keys::OWNER.to_owned(), self.term.fence)],
             ..Transaction::default()
@@ -88,12 +101,13 @@
             }],
             removes: vec![keys::SUCCESSOR.to_owned(), keys::SLOW.to_owned()],
         };
+        let mut may_be_applied = false;
         for _ in 0..ATTEMPTS {
             match self.shared.platform.kv().commit(&transaction).await {
                 Ok(_) => return Some(Outcome::HandedOver),
-                // Has no effect: the successor has withdrawn its request.
+                // This attempt had no effect, such as when the successor has withdrawn.
                 Err(KvError::NoLease | KvError::Refused { .. } | KvError::Compacted) => {
-                    return None;
+                    return may_be_applied.then_some(Outcome::HandedOver);
                 }
                 Err(KvError::Conflict { items }) => {
                     let owner = items.iter().find(|item| item.key == keys::OWNER);
@@ -105,6 +119,7 @@
                     });
                 }
                 Err(KvError::Unanswered { cause }) => {
+                    may_be_applied = true;
                     log::info!("no answer to the hand-over, which is sent again: {cause}");
                 }
             }
--- a/crates/verbenahitch/src/entry/owner/mod.rs
+++ b/crates/verbenahitch/src/entry/owner/mod.rs
@@ -14,18 +14,16 @@
 use super::election::{self, LEASE_MS, Term};
 use super::host::Shared;
 use super::keys::{self, SuccessorRecord};
-use super::succession::LagMeter;
 use super::watcher::{self, WatchTiming, WatchUpdate, watch_prefix};
 use crate::dispatch::{CallFailure, JobId, JobRecord, JobState, Report, RunKey, WorkerKey};
 use crate::domain::{Millis, Monotonic};
-use crate::event::{Entry, Kind};
 use crate::port::{Clock, KeyValue, KvError, Platform, SystemClock};
 use driver::Driver;
 
 /// Time between two renewals of the owner's lease, in milliseconds.
 const RENEW_MS: Millis = LEASE_MS / 4;
 
-/// Time between two measurements of the lag of the owner's event loop, in milliseconds.
+/// Time between two probes of the lag of the owner's event loop, in milliseconds.
 const LAG_PROBE_MS: Millis = 100;
 
 /// Timing of the watch on the intake. It can be slow, since hosts notify the owner of
@@ -60,8 +58,8 @@
     LeaseEnded,
     /// Another host asks for the ownership.
     Offered(Box<SuccessorRecord>),
-    /// The event loop began, or ceased, to run late.
-    Slow(bool),
+    /// Was due at this time; measures the lag of the event loop.
+    Probe(Monotonic),
     Stop,
 }
 
@@ -105,7 +103,7 @@
     background.spawn_local(forward_stop(shared.stopping.clone(), sender.clone()));
     background.spawn_local(watch_intake(Rc::clone(shared), sender.clone()));
     background.spawn_local(watch_registry(Rc::clone(shared), sender.clone()));
-    background.spawn_local(measure_lag(clock, sender));
+    background.spawn_local(send_probes(clock, sender));
     loop {
         let mut outcome = driver.drive(&mut events).await;
         if outcome == Outcome::Outranked {
@@ -122,24 +120,13 @@
     }
 }
 
-/// Reports to the owner's loop whether timers of this process fire late.
-async fn measure_lag(clock: SystemClock, sender: Sender) {
-    let mut meter = LagMeter::default();
-    let mut was_slow = false;
+/// Sends probes through the owner's queue of events, which tell how late it handles them.
+async fn send_probes(clock: SystemClock, sender: Sender) {
     loop {
-        let began = clock.now();
+        let due = clock.now() + LAG_PROBE_MS;
         tokio::time::sleep(Duration::from_millis(LAG_PROBE_MS)).await;
-        let now = clock.now();
-        let slow = meter.record(now.since(began).saturating_sub(LAG_PROBE_MS), now);
-        if slow != was_slow {
-            was_slow = slow;
-            Entry::new(Kind::OwnerLag)
-                .with("lag-ms", meter.lag_ms())
-                .with("slow", slow)
-                .emit();
-            if sender.send(OwnerEvent::Slow(slow)).is_err() {
-                return;
-            }
+        if sender.send(OwnerEvent::Probe(due)).is_err() {
+            return;
         }
     }
 }
--- a/crates/verbenahitch/src/entry/succession.rs
+++ b/crates/verbenahitch/src/entry/succession.rs
@@ -6,12 +6,10 @@
 //! may also be slowed down later. A host that can carry more then asks for the
 //! ownership, and the owner hands it over in one transaction, without a vacancy.
 //!
-//! Inputs: shares, fixed while a process runs; lags, the largest of the last
-//! [`LAG_WINDOW_MS`]; the lag of the owner, as old as its last change of state.
+//! Inputs: shares, fixed while a process runs; the owner's mean lag over about a second,
+//! known to other hosts by whether it counts as slow.
 
-use serde::{Deserialize, Serialize};
-
-use crate::domain::{Millis, Monotonic};
+use crate::domain::Millis;
 
 /// Longest delay of a candidate by its share before it tries to become owner, in
 /// milliseconds. Exceeds the differences by which hosts learn of a vacancy.
@@ -24,15 +22,15 @@
 /// Largest share that a settings file may sensibly name, in cores.
 const SHARE_MAX: f64 = 64.0;
 
-/// Lag from which a host counts as slow, in milliseconds. With less, jobs still start
-/// within the shortest objective.
-const SLOW_LAG_MS: Millis = 800;
+/// Mean lag from which a host counts as slow, in milliseconds: most of what the shortest
+/// objective leaves beyond the run time.
+const SLOW_LAG_MS: f64 = 150.0;
 
-/// Lag from which a slow host stays slow, in milliseconds.
-const RECOVERED_LAG_MS: Millis = 250;
+/// Mean lag below which a slow host counts as recovered, in milliseconds.
+const RECOVERED_LAG_MS: f64 = 50.0;
 
-/// Time that a measured lag counts, in milliseconds.
-const LAG_WINDOW_MS: Millis = 2_000;
+/// Weight of one probe in the mean lag; the mean covers about ten probes.
+const LAG_WEIGHT: f64 = 0.1;
 
 /// Shortest ownership before a hand-over for a larger share, in milliseconds. Bounds
 /// how often the ownership moves while hosts start one after the other.
@@ -43,14 +41,11 @@
 const LAG_TERM_MS: Millis = 5_000;
 
 /// What a host can carry as owner.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Capability {
     /// Share of a core; zero for an owner of a version that does not report it.
-    #[serde(default)]
     pub share: f64,
     /// Whether its event loop runs late.
-    #[serde(default)]
     pub slow: bool,
 }
 
@@ -111,32 +106,31 @@
     }
 }
 
-/// Recent lag of an event loop, with hysteresis.
+/// Mean lag of an event loop over the last probes, with hysteresis.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LagMeter {
-    worst_ms: Millis,
-    worst_at: Monotonic,
+    mean_ms: f64,
     slow: bool,
 }
 
 impl LagMeter {
-    /// Records that a timer fired `lag_ms` late; returns whether the loop counts as slow.
-    pub fn record(&mut self, lag_ms: Millis, now: Monotonic) -> bool {
-        if lag_ms >= self.worst_ms || now.since(self.worst_at) > LAG_WINDOW_MS {
-            self.worst_ms = lag_ms;
-            self.worst_at = now;
-        }
+    /// Records that a probe was handled `lag_ms` late; returns whether the loop counts as
+    /// slow.
+    pub fn record(&mut self, lag_ms: Millis) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "a few seconds")]
+        let lag_ms = lag_ms as f64;
+        self.mean_ms += (lag_ms - self.mean_ms) * LAG_WEIGHT;
         let limit = if self.slow {
             RECOVERED_LAG_MS
         } else {
             SLOW_LAG_MS
         };
-        self.slow = self.worst_ms >= limit;
+        self.slow = self.mean_ms >= limit;
         self.slow
     }
 
-    /// Lag of the last seconds in milliseconds.
-    pub fn lag_ms(&self) -> Millis {
-        self.worst_ms
+    /// Mean lag in milliseconds.
+    pub fn mean_ms(&self) -> f64 {
+        self.mean_ms
     }
 }
