--- a/crates/verbenahitch/src/dispatch/headroom.rs
+++ b/crates/verbenahitch/src/dispatch/headroom.rs
@@ -25,8 +25,8 @@
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
-/// Pressure that is assumed for a pair before any observation: about a quarter of the
-/// pairs interfere, with a pressure of five to ten.
+/// Pressure that is assumed for a pair before any observation: between that of the pairs
+/// that do not interfere and that of the others, four to ten.
 const DEFAULT_PRESSURE: f64 = 2.0;
 
 /// Variance of [`DEFAULT_PRESSURE`].
--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -69,7 +69,7 @@
     pub queues: Arc<ArcSwapOption<Queues>>,
     pub evacuated_zones: RefCell<Vec<String>>,
     pub owner: watch::Sender<Option<KnownOwner>>,
-    /// Largest share of a core of this host and of all owners seen.
+    /// Largest share of a core of all owners seen, zero before the first.
     pub largest_share: Cell<f64>,
     /// Whether the last read or watch of the owner's key succeeded.
     pub knows_owner: Cell<bool>,
