Log on what evidence a run is taken as ended

Cause: task-ended had one cause for a lapse and a restart, and one for a stop and a run that is missing from a list; no event named the worker's incarnation or the age of what was known. Change: task-ended carries the evidence, the incarnation that the start was meant for and the last one known, and the age of the worker's last answer. Runs that a worker lists without an assignment are counted.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -2,7 +2,7 @@
 
 use super::headroom::Level;
 use super::mitigation::PastFiller;
-use super::report::{CallFailure, EndCause};
+use super::report::{CallFailure, EndCause, Evidence};
 use super::table::Task;
 use super::worker::{Run, WorkerInfo, WorkerKey};
 use super::{
@@ -129,7 +129,7 @@
                 let is_first_try = tries == 1;
                 self.order_refused(worker, now);
                 if is_first_try {
-                    self.end_run(key, EndCause::Stopped, "", now);
+                    self.end_run(key, EndCause::Stopped, Evidence::Refusal, "", now);
                 }
             }
         }
@@ -222,6 +222,7 @@
             in_flight: false,
             retry_at: now,
             tries: 0,
+            ordered_in: 0,
             started_at: now,
             resumed: false,
             progress: 0,
@@ -255,6 +256,7 @@
         &mut self,
         key: RunKey,
         cause: EndCause,
+        evidence: Evidence,
         checkpoint: &str,
         now: Monotonic,
     ) {
@@ -272,6 +274,8 @@
             worker.past_fillers.push(past);
         }
         let name = worker.info.name.clone();
+        let incarnation = worker.info.incarnation;
+        let answer_age = worker.answered_at.map(|at| now.since(at));
         if cause == EndCause::Done {
             health::run_done(worker);
         }
@@ -287,6 +291,10 @@
             .with("run", run.number)
             .with("worker", name)
             .with("cause", cause)
+            .with("evidence", evidence)
+            .with("ordered-in", run.ordered_in)
+            .with("incarnation", incarnation)
+            .with("answer-age-ms", answer_age)
             .emit();
         self.apply_end(&run, key, cause, checkpoint, now);
     }
@@ -385,7 +393,7 @@
             // A run whose start was never ordered needs no stop order.
             let is_ordered = run.phase == Phase::Live || run.tries > 0;
             if !is_ordered {
-                self.end_run(key, EndCause::Stopped, "", now);
+                self.end_run(key, EndCause::Stopped, Evidence::NotOrdered, "", now);
             }
         }
     }
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -123,6 +123,8 @@
     quorum_at: Option<Monotonic>,
     /// Last confirmation of the ownership by the store.
     ownership_at: Monotonic,
+    /// Number of runs that workers listed without an assignment, until it is taken.
+    unassigned: u64,
 }
 
 impl Dispatcher {
@@ -153,6 +155,7 @@
             is_suspended: false,
             quorum_at: None,
             ownership_at: now,
+            unassigned: 0,
         }
     }
 
@@ -298,6 +301,12 @@
         self.headroom.restore_pressures(learned);
     }
 
+    /// Takes the number of runs that workers have listed without an assignment since the
+    /// last call. Such a run was taken as ended too early, or belongs to another owner.
+    pub fn take_unassigned(&mut self) -> u64 {
+        std::mem::take(&mut self.unassigned)
+    }
+
     /// Number of usable workers, and of runs.
     pub fn counts(&self, now: Monotonic) -> (usize, usize) {
         let usable = self
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -1,6 +1,6 @@
 //! One pass of the dispatcher: the polls, starts, stops and changes of pace that are due.
 
-use super::report::{Order, Start, Target};
+use super::report::{EndCause, Evidence, Order, Start, Target};
 use super::worker::{Run, WorkerKey};
 use super::{Dispatcher, Millis, Monotonic, Now, Phase, RunKey, health};
 
@@ -140,8 +140,11 @@
         let worker = &mut self.workers[self.runs[key].worker];
         let lease_end = worker.lease_end(now, lease_ms)?;
         worker.lease_end = worker.lease_end.max(lease_end);
-        self.runs[key].tries += 1;
-        self.runs[key].resumed = !checkpoint.is_empty();
+        let ordered_in = worker.info.incarnation;
+        let run = &mut self.runs[key];
+        run.tries += 1;
+        run.ordered_in = ordered_in;
+        run.resumed = !checkpoint.is_empty();
         Some(Order::Start(Start {
             target,
             payload,
@@ -168,7 +171,7 @@
             }
             let runs: Vec<RunKey> = worker.runs.iter().copied().collect();
             for run in runs {
-                self.end_run(run, super::EndCause::Lapsed, "", now);
+                self.end_run(run, EndCause::Lapsed, Evidence::Lapse, "", now);
             }
             if !self.workers[key].listed {
                 self.drop_worker(key);
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -1,7 +1,7 @@
 //! Polls of workers: a poll extends a worker's leases, acknowledges ended runs, and
 //! reads which runs are in progress or have ended.
 
-use super::report::{CallFailure, EndCause, Order, Poll, Report, RunningEntry};
+use super::report::{CallFailure, EndCause, Evidence, Order, Poll, Report, RunningEntry};
 use super::worker::{UnackedEnd, WorkerKey};
 use super::{Dispatcher, Phase, RunKey, TaskId};
 use crate::domain::{Millis, Monotonic};
@@ -159,7 +159,7 @@
             worker.last_end = end.sequence;
             let run = self.find_run(key, end.task, end.run);
             if let Some(run) = run {
-                self.end_run(run, end.cause, &end.checkpoint, now);
+                self.end_run(run, end.cause, Evidence::Listed, &end.checkpoint, now);
             }
             let version = self.jobs.get(&end.task.job).map_or(0, |job| job.version);
             self.workers[key].unacked_ends.push(UnackedEnd {
@@ -195,7 +195,7 @@
         let gone: Vec<RunKey> = runs.iter().filter(missing).copied().collect();
         // How they ended is not known; `Stopped` does not count as a failure.
         for run in gone {
-            self.end_run(run, EndCause::Stopped, "", now);
+            self.end_run(run, EndCause::Stopped, Evidence::Missing, "", now);
         }
     }
 
@@ -229,7 +229,9 @@
             .with("run", entry.run)
             .with("worker", &self.workers[key].info.name)
             .with("cause", "not assigned")
+            .with("incarnation", self.workers[key].info.incarnation)
             .emit();
+        self.unassigned += 1;
         let run = self.insert_run(entry.task, entry.run, key, now);
         let state = &mut self.runs[run];
         state.phase = Phase::Live;
@@ -262,7 +264,7 @@
             let may_still_start =
                 self.runs[run].phase == Phase::Starting && self.runs[run].tries > 0;
             if !may_still_start && self.runs[run].phase != Phase::Recording {
-                self.end_run(run, EndCause::Lapsed, "", now);
+                self.end_run(run, EndCause::Lapsed, Evidence::Restart, "", now);
             }
         }
     }
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -27,6 +27,24 @@
     Alone,
 }
 
+/// Evidence on which the dispatcher takes a run as ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum Evidence {
+    /// The worker lists its end.
+    Listed,
+    /// The worker no longer lists it.
+    Missing,
+    /// The worker has restarted.
+    Restart,
+    /// All leases of the worker have lapsed.
+    Lapse,
+    /// The worker refused its only start.
+    Refusal,
+    /// Its start was never ordered.
+    NotOrdered,
+}
+
 /// A run that a worker lists as running.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunningEntry {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -204,6 +204,9 @@
     pub retry_at: Monotonic,
     /// Number of start orders sent.
     pub tries: u32,
+    /// Incarnation that the worker was known to be in when the start was last ordered, zero
+    /// if unknown.
+    pub ordered_in: u64,
     pub started_at: Monotonic,
     /// Whether it resumed from a checkpoint.
     pub resumed: bool,
--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -29,10 +29,12 @@
     histogram!("verbenahitch_owner_commit_seconds").record(took.as_secs_f64());
 }
 
-/// Sets the gauges of the owner: workers that may be given tasks, and active runs.
-pub(super) fn set_owner_gauges(workers: usize, runs: usize) {
+/// Sets the metrics of the owner: workers that may be given tasks, active runs, and the
+/// runs that workers have listed without an assignment since the last call.
+pub(super) fn set_owner_metrics(workers: usize, runs: usize, unassigned: u64) {
     #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
     let set = |gauge: metrics::Gauge, count: usize| gauge.set(count as f64);
     set(gauge!("verbenahitch_workers_usable"), workers);
     set(gauge!("verbenahitch_runs"), runs);
+    counter!("verbenahitch_unassigned_runs_total").increment(unassigned);
 }
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -52,7 +52,7 @@
         transaction
     }
 
-    /// Adds the learned pressures if they have changed and updates the gauges, at most once
+    /// Adds the learned pressures if they have changed and updates the metrics, at most once
     /// per [`PRESSURES_INTERVAL_MS`].
     pub(super) fn add_pressures(&mut self, transaction: &mut Transaction) {
         let now = self.clock.now();
@@ -61,7 +61,7 @@
         }
         self.checked_at = now;
         let (workers, runs) = self.dispatcher.counts(now);
-        observe::set_owner_gauges(workers, runs);
+        observe::set_owner_metrics(workers, runs, self.dispatcher.take_unassigned());
         let learned = self.dispatcher.learned_pressures();
         if learned != self.stored_pressures {
             let put = Put::persistent(keys::PRESSURES.to_owned(), keys::encode(&learned));
