--- a/testsuite/tests/testsuite/dispatch/execution.rs
+++ b/testsuite/tests/testsuite/dispatch/execution.rs
@@ -44,7 +44,7 @@
     world.run(300);
     world.store_up = false;
     world.run(1_200);
-    assert_eq!(world.workers["w00"].last_end, 1);
+    assert_eq!(world.workers["w00"].life.last_end, 1);
     assert_eq!(world.acked["w00"], 0);
     assert_ne!(world.state(id), Some(JobState::Completed));
     world.store_up = true;
--- a/testsuite/tests/testsuite/dispatch/load.rs
+++ b/testsuite/tests/testsuite/dispatch/load.rs
@@ -286,7 +286,7 @@
     submit_urgent(&mut world, 300);
     world.workers.get_mut(&worker).unwrap().failing = false;
     submit_urgent(&mut world, 2_500);
-    let running = world.workers.values().flat_map(|worker| &worker.runs);
+    let running = world.workers.values().flat_map(|worker| &worker.life.runs);
     assert_eq!(
         running.filter(|run| run.task.job == standing_job).count(),
         2
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher with simulated workers and a simulated store.
 
 mod execution;
+mod incarnations;
 mod load;
 mod order;
 mod recovery;
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -15,7 +15,7 @@
     world.run(8_000);
     let starts = world.starts_of(id);
     assert_eq!(starts.len(), 2);
-    let lease_end = world.workers[&worker].lease_end;
+    let lease_end = world.workers[&worker].life.lease_end;
     assert!(
         starts[1].at >= lease_end,
         "the first run may still be running"
@@ -45,7 +45,7 @@
         world.run(5);
     }
     for worker in world.workers.values_mut() {
-        worker.runs.clear();
+        worker.life.runs.clear();
     }
     world.starts.clear();
     world.take_over();
@@ -71,6 +71,30 @@
     assert!(starts[1].at >= taken_over + BOUNDS.lease_ms + BOUNDS.quorum_ms);
 }
 
+/// The worker falls silent after it has answered the new owner once, before that owner has
+/// extended its leases.
+#[test]
+fn no_task_runs_twice_while_a_lease_of_the_earlier_owner_lasts() {
+    let mut world = World::new(3);
+    for worker in world.workers.values_mut() {
+        worker.slow_clock = true;
+    }
+    let id = world.submit(1, "batch", job(vec![step(1, 1, 30_000)]));
+    world.run(2_000);
+    let worker = world.starts_of(id)[0].worker.clone();
+    // The starts extend the leases of all workers.
+    world.submit(2, "batch", job(vec![step(3, 1, 30_000)]));
+    world.run(40);
+    world.take_over();
+    world.dispatcher.set_suspended(true);
+    world.run(50);
+    world.workers.get_mut(&worker).unwrap().silent = true;
+    world.dispatcher.set_suspended(false);
+    world.run(10_000);
+    assert_eq!(world.starts_of(id).len(), 2);
+    world.ledger.assert_once();
+}
+
 #[test]
 fn an_owner_that_reaches_neither_store_nor_quorum_extends_no_leases() {
     let mut world = World::new(4);
@@ -81,9 +105,9 @@
         world.workers.get_mut(name).unwrap().silent = true;
     }
     world.run(3_500);
-    let lease_end = world.workers["w03"].lease_end;
+    let lease_end = world.workers["w03"].life.lease_end;
     world.run(1_000);
-    assert_eq!(world.workers["w03"].lease_end, lease_end);
+    assert_eq!(world.workers["w03"].life.lease_end, lease_end);
 }
 
 #[test]
@@ -103,7 +127,7 @@
     world.run(500);
     for worker in world.workers.values_mut() {
         // A higher token than the owner's.
-        worker.fence = 9;
+        worker.life.fence = 9;
     }
     world.run(2_000);
     assert!(world.dispatcher.is_fenced());
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -9,14 +9,17 @@
 
 use verbenahitch::dispatch::{
     Amount, Bounds, CallFailure, Dispatcher, EndCause, JobId, JobRecord, JobSpec, JobState, Now,
-    Order, Poll, Report, RunKey, RunningEntry, Start, Target, TaskId, WorkerInfo, WorkerKey, Write,
+    Order, Poll, Report, RunKey, RunningEntry, Start, TaskId, WorkerInfo, WorkerKey, Write,
 };
 use verbenahitch::domain::{Millis, Monotonic};
 
 mod jobs;
+mod once;
 mod worker;
 
 pub use jobs::{TARGET_MS, filler, job, queue, standing, step};
+use once::RunLedger;
+use worker::Incarnation;
 pub use worker::{FakeRun, FakeWorker};
 
 /// Step of the clock in milliseconds.
@@ -86,6 +89,7 @@
     pub store_up: bool,
     /// Time that the store takes for a commit, in milliseconds.
     pub commit_ms: Millis,
+    /// Highest acknowledged end of each worker.
     pub acked: BTreeMap<String, u64>,
     /// Number of polls of all workers.
     pub poll_count: usize,
@@ -93,8 +97,12 @@
     /// Time that standing tasks were over their target, summed over the tasks.
     pub over_ms: Millis,
     pub finished: BTreeMap<JobId, Millis>,
+    /// Runs of each task, checked to run once.
+    pub ledger: RunLedger,
     polls: Vec<(Millis, Poll)>,
     events: Vec<(Millis, Event)>,
+    /// Orders that workers carry out late, with their fencing tokens.
+    late_orders: Vec<(Millis, u64, Order)>,
     writing: Vec<Write>,
 }
 
@@ -124,8 +132,10 @@
             fence: 1,
             over_ms: 0,
             finished: BTreeMap::new(),
+            ledger: RunLedger::default(),
             polls: Vec::new(),
             events: Vec::new(),
+            late_orders: Vec::new(),
             writing: Vec::new(),
         };
         for number in 0..count {
@@ -158,6 +168,10 @@
             .upsert_worker(info.clone(), Monotonic(self.now));
         let worker = FakeWorker {
             info,
+            life: Incarnation {
+                number: 1,
+                ..Incarnation::default()
+            },
             speed: 1.0,
             ..FakeWorker::default()
         };
@@ -196,10 +210,7 @@
         self.writing.clear();
         self.dispatcher = Dispatcher::new(BOUNDS, Monotonic(self.now));
         self.declare();
-        for worker in self.workers.values() {
-            self.dispatcher
-                .upsert_worker(worker.info.clone(), Monotonic(self.now));
-        }
+        self.send_registry();
         let now = self.clock();
         for (id, spec) in &self.specs {
             let record = self.record("batch", spec);
@@ -208,6 +219,21 @@
         }
     }
 
+    /// Brings the workers' entries in the registry up to date.
+    pub fn list_workers(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.info.incarnation = worker.life.number;
+        }
+        self.send_registry();
+    }
+
+    fn send_registry(&mut self) {
+        for worker in self.workers.values() {
+            self.dispatcher
+                .upsert_worker(worker.info.clone(), Monotonic(self.now));
+        }
+    }
+
     pub fn state(&self, id: JobId) -> Option<JobState> {
         self.dispatcher.state(id)
     }
@@ -220,7 +246,7 @@
     /// Workers on which a job has runs.
     pub fn workers_of(&self, id: JobId) -> BTreeSet<&str> {
         let workers = self.workers.values();
-        let has = |worker: &&FakeWorker| worker.runs.iter().any(|run| run.task.job == id);
+        let has = |worker: &&FakeWorker| worker.life.runs.iter().any(|run| run.task.job == id);
         workers
             .filter(has)
             .map(|worker| worker.info.name.as_str())
@@ -237,6 +263,7 @@
     fn tick(&mut self) {
         self.now += TICK_MS;
         self.advance_runs();
+        self.execute_late_orders();
         self.answer_polls();
         self.deliver();
         if self.store_up {
@@ -257,6 +284,7 @@
                 self.finished.entry(*id).or_insert(self.now);
             }
         }
+        self.ledger.check_single(self.now, self.workers.values());
     }
 
     fn deliver(&mut self) {
@@ -290,21 +318,36 @@
         match order {
             Order::Poll(poll) => {
                 self.poll_count += 1;
-                self.acked.insert(poll.name.clone(), poll.acked);
+                let acked = self.acked.entry(poll.name.clone()).or_default();
+                *acked = poll.acked.max(*acked);
                 self.polls.push((self.now + poll.wait_ms, poll));
             }
             Order::Start(start) => {
-                let key = start.target.key;
-                let result = self.start(&start);
+                let (key, name) = (start.target.key, start.target.name.clone());
+                if let Some(due) = self.delays_order(&name) {
+                    let failure = CallFailure::Unanswered("delayed".to_owned());
+                    self.events.push((at, Event::Started(key, Err(failure))));
+                    let late = (due, self.fence, Order::Start(start));
+                    self.late_orders.push(late);
+                    return;
+                }
+                let result = self.start(&start, self.fence);
+                let result = result.map(|()| self.workers[&name].clock(self.now));
                 self.events.push((at, Event::Started(key, result)));
             }
             Order::Stop(target) => {
-                let result = self.stop(&target);
+                let worker = self.workers.get_mut(&target.name).unwrap();
+                let result = worker.stop(&target, self.fence, self.now);
+                let result = result.map(|()| worker.clock(self.now));
                 self.events.push((at, Event::Stopped(target.key, result)));
             }
             Order::Pace(target, percent) => {
                 let worker = self.workers.get_mut(&target.name).unwrap();
-                let run = worker.runs.iter_mut().find(|run| run.task == target.task);
+                let run = worker
+                    .life
+                    .runs
+                    .iter_mut()
+                    .find(|run| run.task == target.task);
                 if let Some(run) = run {
                     run.pace = percent;
                 }
@@ -313,21 +356,19 @@
         }
     }
 
-    fn start(&mut self, start: &Start) -> Result<Millis, CallFailure> {
+    /// When a worker carries out an order that it receives now, if it delays orders.
+    fn delays_order(&self, name: &str) -> Option<Millis> {
+        let worker = &self.workers[name];
+        worker.check_reachable(self.now).ok()?;
+        Some(self.now + worker.order_delay?)
+    }
+
+    fn start(&mut self, start: &Start, fence: u64) -> Result<(), CallFailure> {
         let now = self.now;
         let worker = self.workers.get_mut(&start.target.name).unwrap();
-        if worker.silent {
-            return Err(CallFailure::Unanswered("silent".to_owned()));
-        }
-        worker.lease_end = worker.lease_end.max(start.lease_end);
-        let (task, run) = (start.target.task, start.target.run);
-        if !worker.runs.iter().any(|other| other.task == task) {
-            worker.runs.push(FakeRun {
-                task,
-                run,
-                worked_ms: start.checkpoint.parse().unwrap_or(0.0),
-                pace: 100,
-            });
+        if worker.start(start, fence, now)? {
+            let (task, run) = (start.target.task, start.target.run);
+            self.ledger.run_started(now, task);
             self.starts.push(Started {
                 at: now,
                 task,
@@ -338,16 +379,21 @@
         if worker.drops_start_answers {
             return Err(CallFailure::Unanswered("mute".to_owned()));
         }
-        Ok(now)
+        Ok(())
     }
 
-    fn stop(&mut self, target: &Target) -> Result<Millis, CallFailure> {
-        let worker = self.workers.get_mut(&target.name).unwrap();
-        if worker.silent {
-            return Err(CallFailure::Unanswered("silent".to_owned()));
+    fn execute_late_orders(&mut self) {
+        let now = self.now;
+        let orders = std::mem::take(&mut self.late_orders);
+        let (due, later) = orders.into_iter().partition(|(at, ..)| *at <= now);
+        self.late_orders = later;
+        let due: Vec<(Millis, u64, Order)> = due;
+        for (_, fence, order) in due {
+            if let Order::Start(start) = order {
+                // A late order is not answered.
+                let _ = self.start(&start, fence);
+            }
         }
-        worker.end(target.task, EndCause::Stopped);
-        Ok(self.now)
     }
 
     fn answer_polls(&mut self) {
@@ -355,8 +401,12 @@
         let polls = std::mem::take(&mut self.polls);
         for (due, poll) in polls {
             let worker = &self.workers[&poll.name];
-            let has_end = worker.ended.iter().any(|end| end.sequence > poll.acked);
-            if !worker.silent && !has_end && now < due {
+            let has_end = worker
+                .life
+                .ended
+                .iter()
+                .any(|end| end.sequence > poll.acked);
+            if worker.check_reachable(now).is_ok() && !has_end && now < due {
                 self.polls.push((due, poll));
                 continue;
             }
@@ -369,18 +419,19 @@
     fn report(&mut self, poll: &Poll) -> Result<Report, CallFailure> {
         let fence = self.fence;
         let tails = self.tails(&poll.name);
+        let now = self.now;
         let worker = self.workers.get_mut(&poll.name).unwrap();
-        if worker.silent {
-            return Err(CallFailure::Unanswered("silent".to_owned()));
-        }
-        if fence < worker.fence {
-            return Err(CallFailure::Fenced);
+        worker.check_reachable(now)?;
+        worker.check_fence(fence)?;
+        worker.extend_leases(poll.lease_end.unwrap_or(0), now);
+        let life = &mut worker.life;
+        let lapsed_end = life.lapsed_end;
+        let acked = life.ended.extract_if(.., |end| end.sequence <= poll.acked);
+        for end in acked.filter(|end| end.cause == EndCause::Done && end.sequence > lapsed_end) {
+            self.ledger.end_noted(now, end.task);
         }
-        worker.fence = fence;
-        worker.lease_end = worker.lease_end.max(poll.lease_end.unwrap_or(0));
-        worker.ended.retain(|end| end.sequence > poll.acked);
         let specs = &self.specs;
-        let running = worker.runs.iter().zip(tails).map(|(run, tail)| {
+        let running = worker.life.runs.iter().zip(tails).map(|(run, tail)| {
             let spec = &specs[&run.task.job].steps[run.task.step as usize];
             #[expect(
                 clippy::cast_possible_truncation,
@@ -402,10 +453,10 @@
             }
         });
         Ok(Report {
-            incarnation: worker.info.incarnation,
-            clock_ms: self.now,
+            incarnation: worker.life.number,
+            clock_ms: worker.clock(now),
             running: running.collect(),
-            ended: worker.ended.clone(),
+            ended: worker.life.ended.clone(),
         })
     }
 
@@ -423,7 +474,7 @@
             if !own.standing {
                 return 0;
             }
-            let fillers = worker.runs.iter().filter(|run| spec(run).filler);
+            let fillers = worker.life.runs.iter().filter(|run| spec(run).filler);
             let growth: f64 = fillers
                 .map(|filler| {
                     let pair = (spec(filler).image.clone(), own.image.clone());
@@ -446,7 +497,7 @@
             let tail = (TARGET_MS as f64 * ratio) as Millis;
             tail
         };
-        worker.runs.iter().map(tail).collect()
+        worker.life.runs.iter().map(tail).collect()
     }
 
     /// Share of its capacity that a standing task's own load takes now; the loads of
@@ -463,21 +514,24 @@
             let over = self.tails(&name).iter().filter(|t| **t > TARGET_MS).count();
             self.over_ms += over as Millis * TICK_MS;
             let worker = self.workers.get_mut(&name).unwrap();
-            if worker.lease_end < self.now && worker.lease_end > 0 {
+            if worker.has_lapsed(self.now) {
                 for task in worker.tasks() {
                     worker.end(task, EndCause::Lapsed);
                 }
+                worker.life.lapsed_end = worker.life.last_end;
             }
             let (speed, failing) = (worker.speed, worker.failing);
             let mut ends = Vec::new();
-            for run in &mut worker.runs {
+            for run in &mut worker.life.runs {
                 let spec = &self.specs[&run.task.job].steps[run.task.step as usize];
                 #[expect(clippy::cast_precision_loss, reason = "a few milliseconds")]
                 let tick = TICK_MS as f64;
                 run.worked_ms += tick * speed * f64::from(run.pace) / 100.0;
                 #[expect(clippy::cast_precision_loss, reason = "a few seconds")]
                 let whole = spec.estimate_ms as f64;
-                if failing && run.worked_ms > whole / 4.0 {
+                if run.stops_at.is_some_and(|at| at <= self.now) {
+                    ends.push((run.task, EndCause::Stopped));
+                } else if failing && run.worked_ms > whole / 4.0 {
                     ends.push((run.task, EndCause::Failed));
                 } else if !spec.standing && run.worked_ms >= whole {
                     ends.push((run.task, EndCause::Done));
@@ -485,6 +539,9 @@
             }
             for (task, cause) in ends {
                 worker.end(task, cause);
+                if cause == EndCause::Done {
+                    self.ledger.run_done(task);
+                }
             }
         }
     }
