Keep what is known of a worker by its incarnation, as its own lists tell

Cause: the incarnation of a worker was compared with the registry's entry, its clock was read from answers to orders, and the numbers of its ends outlived it. After a change of the owner with a registry that is behind, or when a start reached the new incarnation before its first list, the first list ended the runs of the incarnation that sent it, and their tasks started elsewhere. With ends numbered anew, ends were acknowledged unread. Change: the clock, the leases and the numbers of ends belong to a Session, which only a list begins. A run has ended on a restart if the new list lacks it and it was confirmed before that list was asked for, as on any other list. A 421 quarantines the worker instead of dropping its clock. The registry only prompts a poll.

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -51,8 +51,9 @@
                         failed: task.failed,
                         runs: runs
                             .map(|run| {
-                                let info = &self.workers[run.worker].info;
-                                RunRecord(run.number, info.name.clone(), info.incarnation)
+                                let worker = &self.workers[run.worker];
+                                let name = worker.info.name.clone();
+                                RunRecord(run.number, name, worker.incarnation())
                             })
                             .collect(),
                         checkpoint: task.checkpoint.clone(),
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -36,16 +36,13 @@
                 .with("remaining-ms", info.remaining_ms)
                 .emit();
         }
-        if worker.info.address != info.address {
+        let is_moved = worker.info.address != info.address;
+        let may_have_restarted = worker.info.incarnation != info.incarnation;
+        if is_moved || may_have_restarted {
             worker.next_poll = now;
         }
-        let known_incarnation = worker.info.incarnation;
         worker.info = info;
-        // Keep the incarnation learned from poll answers; the registry may be behind.
-        if known_incarnation != 0 && worker.clock.is_some() {
-            worker.info.incarnation = known_incarnation;
-        }
-        if self.workers[key].info.draining {
+        if worker.info.draining {
             self.stop_standing(key);
         }
     }
@@ -79,7 +76,7 @@
     pub fn on_start_answer(
         &mut self,
         key: RunKey,
-        result: Result<Millis, CallFailure>,
+        result: Result<(), CallFailure>,
         now: Monotonic,
     ) {
         let Some(run) = self.runs.get_mut(key) else {
@@ -88,14 +85,13 @@
         run.in_flight = false;
         let (worker, tries, id) = (run.worker, run.tries, run.task.job);
         match result {
-            Ok(clock_ms) => {
+            Ok(()) => {
                 run.phase = Phase::Live;
                 run.confirmed_at = Some(now);
                 run.progressed_at = now;
                 run.pace = 100;
                 let has_target = run.target_ms > 0;
                 self.cached_loads.remove(worker);
-                self.workers[worker].read_clock(clock_ms, now);
                 if has_target {
                     self.mitigate(worker, now);
                 }
@@ -136,18 +132,13 @@
     }
 
     /// Applies the answer to a stop.
-    pub fn on_stop_answer(
-        &mut self,
-        key: RunKey,
-        result: Result<Millis, CallFailure>,
-        now: Monotonic,
-    ) {
+    pub fn on_stop_answer(&mut self, key: RunKey, result: Result<(), CallFailure>, now: Monotonic) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         run.in_flight = false;
         match result {
-            Ok(_) => {
+            Ok(()) => {
                 run.stopped_at = Some(now);
                 // The answer also settles whether the start took effect.
                 run.confirmed_at.get_or_insert(now);
@@ -167,7 +158,7 @@
         &mut self,
         key: RunKey,
         percent: u8,
-        result: Result<Millis, CallFailure>,
+        result: Result<(), CallFailure>,
         now: Monotonic,
     ) {
         let Some(run) = self.runs.get_mut(key) else {
@@ -175,7 +166,7 @@
         };
         run.in_flight = false;
         match result {
-            Ok(_) => {
+            Ok(()) => {
                 run.pace = percent;
                 run.progressed_at = now;
             }
@@ -274,7 +265,7 @@
             worker.past_fillers.push(past);
         }
         let name = worker.info.name.clone();
-        let incarnation = worker.info.incarnation;
+        let incarnation = worker.incarnation();
         let answer_age = worker.answered_at.map(|at| now.since(at));
         if cause == EndCause::Done {
             health::run_done(worker);
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -1,7 +1,7 @@
 //! One pass of the dispatcher: the polls, starts, stops and changes of pace that are due.
 
 use super::report::{EndCause, Evidence, Order, Start, Target};
-use super::worker::{Run, WorkerKey};
+use super::worker::{Run, Session, WorkerKey};
 use super::{Dispatcher, Millis, Monotonic, Now, Phase, RunKey, health};
 
 /// Maximum age of a worker's last answer for it to be given tasks, in milliseconds.
@@ -62,7 +62,7 @@
                 .is_some_and(|at| now.since(*at) <= self.bounds.relist_ms);
         is_listed
             && !worker.info.draining
-            && worker.clock.is_some()
+            && worker.session.is_some()
             && worker.answered_within(now, USABLE_AGE_MS)
             && worker.quarantined_until <= now
             && !self.evacuated.contains(&worker.info.zone)
@@ -107,7 +107,7 @@
         let (phase, stop, pace, task, number) =
             (run.phase, run.stop_wanted, run.pace, run.task, run.number);
         let worker = &self.workers[run.worker];
-        if worker.info.address.is_empty() || worker.clock.is_none() {
+        if worker.info.address.is_empty() || worker.session.is_none() {
             return None;
         }
         let target = Target {
@@ -138,9 +138,10 @@
             .map(|task| task.checkpoint.clone())
             .unwrap_or_default();
         let worker = &mut self.workers[self.runs[key].worker];
-        let lease_end = worker.lease_end(now, lease_ms)?;
-        worker.lease_end = worker.lease_end.max(lease_end);
-        let ordered_in = worker.info.incarnation;
+        let session = worker.session.as_mut()?;
+        let lease_end = session.lease_end(now, lease_ms);
+        session.lease_end = session.lease_end.max(lease_end);
+        let ordered_in = session.incarnation;
         let run = &mut self.runs[key];
         run.tries += 1;
         run.ordered_in = ordered_in;
@@ -165,7 +166,8 @@
             .collect();
         for key in silent {
             let worker = &self.workers[key];
-            let lapsed = worker.lapsed_at().or_else(|| self.inherited_lapse());
+            let own = worker.session.as_ref().map(Session::lapsed_at);
+            let lapsed = own.or_else(|| self.inherited_lapse());
             if lapsed.is_none_or(|at| now < at) {
                 continue;
             }
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -2,8 +2,8 @@
 //! reads which runs are in progress or have ended.
 
 use super::report::{CallFailure, EndCause, Evidence, Order, Poll, Report, RunningEntry};
-use super::worker::{UnackedEnd, WorkerKey};
-use super::{Dispatcher, Phase, RunKey, TaskId};
+use super::worker::{ClockReading, Session, UnackedEnd, WorkerKey};
+use super::{Dispatcher, Phase, RunKey, TaskId, health};
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
@@ -47,28 +47,35 @@
             {
                 continue;
             }
-            // The end of a run of an unknown job changes no record, so there is nothing to store.
-            let is_stored = |end: &&UnackedEnd| {
-                jobs.get(&end.job)
-                    .is_none_or(|job| job.stored_version >= end.version)
-            };
-            if let Some(last) = worker.unacked_ends.iter().take_while(is_stored).last() {
-                worker.acked = worker.acked.max(last.sequence);
-            }
-            let acked = worker.acked;
-            worker.unacked_ends.retain(|end| end.sequence > acked);
-            if !worker.unacked_ends.is_empty() && now < worker.next_poll + COMMIT_WAIT_MS {
-                continue;
+            let mut acked = 0;
+            let mut lease_end = None;
+            if let Some(session) = &mut worker.session {
+                // The end of a run of an unknown job changes no record, so there is nothing to
+                // store.
+                let is_stored = |end: &&UnackedEnd| {
+                    jobs.get(&end.job)
+                        .is_none_or(|job| job.stored_version >= end.version)
+                };
+                if let Some(last) = session.unacked_ends.iter().take_while(is_stored).last() {
+                    session.acked = session.acked.max(last.sequence);
+                }
+                acked = session.acked;
+                session.unacked_ends.retain(|end| end.sequence > acked);
+                if !session.unacked_ends.is_empty() && now < worker.next_poll + COMMIT_WAIT_MS {
+                    continue;
+                }
+                // A silent worker may have received every unanswered poll. Its leases are
+                // not extended, since they have to lapse before its tasks start elsewhere.
+                if may_act && worker.failed_polls == 0 {
+                    let end = session.lease_end(now, lease_ms);
+                    session.lease_end = session.lease_end.max(end);
+                    lease_end = Some(end);
+                }
             }
-            // A silent worker may have received every unanswered poll. Its leases are
-            // not extended, since they have to lapse before its tasks start elsewhere.
-            let lease_end = worker
-                .lease_end(now, lease_ms)
-                .filter(|_| may_act && worker.failed_polls == 0);
-            worker.lease_end = worker.lease_end.max(lease_end.unwrap_or(0));
             worker.poll_sent = Some(now);
+            let has_no_ends = |session: &Session| session.unacked_ends.is_empty();
             let is_long_poll =
-                !worker.runs.is_empty() && worker.clock.is_some() && worker.unacked_ends.is_empty();
+                !worker.runs.is_empty() && worker.session.as_ref().is_some_and(has_no_ends);
             orders.push(Order::Poll(Poll {
                 worker: key,
                 name: worker.info.name.clone(),
@@ -111,23 +118,33 @@
         }
         worker.failed_polls = 0;
         worker.answered_at = Some(sent);
-        if report.incarnation != 0
-            && worker.info.incarnation != 0
-            && report.incarnation != worker.info.incarnation
-        {
-            self.worker_restarted(key, report.incarnation, now);
+        let known = worker.incarnation();
+        let clock = ClockReading {
+            clock_ms: report.clock_ms,
+            at: now,
+        };
+        let incarnation = worker
+            .session_of_list(report.incarnation, clock)
+            .incarnation;
+        let has_restarted = known != 0 && incarnation != known;
+        if has_restarted {
+            Entry::new(Kind::WorkerAnswering)
+                .with("worker", &worker.info.name)
+                .with("incarnation", incarnation)
+                .with("earlier", known)
+                .emit();
         }
         self.cached_loads.remove(key);
-        let worker = &mut self.workers[key];
-        if worker.info.incarnation == 0 {
-            worker.info.incarnation = report.incarnation;
-        }
-        worker.read_clock(report.clock_ms, now);
         if self.quorum_at.is_none() && self.has_quorum(now) {
             self.quorum_at = Some(now);
         }
         self.apply_ends(key, &report, now);
-        self.apply_running(key, &report, sent, now);
+        let evidence = if has_restarted {
+            Evidence::Restart
+        } else {
+            Evidence::Missing
+        };
+        self.apply_running(key, &report, evidence, sent, now);
         self.mitigate(key, now);
     }
 
@@ -146,31 +163,44 @@
                 .emit();
         }
         if *failure == CallFailure::OtherLife {
-            worker.clock = None;
+            health::order_refused(worker, now);
         }
     }
 
     fn apply_ends(&mut self, key: WorkerKey, report: &Report, now: Monotonic) {
         for end in &report.ended {
-            let worker = &mut self.workers[key];
-            if end.sequence <= worker.last_end {
+            let Some(session) = &mut self.workers[key].session else {
+                return;
+            };
+            if end.sequence <= session.last_end {
                 continue;
             }
-            worker.last_end = end.sequence;
+            session.last_end = end.sequence;
             let run = self.find_run(key, end.task, end.run);
             if let Some(run) = run {
                 self.end_run(run, end.cause, Evidence::Listed, &end.checkpoint, now);
             }
             let version = self.jobs.get(&end.task.job).map_or(0, |job| job.version);
-            self.workers[key].unacked_ends.push(UnackedEnd {
-                sequence: end.sequence,
-                job: end.task.job,
-                version,
-            });
+            if let Some(session) = &mut self.workers[key].session {
+                session.unacked_ends.push(UnackedEnd {
+                    sequence: end.sequence,
+                    job: end.task.job,
+                    version,
+                });
+            }
         }
     }
 
-    fn apply_running(&mut self, key: WorkerKey, report: &Report, sent: Monotonic, now: Monotonic) {
+    /// Applies the list of runs in progress. A run that should be listed and is not has ended
+    /// on the `evidence` of the list.
+    fn apply_running(
+        &mut self,
+        key: WorkerKey,
+        report: &Report,
+        evidence: Evidence,
+        sent: Monotonic,
+        now: Monotonic,
+    ) {
         let mut seen = Vec::with_capacity(report.running.len());
         for entry in &report.running {
             match self.find_run(key, entry.task, entry.run) {
@@ -193,9 +223,14 @@
         };
         let runs = &self.workers[key].runs;
         let gone: Vec<RunKey> = runs.iter().filter(missing).copied().collect();
-        // How they ended is not known; `Stopped` does not count as a failure.
+        // How they ended is not known; neither cause counts as a failure.
+        let cause = if evidence == Evidence::Restart {
+            EndCause::Lapsed
+        } else {
+            EndCause::Stopped
+        };
         for run in gone {
-            self.end_run(run, EndCause::Stopped, Evidence::Missing, "", now);
+            self.end_run(run, cause, evidence, "", now);
         }
     }
 
@@ -229,7 +264,7 @@
             .with("run", entry.run)
             .with("worker", &self.workers[key].info.name)
             .with("cause", "not assigned")
-            .with("incarnation", self.workers[key].info.incarnation)
+            .with("incarnation", self.workers[key].incarnation())
             .emit();
         self.unassigned += 1;
         let run = self.insert_run(entry.task, entry.run, key, now);
@@ -248,24 +283,4 @@
         };
         runs.iter().find(is_match).copied()
     }
-
-    /// Handles a worker that restarted with the same name: ends the runs of the earlier
-    /// incarnation.
-    fn worker_restarted(&mut self, key: WorkerKey, incarnation: u64, now: Monotonic) {
-        let worker = &mut self.workers[key];
-        Entry::new(Kind::WorkerAnswering)
-            .with("worker", &worker.info.name)
-            .with("born", incarnation)
-            .emit();
-        worker.reset_incarnation(incarnation);
-        let runs: Vec<RunKey> = worker.runs.iter().copied().collect();
-        for run in runs {
-            // An unanswered start may still reach the new incarnation.
-            let may_still_start =
-                self.runs[run].phase == Phase::Starting && self.runs[run].tries > 0;
-            if !may_still_start && self.runs[run].phase != Phase::Recording {
-                self.end_run(run, EndCause::Lapsed, Evidence::Restart, "", now);
-            }
-        }
-    }
 }
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -58,7 +58,7 @@
         }
         let is_obsolete = record.done || self.is_job_final(id);
         for run in record.runs {
-            let worker = self.worker_named(&run.1, run.2);
+            let worker = self.worker_named(&run.1);
             let key = self.insert_run(at, run.0, worker, now);
             let state = &mut self.runs[key];
             state.phase = Phase::Live;
@@ -79,13 +79,12 @@
     }
 
     /// Worker of that name; one that is unknown is added unlisted and without address.
-    fn worker_named(&mut self, name: &str, incarnation: u64) -> WorkerKey {
+    fn worker_named(&mut self, name: &str) -> WorkerKey {
         if let Some(key) = self.worker_keys.get(name) {
             return *key;
         }
         let mut worker = Worker::new(WorkerInfo {
             name: name.to_owned(),
-            incarnation,
             ..WorkerInfo::default()
         });
         worker.listed = false;
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -1,5 +1,8 @@
 //! State that the dispatcher keeps of workers and runs: capacity, commitments, the
 //! leases that a worker was given, and when these have lapsed at the latest.
+//!
+//! A worker may restart under its name. What belongs to one incarnation is kept in its
+//! [`Session`] and ends with it.
 
 use slotmap::new_key_type;
 
@@ -43,7 +46,8 @@
     pub draining: bool,
     /// Minimum time until it leaves, in milliseconds, while it drains.
     pub remaining_ms: Millis,
-    /// Start of its incarnation in milliseconds since the Unix epoch, zero if unknown.
+    /// Start of the incarnation that wrote the entry, in milliseconds since the Unix epoch,
+    /// zero if unknown. A later one may answer already.
     pub incarnation: u64,
 }
 
@@ -65,10 +69,60 @@
     pub version: u64,
 }
 
+/// What is known of one incarnation of a worker. Only its lists tell which incarnation
+/// they come from; the registry may be behind, and answers to orders do not say.
+#[derive(Debug)]
+pub(super) struct Session {
+    /// Start of the incarnation in milliseconds since the Unix epoch, zero if unknown.
+    pub incarnation: u64,
+    pub clock: ClockReading,
+    /// Latest lease end that it was sent, on its clock.
+    pub lease_end: Millis,
+    /// Ends that were applied and are not yet acknowledged.
+    pub unacked_ends: Vec<UnackedEnd>,
+    /// Highest sequence number of an end that was applied.
+    pub last_end: u64,
+    /// Highest sequence number of an end that may be acknowledged.
+    pub acked: u64,
+}
+
+impl Session {
+    fn new(incarnation: u64, clock: ClockReading) -> Self {
+        Self {
+            incarnation,
+            clock,
+            lease_end: 0,
+            unacked_ends: Vec::new(),
+            last_end: 0,
+            acked: 0,
+        }
+    }
+
+    /// End, on the worker's clock, of a lease of `lease_ms` that begins now.
+    pub fn lease_end(&self, now: Monotonic, lease_ms: Millis) -> Millis {
+        self.clock.clock_ms + now.since(self.clock.at) + lease_ms
+    }
+
+    /// When all leases that it was sent have lapsed, even on the slowest clock allowed for.
+    pub fn lapsed_at(&self) -> Monotonic {
+        let left = self.lease_end.saturating_sub(self.clock.clock_ms);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss,
+            reason = "a lease is a few seconds"
+        )]
+        let slowest = (left as f64 / (1.0 - CLOCK_DRIFT)) as Millis;
+        self.clock.at + slowest + LAPSE_MARGIN_MS
+    }
+}
+
 /// State of a worker.
 #[derive(Debug, Default)]
 pub(super) struct Worker {
     pub info: WorkerInfo,
+    /// Its present incarnation, none before its first list.
+    pub session: Option<Session>,
     /// Whether the registry lists it.
     pub listed: bool,
     /// Resources of its runs, without the CPU of fillers.
@@ -76,9 +130,6 @@
     /// CPU of its fillers in thousandths of a core.
     pub filler_milli: u64,
     pub runs: HashSet<RunKey>,
-    pub clock: Option<ClockReading>,
-    /// Latest lease end that it was sent, on its clock.
-    pub lease_end: Millis,
     /// When the last answered poll was sent.
     pub answered_at: Option<Monotonic>,
     /// When the poll in progress was sent.
@@ -86,12 +137,6 @@
     pub next_poll: Monotonic,
     /// Failed polls in a row.
     pub failed_polls: u32,
-    /// Ends that were applied and are not yet acknowledged.
-    pub unacked_ends: Vec<UnackedEnd>,
-    /// Highest sequence number of an end that was applied.
-    pub last_end: u64,
-    /// Highest sequence number of an end that is acknowledged.
-    pub acked: u64,
     /// Failures in a row, without repeated ones of the same job.
     pub failures: u32,
     pub failed_job: Option<JobId>,
@@ -120,47 +165,36 @@
         self.answered_at.is_some_and(|at| now.since(at) <= limit_ms)
     }
 
-    /// Sets the clock reading from an answer.
-    pub fn read_clock(&mut self, clock_ms: Millis, at: Monotonic) {
-        self.clock = Some(ClockReading { clock_ms, at });
+    /// Incarnation that its last list came from, zero if unknown.
+    pub fn incarnation(&self) -> u64 {
+        self.session
+            .as_ref()
+            .map_or(0, |session| session.incarnation)
     }
 
-    /// End, on the worker's clock, of a lease of `lease_ms` that begins now.
-    pub fn lease_end(&self, now: Monotonic, lease_ms: Millis) -> Option<Millis> {
-        let reading = self.clock?;
-        Some(reading.clock_ms + now.since(reading.at) + lease_ms)
-    }
-
-    /// When all leases that it was sent have lapsed, even on the slowest clock allowed for.
-    pub fn lapsed_at(&self) -> Option<Monotonic> {
-        let reading = self.clock?;
-        let left = self.lease_end.saturating_sub(reading.clock_ms);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            clippy::cast_precision_loss,
-            reason = "a lease is a few seconds"
-        )]
-        let slowest = (left as f64 / (1.0 - CLOCK_DRIFT)) as Millis;
-        Some(reading.at + slowest + LAPSE_MARGIN_MS)
+    /// Session that a list belongs to: the one in progress, or a new one if the list comes
+    /// from another incarnation. An incarnation of zero is not known to be another one.
+    pub fn session_of_list(&mut self, incarnation: u64, clock: ClockReading) -> &mut Session {
+        let is_other = |session: &Session| {
+            incarnation != 0 && session.incarnation != 0 && session.incarnation != incarnation
+        };
+        if self.session.as_ref().is_some_and(is_other) {
+            self.session = None;
+            self.failures = 0;
+            self.quarantined_until = Monotonic::default();
+        }
+        let session = self
+            .session
+            .get_or_insert_with(|| Session::new(incarnation, clock));
+        session.clock = clock;
+        session.incarnation = session.incarnation.max(incarnation);
+        session
     }
 
     /// Rack, the second label.
     pub fn rack(&self) -> &str {
         self.info.labels.get(1).map_or("", String::as_str)
     }
-
-    /// Resets the state that belonged to an earlier incarnation.
-    pub fn reset_incarnation(&mut self, incarnation: u64) {
-        self.info.incarnation = incarnation;
-        self.clock = None;
-        self.lease_end = 0;
-        self.unacked_ends.clear();
-        self.last_end = 0;
-        self.acked = 0;
-        self.failures = 0;
-        self.quarantined_until = Monotonic::default();
-    }
 }
 
 /// Phase of a run.
--- a/crates/verbenahitch/src/port/dispatch.rs
+++ b/crates/verbenahitch/src/port/dispatch.rs
@@ -2,7 +2,6 @@
 //! entries that operators and workers write to the key-value service.
 
 use crate::dispatch::{CallFailure, Poll, Queue, Report, Start, Target, WorkerInfo};
-use crate::domain::Millis;
 
 use super::{Item, KeyValue};
 
@@ -76,21 +75,21 @@
     /// When the worker refuses or does not answer.
     async fn poll(&self, poll: &Poll, fencing_token: u64) -> Result<Report, CallFailure>;
 
-    /// Starts a run; returns the worker's clock.
+    /// Starts a run.
     ///
     /// # Errors
     ///
     /// When the worker refuses or does not answer.
-    async fn start(&self, start: &Start, fencing_token: u64) -> Result<Millis, CallFailure>;
+    async fn start(&self, start: &Start, fencing_token: u64) -> Result<(), CallFailure>;
 
-    /// Stops a run; returns the worker's clock.
+    /// Stops a run.
     ///
     /// # Errors
     ///
     /// When the worker refuses or does not answer.
-    async fn stop(&self, target: &Target, fencing_token: u64) -> Result<Millis, CallFailure>;
+    async fn stop(&self, target: &Target, fencing_token: u64) -> Result<(), CallFailure>;
 
-    /// Sets the CPU share of a run in percent; returns the worker's clock.
+    /// Sets the CPU share of a run in percent.
     ///
     /// # Errors
     ///
@@ -100,5 +99,5 @@
         target: &Target,
         percent: u8,
         fencing_token: u64,
-    ) -> Result<Millis, CallFailure>;
+    ) -> Result<(), CallFailure>;
 }
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -57,8 +57,8 @@
 
 enum Event {
     Polled(WorkerKey, Result<Report, CallFailure>),
-    Started(RunKey, Result<Millis, CallFailure>),
-    Stopped(RunKey, Result<Millis, CallFailure>),
+    Started(RunKey, Result<(), CallFailure>),
+    Stopped(RunKey, Result<(), CallFailure>),
     Paced(RunKey, u8),
     CommitStored,
 }
@@ -301,7 +301,7 @@
                 Event::Started(key, result) => self.dispatcher.on_start_answer(key, result, at),
                 Event::Stopped(key, result) => self.dispatcher.on_stop_answer(key, result, at),
                 Event::Paced(key, percent) => {
-                    self.dispatcher.on_pace_answer(key, percent, Ok(now), at);
+                    self.dispatcher.on_pace_answer(key, percent, Ok(()), at);
                 }
                 Event::CommitStored => {
                     for write in std::mem::take(&mut self.writing) {
@@ -332,13 +332,11 @@
                     return;
                 }
                 let result = self.start(&start, self.fence);
-                let result = result.map(|()| self.workers[&name].clock(self.now));
                 self.events.push((at, Event::Started(key, result)));
             }
             Order::Stop(target) => {
                 let worker = self.workers.get_mut(&target.name).unwrap();
                 let result = worker.stop(&target, self.fence, self.now);
-                let result = result.map(|()| worker.clock(self.now));
                 self.events.push((at, Event::Stopped(target.key, result)));
             }
             Order::Pace(target, percent) => {
