Acknowledge no ends to a worker that may have restarted

What callers saw: a task that was done ran again. Cause: the first poll of a new incarnation carried the acknowledged number of the earlier one. The new incarnation forgot its own ends up to that number, which no list had shown; their runs were missing from the next list, and the tasks started again after a noted end. Change: after a call that got no answer, or one from another worker, polls acknowledge nothing until a list has been asked for and answered. Conclusion: what remains is a restart that no call notices, between two polls.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -84,6 +84,7 @@
         };
         run.in_flight = false;
         let (worker, tries, id) = (run.worker, run.tries, run.task.job);
+        self.workers[worker].order_answered(&result, now);
         match result {
             Ok(()) => {
                 run.phase = Phase::Live;
@@ -137,6 +138,7 @@
             return;
         };
         run.in_flight = false;
+        self.workers[run.worker].order_answered(&result, now);
         match result {
             Ok(()) => {
                 run.stopped_at = Some(now);
@@ -165,6 +167,7 @@
             return;
         };
         run.in_flight = false;
+        self.workers[run.worker].order_answered(&result, now);
         match result {
             Ok(()) => {
                 run.pace = percent;
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -49,6 +49,7 @@
             }
             let mut acked = 0;
             let mut lease_end = None;
+            let may_have_restarted = worker.may_have_restarted();
             if let Some(session) = &mut worker.session {
                 // The end of a run of an unknown job changes no record, so there is nothing to
                 // store.
@@ -59,8 +60,13 @@
                 if let Some(last) = session.unacked_ends.iter().take_while(is_stored).last() {
                     session.acked = session.acked.max(last.sequence);
                 }
-                acked = session.acked;
-                session.unacked_ends.retain(|end| end.sequence > acked);
+                session
+                    .unacked_ends
+                    .retain(|end| end.sequence > session.acked);
+                // Another incarnation would take it for its own ends, which no list has shown.
+                if !may_have_restarted {
+                    acked = session.acked;
+                }
                 if !session.unacked_ends.is_empty() && now < worker.next_poll + COMMIT_WAIT_MS {
                     continue;
                 }
@@ -156,6 +162,7 @@
         let worker = &mut self.workers[key];
         worker.next_poll = now + FAILED_PAUSE_MS;
         worker.failed_polls += 1;
+        worker.failed_at = Some(now);
         if worker.failed_polls == 2 {
             Entry::new(Kind::WorkerUnreachable)
                 .with("worker", &worker.info.name)
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -116,6 +116,21 @@
     Unanswered(String),
 }
 
+impl CallFailure {
+    /// Whether the worker may have restarted: it did not answer, or as another one.
+    pub(super) fn allows_restart(&self) -> bool {
+        match self {
+            Self::OtherLife | Self::NotSent(_) | Self::Unanswered(_) => true,
+            Self::Fenced
+            | Self::Outdated
+            | Self::Late
+            | Self::NoRoom
+            | Self::Unwilling(_)
+            | Self::Rejected(_) => false,
+        }
+    }
+}
+
 /// Request from the dispatcher to a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -10,6 +10,7 @@
 use super::interference::MitigationState;
 use super::job::{Amount, JobId, TaskId};
 use super::mitigation::PastFiller;
+use super::report::CallFailure;
 use crate::collections::HashSet;
 use crate::domain::{Millis, Monotonic};
 
@@ -137,6 +138,8 @@
     pub next_poll: Monotonic,
     /// Failed polls in a row.
     pub failed_polls: u32,
+    /// When a call last failed in a way that a restart would explain.
+    pub failed_at: Option<Monotonic>,
     /// Failures in a row, without repeated ones of the same job.
     pub failures: u32,
     pub failed_job: Option<JobId>,
@@ -165,6 +168,18 @@
         self.answered_at.is_some_and(|at| now.since(at) <= limit_ms)
     }
 
+    /// Records the result of an order.
+    pub fn order_answered(&mut self, result: &Result<(), CallFailure>, now: Monotonic) {
+        if result.as_ref().is_err_and(CallFailure::allows_restart) {
+            self.failed_at = Some(now);
+        }
+    }
+
+    /// Whether it may have restarted since it was asked for its last list.
+    pub fn may_have_restarted(&self) -> bool {
+        self.failed_at >= self.answered_at
+    }
+
     /// Incarnation that its last list came from, zero if unknown.
     pub fn incarnation(&self) -> u64 {
         self.session
