Close late starts in a worker's next incarnation

What callers saw: a run of an earlier order beside the one that replaced it, or after the task was done. Cause: a start without an answer may be carried out seconds later. A stop, or an end, closes its run in the incarnation that saw it; the next incarnation knows of neither, has seen no fencing token, and its young clock takes the old lease for a long one. Change: a run of which a start was not answered ends on a restart only after the new incarnation has answered a stop of it. Runs that ended earlier are stopped there as well, for 15 s after their end. Conclusion: a start that is carried out before the new incarnation's first list remains possible; the protocol gives no means against it.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -106,6 +106,7 @@
             }
             Err(CallFailure::Unanswered(cause)) => {
                 run.retry_at = now + RESEND_MS;
+                run.unanswered = true;
                 log::debug!(
                     "worker did not answer the start of task {}: {cause}",
                     run.task
@@ -216,6 +217,7 @@
             in_flight: false,
             retry_at: now,
             tries: 0,
+            unanswered: false,
             incarnation: 0,
             started_at: now,
             resumed: false,
@@ -261,6 +263,7 @@
         self.cached_loads.remove(run.worker);
         let worker = &mut self.workers[run.worker];
         worker.runs.remove(&key);
+        worker.run_ended(&run, now);
         worker.committed.remove(run.amount);
         worker.filler_milli = worker.filler_milli.saturating_sub(run.filler_milli);
         if run.filler_milli > 0 && run.phase == Phase::Live {
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -4,6 +4,7 @@
 use super::report::{CallFailure, EndCause, Evidence, Order, Poll, Report, RunningEntry};
 use super::worker::{ClockReading, Session, UnackedEnd, WorkerKey};
 use super::{Dispatcher, Phase, RunKey, TaskId, health};
+use crate::collections::HashSet;
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
@@ -146,6 +147,9 @@
                 .with("earlier", known)
                 .emit();
         }
+        if has_restarted {
+            self.close_late_starts(key, &report, now);
+        }
         self.cached_loads.remove(key);
         if self.quorum_at.is_none() && self.has_quorum(now) {
             self.quorum_at = Some(now);
@@ -271,6 +275,36 @@
         self.mark_started(id);
     }
 
+    /// Orders a new incarnation to stop the runs of earlier ones of which a start was not
+    /// answered: it may carry out that start later, and refuses it after the stop.
+    fn close_late_starts(&mut self, key: WorkerKey, report: &Report, now: Monotonic) {
+        let running = report.running.iter().map(|entry| (entry.task, entry.run));
+        let ended = report.ended.iter().map(|entry| (entry.task, entry.run));
+        let listed: HashSet<(TaskId, u32)> = running.chain(ended).collect();
+        let runs: Vec<RunKey> = self.workers[key].runs.iter().copied().collect();
+        for run in runs {
+            let state = &mut self.runs[run];
+            let is_confirmed = state.confirmed_at.is_some();
+            if !state.unanswered || !is_confirmed || listed.contains(&(state.task, state.number)) {
+                continue;
+            }
+            state.confirmed_at = None;
+            state.stopped_at = None;
+            state.retry_at = now;
+            self.stop_run(run);
+        }
+        for late in self.workers[key].take_late_starts(now) {
+            if listed.contains(&(late.task, late.run)) {
+                continue;
+            }
+            let run = self.insert_run(late.task, late.run, key, now);
+            let state = &mut self.runs[run];
+            state.phase = Phase::Live;
+            state.unanswered = true;
+            self.stop_run(run);
+        }
+    }
+
     /// Adds a run that is listed but not assigned, and marks it to be stopped.
     fn stop_unassigned(&mut self, key: WorkerKey, entry: &RunningEntry, now: Monotonic) -> RunKey {
         Entry::new(Kind::Evicted)
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -29,6 +29,10 @@
 /// milliseconds: the timer by which a worker stops its tasks fires a little late.
 const LAPSE_MARGIN_MS: Millis = 150;
 
+/// How long a start that was not answered may still be carried out, in milliseconds. The
+/// worker API says seconds, without a limit.
+const LATE_START_MS: Millis = 15_000;
+
 /// Registry entry of a worker.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerInfo {
@@ -88,6 +92,16 @@
     pub acked: u64,
 }
 
+/// Ended run of which a start was not answered. Its incarnation of the worker refuses the
+/// start from then on; the next one does not.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LateStart {
+    pub task: TaskId,
+    pub run: u32,
+    /// When the run ended.
+    at: Monotonic,
+}
+
 /// Length of a lease.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LeaseLength {
@@ -154,6 +168,8 @@
     pub failed_polls: u32,
     /// When a call last failed in a way that a restart would explain.
     pub failed_at: Option<Monotonic>,
+    /// Starts that the next incarnation may still carry out.
+    late_starts: Vec<LateStart>,
     /// Failures in a row, without repeated ones of the same job.
     pub failures: u32,
     pub failed_job: Option<JobId>,
@@ -189,6 +205,27 @@
         }
     }
 
+    /// Records the end of a run.
+    pub fn run_ended(&mut self, run: &Run, now: Monotonic) {
+        if !run.may_start_late() {
+            return;
+        }
+        self.late_starts
+            .retain(|start| now.since(start.at) <= LATE_START_MS);
+        self.late_starts.push(LateStart {
+            task: run.task,
+            run: run.number,
+            at: now,
+        });
+    }
+
+    /// Starts that a new incarnation may still carry out.
+    pub fn take_late_starts(&mut self, now: Monotonic) -> Vec<LateStart> {
+        let mut starts = std::mem::take(&mut self.late_starts);
+        starts.retain(|start| now.since(start.at) <= LATE_START_MS);
+        starts
+    }
+
     /// Whether it may have restarted since it was asked for its last list.
     pub fn may_have_restarted(&self) -> bool {
         self.failed_at >= self.answered_at
@@ -283,6 +320,8 @@
     pub retry_at: Monotonic,
     /// Number of start orders sent.
     pub tries: u32,
+    /// Whether a start order got no answer.
+    pub unanswered: bool,
     /// Incarnation of the worker that its start was last meant for or that last listed it,
     /// zero if unknown.
     pub incarnation: u64,
@@ -308,6 +347,11 @@
 }
 
 impl Run {
+    /// Whether a start order may still be carried out.
+    pub fn may_start_late(&self) -> bool {
+        self.unanswered || (self.phase == Phase::Starting && self.in_flight)
+    }
+
     /// Whether an order to its worker is needed.
     pub fn is_due(&self) -> bool {
         match (self.phase, self.stop_wanted) {
--- a/testsuite/tests/testsuite/dispatch/incarnations.rs
+++ b/testsuite/tests/testsuite/dispatch/incarnations.rs
@@ -91,17 +91,28 @@
 /// A start without an answer is carried out by the next incarnation, after the run was
 /// confirmed by the earlier one.
 fn late_start(world: &mut World) {
+    submit_with_late_start(world, 5_000);
+    world.run(300);
+    restart_all(world, 50);
+}
+
+/// As before, but the run has ended before the restart.
+fn late_start_of_an_ended_run(world: &mut World) {
+    submit_with_late_start(world, 200);
+    world.run(1_000);
+    restart_all(world, 50);
+}
+
+/// Submits a task of which the first start is not answered, and carried out late.
+fn submit_with_late_start(world: &mut World, task_ms: u64) {
     for worker in world.workers.values_mut() {
         worker.order_delay = Some(2_000);
     }
-    let id = submit(world, 1, 5_000);
+    submit(world, 1, task_ms);
     world.run(50);
     for worker in world.workers.values_mut() {
         worker.order_delay = None;
     }
-    world.run(300);
-    let (worker, now) = (worker_of(world, id), world.now);
-    world.workers.get_mut(&worker).unwrap().restart(now, 50);
 }
 
 #[test_case(registry_behind_at_takeover; "registry behind at a takeover")]
@@ -110,6 +121,7 @@
 #[test_case(lease_for_the_earlier_incarnation; "lease for the earlier incarnation")]
 #[test_case(end_before_first_list; "end before the first list")]
 #[test_case(late_start; "late start")]
+#[test_case(late_start_of_an_ended_run; "late start of an ended run")]
 fn no_task_runs_twice_when_its_worker_restarts(arrange: fn(&mut World)) {
     let mut world = World::new(WORKERS);
     for worker in world.workers.values_mut() {
