Resume after a pause only on a renewal that was sent after it

What callers could see: an owner that was paused acts once more beside its successor. Cause: the answer to a renewal that was on its way when the process was paused ended the suspension that the pause had begun. A host that is suspended does not count that time on its steady clock, so the old renewal also counted as fresh. Evidence: the test fails without the check: a lease is extended on the strength of a renewal from before the pause. Change: the dispatcher keeps when it was suspended, and only a renewal that was sent later ends that.

--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -120,7 +120,8 @@
     /// Last check for stalled and slow runs.
     checked_at: Monotonic,
     is_fenced: bool,
-    is_suspended: bool,
+    /// When the ownership last came into doubt, until it is confirmed.
+    suspended_at: Option<Monotonic>,
     /// When most workers had first answered this owner.
     quorum_at: Option<Monotonic>,
     /// Last confirmation of the ownership by the store.
@@ -154,7 +155,7 @@
             assigned_at: now,
             checked_at: now,
             is_fenced: false,
-            is_suspended: false,
+            suspended_at: None,
             quorum_at: None,
             ownership_at: now,
             unassigned: 0,
@@ -236,21 +237,26 @@
         self.is_fenced
     }
 
-    /// Sets whether the ownership is in doubt; while it is, no lease is extended and no
-    /// run is started.
-    pub fn set_suspended(&mut self, is_suspended: bool) {
-        self.is_suspended = is_suspended;
+    /// Suspends the extension of leases and the start of runs, since the ownership is in
+    /// doubt.
+    pub fn suspend(&mut self, now: Monotonic) {
+        self.suspended_at = Some(now);
     }
 
-    /// Records that the store confirmed the ownership at `now`.
-    pub fn confirm_ownership(&mut self, now: Monotonic) {
-        self.ownership_at = now;
+    /// Records that the store confirmed the ownership, as asked for at `sent`. This ends a
+    /// suspension that began before.
+    pub fn confirm_ownership(&mut self, sent: Monotonic) {
+        if self.suspended_at.is_some_and(|at| sent <= at) {
+            return;
+        }
+        self.suspended_at = None;
+        self.ownership_at = sent;
     }
 
     /// Whether leases may be extended and runs started: the store has confirmed the
     /// ownership, or most workers have answered, within `quorum_ms`.
     fn may_act(&self, now: Monotonic) -> bool {
-        if self.is_fenced || self.is_suspended {
+        if self.is_fenced || self.suspended_at.is_some() {
             return false;
         }
         now.since(self.ownership_at) <= self.bounds.quorum_ms || self.has_quorum(now)
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -175,7 +175,7 @@
                 log::warn!(
                     "this process was paused; orders are suspended until the owner's lease is renewed"
                 );
-                self.dispatcher.set_suspended(true);
+                self.dispatcher.suspend(self.clock.now());
             }
             let mut next = event.ok().flatten();
             while let Some(event) = next {
@@ -238,10 +238,7 @@
             OwnerEvent::Registry(update) => self.apply_registry(update),
             OwnerEvent::Intake(update) => self.apply_intake(update),
             OwnerEvent::Declared => self.declare(),
-            OwnerEvent::Renewed(sent) => {
-                self.dispatcher.confirm_ownership(sent);
-                self.dispatcher.set_suspended(false);
-            }
+            OwnerEvent::Renewed(sent) => self.dispatcher.confirm_ownership(sent),
             OwnerEvent::LeaseEnded => return Some(Outcome::LeaseEnded),
             OwnerEvent::Offered(request) => return self.consider(*request),
             OwnerEvent::Probe(due) => self.record_lag(now.at.since(due)),
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -1,6 +1,7 @@
 //! Recovery after the loss of workers and after a change of the owner.
 
 use verbenahitch::dispatch::JobState;
+use verbenahitch::domain::Monotonic;
 
 use super::world::{BOUNDS, World, job, step};
 
@@ -86,15 +87,33 @@
     world.submit(2, "batch", job(vec![step(3, 1, 30_000)]));
     world.run(40);
     world.take_over();
-    world.dispatcher.set_suspended(true);
+    world.store_up = false;
+    world.dispatcher.suspend(Monotonic(world.now));
     world.run(50);
     world.workers.get_mut(&worker).unwrap().silent = true;
-    world.dispatcher.set_suspended(false);
+    world.store_up = true;
     world.run(10_000);
     assert_eq!(world.starts_of(id).len(), 2);
     world.ledger.assert_once();
 }
 
+/// The answer to a renewal was on its way while the process was paused.
+#[test]
+fn a_renewal_from_before_a_pause_lets_nothing_start() {
+    let mut world = World::new(2);
+    world.run(500);
+    world.store_up = false;
+    let (sent, paused) = (Monotonic(world.now), Monotonic(world.now + 1));
+    world.dispatcher.suspend(paused);
+    world.dispatcher.confirm_ownership(sent);
+    let lease_end = world.workers["w00"].life.lease_end;
+    world.run(1_000);
+    assert_eq!(world.workers["w00"].life.lease_end, lease_end);
+    world.store_up = true;
+    world.run(1_000);
+    assert!(world.workers["w00"].life.lease_end > lease_end);
+}
+
 #[test]
 fn an_owner_that_reaches_neither_store_nor_quorum_extends_no_leases() {
     let mut world = World::new(4);
