Count the quorum over workers that the store records, not over the registry

Cause: an owner without the store acts while most workers answer it, and its successor relies on that to end. 'Most' was counted against the workers that the registry listed. When workers lose the store, their entries vanish while they run on. Cut off with the 12 workers of its zone, the owner had a majority of the 17 that were still listed and extended their leases without end; its successor had one too, and took the runs of workers that it knew without an address as lapsed 7.8 s later. The test fails with the earlier count with two runs of three tasks at the same time. Change: the owner records the names and addresses of the workers that count, the members, in the store. Owner and successor count the same record, and while a new record is being written the owner needs a majority of both. The successor polls the members at their addresses, so that runs on unlisted workers go on. An owner acts without the store for 15 s at most, which bounds the wait of a successor that most members do not answer. Conclusion: majorities of one recorded set intersect; those of two views do not.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -25,6 +25,7 @@
             let name = info.name.clone();
             let key = self.workers.insert(Worker::new(info));
             self.worker_keys.insert(name, key);
+            self.members.mark_dirty();
             return;
         };
         self.unlisted.remove(&key);
@@ -41,6 +42,10 @@
         if is_moved || may_have_restarted {
             worker.next_poll = now;
         }
+        if is_moved {
+            self.members.mark_dirty();
+        }
+        let worker = &mut self.workers[key];
         worker.info = info;
         if worker.info.draining {
             self.stop_standing(key);
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -32,6 +32,7 @@
 mod orders;
 mod place;
 mod polls;
+mod quorum;
 mod recover;
 mod report;
 pub mod step_order;
@@ -53,8 +54,9 @@
     Amount, IdError, JobId, JobRecord, JobSpec, JobState, Queue, Repeat, SpecError, StepSpec,
     TaskId,
 };
+use quorum::Members;
 pub use report::{
-    CallFailure, EndCause, EndedEntry, Order, Poll, ProgressRecord, Report, RunRecord,
+    CallFailure, EndCause, EndedEntry, Member, Order, Poll, ProgressRecord, Report, RunRecord,
     RunningEntry, Start, Target, TaskRecord, Write,
 };
 use table::{Job, Round};
@@ -69,7 +71,7 @@
     /// Length to which workers shorten longer leases.
     pub lease_max_ms: Millis,
     /// How long an owner may go on extending leases while neither the store nor
-    /// most workers answer.
+    /// most members answer.
     pub quorum_ms: Millis,
     /// How long a worker stays usable after its registry entry has vanished.
     pub relist_ms: Millis,
@@ -122,7 +124,10 @@
     is_fenced: bool,
     /// When the ownership last came into doubt, until it is confirmed.
     suspended_at: Option<Monotonic>,
-    /// When most workers had first answered this owner.
+    members: Members,
+    /// Begin of the ownership.
+    began_at: Monotonic,
+    /// When most members of the earlier owner had answered this one.
     quorum_at: Option<Monotonic>,
     /// Last confirmation of the ownership by the store.
     ownership_at: Monotonic,
@@ -156,6 +161,8 @@
             checked_at: now,
             is_fenced: false,
             suspended_at: None,
+            members: Members::default(),
+            began_at: now,
             quorum_at: None,
             ownership_at: now,
             unassigned: 0,
@@ -253,26 +260,6 @@
         self.ownership_at = sent;
     }
 
-    /// Whether leases may be extended and runs started: the store has confirmed the
-    /// ownership, or most workers have answered, within `quorum_ms`.
-    fn may_act(&self, now: Monotonic) -> bool {
-        if self.is_fenced || self.suspended_at.is_some() {
-            return false;
-        }
-        now.since(self.ownership_at) <= self.bounds.quorum_ms || self.has_quorum(now)
-    }
-
-    fn has_quorum(&self, now: Monotonic) -> bool {
-        let limit = self.bounds.quorum_ms;
-        let listed = self.workers.values().filter(|worker| worker.listed).count();
-        let answering = self
-            .workers
-            .values()
-            .filter(|worker| worker.answered_within(now, limit))
-            .count();
-        answering > 0 && answering * 2 > listed
-    }
-
     /// Queue of a job as declared now, or as recorded at acceptance if it is no longer
     /// declared.
     fn queue_of<'a>(&'a self, job: &'a Job) -> &'a Queue {
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -166,8 +166,7 @@
         for key in silent {
             let worker = &self.workers[key];
             let own = worker.session.as_ref().map(Session::lapsed_at);
-            let lapsed = own.or_else(|| self.inherited_lapse());
-            if lapsed.is_none_or(|at| now < at) {
+            if now < own.unwrap_or_else(|| self.inherited_lapse()) {
                 continue;
             }
             let runs: Vec<RunKey> = worker.runs.iter().copied().collect();
@@ -180,18 +179,11 @@
         }
     }
 
-    /// When all leases that an earlier owner gave have lapsed: it could extend them for
-    /// as long as most workers answered it.
-    fn inherited_lapse(&self) -> Option<Monotonic> {
-        let base = self.quorum_at?;
-        let slowest = self.bounds.lease_ms + self.bounds.lease_ms / 20;
-        Some(base + self.bounds.quorum_ms + slowest)
-    }
-
     fn drop_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
             self.worker_keys.remove(&worker.info.name);
             self.unlisted.remove(&key);
+            self.members.mark_dirty();
         }
     }
 
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -151,9 +151,7 @@
             self.close_late_starts(key, &report, now);
         }
         self.cached_loads.remove(key);
-        if self.quorum_at.is_none() && self.has_quorum(now) {
-            self.quorum_at = Some(now);
-        }
+        self.check_takeover(now);
         self.apply_ends(key, &report, now);
         let evidence = if has_restarted {
             Evidence::Restart
--- /dev/null
+++ b/crates/verbenahitch/src/dispatch/quorum.rs
@@ -0,0 +1,142 @@
+//! Quorum of workers: what an owner that the store does not answer may still do, and when
+//! its successor may count on it having stopped.
+//!
+//! The store holds the names of the workers that count, the members. An owner that is cut
+//! off from the store acts while most members answer it, and its successor, which reads
+//! the same record, knows that this has ended once most members have answered the successor:
+//! they refuse the orders of the earlier owner from then on. Both must count the same
+//! members. The registry is no substitute: entries vanish while their workers go on.
+//!
+//! The time for which an owner acts without the store is limited as well, so that the
+//! tasks of lost workers start elsewhere even if most members are lost.
+
+use super::report::Member;
+use super::worker::{WorkerInfo, WorkerKey};
+use super::{Dispatcher, Millis, Monotonic, Worker};
+use crate::collections::HashSet;
+
+/// How long an owner acts without a confirmation by the store, in milliseconds. Longer
+/// than usual outages of the store.
+const OUTAGE_LIMIT_MS: Millis = 15_000;
+
+/// Shortest time between two records of the members, in milliseconds.
+const RECORD_INTERVAL_MS: Millis = 1_000;
+
+/// The members as this owner and the store know them.
+#[derive(Debug, Default)]
+pub(super) struct Members {
+    /// Members that the earlier owner counted.
+    inherited: HashSet<WorkerKey>,
+    /// Members that the store holds.
+    stored: HashSet<WorkerKey>,
+    /// Members that are being written; the store may hold either.
+    writing: Option<HashSet<WorkerKey>>,
+    /// Whether the known workers have changed since the last record.
+    is_dirty: bool,
+    /// When the last record was taken.
+    recorded_at: Option<Monotonic>,
+}
+
+impl Members {
+    /// Records that a worker was added, moved or dropped.
+    pub fn mark_dirty(&mut self) {
+        self.is_dirty = true;
+    }
+}
+
+impl Dispatcher {
+    /// Restores the members that the store holds. Without a record, as from a version
+    /// that wrote none, the workers known so far count.
+    pub fn restore_members(&mut self, record: Option<Vec<Member>>) {
+        let keys: HashSet<WorkerKey> = match record {
+            Some(members) => members.into_iter().map(|m| self.member_key(m)).collect(),
+            None => self.workers.keys().collect(),
+        };
+        self.members.inherited.clone_from(&keys);
+        self.members.stored = keys;
+        self.members.is_dirty = true;
+    }
+
+    /// Worker of a member; one that is unknown is added unlisted.
+    fn member_key(&mut self, member: Member) -> WorkerKey {
+        let Member(name, address) = member;
+        if let Some(key) = self.worker_keys.get(&name) {
+            return *key;
+        }
+        self.add_unlisted(WorkerInfo {
+            name,
+            address,
+            ..WorkerInfo::default()
+        })
+    }
+
+    /// Takes the members to be written with the next commit, if they have changed.
+    pub fn take_members(&mut self, now: Monotonic) -> Option<Vec<Member>> {
+        let members = &mut self.members;
+        let is_early = members
+            .recorded_at
+            .is_some_and(|at| now.since(at) < RECORD_INTERVAL_MS);
+        if !members.is_dirty || is_early || members.writing.is_some() || self.is_fenced {
+            return None;
+        }
+        members.is_dirty = false;
+        members.recorded_at = Some(now);
+        let known = self.workers.iter();
+        let known: Vec<_> = known.filter(|(_, w)| !w.info.address.is_empty()).collect();
+        members.writing = Some(known.iter().map(|(key, _)| *key).collect());
+        let member =
+            |worker: &Worker| Member(worker.info.name.clone(), worker.info.address.clone());
+        Some(known.iter().map(|(_, worker)| member(worker)).collect())
+    }
+
+    /// Applies the commit of the members last taken.
+    pub(super) fn members_stored(&mut self) {
+        if let Some(stored) = self.members.writing.take() {
+            self.members.stored = stored;
+        }
+    }
+
+    /// Whether leases may be extended and runs started: the store has confirmed the
+    /// ownership within `quorum_ms`, or most members have answered within that time and
+    /// the outage is not too long.
+    pub(super) fn may_act(&self, now: Monotonic) -> bool {
+        if self.is_fenced || self.suspended_at.is_some() {
+            return false;
+        }
+        let unconfirmed_ms = now.since(self.ownership_at);
+        unconfirmed_ms <= self.bounds.quorum_ms
+            || (unconfirmed_ms <= OUTAGE_LIMIT_MS && self.has_quorum(now))
+    }
+
+    fn has_quorum(&self, now: Monotonic) -> bool {
+        let limit = self.bounds.quorum_ms;
+        let answers = |worker: &Worker| worker.answered_within(now, limit);
+        let mut views = self.members.writing.iter().chain([&self.members.stored]);
+        views.all(|members| self.is_majority(members, answers))
+    }
+
+    fn is_majority(&self, members: &HashSet<WorkerKey>, counts: impl Fn(&Worker) -> bool) -> bool {
+        let workers = members.iter().filter_map(|key| self.workers.get(*key));
+        workers.filter(|worker| counts(worker)).count() * 2 > members.len()
+    }
+
+    /// Records when most members of the earlier owner have answered this one.
+    pub(super) fn check_takeover(&mut self, now: Monotonic) {
+        if self.quorum_at.is_some() {
+            return;
+        }
+        let has_answered = |worker: &Worker| worker.answered_at.is_some();
+        let inherited = &self.members.inherited;
+        if inherited.is_empty() || self.is_majority(inherited, has_answered) {
+            self.quorum_at = Some(now);
+        }
+    }
+
+    /// When all leases that an earlier owner gave have lapsed.
+    pub(super) fn inherited_lapse(&self) -> Monotonic {
+        let outage_end = self.began_at + OUTAGE_LIMIT_MS;
+        let quorum_end = self.quorum_at.map(|at| at + self.bounds.quorum_ms);
+        let last_act = quorum_end.map_or(outage_end, |end| end.min(outage_end));
+        last_act + self.bounds.lease_ms + self.bounds.lease_ms / 20
+    }
+}
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -83,13 +83,19 @@
         if let Some(key) = self.worker_keys.get(name) {
             return *key;
         }
-        let mut worker = Worker::new(WorkerInfo {
+        self.add_unlisted(WorkerInfo {
             name: name.to_owned(),
             ..WorkerInfo::default()
-        });
+        })
+    }
+
+    /// Adds a worker that the registry does not list.
+    pub(super) fn add_unlisted(&mut self, info: WorkerInfo) -> WorkerKey {
+        let name = info.name.clone();
+        let mut worker = Worker::new(info);
         worker.listed = false;
         let key = self.workers.insert(worker);
-        self.worker_keys.insert(name.to_owned(), key);
+        self.worker_keys.insert(name, key);
         key
     }
 }
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -200,6 +200,15 @@
     pub u64,
 );
 
+/// Record in the store of a worker that counts for the quorum.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Member(
+    /// Name.
+    pub String,
+    /// Address at which it takes calls.
+    pub String,
+);
+
 /// Record in the store of a task with at least one assignment.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -6,7 +6,7 @@
 
 use super::driver::Driver;
 use super::{Outcome, OwnerEvent};
-use crate::dispatch::{JobState, Write};
+use crate::dispatch::{JobState, Member, Write};
 use crate::domain::Millis;
 use crate::entry::keys::{self, JobEntry};
 use crate::entry::{observe, watcher};
@@ -18,7 +18,11 @@
 const PRESSURES_INTERVAL_MS: Millis = 3_000;
 
 impl<P: Platform> Driver<P> {
-    pub(super) fn build_transaction(&self, writes: &[Write]) -> Transaction {
+    pub(super) fn build_transaction(
+        &self,
+        writes: &[Write],
+        members: Option<&[Member]>,
+    ) -> Transaction {
         // Identifies this commit if its answer is lost.
         let commit_id = format!("{:016x}", rand::random::<u64>());
         let mut transaction = Transaction {
@@ -32,6 +36,10 @@
             )],
             removes: Vec::new(),
         };
+        if let Some(members) = members {
+            let put = Put::persistent(keys::MEMBERS.to_owned(), keys::encode(&members));
+            transaction.puts.push(put);
+        }
         for write in writes {
             let record = &write.record;
             let has_ended =
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -3,7 +3,7 @@
 use verbenahitch::dispatch::JobState;
 use verbenahitch::domain::Monotonic;
 
-use super::world::{BOUNDS, World, job, step};
+use super::world::{BOUNDS, Started, World, job, step};
 
 #[test]
 fn tasks_of_a_silent_worker_start_elsewhere_only_after_its_lease_lapses() {
@@ -97,6 +97,34 @@
     world.ledger.assert_once();
 }
 
+/// The entries of two thirds of the workers vanish while the workers go on; then the owner is
+/// cut off from the store and from all workers but those of its zone.
+#[test]
+fn no_task_runs_twice_when_a_former_owner_has_a_majority_of_the_listed_workers() {
+    let mut world = World::new(12);
+    for worker in world.workers.values_mut() {
+        worker.stop_ms = 900;
+    }
+    world.run(1_500);
+    let id = world.submit(1, "batch", job(vec![step(24, 4, 20_000)]));
+    world.run(1_000);
+    for name in ["w00", "w01", "w02", "w03", "w04", "w05", "w06", "w07"] {
+        world.unlist_worker(name);
+    }
+    world.run(1_500);
+    world.split_owner(&["w00", "w01", "w02"]);
+    world.run(30_000);
+    world.ledger.assert_once();
+    let on_cut = |start: &&Started| start.run == 1 && start.worker.as_str() < "w03";
+    let repeated = world.starts_of(id).into_iter().filter(on_cut).count();
+    assert_eq!(
+        world.starts_of(id).len(),
+        24 + repeated,
+        "only tasks of the former owner's workers start again"
+    );
+    assert_eq!(world.state(id), Some(JobState::Completed));
+}
+
 /// The answer to a renewal was on its way while the process was paused.
 #[test]
 fn a_renewal_from_before_a_pause_lets_nothing_start() {
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -8,8 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use verbenahitch::dispatch::{
-    Amount, Bounds, CallFailure, Dispatcher, EndCause, JobId, JobRecord, JobSpec, JobState, Now,
-    Order, Poll, Report, RunKey, RunningEntry, Start, TaskId, WorkerInfo, WorkerKey, Write,
+    Amount, Bounds, CallFailure, Dispatcher, EndCause, JobId, JobRecord, JobSpec, JobState, Member,
+    Now, Order, Poll, Report, RunKey, RunningEntry, Start, TaskId, WorkerInfo, WorkerKey, Write,
 };
 use verbenahitch::domain::{Millis, Monotonic};
 
@@ -104,6 +104,25 @@
     /// Orders that workers carry out late, with their fencing tokens.
     late_orders: Vec<(Millis, u64, Order)>,
     writing: Vec<Write>,
+    writing_members: Option<Vec<Member>>,
+    /// Members that the store holds.
+    members: Option<Vec<Member>>,
+    /// Workers that the owner cannot reach.
+    cut: BTreeSet<String>,
+    /// Earlier owner that goes on without the store.
+    former: Option<Former>,
+}
+
+/// An earlier owner, with what belongs to it alone.
+struct Former {
+    dispatcher: Dispatcher,
+    fence: u64,
+    store_up: bool,
+    polls: Vec<(Millis, Poll)>,
+    events: Vec<(Millis, Event)>,
+    writing: Vec<Write>,
+    writing_members: Option<Vec<Member>>,
+    cut: BTreeSet<String>,
 }
 
 pub const BOUNDS: Bounds = Bounds {
@@ -138,6 +157,10 @@
             events: Vec::new(),
             late_orders: Vec::new(),
             writing: Vec::new(),
+            writing_members: None,
+            members: None,
+            cut: BTreeSet::new(),
+            former: None,
         };
         for number in 0..count {
             world.add_worker(&format!("w{number:02}"), 16);
@@ -209,9 +232,11 @@
         self.polls.clear();
         self.events.clear();
         self.writing.clear();
+        self.writing_members = None;
         self.dispatcher = Dispatcher::new(BOUNDS, Monotonic(self.now));
         self.declare();
         self.send_registry();
+        self.dispatcher.restore_members(self.members.clone());
         let now = self.clock();
         for (id, spec) in &self.specs {
             let record = self.record("batch", spec);
@@ -220,6 +245,48 @@
         }
     }
 
+    /// Lets the owner go on without the store, reaching only the workers in `zone`; a new
+    /// owner reaches the others.
+    pub fn split_owner(&mut self, zone: &[&str]) {
+        let names = self.workers.keys().cloned();
+        let (inside, outside) = names.partition(|name| zone.contains(&name.as_str()));
+        self.store_up = false;
+        self.cut = outside;
+        self.former = Some(Former {
+            dispatcher: Dispatcher::new(BOUNDS, Monotonic(self.now)),
+            fence: self.fence,
+            store_up: true,
+            polls: Vec::new(),
+            events: Vec::new(),
+            writing: Vec::new(),
+            writing_members: None,
+            cut: inside,
+        });
+        self.swap_owner();
+        self.take_over();
+    }
+
+    /// Exchanges the owner and the earlier one.
+    fn swap_owner(&mut self) {
+        let Some(former) = &mut self.former else {
+            return;
+        };
+        std::mem::swap(&mut self.dispatcher, &mut former.dispatcher);
+        std::mem::swap(&mut self.fence, &mut former.fence);
+        std::mem::swap(&mut self.store_up, &mut former.store_up);
+        std::mem::swap(&mut self.polls, &mut former.polls);
+        std::mem::swap(&mut self.events, &mut former.events);
+        std::mem::swap(&mut self.writing, &mut former.writing);
+        std::mem::swap(&mut self.writing_members, &mut former.writing_members);
+        std::mem::swap(&mut self.cut, &mut former.cut);
+    }
+
+    /// Removes a worker's entry from the registry.
+    pub fn unlist_worker(&mut self, name: &str) {
+        self.workers.get_mut(name).unwrap().unlisted = true;
+        self.dispatcher.unlist_worker(name, Monotonic(self.now));
+    }
+
     /// Brings the workers' entries in the registry up to date.
     pub fn list_workers(&mut self) {
         for worker in self.workers.values_mut() {
@@ -229,7 +296,7 @@
     }
 
     fn send_registry(&mut self) {
-        for worker in self.workers.values() {
+        for worker in self.workers.values().filter(|worker| !worker.unlisted) {
             self.dispatcher
                 .upsert_worker(worker.info.clone(), Monotonic(self.now));
         }
@@ -265,6 +332,22 @@
         self.now += TICK_MS;
         self.advance_runs();
         self.execute_late_orders();
+        self.step_owner();
+        self.swap_owner();
+        if self.former.is_some() {
+            self.step_owner();
+        }
+        self.swap_owner();
+        for id in self.specs.keys() {
+            if self.dispatcher.state(*id) == Some(JobState::Completed) {
+                self.finished.entry(*id).or_insert(self.now);
+            }
+        }
+        self.ledger.check_single(self.now, self.workers.values());
+    }
+
+    /// Handles the events of the owner, and runs one pass.
+    fn step_owner(&mut self) {
         self.answer_polls();
         self.deliver();
         if self.store_up {
@@ -273,19 +356,23 @@
         for order in self.dispatcher.pass(self.clock()) {
             self.execute(order);
         }
-        if self.store_up && self.writing.is_empty() {
+        let is_committing = !self.writing.is_empty() || self.writing_members.is_some();
+        if self.store_up && !is_committing {
             self.writing = self.dispatcher.take_writes(16);
-            if !self.writing.is_empty() {
+            self.writing_members = self.dispatcher.take_members(Monotonic(self.now));
+            if !self.writing.is_empty() || self.writing_members.is_some() {
                 let at = self.now + self.commit_ms;
                 self.events.push((at, Event::CommitStored));
             }
         }
-        for id in self.specs.keys() {
-            if self.dispatcher.state(*id) == Some(JobState::Completed) {
-                self.finished.entry(*id).or_insert(self.now);
-            }
+    }
+
+    /// Fails if the owner cannot reach a worker.
+    fn check_reachable(&self, name: &str) -> Result<(), CallFailure> {
+        if self.cut.contains(name) {
+            return Err(CallFailure::Unanswered("cut".to_owned()));
         }
-        self.ledger.check_single(self.now, self.workers.values());
+        self.workers[name].check_reachable(self.now)
     }
 
     fn deliver(&mut self) {
@@ -308,6 +395,9 @@
                     for write in std::mem::take(&mut self.writing) {
                         self.records.insert(write.job, write);
                     }
+                    if let Some(members) = self.writing_members.take() {
+                        self.members = Some(members);
+                    }
                     self.dispatcher.commit_stored(at);
                 }
             }
@@ -332,12 +422,16 @@
                     self.late_orders.push(late);
                     return;
                 }
-                let result = self.start(&start, self.fence);
+                let result = self.check_reachable(&name);
+                let result = result.and_then(|()| self.start(&start, self.fence));
                 self.events.push((at, Event::Started(key, result)));
             }
             Order::Stop(target) => {
-                let worker = self.workers.get_mut(&target.name).unwrap();
-                let result = worker.stop(&target, self.fence, self.now);
+                let (fence, now) = (self.fence, self.now);
+                let result = self.check_reachable(&target.name).and_then(|()| {
+                    let worker = self.workers.get_mut(&target.name).unwrap();
+                    worker.stop(&target, fence, now)
+                });
                 self.events.push((at, Event::Stopped(target.key, result)));
             }
             Order::Pace(target, percent) => {
@@ -357,9 +451,8 @@
 
     /// When a worker carries out an order that it receives now, if it delays orders.
     fn delays_order(&self, name: &str) -> Option<Millis> {
-        let worker = &self.workers[name];
-        worker.check_reachable(self.now).ok()?;
-        Some(self.now + worker.order_delay?)
+        self.check_reachable(name).ok()?;
+        Some(self.now + self.workers[name].order_delay?)
     }
 
     fn start(&mut self, start: &Start, fence: u64) -> Result<(), CallFailure> {
@@ -405,7 +498,7 @@
                 .ended
                 .iter()
                 .any(|end| end.sequence > poll.acked);
-            if worker.check_reachable(now).is_ok() && !has_end && now < due {
+            if self.check_reachable(&poll.name).is_ok() && !has_end && now < due {
                 self.polls.push((due, poll));
                 continue;
             }
@@ -419,8 +512,8 @@
         let fence = self.fence;
         let tails = self.tails(&poll.name);
         let now = self.now;
+        self.check_reachable(&poll.name)?;
         let worker = self.workers.get_mut(&poll.name).unwrap();
-        worker.check_reachable(now)?;
         worker.check_fence(fence)?;
         worker.extend_leases(poll.lease_end.unwrap_or(0), now);
         let life = &mut worker.life;
--- a/testsuite/tests/testsuite/dispatch/world/worker.rs
+++ b/testsuite/tests/testsuite/dispatch/world/worker.rs
@@ -43,6 +43,8 @@
     /// Entry in the registry, which may be behind.
     pub info: WorkerInfo,
     pub life: Incarnation,
+    /// Whether it has no entry in the registry.
+    pub unlisted: bool,
     /// Until when it is down.
     pub down_until: Millis,
     /// Until when another worker answers at its address.
