Recover a shard only on a list read after its acquisition

Callers saw tasks run in two places after a take-over: the new owner took a shard for recovered once every worker of its list had answered, whenever that list had been read. An older list lacks a worker that the earlier owner has been using since, and the runs there were started again while they went on. A daemon that acquired a shard before its first read of the list passed an empty list, by which no worker was missing.

Cause: the wait for late entries measured the time since the acquisition, not the time at which the list was read.

Readings are passed on even if nothing has changed; without one the wait for the longest lease applies.

The daemon's empty list is shown by the decision logic alone, not over processes.

The simulated processes read the list every 200 ms, which draws the delays of messages in another order.

--- a/crates/verbenahitch/src/scheduler/daemon/mod.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod acquire;
 mod commit;
 mod driver;
+mod host_poll;
 pub(crate) mod keys;
 mod owner;
 mod session;
@@ -171,8 +172,9 @@
         }
         .run(),
     );
-    let (hosts, hosts_watch) = watch::channel(Arc::new(Vec::new()));
-    background.spawn(list.poll(platform.hosts_interval_ms, hosts));
+    let (readings, hosts) = watch::channel(None);
+    let interval_ms = platform.hosts_interval_ms;
+    background.spawn(host_poll::run(list, interval_ms, clock.clone(), readings));
     background.spawn(config::watch::run(
         store.clone(),
         current.clone(),
@@ -186,7 +188,7 @@
         current,
         handle.clone(),
         sessions,
-        hosts_watch,
+        hosts,
     );
     owner.run(requests, stopping).await;
     handle.stop().await;
--- a/crates/verbenahitch/src/scheduler/daemon/owner/mod.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/owner/mod.rs
@@ -16,6 +16,7 @@
 use super::acquire::Acquired;
 use super::commit::Writer;
 use super::driver::{Exit, Message, ShardDriver, not_owner};
+use super::host_poll::HostReading;
 use super::process_name;
 use super::session::Session;
 use super::store_poll::PollResult;
@@ -46,7 +47,8 @@
     /// Jobs of the inbox that were passed to the driver.
     forwarded: HashSet<JobId>,
     revision: u64,
-    hosts: Arc<Vec<HostRecord>>,
+    /// When the read of the list that it was last given began.
+    listed: Option<Monotonic>,
 }
 
 /// The shards of one process.
@@ -59,7 +61,7 @@
     current: CurrentDeclarations,
     handle: Handle,
     sessions: watch::Receiver<Option<Session>>,
-    hosts: watch::Receiver<Arc<Vec<HostRecord>>>,
+    hosts: watch::Receiver<Option<HostReading>>,
     permits: HashMap<String, Permit>,
     owned: HashMap<ShardId, Owned>,
     vacant_since: HashMap<ShardId, Monotonic>,
@@ -82,7 +84,7 @@
         current: CurrentDeclarations,
         handle: Handle,
         sessions: watch::Receiver<Option<Session>>,
-        hosts: watch::Receiver<Arc<Vec<HostRecord>>>,
+        hosts: watch::Receiver<Option<HostReading>>,
     ) -> Self {
         Self {
             name: process_name(&settings),
@@ -198,7 +200,7 @@
 
     fn update_drivers(&mut self, session: &Session, now: Monotonic) {
         let declared = self.current.load();
-        let hosts = self.hosts.borrow().clone();
+        let reading = self.hosts.borrow().clone();
         let authority = session.renewed + self.settings.scheduler.outage_ms;
         let zones: HashSet<String> = self.owned.keys().map(|shard| shard.zone.clone()).collect();
         for zone in zones {
@@ -214,13 +216,17 @@
                 owned.revision = declared.revision;
                 send(Input::Declared(declared.clone()));
             }
-            if !Arc::ptr_eq(&owned.hosts, &hosts) {
-                owned.hosts = hosts.clone();
+            let newer = |reading: &&HostReading| owned.listed != Some(reading.read);
+            if let Some(reading) = reading.as_ref().filter(newer) {
+                owned.listed = Some(reading.read);
                 let shards = declared
                     .zones
                     .get(&shard.zone)
                     .map_or(1, |zone| zone.shards);
-                send(Input::Hosts(workers_of(shard, shards, &hosts)));
+                send(Input::Hosts {
+                    read: reading.read,
+                    hosts: workers_of(shard, shards, &reading.hosts),
+                });
             }
         }
     }
@@ -262,7 +268,7 @@
             driver: tokio::spawn(driver.run()),
             forwarded: HashSet::default(),
             revision: declared.revision,
-            hosts: Arc::new(Vec::new()),
+            listed: None,
         }
     }
 
--- a/crates/verbenahitch/src/scheduler/message.rs
+++ b/crates/verbenahitch/src/scheduler/message.rs
@@ -18,7 +18,12 @@
     /// A newer revision of the declarations is in force.
     Declared(Arc<Declarations>),
     /// Complete list of the shard's workers from the platform.
-    Hosts(Vec<HostRecord>),
+    Hosts {
+        /// When the read of the list began.
+        read: Monotonic,
+        /// Workers.
+        hosts: Vec<HostRecord>,
+    },
     /// This process now owns the shard.
     Acquired {
         /// Epoch of the ownership.
--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -104,8 +104,8 @@
     committer: Committer,
     next_seq: u64,
     next_job: u64,
-    /// Whether the platform's list of workers was received.
-    has_hosts: bool,
+    /// When the last read of the platform's list of workers began.
+    listed: Option<Monotonic>,
     releasing: bool,
     returning_since: Option<Monotonic>,
     /// When the next pass over the queues is due.
@@ -146,7 +146,7 @@
             making_room: HashMap::default(),
             next_seq: 0,
             next_job: 0,
-            has_hosts: false,
+            listed: None,
             releasing: false,
             returning_since: None,
             pass_due: Monotonic::default(),
@@ -165,7 +165,7 @@
         match input {
             Input::Tick => {}
             Input::Declared(declared) => self.on_declared(declared, now),
-            Input::Hosts(hosts) => self.on_hosts(hosts, now),
+            Input::Hosts { read, hosts } => self.on_hosts(read, hosts, now),
             Input::Acquired {
                 epoch,
                 jobs,
--- a/crates/verbenahitch/src/scheduler/shard/recovery.rs
+++ b/crates/verbenahitch/src/scheduler/shard/recovery.rs
@@ -173,8 +173,9 @@
         if now >= lapsed {
             return true;
         }
-        self.has_hosts
-            && now >= owned.since + self.params.list_lag_ms()
+        // An older list may lack a worker that an earlier owner used.
+        let listed = owned.since + self.params.list_lag_ms();
+        self.listed.is_some_and(|read| read >= listed)
             && self.workers.values().all(|worker| worker.answered)
     }
 
--- a/crates/verbenahitch/src/scheduler/shard/zone.rs
+++ b/crates/verbenahitch/src/scheduler/shard/zone.rs
@@ -102,8 +102,8 @@
         }
     }
 
-    pub(super) fn on_hosts(&mut self, hosts: Vec<HostRecord>, now: Monotonic) {
-        self.has_hosts = true;
+    pub(super) fn on_hosts(&mut self, read: Monotonic, hosts: Vec<HostRecord>, now: Monotonic) {
+        self.listed = Some(read);
         let mut unlisted: HashMap<String, WorkerKey> = self.by_name.clone();
         for host in hosts {
             unlisted.remove(&host.name);
--- /dev/null
+++ b/testsuite/tests/testsuite/scheduler/lives.rs
@@ -0,0 +1,51 @@
+//! Facts about one life of a worker or of the list of workers that reach a shard in another.
+
+use test_case::test_case;
+use verbenahitch::domain::Monotonic;
+use verbenahitch::scheduler::Input;
+
+use super::common::{RUN_MS, TIMEOUT_MS, assert_guarantees, finish_job, submit_job, world};
+use super::declared::spec;
+use super::world::{OUTAGE_MS, TASK_LEASE_MS, World};
+
+/// Run time longer than a take-over after the longest wait.
+const LONG_RUN_MS: u64 = 60_000;
+
+/// The successor last read the list before it contained the newest worker.
+fn keep_old_list(world: &mut World) {
+    world.list_unreachable.insert(1);
+}
+
+/// The successor got an empty list before it acquired the shard, and none since.
+fn start_on_empty_list(world: &mut World) {
+    world.list_unreachable.insert(1);
+    world.kill(1);
+    let read = Monotonic(world.now);
+    let hosts = Vec::new();
+    world.feed(1, Input::Hosts { read, hosts });
+}
+
+/// Two runs of one task after a take-over on a list that lacks a worker.
+#[test_case(keep_old_list; "old list")]
+#[test_case(start_on_empty_list; "empty list")]
+fn two_runs_after_a_take_over_on_an_old_list(inject: fn(&mut World)) {
+    let mut world = world();
+    inject(&mut world);
+    submit_job(&mut world, "short", spec("recalculation", 12, RUN_MS));
+    assert!(world.run_while(TIMEOUT_MS, |world| world.history.start_count() < 12));
+    world.add_worker("w3");
+    submit_job(&mut world, "long", spec("recalculation", 4, LONG_RUN_MS));
+    assert!(world.run_while(TIMEOUT_MS, |world| world.history.start_count() < 16));
+    // The first owner reaches only the worker that the list lacks.
+    world.owners[0].store_unreachable = true;
+    for name in ["w0", "w1", "w2"] {
+        world.partitions.insert((0, name.to_owned()));
+    }
+    world.run_for(OUTAGE_MS / 2);
+    world.list_unreachable.clear();
+    world.run_for(OUTAGE_MS + 4 * TASK_LEASE_MS);
+    world.owners[0].store_unreachable = false;
+    world.partitions.clear();
+    finish_job(&mut world, "long");
+    assert_guarantees(&world);
+}
--- a/testsuite/tests/testsuite/scheduler/mod.rs
+++ b/testsuite/tests/testsuite/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod fake_store;
 mod fake_worker;
 mod history;
+mod lives;
 mod requests;
 mod schedules;
 mod session;
--- a/testsuite/tests/testsuite/scheduler/world.rs
+++ b/testsuite/tests/testsuite/scheduler/world.rs
@@ -29,6 +29,7 @@
 pub const SHARD_LEASE_MS: Millis = 3_000;
 pub const RENEW_MS: Millis = 500;
 const SYNC_TIMEOUT_MS: Millis = 300;
+const LIST_MS: Millis = 200;
 pub const MAX_LATENCY_MS: Millis = 2;
 
 /// Probabilities of faults in the delivery of messages.
@@ -44,6 +45,7 @@
 pub(super) enum Event {
     Tick(usize),
     Renew(usize),
+    List,
     Input(usize, u32, Box<Input>),
     /// A sync over a connection to one boot of the worker.
     Sync(usize, u32, u32, String, SyncRequest),
@@ -72,6 +74,8 @@
     pub workers: BTreeMap<String, FakeWorker>,
     /// Pairs of owner and worker that cannot reach each other.
     pub partitions: BTreeSet<(usize, String)>,
+    /// Processes that cannot read the list of workers.
+    pub list_unreachable: BTreeSet<usize>,
     /// Additional delay of messages to a worker, in milliseconds.
     pub delays: BTreeMap<String, Millis>,
     pub store: FakeStore,
@@ -116,6 +120,7 @@
                 .map(|name| (name.clone(), FakeWorker::new(&name, ZONE, CAPACITY)))
                 .collect(),
             partitions: BTreeSet::new(),
+            list_unreachable: BTreeSet::new(),
             delays: BTreeMap::new(),
             store: FakeStore::default(),
             declared: Arc::new(declarations(1, ZoneState::In)),
@@ -143,6 +148,7 @@
             let first = world.now + u64::try_from(owner).expect("two owners") * 100;
             world.push(first, Event::Renew(owner));
         }
+        world.push(world.now + LIST_MS, Event::List);
         world
     }
 
@@ -242,6 +248,11 @@
         worker.crash(self.now, &mut self.history);
     }
 
+    pub fn add_worker(&mut self, name: &str) {
+        let worker = FakeWorker::new(name, ZONE, CAPACITY);
+        self.workers.insert(name.to_owned(), worker);
+    }
+
     pub fn isolate_worker(&mut self, name: &str) {
         for owner in 0..self.owners.len() {
             self.partitions.insert((owner, name.to_owned()));
@@ -258,14 +269,21 @@
         self.history.record(self.now, event);
     }
 
-    /// Sends the host list to every process.
+    /// Sends the host list to every process that can read it.
     pub fn send_hosts(&mut self) {
         for owner in 0..self.owners.len() {
-            let hosts = self.hosts();
-            self.feed(owner, Input::Hosts(hosts));
+            if !self.list_unreachable.contains(&owner) && !self.owners[owner].is_paused {
+                self.send_list(owner);
+            }
         }
     }
 
+    fn send_list(&mut self, owner: usize) {
+        let read = Monotonic(self.now);
+        let hosts = self.hosts();
+        self.feed(owner, Input::Hosts { read, hosts });
+    }
+
     pub fn feed(&mut self, owner: usize, input: Input) {
         if self.owners[owner].is_paused {
             return self.owners[owner].backlog.push_back(input);
@@ -292,9 +310,10 @@
     }
 
     fn send_initial_state(&mut self, owner: usize) {
-        let hosts = self.hosts();
         self.feed(owner, Input::Declared(Arc::clone(&self.declared)));
-        self.feed(owner, Input::Hosts(hosts));
+        if !self.list_unreachable.contains(&owner) {
+            self.send_list(owner);
+        }
     }
 
     pub(super) fn push(&mut self, at: Millis, event: Event) {
@@ -366,6 +385,10 @@
                     self.renew(owner);
                 }
             }
+            Event::List => {
+                self.push(self.now + LIST_MS, Event::List);
+                self.send_hosts();
+            }
             Event::Input(owner, incarnation, input) => {
                 if self.owners[owner].incarnation == incarnation {
                     self.feed(owner, *input);
