Tell a worker's lives apart by a number instead of its clock

Callers saw a task that must not run twice run again: its start was carried out, the answer was lost, the worker restarted, and the next answer lacked the run. The owner took the start for one that the worker would now refuse, hence never ran, and gave the task away again.

Cause: a restart was read off the worker's clock going back. A clock that runs on over the restart shows nothing, and a refused call replaced the last reading without the comparison, so that the next answer was compared with the new life's own clock.

The worker now names its life in each answer and refusal. A start is withdrawn as never made only if the life known at its sending is the one that answers later; otherwise its run is lost, as for any restart. A worker that names no life (zero) counts as possibly restarted. The comparison of clocks and the time of sending that it needed are gone.

The stand-in's clock runs on over its crash, so it showed no restart; it now has a life. The test of refused calls compares the life too.

--- a/crates/standin/src/worker/control.rs
+++ b/crates/standin/src/worker/control.rs
@@ -22,6 +22,8 @@
     match worker.sync(&request) {
         Ok(reply) => Ok(Json(reply)),
         Err(SyncRefusal::Stale { epoch }) => Err((Status::Conflict, json!({ "epoch": epoch }))),
-        Err(SyncRefusal::Late { clock }) => Err((Status::Gone, json!({ "clock": clock }))),
+        Err(SyncRefusal::Late { clock, life }) => {
+            Err((Status::Gone, json!({ "clock": clock, "life": life })))
+        }
     }
 }
--- a/crates/standin/src/worker/engine.rs
+++ b/crates/standin/src/worker/engine.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SyncRefusal {
     Stale { epoch: u64 },
-    Late { clock: Millis },
+    Late { clock: Millis, life: u64 },
 }
 
 /// Newest call and lease of a shard.
@@ -46,6 +46,8 @@
     settings: Settings,
     /// Wall-clock time at the origin of the worker's clock.
     origin_ms: Millis,
+    /// Number of its life.
+    life: u64,
     shards: HashMap<String, Shard>,
     runs: Vec<Run>,
     ended: Vec<UnackedEnd>,
@@ -61,6 +63,7 @@
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
             origin_ms,
+            life: origin_ms + 1,
             shards: HashMap::default(),
             runs: Vec::new(),
             ended: Vec::new(),
@@ -107,6 +110,7 @@
             self.record_loss(&ended);
         }
         self.shards.clear();
+        self.life += 1;
     }
 
     /// Factor by which the batch runs slow down requests of `kind`, at least 1.0.
@@ -138,8 +142,9 @@
     }
 
     fn accept(&mut self, now: Monotonic, request: &SyncRequest) -> Result<(), SyncRefusal> {
+        let life = self.life;
         let shard = self.shards.entry(request.shard.clone()).or_default();
-        let late = SyncRefusal::Late { clock: now.0 };
+        let late = SyncRefusal::Late { clock: now.0, life };
         if request.epoch < shard.epoch {
             let epoch = shard.epoch;
             return Err(SyncRefusal::Stale { epoch });
@@ -376,6 +381,7 @@
         };
         SyncReply {
             clock: now.0,
+            life: self.life,
             refused,
             running: own.map(running).collect(),
             ended: ended.map(report).collect(),
--- a/crates/verbenahitch/src/adapter/worker.rs
+++ b/crates/verbenahitch/src/adapter/worker.rs
@@ -21,6 +21,8 @@
 #[derive(Deserialize)]
 struct TooLate {
     clock: Millis,
+    #[serde(default)]
+    life: u64,
 }
 
 impl WorkerClient {
@@ -58,7 +60,8 @@
             }
             StatusCode::GONE => {
                 let late: TooLate = decode(&bytes)?;
-                Err(SyncError::Late { clock: late.clock })
+                let (clock, life) = (late.clock, late.life);
+                Err(SyncError::Late { clock, life })
             }
             _ => Err(unanswered(format!("status {status}"))),
         }
--- a/crates/verbenahitch/src/port/worker.rs
+++ b/crates/verbenahitch/src/port/worker.rs
@@ -11,6 +11,9 @@
 //!   without bound.
 //! * It keeps the record of an ended run until the end is acknowledged.
 //!   Otherwise a finished task could be run again after a lost reply.
+//! * It names its life in every answer, by a number that none of its other lives
+//!   has. Otherwise a start whose answer was lost in a restart could be taken for
+//!   one that never took effect.
 //! * It stops a task, after a checkpoint, once the task's lease lapses.
 //!   Otherwise the tasks of an unreachable worker could never be started elsewhere.
 
@@ -97,6 +100,9 @@
 pub struct SyncReply {
     /// Time of the worker's own clock in milliseconds.
     pub clock: Millis,
+    /// Number of the worker's life, another one after each restart; zero if it names none.
+    #[serde(default)]
+    pub life: u64,
     /// Commands that were refused.
     pub refused: Vec<Refusal>,
     /// Runs of the shard in progress.
@@ -210,11 +216,14 @@
         /// Highest epoch that the worker has seen.
         epoch: u64,
     },
-    /// The call arrived out of order or after its `not_after` (HTTP 410 with the worker's clock).
+    /// The call arrived out of order or after its `not_after` (HTTP 410 with the worker's clock
+    /// and life).
     #[snafu(display("worker refused a call that arrived out of order or too late"))]
     Late {
         /// Time of the worker's own clock in milliseconds.
         clock: Millis,
+        /// Number of the worker's life; zero if it names none.
+        life: u64,
     },
     /// The call provably took no effect.
     #[snafu(display("worker is unreachable: {reason}"))]
--- a/crates/verbenahitch/src/scheduler/daemon/driver.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/driver.rs
@@ -220,12 +220,7 @@
             let outcome = if answer.is_ok() { "answered" } else { "failed" };
             counter!("verbenahitch_syncs_total", "outcome" => outcome).increment(1);
             let input = match answer {
-                Ok(reply) => Input::Synced {
-                    worker,
-                    seq,
-                    sent: decided_at,
-                    reply,
-                },
+                Ok(reply) => Input::Synced { worker, seq, reply },
                 Err(error) => Input::SyncFailed { worker, seq, error },
             };
             sender.send(Message::Input(input)).ok();
--- a/crates/verbenahitch/src/scheduler/message.rs
+++ b/crates/verbenahitch/src/scheduler/message.rs
@@ -57,8 +57,6 @@
         worker: String,
         /// Number of the sync that was answered.
         seq: u64,
-        /// When the sync was sent.
-        sent: Monotonic,
         /// Answer.
         reply: SyncReply,
     },
--- a/crates/verbenahitch/src/scheduler/shard/ends.rs
+++ b/crates/verbenahitch/src/scheduler/shard/ends.rs
@@ -162,13 +162,15 @@
     }
 
     /// Handles a run that is missing from its worker's report.
-    pub(super) fn on_missing(&mut self, run: u64, seq: u64, restarted: bool, now: Monotonic) {
+    pub(super) fn on_missing(&mut self, run: u64, seq: u64, life: u64, now: Monotonic) {
         let found = &self.runs[&run];
         match found.start_seq {
             None => {}
-            // The start was in an earlier sync, which the worker would now refuse: it can no longer
-            // take effect.
-            Some(start) if start < seq && !found.seen && !restarted => self.withdraw(run, now),
+            // The start was in an earlier sync, which the same life of the worker would now refuse:
+            // it can no longer take effect. An earlier life may have carried it out.
+            Some(start) if start < seq && !found.seen && found.life == life && life > 0 => {
+                self.withdraw(run, now);
+            }
             Some(_) => self.lose_run(run, now),
         }
     }
--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -69,6 +69,8 @@
     /// Number of the sync that carried the start; `None` while it waits for one, 0 if this owner
     /// did not start it.
     start_seq: Option<u64>,
+    /// Life of the worker that was known when the start was sent.
+    life: u64,
     /// Whether the worker has reported it.
     seen: bool,
     /// Whether the placer accounts for its resources.
@@ -180,12 +182,7 @@
                 body,
                 wall_ms,
             } => self.on_requested(request, body, wall_ms, now),
-            Input::Synced {
-                worker,
-                seq,
-                sent,
-                reply,
-            } => self.on_synced(&worker, seq, sent, reply, now),
+            Input::Synced { worker, seq, reply } => self.on_synced(&worker, seq, reply, now),
             Input::SyncFailed { worker, seq, error } => {
                 self.on_sync_failed(&worker, seq, error, now);
             }
--- a/crates/verbenahitch/src/scheduler/shard/run_reports.rs
+++ b/crates/verbenahitch/src/scheduler/shard/run_reports.rs
@@ -74,6 +74,7 @@
                 task,
                 worker: key,
                 start_seq: Some(0),
+                life: 0,
                 seen: true,
                 accounted,
                 evicting: false,
--- a/crates/verbenahitch/src/scheduler/shard/starts.rs
+++ b/crates/verbenahitch/src/scheduler/shard/starts.rs
@@ -229,6 +229,7 @@
                 task,
                 worker,
                 start_seq: None,
+                life: 0,
                 seen: false,
                 accounted: true,
                 evicting: false,
--- a/crates/verbenahitch/src/scheduler/shard/syncs.rs
+++ b/crates/verbenahitch/src/scheduler/shard/syncs.rs
@@ -23,11 +23,6 @@
 const EVICTING_SYNC_MS: Millis = 250;
 /// Probes of an unresponsive worker per regular sync interval.
 const PROBES_PER_SYNC: Millis = 4;
-/// A worker's clock may lag by the elapsed time divided by this; a larger lag is taken
-/// as a restart.
-const CLOCK_DRIFT_DIVISOR: Millis = 16;
-/// Additional lag allowed for the rounding of clock readings.
-const CLOCK_ROUNDING_MS: Millis = 10;
 
 impl Shard {
     /// Makes the next sync with a worker due at `at` at the latest, unless one is in flight.
@@ -83,6 +78,7 @@
         self.next_seq += 1;
         let seq = self.next_seq;
         let worker = &mut self.workers[key];
+        let life = worker.life;
         let commands = match worker.clock {
             Some(_) => std::mem::take(&mut worker.commands),
             None => Vec::new(),
@@ -90,6 +86,7 @@
         for run in commands.iter().filter_map(start_of) {
             if let Some(run) = self.runs.get_mut(&run) {
                 run.start_seq = Some(seq);
+                run.life = life;
             }
         }
         if may_renew {
@@ -107,7 +104,6 @@
         };
         worker.inflight = Some(InFlight {
             seq,
-            sent: now,
             commands: commands
                 .into_iter()
                 .filter(|command| start_of(command).is_none())
@@ -145,28 +141,17 @@
         }
     }
 
-    pub(super) fn on_synced(
-        &mut self,
-        name: &str,
-        seq: u64,
-        sent: Monotonic,
-        reply: SyncReply,
-        now: Monotonic,
-    ) {
+    pub(super) fn on_synced(&mut self, name: &str, seq: u64, reply: SyncReply, now: Monotonic) {
         let Some(key) = self.by_name.get(name).copied() else {
             return;
         };
         let worker = &mut self.workers[key];
-        let Some(inflight) = worker.inflight.take_if(|inflight| inflight.seq == seq) else {
+        let answered = worker.inflight.take_if(|inflight| inflight.seq == seq);
+        if answered.is_none() {
             return;
-        };
-        let restarted = worker.clock.is_some_and(|(clock, read)| {
-            // Lower bound of the time between the two readings of the worker's clock.
-            let passed = inflight.sent.min(sent).since(read);
-            let slack = passed / CLOCK_DRIFT_DIVISOR + CLOCK_ROUNDING_MS;
-            reply.clock + slack < clock + passed
-        });
+        }
         worker.clock = Some((reply.clock, now));
+        worker.life = reply.life;
         let first = !std::mem::replace(&mut worker.answered, true);
         if first {
             // An earlier owner may have renewed leases until the worker accepted this epoch, so they
@@ -178,7 +163,7 @@
             let entry = Entry::new(Kind::WorkerAnswering).with("worker", name);
             self.log(entry);
         }
-        self.process_report(key, seq, restarted, &reply, now);
+        self.process_report(key, seq, &reply, now);
         self.placer.observe(key, &reply.usage, now);
         self.refresh_worker(key, now);
         self.set_due(key, self.next_sync(key, first || had_failed, now));
@@ -197,14 +182,7 @@
     }
 
     /// Processes a worker's report about its runs.
-    fn process_report(
-        &mut self,
-        key: WorkerKey,
-        seq: u64,
-        restarted: bool,
-        reply: &SyncReply,
-        now: Monotonic,
-    ) {
+    fn process_report(&mut self, key: WorkerKey, seq: u64, reply: &SyncReply, now: Monotonic) {
         self.workers[key].blocking_runs.clear();
         for refusal in &reply.refused {
             self.on_refused(key, seq, refusal, reply, now);
@@ -228,7 +206,7 @@
             .filter(|run| !reported.contains(run))
             .collect();
         for run in missing {
-            self.on_missing(run, seq, restarted, now);
+            self.on_missing(run, seq, reply.life, now);
         }
     }
 
@@ -293,8 +271,10 @@
                 }
             }
             // An earlier copy of the call may have been accepted; the next report shows it.
-            SyncError::Late { clock } => {
-                self.workers[key].clock = Some((clock, now));
+            SyncError::Late { clock, life } => {
+                let worker = &mut self.workers[key];
+                worker.clock = Some((clock, now));
+                worker.life = life;
                 retry = now;
             }
             SyncError::Unreachable { .. } => self.withdraw_starts_of(key, inflight.seq, now),
--- a/crates/verbenahitch/src/scheduler/shard/worker.rs
+++ b/crates/verbenahitch/src/scheduler/shard/worker.rs
@@ -19,8 +19,6 @@
 pub(super) struct InFlight {
     /// Number of the sync.
     pub seq: u64,
-    /// When it was sent.
-    pub sent: Monotonic,
     /// Commands to send again if it fails.
     pub commands: Vec<Command>,
 }
@@ -76,6 +74,8 @@
     pub acks: Vec<u64>,
     /// Reading of its clock, and when the answer with it was processed.
     pub clock: Option<(Millis, Monotonic)>,
+    /// Life that its last answer named; zero while none did.
+    pub life: u64,
     /// When all leases on this worker have lapsed, including an earlier owner's once it has
     /// answered; without the margin for stopping tasks.
     pub lapses_at: Monotonic,
@@ -112,6 +112,7 @@
             commands: Vec::new(),
             acks: Vec::new(),
             clock: None,
+            life: 0,
             lapses_at: Monotonic::default(),
             runs: HashSet::default(),
             uncommitted_ends: HashSet::default(),
--- a/testsuite/tests/testsuite/scheduler/daemon.rs
+++ b/testsuite/tests/testsuite/scheduler/daemon.rs
@@ -22,14 +22,12 @@
         }
         let host = self.workers.get_mut(&worker).expect("a known worker");
         let answer = host.sync(request, self.now, &mut self.history);
+        if answer.is_ok() && self.mute.contains(&worker) {
+            return;
+        }
         let seq = request.seq;
         let input = match answer {
-            Ok(reply) => Input::Synced {
-                worker,
-                seq,
-                sent: Monotonic(self.now.saturating_sub(MAX_LATENCY_MS)),
-                reply,
-            },
+            Ok(reply) => Input::Synced { worker, seq, reply },
             Err(error) => Input::SyncFailed { worker, seq, error },
         };
         for at in self.arrival_times() {
--- a/testsuite/tests/testsuite/scheduler/fake_worker.rs
+++ b/testsuite/tests/testsuite/scheduler/fake_worker.rs
@@ -62,6 +62,8 @@
     pub fails: bool,
     /// Whether it breaks the contract and runs tasks on after their lease has lapsed.
     pub ignores_leases: bool,
+    /// Whether its clock runs on over a restart.
+    pub keeps_clock: bool,
     /// Number of restarts; each one closes all connections.
     pub boot: u32,
     booted_at: Millis,
@@ -86,6 +88,7 @@
             },
             fails: false,
             ignores_leases: false,
+            keeps_clock: false,
             boot: 0,
             booted_at: 0,
             epoch: 0,
@@ -116,10 +119,16 @@
             history.record(now, event);
         }
         let (host, fails) = (self.host.clone(), self.fails);
+        let booted_at = if self.keeps_clock {
+            self.booted_at
+        } else {
+            now
+        };
         *self = Self {
             fails,
+            keeps_clock: self.keeps_clock,
             boot: self.boot + 1,
-            booted_at: now,
+            booted_at,
             ..Self::new(&host.name, &host.zone, host.capacity)
         };
         self.host = host;
@@ -138,7 +147,8 @@
         }
         let repeated = request.epoch == self.epoch && request.seq <= self.seq;
         if repeated || (request.not_after > 0 && clock > request.not_after) {
-            return Err(SyncError::Late { clock });
+            let life = self.life();
+            return Err(SyncError::Late { clock, life });
         }
         self.epoch = request.epoch;
         self.seq = request.seq;
@@ -226,6 +236,7 @@
         });
         SyncReply {
             clock,
+            life: self.life(),
             refused: Vec::new(),
             running: running.collect(),
             ended: self.ended.values().cloned().collect(),
@@ -233,6 +244,10 @@
         }
     }
 
+    fn life(&self) -> u64 {
+        u64::from(self.boot) + 1
+    }
+
     fn first_end(&self) -> Option<(u64, Millis, EndKind)> {
         self.active
             .iter()
--- a/testsuite/tests/testsuite/scheduler/lives.rs
+++ b/testsuite/tests/testsuite/scheduler/lives.rs
@@ -1,12 +1,15 @@
 //! Facts about one life of a worker or of the list of workers that reach a shard in another.
 
 use test_case::test_case;
-use verbenahitch::domain::Monotonic;
+use verbenahitch::domain::{Monotonic, TaskOutcome};
 use verbenahitch::scheduler::Input;
 
-use super::common::{RUN_MS, TIMEOUT_MS, assert_guarantees, finish_job, submit_job, world};
+use super::common::{
+    RUN_MS, TIMEOUT_MS, assert_guarantees, finish_job, outcome_count, submit_job, world,
+};
 use super::declared::spec;
-use super::world::{OUTAGE_MS, TASK_LEASE_MS, World};
+use super::history::ObservedEvent;
+use super::world::{MessageFaults, OUTAGE_MS, TASK_LEASE_MS, World};
 
 /// Run time longer than a take-over after the longest wait.
 const LONG_RUN_MS: u64 = 60_000;
@@ -49,3 +52,43 @@
     finish_job(&mut world, "long");
     assert_guarantees(&world);
 }
+
+fn keep_clocks(world: &mut World) {
+    for worker in world.workers.values_mut() {
+        worker.keeps_clock = true;
+    }
+}
+
+/// The copy of each call is answered as late, the call itself not at all.
+fn repeat_calls(world: &mut World) {
+    world.message_faults = MessageFaults {
+        repeated: 1.0,
+        ..MessageFaults::default()
+    };
+}
+
+/// A second run of a task whose worker restarted between the start and its answer.
+#[test_case(|_| {}; "clock restarts")]
+#[test_case(keep_clocks; "clock runs on")]
+#[test_case(repeat_calls; "clock read from a refusal")]
+fn second_run_after_a_restart_that_hid_a_start(inject: fn(&mut World)) {
+    let mut world = world();
+    inject(&mut world);
+    world.mute = world.workers.keys().cloned().collect();
+    submit_job(&mut world, "settlement", spec("settlement", 1, RUN_MS));
+    assert!(world.run_while(TIMEOUT_MS, |world| world.history.start_count() < 1));
+    let starts = world.history.observations.iter();
+    let worker = starts
+        .rev()
+        .find_map(|observation| match &observation.event {
+            ObservedEvent::Started { worker, .. } => Some(worker.clone()),
+            _ => None,
+        });
+    world.crash_worker(&worker.expect("a task was started"));
+    world.run_for(100);
+    world.mute.clear();
+    world.message_faults = MessageFaults::default();
+    finish_job(&mut world, "settlement");
+    assert_guarantees(&world);
+    assert_eq!(outcome_count(&world, "settlement", TaskOutcome::Unknown), 1);
+}
--- a/testsuite/tests/testsuite/scheduler/world.rs
+++ b/testsuite/tests/testsuite/scheduler/world.rs
@@ -76,6 +76,8 @@
     pub partitions: BTreeSet<(usize, String)>,
     /// Processes that cannot read the list of workers.
     pub list_unreachable: BTreeSet<usize>,
+    /// Workers whose answers to accepted calls are lost.
+    pub mute: BTreeSet<String>,
     /// Additional delay of messages to a worker, in milliseconds.
     pub delays: BTreeMap<String, Millis>,
     pub store: FakeStore,
@@ -121,6 +123,7 @@
                 .collect(),
             partitions: BTreeSet::new(),
             list_unreachable: BTreeSet::new(),
+            mute: BTreeSet::new(),
             delays: BTreeMap::new(),
             store: FakeStore::default(),
             declared: Arc::new(declarations(1, ZoneState::In)),
--- a/testsuite/tests/testsuite/standin/worker.rs
+++ b/testsuite/tests/testsuite/standin/worker.rs
@@ -115,23 +115,25 @@
 
 struct RefusedCall {
     request: fn() -> SyncRequest,
-    error: SyncError,
+    /// Error for the worker's life.
+    error: fn(u64) -> SyncError,
 }
 
-#[test_case(RefusedCall { request: || request(2, 9), error: SyncError::StaleEpoch { epoch: 3 } }; "lower epoch")]
-#[test_case(RefusedCall { request: || request(3, 5), error: SyncError::Late { clock: 1_000 } }; "same number")]
-#[test_case(RefusedCall { request: || request(3, 4), error: SyncError::Late { clock: 1_000 } }; "lower number")]
-#[test_case(RefusedCall { request: || SyncRequest { not_after: 999, ..request(3, 6) }, error: SyncError::Late { clock: 1_000 } }; "too late")]
+#[test_case(RefusedCall { request: || request(2, 9), error: |_| SyncError::StaleEpoch { epoch: 3 } }; "lower epoch")]
+#[test_case(RefusedCall { request: || request(3, 5), error: |life| SyncError::Late { clock: 1_000, life } }; "same number")]
+#[test_case(RefusedCall { request: || request(3, 4), error: |life| SyncError::Late { clock: 1_000, life } }; "lower number")]
+#[test_case(RefusedCall { request: || SyncRequest { not_after: 999, ..request(3, 6) }, error: |life| SyncError::Late { clock: 1_000, life } }; "too late")]
 #[tokio::test]
 async fn a_refused_call_has_no_effect(case: RefusedCall) {
     let harness = Harness::new(Settings::default()).await;
-    harness.sync(&request(3, 5)).await.unwrap();
+    let life = harness.sync(&request(3, 5)).await.unwrap().life;
     let commands = vec![start(1, 1, 0)];
     let refused = SyncRequest {
         commands,
         ..(case.request)()
     };
-    assert_eq!(harness.sync(&refused).await.unwrap_err(), case.error);
+    let error = harness.sync(&refused).await.unwrap_err();
+    assert_eq!(error, (case.error)(life));
     assert!(harness.worker.history().runs.is_empty());
     assert!(harness.sync(&request(4, 1)).await.is_ok());
 }
@@ -361,7 +363,7 @@
 #[tokio::test]
 async fn a_crash_loses_runs_and_sync_state() {
     let harness = Harness::new(Settings::default()).await;
-    harness.commands(1, vec![start(1, 1, 0)]).await;
+    let life = harness.commands(1, vec![start(1, 1, 0)]).await.life;
     harness.worker.crash();
     let error = harness.sync(&request(1, 2)).await.unwrap_err();
     assert!(matches!(
@@ -371,6 +373,7 @@
     harness.worker.resume().await.unwrap();
     let reply = harness.sync(&request(1, 1)).await.unwrap();
     assert!(reply.running.is_empty() && reply.ended.is_empty());
+    assert_ne!(reply.life, life);
     let end = harness.worker.history().runs[0].end.unwrap();
     assert_eq!(end.kind, None);
 }
