Bound a call to a worker by the life whose clock it names

Callers saw tasks run in two places: a worker restarted, the owner's next call with starts reached the new life only after the leases had lapsed by the owner's reckoning, and was accepted there although the tasks had been started elsewhere.

Cause: the instant after which a worker refuses a call was read from the clock of the life before. A new life's clock may be far behind, so the call had no bound; its epoch and number mean nothing to a life that has seen none either.

A call now names the life whose clock the bound was read from, and every other life refuses it as late, with its own clock and life, from which the next call follows. Before the life is known a call carries neither commands nor a lease, as before. A worker that names no life is sent none and stays without this bound.

two_runs_after_a_late_start_in_a_new_life "market.recalculation/0 ran as on w1 and as on w0 at once, from 69805" (4 tasks, and each "ended as Lapsed, acknowledged before it was stored")

--- a/crates/standin/src/worker/engine.rs
+++ b/crates/standin/src/worker/engine.rs
@@ -149,7 +149,8 @@
             let epoch = shard.epoch;
             return Err(SyncRefusal::Stale { epoch });
         }
-        if request.not_after > 0 && now.0 > request.not_after {
+        let other_life = request.life > 0 && request.life != life;
+        if other_life || (request.not_after > 0 && now.0 > request.not_after) {
             return Err(late);
         }
         if request.epoch == shard.epoch && request.seq <= shard.seq {
--- a/crates/verbenahitch/src/port/worker.rs
+++ b/crates/verbenahitch/src/port/worker.rs
@@ -14,6 +14,9 @@
 //! * It names its life in every answer, by a number that none of its other lives
 //!   has. Otherwise a start whose answer was lost in a restart could be taken for
 //!   one that never took effect.
+//! * It refuses a call that names another of its lives, whose clock `not_after` was
+//!   read from. Otherwise a late start could run a task that has long been started
+//!   elsewhere.
 //! * It stops a task, after a checkpoint, once the task's lease lapses.
 //!   Otherwise the tasks of an unreachable worker could never be started elsewhere.
 
@@ -36,6 +39,10 @@
     pub seq: u64,
     /// Instant on the worker's clock after which the call is refused; zero while it is unknown.
     pub not_after: Millis,
+    /// Life of the worker that the call is meant for, any other refuses it; zero while it is
+    /// unknown.
+    #[serde(default)]
+    pub life: u64,
     /// Lease, in milliseconds, that every task of the shard on the worker gets; zero renews none.
     pub lease_ms: Millis,
     /// Commands, carried out in this order.
@@ -216,9 +223,11 @@
         /// Highest epoch that the worker has seen.
         epoch: u64,
     },
-    /// The call arrived out of order or after its `not_after` (HTTP 410 with the worker's clock
-    /// and life).
-    #[snafu(display("worker refused a call that arrived out of order or too late"))]
+    /// The call arrived out of order, after its `not_after` or in another life (HTTP 410 with the
+    /// worker's clock and life).
+    #[snafu(display(
+        "worker refused a call that arrived out of order, too late or after a restart"
+    ))]
     Late {
         /// Time of the worker's own clock in milliseconds.
         clock: Millis,
--- a/crates/verbenahitch/src/scheduler/shard/syncs.rs
+++ b/crates/verbenahitch/src/scheduler/shard/syncs.rs
@@ -98,6 +98,7 @@
             epoch: owned.epoch,
             seq,
             not_after: worker.not_after(now, ttl_ms),
+            life,
             lease_ms,
             commands: commands.clone(),
             acked: std::mem::take(&mut worker.acks),
--- a/testsuite/tests/testsuite/scheduler/fake_worker.rs
+++ b/testsuite/tests/testsuite/scheduler/fake_worker.rs
@@ -146,8 +146,9 @@
             return Err(SyncError::StaleEpoch { epoch: self.epoch });
         }
         let repeated = request.epoch == self.epoch && request.seq <= self.seq;
-        if repeated || (request.not_after > 0 && clock > request.not_after) {
-            let life = self.life();
+        let life = self.life();
+        let other_life = request.life > 0 && request.life != life;
+        if repeated || other_life || (request.not_after > 0 && clock > request.not_after) {
             return Err(SyncError::Late { clock, life });
         }
         self.epoch = request.epoch;
--- a/testsuite/tests/testsuite/scheduler/lives.rs
+++ b/testsuite/tests/testsuite/scheduler/lives.rs
@@ -5,7 +5,7 @@
 use verbenahitch::scheduler::Input;
 
 use super::common::{
-    RUN_MS, TIMEOUT_MS, assert_guarantees, finish_job, outcome_count, submit_job, world,
+    RUN_MS, SEED, TIMEOUT_MS, assert_guarantees, finish_job, id, outcome_count, submit_job, world,
 };
 use super::declared::spec;
 use super::history::ObservedEvent;
@@ -92,3 +92,26 @@
     assert_guarantees(&world);
     assert_eq!(outcome_count(&world, "settlement", TaskOutcome::Unknown), 1);
 }
+
+/// Two runs of one task after a start that a restarted worker took once its lease had lapsed.
+#[test]
+fn two_runs_after_a_late_start_in_a_new_life() {
+    let mut world = World::new(SEED, 1);
+    assert!(world.run_while(TIMEOUT_MS, |world| !world.owners[0].shard.is_recovered()));
+    // The first life's clock is far ahead of the next one's.
+    world.run_for(LONG_RUN_MS);
+    world.submit(
+        0,
+        &id("recalculation"),
+        spec("recalculation", 4, LONG_RUN_MS),
+    );
+    world.crash_worker("w0");
+    world.delays.insert("w0".to_owned(), 2 * TASK_LEASE_MS);
+    world.run_for(TASK_LEASE_MS);
+    world.add_worker("w1");
+    assert!(world.run_while(TIMEOUT_MS, |world| world.history.start_count() < 4));
+    world.run_for(2 * TASK_LEASE_MS);
+    world.delays.clear();
+    finish_job(&mut world, "recalculation");
+    assert_guarantees(&world);
+}
--- a/testsuite/tests/testsuite/standin/fault.rs
+++ b/testsuite/tests/testsuite/standin/fault.rs
@@ -262,6 +262,7 @@
         epoch: 1,
         seq,
         not_after: 0,
+        life: 0,
         lease_ms: 60_000,
         commands: vec![Command::Start {
             task: TaskId {
--- a/testsuite/tests/testsuite/standin/worker.rs
+++ b/testsuite/tests/testsuite/standin/worker.rs
@@ -57,6 +57,7 @@
         epoch,
         seq,
         not_after: 0,
+        life: 0,
         lease_ms: LEASE_MS,
         commands: Vec::new(),
         acked: Vec::new(),
@@ -123,6 +124,7 @@
 #[test_case(RefusedCall { request: || request(3, 5), error: |life| SyncError::Late { clock: 1_000, life } }; "same number")]
 #[test_case(RefusedCall { request: || request(3, 4), error: |life| SyncError::Late { clock: 1_000, life } }; "lower number")]
 #[test_case(RefusedCall { request: || SyncRequest { not_after: 999, ..request(3, 6) }, error: |life| SyncError::Late { clock: 1_000, life } }; "too late")]
+#[test_case(RefusedCall { request: || SyncRequest { life: u64::MAX, ..request(3, 6) }, error: |life| SyncError::Late { clock: 1_000, life } }; "other life")]
 #[tokio::test]
 async fn a_refused_call_has_no_effect(case: RefusedCall) {
     let harness = Harness::new(Settings::default()).await;
--- a/testsuite/tests/testsuite/standin/zones.rs
+++ b/testsuite/tests/testsuite/standin/zones.rs
@@ -42,6 +42,7 @@
         epoch: 1,
         seq,
         not_after: 0,
+        life: 0,
         lease_ms: 0,
         commands: Vec::new(),
         acked: Vec::new(),
