Keep a machine's runs when another takes its name in the list

Callers saw tasks run in two places after the list showed a worker's name at another address: the owner turned to the new machine at once, did not find the runs in its report and started them again, while the first machine ran them on until their leases lapsed.

Cause: the state kept of a worker was bound to its name, so one machine's report spoke for another's runs.

An entry with another address now waits until the worker that has the name is dropped. That one is synced at its own address without new starts, as any worker that is no longer listed, until its runs have ended or their leases have lapsed; then the entry is added as a new worker, which has to answer first.

The simulated network goes by address instead of name.

--- a/crates/verbenahitch/src/scheduler/shard/syncs.rs
+++ b/crates/verbenahitch/src/scheduler/shard/syncs.rs
@@ -55,7 +55,7 @@
                 let reason = "the worker did not answer in time".to_owned();
                 self.fail_sync(key, SyncError::Unanswered { reason }, now);
             }
-            if !self.drop_unlisted(key) {
+            if !self.drop_unlisted(key, now) {
                 self.send_sync(key, owned, now);
             }
         }
--- a/crates/verbenahitch/src/scheduler/shard/worker.rs
+++ b/crates/verbenahitch/src/scheduler/shard/worker.rs
@@ -62,6 +62,8 @@
     pub host: HostRecord,
     /// Whether the list still contains it.
     pub listed: bool,
+    /// Entry of another machine that has taken its name in the list.
+    pub successor: Option<HostRecord>,
     /// Whether it has answered in this epoch of ownership.
     pub answered: bool,
     /// Whether a sync has failed since the last successful one; late ones do not count.
@@ -106,6 +108,7 @@
             key,
             host,
             listed: true,
+            successor: None,
             answered: false,
             sync_failed: false,
             inflight: None,
@@ -129,6 +132,7 @@
     pub fn reset(&mut self, now: Monotonic) {
         *self = Self {
             listed: self.listed,
+            successor: self.successor.take(),
             health: std::mem::take(&mut self.health),
             ..Self::new(self.key, self.host.clone(), self.opens_at, now)
         };
--- a/crates/verbenahitch/src/scheduler/shard/zone.rs
+++ b/crates/verbenahitch/src/scheduler/shard/zone.rs
@@ -113,7 +113,9 @@
             }
         }
         for key in unlisted.into_values() {
-            self.workers[key].listed = false;
+            let worker = &mut self.workers[key];
+            worker.listed = false;
+            worker.successor = None;
             self.refresh_worker(key, now);
         }
     }
@@ -134,7 +136,14 @@
         if worker.host == host && worker.listed {
             return;
         }
+        if self.owned.is_some() && worker.host.control != host.control {
+            // What the other machine reports says nothing about the runs of this one.
+            worker.listed = false;
+            worker.successor = Some(host);
+            return self.refresh_worker(key, now);
+        }
         worker.listed = true;
+        worker.successor = None;
         if worker.host.capacity != host.capacity {
             self.placer.resize(key, host.capacity);
         }
@@ -165,8 +174,9 @@
         }
     }
 
-    /// Removes a worker that is no longer listed and has no runs; returns whether it was removed.
-    pub(super) fn drop_unlisted(&mut self, key: WorkerKey) -> bool {
+    /// Removes a worker that is no longer listed and has no runs, and adds the machine that has
+    /// taken its name; returns whether it was removed.
+    pub(super) fn drop_unlisted(&mut self, key: WorkerKey, now: Monotonic) -> bool {
         let worker = &self.workers[key];
         let recovered = self.is_recovered();
         let holds = !worker.runs.is_empty() || !worker.uncommitted_ends.is_empty();
@@ -175,8 +185,11 @@
         }
         self.timers.remove(&(worker.due, key));
         self.by_name.remove(&worker.host.name);
-        self.workers.remove(key);
+        let removed = self.workers.remove(key);
         self.placer.remove_worker(key);
+        if let Some(host) = removed.and_then(|worker| worker.successor) {
+            self.add_host(host, now);
+        }
         true
     }
 
--- a/testsuite/tests/testsuite/scheduler/daemon.rs
+++ b/testsuite/tests/testsuite/scheduler/daemon.rs
@@ -14,15 +14,16 @@
         &mut self,
         owner: usize,
         incarnation: u32,
-        worker: String,
+        machine: String,
         request: &SyncRequest,
     ) {
-        if self.partitions.contains(&(owner, worker.clone())) {
+        if self.partitions.contains(&(owner, machine.clone())) {
             return;
         }
-        let host = self.workers.get_mut(&worker).expect("a known worker");
+        let host = self.workers.get_mut(&machine).expect("a known worker");
         let answer = host.sync(request, self.now, &mut self.history);
-        if answer.is_ok() && self.mute.contains(&worker) {
+        let worker = host.host.name.clone();
+        if answer.is_ok() && self.mute.contains(&machine) {
             return;
         }
         let seq = request.seq;
--- a/testsuite/tests/testsuite/scheduler/fake_worker.rs
+++ b/testsuite/tests/testsuite/scheduler/fake_worker.rs
@@ -80,7 +80,7 @@
                 name: name.to_owned(),
                 zone: zone.to_owned(),
                 rack: "r1".to_owned(),
-                control: "127.0.0.1:1".to_owned(),
+                control: format!("{name}:1"),
                 upstream: "127.0.0.1:2".to_owned(),
                 slots: 8,
                 capacity,
--- a/testsuite/tests/testsuite/scheduler/lives.rs
+++ b/testsuite/tests/testsuite/scheduler/lives.rs
@@ -53,6 +53,18 @@
     assert_guarantees(&world);
 }
 
+/// Worker of the last start.
+fn last_started(world: &World) -> String {
+    let starts = world.history.observations.iter();
+    let worker = starts
+        .rev()
+        .find_map(|observation| match &observation.event {
+            ObservedEvent::Started { worker, .. } => Some(worker.clone()),
+            _ => None,
+        });
+    worker.expect("a task was started")
+}
+
 fn keep_clocks(world: &mut World) {
     for worker in world.workers.values_mut() {
         worker.keeps_clock = true;
@@ -115,3 +127,26 @@
     finish_job(&mut world, "recalculation");
     assert_guarantees(&world);
 }
+
+/// Two runs of one task after another machine took the name of the one that runs it.
+#[test_case(|_, _| {}; "the first machine answers")]
+#[test_case(World::isolate_worker; "the first machine does not answer")]
+fn two_runs_after_a_name_moved_to_another_machine(inject: fn(&mut World, &str)) {
+    let mut world = world();
+    submit_job(
+        &mut world,
+        "recalculation",
+        spec("recalculation", 2, LONG_RUN_MS),
+    );
+    assert!(world.run_while(TIMEOUT_MS, |world| world.history.start_count() < 2));
+    world.run_for(1_000);
+    let worker = last_started(&world);
+    inject(&mut world, &worker);
+    world.replace_worker(&worker, "other");
+    finish_job(&mut world, "recalculation");
+    assert_guarantees(&world);
+    // The name is in use again.
+    submit_job(&mut world, "wide", spec("recalculation", 12, RUN_MS));
+    finish_job(&mut world, "wide");
+    assert_guarantees(&world);
+}
--- a/testsuite/tests/testsuite/scheduler/world.rs
+++ b/testsuite/tests/testsuite/scheduler/world.rs
@@ -71,7 +71,10 @@
     pub rng: ChaCha8Rng,
     pub message_faults: MessageFaults,
     pub owners: Vec<Owner>,
+    /// Machines by key; several may have the same name.
     pub workers: BTreeMap<String, FakeWorker>,
+    /// Machines that the list lacks.
+    pub unlisted: BTreeSet<String>,
     /// Pairs of owner and worker that cannot reach each other.
     pub partitions: BTreeSet<(usize, String)>,
     /// Processes that cannot read the list of workers.
@@ -121,6 +124,7 @@
                 .map(|index| format!("w{index}"))
                 .map(|name| (name.clone(), FakeWorker::new(&name, ZONE, CAPACITY)))
                 .collect(),
+            unlisted: BTreeSet::new(),
             partitions: BTreeSet::new(),
             list_unreachable: BTreeSet::new(),
             mute: BTreeSet::new(),
@@ -256,6 +260,15 @@
         self.workers.insert(name.to_owned(), worker);
     }
 
+    /// Starts a machine that takes over the name of another in the list.
+    pub fn replace_worker(&mut self, name: &str, machine: &str) {
+        let mut worker = FakeWorker::new(machine, ZONE, CAPACITY);
+        worker.host.name = name.to_owned();
+        worker.boot = 100;
+        self.workers.insert(machine.to_owned(), worker);
+        self.unlisted.insert(name.to_owned());
+    }
+
     pub fn isolate_worker(&mut self, name: &str) {
         for owner in 0..self.owners.len() {
             self.partitions.insert((owner, name.to_owned()));
@@ -307,8 +320,9 @@
 
     fn hosts(&self) -> Vec<verbenahitch::port::HostRecord> {
         self.workers
-            .values()
-            .map(|worker| worker.host.clone())
+            .iter()
+            .filter(|(machine, _)| !self.unlisted.contains(*machine))
+            .map(|(_, worker)| worker.host.clone())
             .collect()
     }
 
@@ -343,13 +357,19 @@
     fn carry_out(&mut self, owner: usize, incarnation: u32, action: Action) {
         match action {
             Action::Sync {
-                worker, request, ..
+                worker,
+                address,
+                request,
             } => {
-                let boot = self.workers[&worker].boot;
-                let delay = self.delays.get(&worker).copied().unwrap_or(0);
+                let mut machines = self.workers.iter();
+                let found = machines.find(|(_, machine)| machine.host.control == address);
+                let (machine, boot) = found
+                    .map(|(key, machine)| (key.clone(), machine.boot))
+                    .expect("the address of a machine");
+                let delay = self.delays.get(&machine).copied().unwrap_or(0);
                 for at in self.arrival_times() {
                     let event =
-                        Event::Sync(owner, incarnation, boot, worker.clone(), request.clone());
+                        Event::Sync(owner, incarnation, boot, machine.clone(), request.clone());
                     self.push(at + delay, event);
                 }
                 let seq = request.seq;
