Record the workers in use before they are given tasks

Callers saw tasks run in two places after a take-over: the earlier owner went on syncing a worker that the list no longer contained, and the new owner, whose list never contained it, took the shard for recovered without it and started its tasks again.

Cause: the absence of a worker from the list was taken as proof that nothing runs there, while an owner keeps an unlisted worker as long as it holds runs.

The store now holds the roster of a shard: the addresses of the workers that its owner may use. A worker is given tasks only once a commit with its address is durable, and leaves the roster when the owner drops it. A new owner counts on the answers of all workers only if all of the roster are among them, and keeps its entries until it has recovered; otherwise the wait for the longest lease applies. A shard that never had a roster waits that long once, unless nobody owned it before. An owner of an earlier version, as during a roll-out, does not keep the roster up to date.

--- a/crates/verbenahitch/src/scheduler/daemon/acquire.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/acquire.rs
@@ -1,5 +1,7 @@
 //! Acquires and releases the lock of a shard in the store.
 
+use std::collections::BTreeSet;
+
 use super::keys::{self, OwnerValue};
 use crate::adapter::Store;
 use crate::domain::{JobRecord, ShardId};
@@ -16,6 +18,8 @@
     pub(super) index: u64,
     /// Records of the jobs.
     pub(super) jobs: Vec<JobRecord>,
+    /// Addresses of the workers that earlier owners may have used; `None` if not recorded.
+    pub(super) workers: Option<BTreeSet<String>>,
 }
 
 /// Tries to acquire `shard` under `session`; `None` if another process owns it.
@@ -56,11 +60,16 @@
     }
     let batch = store.get(&keys::batch(shard)).await?;
     let jobs = store.list(&keys::jobs(shard)).await?;
+    let workers = store.get(&keys::workers(shard)).await?;
     Ok(Some(Acquired {
         epoch: after.lock_index,
         released: was_released(before.as_ref(), &after),
         index: batch.map_or(0, |entry| entry.modify_index),
         jobs: jobs.iter().filter_map(decode).collect(),
+        workers: match workers {
+            Some(entry) => serde_json::from_slice(&entry.value).ok(),
+            None => (after.lock_index == 1).then(BTreeSet::new),
+        },
     }))
 }
 
--- a/crates/verbenahitch/src/scheduler/daemon/commit.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/commit.rs
@@ -92,6 +92,10 @@
                     key: keys::name(id),
                 },
             ],
+            Write::Workers(addresses) => vec![Op::Set {
+                key: keys::workers(&self.shard),
+                value: keys::encode(addresses),
+            }],
         }
     }
 
--- a/crates/verbenahitch/src/scheduler/daemon/keys.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/keys.rs
@@ -37,6 +37,11 @@
     format!("{ROOT}/shards/{shard}/batch")
 }
 
+/// Key of the workers that the owner of a shard may use.
+pub(super) fn workers(shard: &ShardId) -> String {
+    format!("{ROOT}/shards/{shard}/workers")
+}
+
 /// Prefix of the job records of a shard.
 pub(super) fn jobs(shard: &ShardId) -> String {
     format!("{ROOT}/jobs/{shard}/")
--- a/crates/verbenahitch/src/scheduler/daemon/owner/mod.rs
+++ b/crates/verbenahitch/src/scheduler/daemon/owner/mod.rs
@@ -250,6 +250,7 @@
         send(Input::Acquired {
             epoch,
             jobs: acquired.jobs,
+            workers: acquired.workers,
             released: acquired.released,
         });
         let driver = ShardDriver::new(
--- a/crates/verbenahitch/src/scheduler/message.rs
+++ b/crates/verbenahitch/src/scheduler/message.rs
@@ -1,5 +1,6 @@
 //! Inputs and actions of a shard's decision logic.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -30,6 +31,8 @@
         epoch: u64,
         /// Records of all unfinished jobs of the shard.
         jobs: Vec<JobRecord>,
+        /// Addresses of the workers that earlier owners may have used; `None` if not recorded.
+        workers: Option<BTreeSet<String>>,
         /// Whether the previous owner released the shard; if false, it may still be acting.
         released: bool,
     },
@@ -119,7 +122,7 @@
 pub struct Batch {
     /// Number of the batch, increasing within an epoch.
     pub number: u64,
-    /// Writes, at most one per job; they fit into one transaction of the store.
+    /// Writes, at most one per job and one of the workers; they fit into one transaction of the store.
     pub writes: Vec<Write>,
 }
 
@@ -137,6 +140,8 @@
     },
     /// Removes a finished job after its retention time.
     Remove(JobId),
+    /// Stores the addresses of the workers that the owner may use.
+    Workers(BTreeSet<String>),
 }
 
 /// Request of a caller or an operator to a shard.
--- a/crates/verbenahitch/src/scheduler/shard/commit.rs
+++ b/crates/verbenahitch/src/scheduler/shard/commit.rs
@@ -25,6 +25,8 @@
 pub(super) struct Committer {
     urgent: VecDeque<JobKey>,
     other: VecDeque<JobKey>,
+    /// Whether the workers in use may have changed.
+    roster: bool,
     inflight: Option<(Batch, Vec<JobKey>)>,
     next_batch: u64,
     last_sent: Option<Monotonic>,
@@ -39,6 +41,7 @@
         Self {
             urgent: VecDeque::new(),
             other: VecDeque::new(),
+            roster: false,
             inflight: None,
             next_batch: 0,
             last_sent: None,
@@ -52,6 +55,7 @@
     pub fn reset(&mut self) {
         self.urgent.clear();
         self.other.clear();
+        self.roster = false;
         self.inflight = None;
         self.retry_at = None;
         self.backoff_ms = 0;
@@ -62,7 +66,7 @@
         if self.inflight.is_some() {
             return self.retry_at;
         }
-        let waits = !self.urgent.is_empty() || !self.other.is_empty();
+        let waits = self.roster || !self.urgent.is_empty() || !self.other.is_empty();
         waits.then(|| {
             self.last_sent
                 .map_or(Monotonic::default(), |sent| sent + interval_ms)
@@ -71,7 +75,12 @@
 
     /// Whether no write is queued and no batch is in flight.
     pub fn is_idle(&self) -> bool {
-        self.inflight.is_none() && self.urgent.is_empty() && self.other.is_empty()
+        self.inflight.is_none() && !self.roster && self.urgent.is_empty() && self.other.is_empty()
+    }
+
+    /// Writes the workers in use with the next batch if they have changed.
+    pub fn queue_roster(&mut self) {
+        self.roster = true;
     }
 
     /// Whether the last attempt failed.
@@ -127,6 +136,17 @@
     fn collect_writes(&mut self) -> (Vec<JobKey>, Vec<Write>) {
         let (mut keys, mut writes) = (Vec::new(), Vec::new());
         let (mut ops, mut bytes) = (0, 0);
+        if std::mem::take(&mut self.committer.roster)
+            && let Some(addresses) = self.next_roster()
+        {
+            ops += 1;
+            bytes += addresses
+                .iter()
+                .map(|address| address.len() + 3)
+                .sum::<usize>();
+            self.begin_roster(addresses.clone());
+            writes.push(Write::Workers(addresses));
+        }
         while ops + MAX_WRITE_OPS <= MAX_BATCH_OPS && bytes < MAX_BATCH_BYTES {
             let next = self.committer.urgent.pop_front();
             let Some(key) = next.or_else(|| self.committer.other.pop_front()) else {
@@ -169,6 +189,7 @@
                 }
                 self.committer.retry_at = None;
                 self.committer.backoff_ms = 0;
+                self.on_roster_durable(now);
                 for key in keys {
                     self.on_durable(key, now);
                 }
--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -14,6 +14,7 @@
 //! * `ends`: ends of runs and lapsed leases.
 //! * `evictions`: evictions and throttling.
 //! * `recovery`: takeover of a shard, and the checks before a marked task is started.
+//! * `roster`: record of the workers in use.
 //! * `zone`: declarations, the list of workers, zones going out of and into service.
 
 mod commit;
@@ -25,6 +26,7 @@
 mod profile_queue;
 mod recovery;
 mod requests;
+mod roster;
 mod run_reports;
 mod starts;
 mod status;
@@ -47,6 +49,7 @@
 use job::{Job, Phase};
 use pressures::ReportedPressures;
 use profile_queue::ProfileQueues;
+use roster::Roster;
 use worker::Worker;
 
 pub use params::Params;
@@ -104,6 +107,7 @@
     /// Runs that are evicted to make room, by the task that waits for the room.
     making_room: HashMap<TaskKey, HashSet<u64>>,
     committer: Committer,
+    roster: Roster,
     next_seq: u64,
     next_job: u64,
     /// When the last read of the platform's list of workers began.
@@ -129,6 +133,7 @@
             name: params.shard.to_string(),
             placer: Placer::new(params.seed),
             committer: Committer::new(params.seed),
+            roster: Roster::default(),
             params,
             declared: Arc::default(),
             owned: None,
@@ -171,8 +176,9 @@
             Input::Acquired {
                 epoch,
                 jobs,
+                workers,
                 released,
-            } => self.on_acquired(epoch, jobs, released, now),
+            } => self.on_acquired(epoch, jobs, workers, released, now),
             Input::Lost => self.on_lost(now),
             Input::Release => self.on_release(),
             Input::Authority(until) => self.authority = until,
--- a/crates/verbenahitch/src/scheduler/shard/recovery.rs
+++ b/crates/verbenahitch/src/scheduler/shard/recovery.rs
@@ -4,8 +4,11 @@
 //! reports it, or until every worker has answered under this epoch or its leases
 //! have provably lapsed; the shard is *recovered* then.
 
+use std::collections::BTreeSet;
+
 use super::job::{Phase, Stage};
 use super::requests::unavailable;
+use super::roster::Roster;
 use super::{Ownership, Shard};
 use crate::domain::{JobKey, JobRecord, Monotonic, TaskKey, TaskOutcome};
 use crate::event::{Entry, Kind};
@@ -16,6 +19,7 @@
         &mut self,
         epoch: u64,
         jobs: Vec<JobRecord>,
+        workers: Option<BTreeSet<String>>,
         released: bool,
         now: Monotonic,
     ) {
@@ -28,6 +32,8 @@
             next_run: 0,
             recovered: false,
         });
+        self.roster = Roster::new(workers);
+        self.record_workers(now);
         let entry = Entry::new(Kind::ShardAcquired)
             .with("shard", &self.name)
             .with("epoch", epoch)
@@ -123,6 +129,7 @@
         self.unclear.clear();
         self.making_room.clear();
         self.committer.reset();
+        self.roster = Roster::default();
         for removed in std::mem::take(&mut self.runs).into_values() {
             self.placer.release(removed.worker, removed.task);
         }
@@ -152,6 +159,7 @@
                 .with("shard", &self.name)
                 .with("unclear", self.unclear.len());
             self.log(entry);
+            self.committer.queue_roster();
         }
         if !self.unclear.is_empty() {
             self.resolve_unclear(now);
@@ -176,6 +184,7 @@
         // An older list may lack a worker that an earlier owner used.
         let listed = owned.since + self.params.list_lag_ms();
         self.listed.is_some_and(|read| read >= listed)
+            && self.knows_roster()
             && self.workers.values().all(|worker| worker.answered)
     }
 
--- a/crates/verbenahitch/src/scheduler/shard/worker.rs
+++ b/crates/verbenahitch/src/scheduler/shard/worker.rs
@@ -64,6 +64,8 @@
     pub listed: bool,
     /// Entry of another machine that has taken its name in the list.
     pub successor: Option<HostRecord>,
+    /// Whether the store holds its address among the workers in use.
+    pub recorded: bool,
     /// Whether it has answered in this epoch of ownership.
     pub answered: bool,
     /// Whether a sync has failed since the last successful one; late ones do not count.
@@ -109,6 +111,7 @@
             host,
             listed: true,
             successor: None,
+            recorded: false,
             answered: false,
             sync_failed: false,
             inflight: None,
@@ -143,6 +146,7 @@
         let live = self.listed && self.host.state == HostState::Live;
         if !live
             || !self.answered
+            || !self.recorded
             || self.sync_failed
             || !self.blocking_runs.is_empty()
             || now < self.opens_at
@@ -161,6 +165,7 @@
         // Several cases may apply; the first one is shown.
         let words = match () {
             () if !self.answered => "not yet heard",
+            () if !self.recorded => "not yet recorded",
             () if self.sync_failed => "not answering",
             () if self.host.state == HostState::Leaving => "leaving",
             () if self.host.state == HostState::Dead => "reported dead",
--- a/crates/verbenahitch/src/scheduler/shard/zone.rs
+++ b/crates/verbenahitch/src/scheduler/shard/zone.rs
@@ -129,6 +129,7 @@
         self.workers
             .insert(key, Worker::new(key, host, opens_at, now));
         self.timers.insert((now, key));
+        self.record_worker(key, now);
     }
 
     fn update_host(&mut self, key: WorkerKey, host: HostRecord, now: Monotonic) {
@@ -187,6 +188,7 @@
         self.by_name.remove(&worker.host.name);
         let removed = self.workers.remove(key);
         self.placer.remove_worker(key);
+        self.committer.queue_roster();
         if let Some(host) = removed.and_then(|worker| worker.successor) {
             self.add_host(host, now);
         }
--- a/testsuite/tests/testsuite/scheduler/daemon.rs
+++ b/testsuite/tests/testsuite/scheduler/daemon.rs
@@ -105,11 +105,13 @@
         self.owners[owner].epoch = Some(epoch);
         self.owners[owner].renewed_at = self.now;
         let jobs = self.store.jobs.values().cloned().collect();
+        let workers = Some(self.store.workers.clone());
         let until = Monotonic(self.now + SHARD_LEASE_MS);
         self.feed(owner, Input::Authority(until));
         let input = Input::Acquired {
             epoch,
             jobs,
+            workers,
             released,
         };
         self.feed(owner, input);
--- a/testsuite/tests/testsuite/scheduler/lives.rs
+++ b/testsuite/tests/testsuite/scheduler/lives.rs
@@ -150,3 +150,28 @@
     finish_job(&mut world, "wide");
     assert_guarantees(&world);
 }
+
+/// Two runs of one task after a take-over from an owner that still uses an unlisted worker.
+#[test]
+fn two_runs_after_a_take_over_without_an_unlisted_worker() {
+    let mut world = world();
+    submit_job(
+        &mut world,
+        "recalculation",
+        spec("recalculation", 2, LONG_RUN_MS),
+    );
+    assert!(world.run_while(TIMEOUT_MS, |world| world.history.start_count() < 2));
+    world.run_for(1_000);
+    let worker = last_started(&world);
+    world.unlisted.insert(worker.clone());
+    world.kill(1);
+    world.owners[0].store_unreachable = true;
+    for name in ["w0", "w1", "w2"] {
+        if name != worker {
+            world.partitions.insert((0, name.to_owned()));
+        }
+    }
+    world.run_for(OUTAGE_MS + 4 * TASK_LEASE_MS);
+    finish_job(&mut world, "recalculation");
+    assert_guarantees(&world);
+}
