Leave runs from before a job's acceptance without effect

Callers saw a task run in two places after a take-over: a job had left its shard with a zone taken out and come back, its task ran, and a worker that had been cut off since before reported the end of a run from the earlier stay. The new owner, which had not yet heard of the present run, took the task for stopped and started it again.

Cause: an end is compared with the run number of the newest stored checkpoint, and a job that is handed over takes none with it, as numbers compare within one shard only. Back in the first shard every old number looked new.

A job's record now keeps the last run number of its shard at its acceptance or adoption. Reports of runs up to it are handled as those of an unknown job: stopped or acknowledged without effect. The same holds for a new job under the identity of an earlier, removed one; this is not tested. Records without the field read as zero, as before.

--- a/crates/verbenahitch/src/domain/job.rs
+++ b/crates/verbenahitch/src/domain/job.rs
@@ -139,6 +139,9 @@
     /// Checkpoints of unfinished tasks that ran before, by task index.
     #[serde(default)]
     pub checkpoints: BTreeMap<u32, Checkpoint>,
+    /// Last run of the shard before it accepted the job; runs up to it do not belong to this stay.
+    #[serde(default)]
+    pub since_run: u64,
 }
 
 impl JobRecord {
@@ -152,6 +155,7 @@
             marked: TaskSet::default(),
             ended: EndedTasks::default(),
             checkpoints: BTreeMap::new(),
+            since_run: 0,
         }
     }
 
--- a/crates/verbenahitch/src/scheduler/shard/requests.rs
+++ b/crates/verbenahitch/src/scheduler/shard/requests.rs
@@ -70,7 +70,10 @@
             self.log(entry);
             return self.refuse(request, error);
         }
-        let record = JobRecord::new(id, spec, wall_ms);
+        let record = JobRecord {
+            since_run: self.last_run(),
+            ..JobRecord::new(id, spec, wall_ms)
+        };
         let key = self.add_job(record, Stage::New, now);
         self.jobs[key].pending.accepts.push(request);
         self.queue_write(key, true);
@@ -149,7 +152,7 @@
         key
     }
 
-    fn on_adopt(&mut self, request: u64, record: JobRecord, now: Monotonic) {
+    fn on_adopt(&mut self, request: u64, mut record: JobRecord, now: Monotonic) {
         if let Some(key) = self.by_id.get(&record.id).copied() {
             return self.accept(request, key);
         }
@@ -157,6 +160,7 @@
             .with("job", &record.id)
             .with("shard", &self.name);
         self.log(entry);
+        record.since_run = self.last_run();
         // The store holds it in the inbox, not yet among this shard's jobs.
         let key = self.add_job(record, Stage::New, now);
         self.restore(key);
--- a/crates/verbenahitch/src/scheduler/shard/run_reports.rs
+++ b/crates/verbenahitch/src/scheduler/shard/run_reports.rs
@@ -24,7 +24,7 @@
             self.retry_commit(key, running, now);
             return self.evict_if_leaving(running.run, now);
         }
-        if let Some(task) = self.task_key(&running.task)
+        if let Some(task) = self.task_key(&running.task, running.run)
             && self.recover_run(key, task, running, now)
         {
             self.retry_commit(key, running, now);
@@ -33,9 +33,11 @@
         self.stop_superseded(key, &running.task, running.run, now);
     }
 
-    fn task_key(&self, id: &TaskId) -> Option<TaskKey> {
+    /// Task of a reported run, unless the run is older than the job in this shard.
+    fn task_key(&self, id: &TaskId, run: u64) -> Option<TaskKey> {
         let job = self.by_id.get(&id.job).copied()?;
-        let known = id.index < self.jobs[job].record.spec.tasks;
+        let record = &self.jobs[job].record;
+        let known = id.index < record.spec.tasks && run > record.since_run;
         known.then_some(TaskKey {
             job,
             index: id.index,
@@ -180,7 +182,7 @@
         if known {
             return self.on_known_end(ended.run, ended.kind, ended.checkpoint_ms, now);
         }
-        match self.task_key(&ended.task) {
+        match self.task_key(&ended.task, ended.run) {
             Some(task) => self.on_unexpected_end(key, task, ended, now),
             None => self.workers[key].acks.push(ended.run),
         }
--- a/crates/verbenahitch/src/scheduler/shard/starts.rs
+++ b/crates/verbenahitch/src/scheduler/shard/starts.rs
@@ -263,6 +263,12 @@
         Some(owned.epoch << 32 | u64::from(owned.next_run))
     }
 
+    /// Highest run number so far, over all epochs.
+    pub(super) fn last_run(&self) -> u64 {
+        self.owned
+            .map_or(0, |owned| owned.epoch << 32 | u64::from(owned.next_run))
+    }
+
     /// Commits a worker's resources to a run; returns whether it had room.
     pub(super) fn commit(
         &mut self,
--- a/testsuite/tests/testsuite/scheduler/lives.rs
+++ b/testsuite/tests/testsuite/scheduler/lives.rs
@@ -1,8 +1,9 @@
 //! Facts about one life of a worker or of the list of workers that reach a shard in another.
 
 use test_case::test_case;
+use verbenahitch::config::ZoneState;
 use verbenahitch::domain::{Monotonic, TaskOutcome};
-use verbenahitch::scheduler::Input;
+use verbenahitch::scheduler::{Input, Request};
 
 use super::common::{
     RUN_MS, SEED, TIMEOUT_MS, assert_guarantees, finish_job, id, outcome_count, submit_job, world,
@@ -175,3 +176,30 @@
     finish_job(&mut world, "recalculation");
     assert_guarantees(&world);
 }
+
+/// Two runs of one task after a take-over in which a worker reports the end of a run from before
+/// the job had left the shard and come back.
+#[test]
+fn two_runs_after_an_end_from_an_earlier_stay() {
+    let mut world = world();
+    submit_job(&mut world, "back", spec("recalculation", 1, LONG_RUN_MS));
+    assert!(world.run_while(TIMEOUT_MS, |world| world.history.start_count() < 1));
+    let first = last_started(&world);
+    world.isolate_worker(&first);
+    assert!(world.run_while(TIMEOUT_MS, |world| world.history.start_count() < 2));
+    world.set_zone(ZoneState::Out);
+    assert!(world.run_while(TIMEOUT_MS, |world| world.store.moved.is_empty()));
+    world.set_zone(ZoneState::In);
+    world.run_for(2_000);
+    let (_, record) = world.store.moved.remove(&id("back")).expect("a moved job");
+    world.send_request(0, Request::Adopt(Box::new(record)));
+    assert!(world.run_while(TIMEOUT_MS, |world| world.history.start_count() < 3));
+    world.run_for(1_000);
+    // The next owner hears of the old end before the newest run.
+    let newest = last_started(&world);
+    world.kill(0);
+    world.partitions.clear();
+    world.delays.insert(newest, TASK_LEASE_MS / 16);
+    finish_job(&mut world, "back");
+    assert_guarantees(&world);
+}
