--- a/crates/verbenahitch/src/scheduler/message.rs
+++ b/crates/verbenahitch/src/scheduler/message.rs
@@ -1,5 +1,6 @@
 //! Inputs and actions of a shard's decision logic.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -18,13 +19,20 @@
     /// A newer revision of the declarations is in force.
     Declared(Arc<Declarations>),
     /// Complete list of the shard's workers from the platform.
-    Hosts(Vec<HostRecord>),
+    Hosts {
+        /// When the read of the list began.
+        read: Monotonic,
+        /// Workers.
+        hosts: Vec<HostRecord>,
+    },
     /// This process now owns the shard.
     Acquired {
         /// Epoch of the ownership.
         epoch: u64,
         /// Records of all unfinished jobs of the shard.
         jobs: Vec<JobRecord>,
+        /// Addresses of the workers that earlier owners may have used; `None` if not recorded.
+        workers: Option<BTreeSet<String>>,
         /// Whether the previous owner released the shard; if false, it may still be acting.
         released: bool,
     },
@@ -52,8 +60,6 @@
         worker: String,
         /// Number of the sync that was answered.
         seq: u64,
-        /// When the sync was sent.
-        sent: Monotonic,
         /// Answer.
         reply: SyncReply,
     },
@@ -116,7 +122,7 @@
 pub struct Batch {
     /// Number of the batch, increasing within an epoch.
     pub number: u64,
-    /// Writes, at most one per job; they fit into one transaction of the store.
+    /// Writes, at most one per job and one of the workers; they fit into one transaction of the store.
     pub writes: Vec<Write>,
 }
 
@@ -134,6 +140,8 @@
     },
     /// Removes a finished job after its retention time.
     Remove(JobId),
+    /// Stores the addresses of the workers that the owner may use.
+    Workers(BTreeSet<String>),
 }
 
 /// Request of a caller or an operator to a shard.
--- a/crates/verbenahitch/src/scheduler/shard/mod.rs
+++ b/crates/verbenahitch/src/scheduler/shard/mod.rs
@@ -14,6 +14,7 @@
 //! * `ends`: ends of runs and lapsed leases.
 //! * `evictions`: evictions and throttling.
 //! * `recovery`: takeover of a shard, and the checks before a marked task is started.
+//! * `roster`: record of the workers in use.
 //! * `zone`: declarations, the list of workers, zones going out of and into service.
 
 mod commit;
@@ -25,6 +26,7 @@
 mod profile_queue;
 mod recovery;
 mod requests;
+mod roster;
 mod run_reports;
 mod starts;
 mod status;
@@ -47,6 +49,7 @@
 use job::{Job, Phase};
 use pressures::ReportedPressures;
 use profile_queue::ProfileQueues;
+use roster::Roster;
 use worker::Worker;
 
 pub use params::Params;
@@ -69,6 +72,8 @@
     /// Number of the sync that carried the start; `None` while it waits for one, 0 if this owner
     /// did not start it.
     start_seq: Option<u64>,
+    /// Life of the worker that was known when the start was sent.
+    life: u64,
     /// Whether the worker has reported it.
     seen: bool,
     /// Whether the placer accounts for its resources.
@@ -102,10 +107,11 @@
     /// Runs that are evicted to make room, by the task that waits for the room.
     making_room: HashMap<TaskKey, HashSet<u64>>,
     committer: Committer,
+    roster: Roster,
     next_seq: u64,
     next_job: u64,
-    /// Whether the platform's list of workers was received.
-    has_hosts: bool,
+    /// When the last read of the platform's list of workers began.
+    listed: Option<Monotonic>,
     releasing: bool,
     returning_since: Option<Monotonic>,
     /// When the next pass over the queues is due.
@@ -127,6 +133,7 @@
             name: params.shard.to_string(),
             placer: Placer::new(params.seed),
             committer: Committer::new(params.seed),
+            roster: Roster::default(),
             params,
             declared: Arc::default(),
             owned: None,
@@ -146,7 +153,7 @@
             making_room: HashMap::default(),
             next_seq: 0,
             next_job: 0,
-            has_hosts: false,
+            listed: None,
             releasing: false,
             returning_since: None,
             pass_due: Monotonic::default(),
@@ -165,12 +172,13 @@
         match input {
             Input::Tick => {}
             Input::Declared(declared) => self.on_declared(declared, now),
-            Input::Hosts(hosts) => self.on_hosts(hosts, now),
+            Input::Hosts { read, hosts } => self.on_hosts(read, hosts, now),
             Input::Acquired {
                 epoch,
                 jobs,
+                workers,
                 released,
-            } => self.on_acquired(epoch, jobs, released, now),
+            } => self.on_acquired(epoch, jobs, workers, released, now),
             Input::Lost => self.on_lost(now),
             Input::Release => self.on_release(),
             Input::Authority(until) => self.authority = until,
@@ -180,12 +188,7 @@
                 body,
                 wall_ms,
             } => self.on_requested(request, body, wall_ms, now),
-            Input::Synced {
-                worker,
-                seq,
-                sent,
-                reply,
-            } => self.on_synced(&worker, seq, sent, reply, now),
+            Input::Synced { worker, seq, reply } => self.on_synced(&worker, seq, reply, now),
             Input::SyncFailed { worker, seq, error } => {
                 self.on_sync_failed(&worker, seq, error, now);
             }
--- a/crates/verbenahitch/src/scheduler/shard/worker.rs
+++ b/crates/verbenahitch/src/scheduler/shard/worker.rs
@@ -19,8 +19,6 @@
 pub(super) struct InFlight {
     /// Number of the sync.
     pub seq: u64,
-    /// When it was sent.
-    pub sent: Monotonic,
     /// Commands to send again if it fails.
     pub commands: Vec<Command>,
 }
@@ -64,6 +62,10 @@
     pub host: HostRecord,
     /// Whether the list still contains it.
     pub listed: bool,
+    /// Entry of another machine that has taken its name in the list.
+    pub successor: Option<HostRecord>,
+    /// Whether the store holds its address among the workers in use.
+    pub recorded: bool,
     /// Whether it has answered in this epoch of ownership.
     pub answered: bool,
     /// Whether a sync has failed since the last successful one; late ones do not count.
@@ -76,6 +78,8 @@
     pub acks: Vec<u64>,
     /// Reading of its clock, and when the answer with it was processed.
     pub clock: Option<(Millis, Monotonic)>,
+    /// Life that its last answer named; zero while none did.
+    pub life: u64,
     /// When all leases on this worker have lapsed, including an earlier owner's once it has
     /// answered; without the margin for stopping tasks.
     pub lapses_at: Monotonic,
@@ -106,12 +110,15 @@
             key,
             host,
             listed: true,
+            successor: None,
+            recorded: false,
             answered: false,
             sync_failed: false,
             inflight: None,
             commands: Vec::new(),
             acks: Vec::new(),
             clock: None,
+            life: 0,
             lapses_at: Monotonic::default(),
             runs: HashSet::default(),
             uncommitted_ends: HashSet::default(),
@@ -128,6 +135,7 @@
     pub fn reset(&mut self, now: Monotonic) {
         *self = Self {
             listed: self.listed,
+            successor: self.successor.take(),
             health: std::mem::take(&mut self.health),
             ..Self::new(self.key, self.host.clone(), self.opens_at, now)
         };
@@ -138,6 +146,7 @@
         let live = self.listed && self.host.state == HostState::Live;
         if !live
             || !self.answered
+            || !self.recorded
             || self.sync_failed
             || !self.blocking_runs.is_empty()
             || now < self.opens_at
@@ -156,6 +165,7 @@
         // Several cases may apply; the first one is shown.
         let words = match () {
             () if !self.answered => "not yet heard",
+            () if !self.recorded => "not yet recorded",
             () if self.sync_failed => "not answering",
             () if self.host.state == HostState::Leaving => "leaving",
             () if self.host.state == HostState::Dead => "reported dead",
--- a/testsuite/tests/testsuite/scheduler/daemon.rs
+++ b/testsuite/tests/testsuite/scheduler/daemon.rs
@@ -14,22 +14,21 @@
         &mut self,
         owner: usize,
         incarnation: u32,
-        worker: String,
+        machine: String,
         request: &SyncRequest,
     ) {
-        if self.partitions.contains(&(owner, worker.clone())) {
+        if self.partitions.contains(&(owner, machine.clone())) {
             return;
         }
-        let host = self.workers.get_mut(&worker).expect("a known worker");
+        let host = self.workers.get_mut(&machine).expect("a known worker");
         let answer = host.sync(request, self.now, &mut self.history);
+        let worker = host.host.name.clone();
+        if answer.is_ok() && self.mute.contains(&machine) {
+            return;
+        }
         let seq = request.seq;
         let input = match answer {
-            Ok(reply) => Input::Synced {
-                worker,
-                seq,
-                sent: Monotonic(self.now.saturating_sub(MAX_LATENCY_MS)),
-                reply,
-            },
+            Ok(reply) => Input::Synced { worker, seq, reply },
             Err(error) => Input::SyncFailed { worker, seq, error },
         };
         for at in self.arrival_times() {
@@ -106,11 +105,13 @@
         self.owners[owner].epoch = Some(epoch);
         self.owners[owner].renewed_at = self.now;
         let jobs = self.store.jobs.values().cloned().collect();
+        let workers = Some(self.store.workers.clone());
         let until = Monotonic(self.now + SHARD_LEASE_MS);
         self.feed(owner, Input::Authority(until));
         let input = Input::Acquired {
             epoch,
             jobs,
+            workers,
             released,
         };
         self.feed(owner, input);
--- a/testsuite/tests/testsuite/scheduler/fake_worker.rs
+++ b/testsuite/tests/testsuite/scheduler/fake_worker.rs
@@ -62,6 +62,8 @@
     pub fails: bool,
     /// Whether it breaks the contract and runs tasks on after their lease has lapsed.
     pub ignores_leases: bool,
+    /// Whether its clock runs on over a restart.
+    pub keeps_clock: bool,
     /// Number of restarts; each one closes all connections.
     pub boot: u32,
     booted_at: Millis,
@@ -78,7 +80,7 @@
                 name: name.to_owned(),
                 zone: zone.to_owned(),
                 rack: "r1".to_owned(),
-                control: "127.0.0.1:1".to_owned(),
+                control: format!("{name}:1"),
                 upstream: "127.0.0.1:2".to_owned(),
                 slots: 8,
                 capacity,
@@ -86,6 +88,7 @@
             },
             fails: false,
             ignores_leases: false,
+            keeps_clock: false,
             boot: 0,
             booted_at: 0,
             epoch: 0,
@@ -116,10 +119,16 @@
             history.record(now, event);
         }
         let (host, fails) = (self.host.clone(), self.fails);
+        let booted_at = if self.keeps_clock {
+            self.booted_at
+        } else {
+            now
+        };
         *self = Self {
             fails,
+            keeps_clock: self.keeps_clock,
             boot: self.boot + 1,
-            booted_at: now,
+            booted_at,
             ..Self::new(&host.name, &host.zone, host.capacity)
         };
         self.host = host;
@@ -137,8 +146,10 @@
             return Err(SyncError::StaleEpoch { epoch: self.epoch });
         }
         let repeated = request.epoch == self.epoch && request.seq <= self.seq;
-        if repeated || (request.not_after > 0 && clock > request.not_after) {
-            return Err(SyncError::Late { clock });
+        let life = self.life();
+        let other_life = request.life > 0 && request.life != life;
+        if repeated || other_life || (request.not_after > 0 && clock > request.not_after) {
+            return Err(SyncError::Late { clock, life });
         }
         self.epoch = request.epoch;
         self.seq = request.seq;
@@ -226,6 +237,7 @@
         });
         SyncReply {
             clock,
+            life: self.life(),
             refused: Vec::new(),
             running: running.collect(),
             ended: self.ended.values().cloned().collect(),
@@ -233,6 +245,10 @@
         }
     }
 
+    fn life(&self) -> u64 {
+        u64::from(self.boot) + 1
+    }
+
     fn first_end(&self) -> Option<(u64, Millis, EndKind)> {
         self.active
             .iter()
--- a/testsuite/tests/testsuite/scheduler/world.rs
+++ b/testsuite/tests/testsuite/scheduler/world.rs
@@ -29,6 +29,7 @@
 pub const SHARD_LEASE_MS: Millis = 3_000;
 pub const RENEW_MS: Millis = 500;
 const SYNC_TIMEOUT_MS: Millis = 300;
+const LIST_MS: Millis = 200;
 pub const MAX_LATENCY_MS: Millis = 2;
 
 /// Probabilities of faults in the delivery of messages.
@@ -44,6 +45,7 @@
 pub(super) enum Event {
     Tick(usize),
     Renew(usize),
+    List,
     Input(usize, u32, Box<Input>),
     /// A sync over a connection to one boot of the worker.
     Sync(usize, u32, u32, String, SyncRequest),
@@ -69,9 +71,16 @@
     pub rng: ChaCha8Rng,
     pub message_faults: MessageFaults,
     pub owners: Vec<Owner>,
+    /// Machines by key; several may have the same name.
     pub workers: BTreeMap<String, FakeWorker>,
+    /// Machines that the list lacks.
+    pub unlisted: BTreeSet<String>,
     /// Pairs of owner and worker that cannot reach each other.
     pub partitions: BTreeSet<(usize, String)>,
+    /// Processes that cannot read the list of workers.
+    pub list_unreachable: BTreeSet<usize>,
+    /// Workers whose answers to accepted calls are lost.
+    pub mute: BTreeSet<String>,
     /// Additional delay of messages to a worker, in milliseconds.
     pub delays: BTreeMap<String, Millis>,
     pub store: FakeStore,
@@ -115,7 +124,10 @@
                 .map(|index| format!("w{index}"))
                 .map(|name| (name.clone(), FakeWorker::new(&name, ZONE, CAPACITY)))
                 .collect(),
+            unlisted: BTreeSet::new(),
             partitions: BTreeSet::new(),
+            list_unreachable: BTreeSet::new(),
+            mute: BTreeSet::new(),
             delays: BTreeMap::new(),
             store: FakeStore::default(),
             declared: Arc::new(declarations(1, ZoneState::In)),
@@ -143,6 +155,7 @@
             let first = world.now + u64::try_from(owner).expect("two owners") * 100;
             world.push(first, Event::Renew(owner));
         }
+        world.push(world.now + LIST_MS, Event::List);
         world
     }
 
@@ -242,6 +255,20 @@
         worker.crash(self.now, &mut self.history);
     }
 
+    pub fn add_worker(&mut self, name: &str) {
+        let worker = FakeWorker::new(name, ZONE, CAPACITY);
+        self.workers.insert(name.to_owned(), worker);
+    }
+
+    /// Starts a machine that takes over the name of another in the list.
+    pub fn replace_worker(&mut self, name: &str, machine: &str) {
+        let mut worker = FakeWorker::new(machine, ZONE, CAPACITY);
+        worker.host.name = name.to_owned();
+        worker.boot = 100;
+        self.workers.insert(machine.to_owned(), worker);
+        self.unlisted.insert(name.to_owned());
+    }
+
     pub fn isolate_worker(&mut self, name: &str) {
         for owner in 0..self.owners.len() {
             self.partitions.insert((owner, name.to_owned()));
@@ -258,14 +285,21 @@
         self.history.record(self.now, event);
     }
 
-    /// Sends the host list to every process.
+    /// Sends the host list to every process that can read it.
     pub fn send_hosts(&mut self) {
         for owner in 0..self.owners.len() {
-            let hosts = self.hosts();
-            self.feed(owner, Input::Hosts(hosts));
+            if !self.list_unreachable.contains(&owner) && !self.owners[owner].is_paused {
+                self.send_list(owner);
+            }
         }
     }
 
+    fn send_list(&mut self, owner: usize) {
+        let read = Monotonic(self.now);
+        let hosts = self.hosts();
+        self.feed(owner, Input::Hosts { read, hosts });
+    }
+
     pub fn feed(&mut self, owner: usize, input: Input) {
         if self.owners[owner].is_paused {
             return self.owners[owner].backlog.push_back(input);
@@ -286,15 +320,17 @@
 
     fn hosts(&self) -> Vec<verbenahitch::port::HostRecord> {
         self.workers
-            .values()
-            .map(|worker| worker.host.clone())
+            .iter()
+            .filter(|(machine, _)| !self.unlisted.contains(*machine))
+            .map(|(_, worker)| worker.host.clone())
             .collect()
     }
 
     fn send_initial_state(&mut self, owner: usize) {
-        let hosts = self.hosts();
         self.feed(owner, Input::Declared(Arc::clone(&self.declared)));
-        self.feed(owner, Input::Hosts(hosts));
+        if !self.list_unreachable.contains(&owner) {
+            self.send_list(owner);
+        }
     }
 
     pub(super) fn push(&mut self, at: Millis, event: Event) {
@@ -321,13 +357,19 @@
     fn carry_out(&mut self, owner: usize, incarnation: u32, action: Action) {
         match action {
             Action::Sync {
-                worker, request, ..
+                worker,
+                address,
+                request,
             } => {
-                let boot = self.workers[&worker].boot;
-                let delay = self.delays.get(&worker).copied().unwrap_or(0);
+                let mut machines = self.workers.iter();
+                let found = machines.find(|(_, machine)| machine.host.control == address);
+                let (machine, boot) = found
+                    .map(|(key, machine)| (key.clone(), machine.boot))
+                    .expect("the address of a machine");
+                let delay = self.delays.get(&machine).copied().unwrap_or(0);
                 for at in self.arrival_times() {
                     let event =
-                        Event::Sync(owner, incarnation, boot, worker.clone(), request.clone());
+                        Event::Sync(owner, incarnation, boot, machine.clone(), request.clone());
                     self.push(at + delay, event);
                 }
                 let seq = request.seq;
@@ -366,6 +408,10 @@
                     self.renew(owner);
                 }
             }
+            Event::List => {
+                self.push(self.now + LIST_MS, Event::List);
+                self.send_hosts();
+            }
             Event::Input(owner, incarnation, input) => {
                 if self.owners[owner].incarnation == incarnation {
                     self.feed(owner, *input);
