Send no start again to a worker that drains or whose zone is evacuated

Cause: an unanswered start was sent again without a look at the worker's state. Change: such a start is withdrawn: stopped if the worker may still carry it out, else given up at once, and the task is placed elsewhere.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -61,11 +61,10 @@
                 .get(&key)
                 .is_some_and(|at| now.since(*at) <= self.bounds.relist_ms);
         is_listed
-            && !worker.info.draining
+            && !self.is_leaving(key)
             && worker.session.is_some()
             && worker.answered_within(now, USABLE_AGE_MS)
             && worker.quarantined_until <= now
-            && !self.evacuated.contains(&worker.info.zone)
     }
 
     fn begin_rounds(&mut self, wall_ms: Millis) {
@@ -95,6 +94,9 @@
         };
         let ready: Vec<RunKey> = self.due_runs.iter().filter(is_ready).copied().collect();
         for key in ready {
+            if self.is_leaving(self.runs[key].worker) {
+                self.withdraw_start(key, now);
+            }
             if let Some(order) = self.next_order(key, now) {
                 self.runs[key].in_flight = true;
                 orders.push(order);
@@ -102,8 +104,28 @@
         }
     }
 
-    fn next_order(&mut self, key: RunKey, now: Monotonic) -> Option<Order> {
+    /// Whether a worker drains or its zone is evacuated.
+    fn is_leaving(&self, key: WorkerKey) -> bool {
+        let info = &self.workers[key].info;
+        info.draining || self.evacuated.contains(&info.zone)
+    }
+
+    /// Gives up a start that the worker has not confirmed; one that may still be carried out
+    /// is stopped first.
+    fn withdraw_start(&mut self, key: RunKey, now: Monotonic) {
         let run = &self.runs[key];
+        if run.phase != Phase::Starting {
+            return;
+        }
+        if run.tries == 0 {
+            self.end_run(key, EndCause::Stopped, Evidence::NotOrdered, "", now);
+        } else {
+            self.stop_run(key);
+        }
+    }
+
+    fn next_order(&mut self, key: RunKey, now: Monotonic) -> Option<Order> {
+        let run = self.runs.get(key)?;
         let (phase, stop, pace, task, number) =
             (run.phase, run.stop_wanted, run.pace, run.task, run.number);
         let worker = &self.workers[run.worker];
--- a/testsuite/tests/testsuite/dispatch/execution.rs
+++ b/testsuite/tests/testsuite/dispatch/execution.rs
@@ -1,6 +1,7 @@
 //! Execution of tasks: order of steps, commits before starts and acknowledgements,
 //! cancels, restarts and failures.
 
+use test_case::test_case;
 use verbenahitch::dispatch::JobState;
 
 use super::world::{World, filler, job, standing, step};
@@ -66,6 +67,29 @@
     assert_eq!(world.state(id), Some(JobState::Completed));
 }
 
+#[test_case(World::drain_worker; "a draining worker")]
+#[test_case(World::evacuate_zone_of; "a worker of an evacuated zone")]
+fn an_unanswered_start_is_not_repeated_on(leave: fn(&mut World, &str)) {
+    let mut world = World::new(3);
+    world.run(500);
+    for worker in world.workers.values_mut() {
+        worker.order_delay = Some(5_000);
+    }
+    let id = world.submit(1, "push", job(vec![step(1, 1, 600)]));
+    world.run(300);
+    let name = world.start_orders.keys().next().unwrap().clone();
+    let left_at = world.now;
+    leave(&mut world, &name);
+    for worker in world.workers.values_mut() {
+        worker.order_delay = None;
+    }
+    world.run(8_000);
+    let last = world.start_orders[&name].last().unwrap();
+    assert!(*last <= left_at, "started at {last}, left at {left_at}");
+    assert_eq!(world.state(id), Some(JobState::Completed));
+    world.ledger.assert_once();
+}
+
 #[test]
 fn no_worker_is_committed_beyond_its_cpu() {
     let mut world = World::new(3);
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -84,6 +84,8 @@
     /// Tail latency divided by target of a standing task without any load.
     pub unloaded_ratio: f64,
     pub starts: Vec<Started>,
+    /// Times of the start orders to each worker.
+    pub start_orders: BTreeMap<String, Vec<Millis>>,
     pub records: BTreeMap<JobId, Write>,
     /// Whether the store answers.
     pub store_up: bool,
@@ -144,6 +146,7 @@
             response: Response::Exponential,
             unloaded_ratio: UNLOADED_RATIO,
             starts: Vec::new(),
+            start_orders: BTreeMap::new(),
             records: BTreeMap::new(),
             store_up: true,
             commit_ms: CALL_MS,
@@ -281,6 +284,21 @@
         std::mem::swap(&mut self.cut, &mut former.cut);
     }
 
+    /// Lets a worker announce that it drains.
+    pub fn drain_worker(&mut self, name: &str) {
+        self.workers.get_mut(name).unwrap().info.draining = true;
+        self.send_registry();
+    }
+
+    /// Evacuates the zone of a worker, in which it is alone.
+    pub fn evacuate_zone_of(&mut self, name: &str) {
+        let worker = self.workers.get_mut(name).unwrap();
+        worker.info.zone = "evacuated".to_owned();
+        self.send_registry();
+        let queues = [queue("push", 0), queue("batch", 2)];
+        self.dispatcher.declare(&queues, &["evacuated".to_owned()]);
+    }
+
     /// Removes a worker's entry from the registry.
     pub fn unlist_worker(&mut self, name: &str) {
         self.workers.get_mut(name).unwrap().unlisted = true;
@@ -415,6 +433,8 @@
             }
             Order::Start(start) => {
                 let (key, name) = (start.target.key, start.target.name.clone());
+                let orders = self.start_orders.entry(name.clone()).or_default();
+                orders.push(self.now);
                 if let Some(due) = self.delays_order(&name) {
                     let failure = CallFailure::Unanswered("delayed".to_owned());
                     self.events.push((at, Event::Started(key, Err(failure))));
