--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -73,7 +73,7 @@
 
     /// Marks the writes last taken as stored.
     pub fn commit_stored(&mut self, now: Monotonic) {
-        self.members_stored();
+        self.voters_stored();
         let written = std::mem::take(&mut self.writing);
         for (id, version) in written {
             let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -25,7 +25,7 @@
             let name = info.name.clone();
             let key = self.workers.insert(Worker::new(info));
             self.worker_keys.insert(name, key);
-            self.members.mark_dirty();
+            self.voters.mark_dirty();
             return;
         };
         self.unlisted.remove(&key);
@@ -43,7 +43,7 @@
             worker.next_poll = now;
         }
         if is_moved {
-            self.members.mark_dirty();
+            self.voters.mark_dirty();
         }
         let worker = &mut self.workers[key];
         worker.info = info;
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -54,10 +54,10 @@
     Amount, IdError, JobId, JobRecord, JobSpec, JobState, Queue, Repeat, SpecError, StepSpec,
     TaskId,
 };
-use quorum::Members;
+use quorum::Voters;
 pub use report::{
-    CallFailure, EndCause, EndedEntry, Member, Order, Poll, ProgressRecord, Report, RunRecord,
-    RunningEntry, Start, Target, TaskRecord, Write,
+    CallFailure, EndCause, EndedEntry, Order, Poll, ProgressRecord, Report, RunRecord,
+    RunningEntry, Start, Target, TaskRecord, Voter, Write,
 };
 use table::{Job, Round};
 use worker::{Phase, Run, Worker};
@@ -71,7 +71,7 @@
     /// Length to which workers shorten longer leases.
     pub lease_max_ms: Millis,
     /// How long an owner may go on extending leases while neither the store nor
-    /// most members answer.
+    /// most voters answer.
     pub quorum_ms: Millis,
     /// How long a worker stays usable after its registry entry has vanished.
     pub relist_ms: Millis,
@@ -124,10 +124,10 @@
     is_fenced: bool,
     /// When the ownership last came into doubt, until it is confirmed.
     suspended_at: Option<Monotonic>,
-    members: Members,
+    voters: Voters,
     /// Begin of the ownership.
     began_at: Monotonic,
-    /// When most members of the earlier owner had answered this one.
+    /// When most voters of the earlier owner had answered this one.
     quorum_at: Option<Monotonic>,
     /// Last confirmation of the ownership by the store.
     ownership_at: Monotonic,
@@ -161,7 +161,7 @@
             checked_at: now,
             is_fenced: false,
             suspended_at: None,
-            members: Members::default(),
+            voters: Voters::default(),
             began_at: now,
             quorum_at: None,
             ownership_at: now,
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -205,7 +205,7 @@
         if let Some(worker) = self.workers.remove(key) {
             self.worker_keys.remove(&worker.info.name);
             self.unlisted.remove(&key);
-            self.members.mark_dirty();
+            self.voters.mark_dirty();
         }
     }
 
--- a/crates/verbenahitch/src/dispatch/quorum.rs
+++ b/crates/verbenahitch/src/dispatch/quorum.rs
@@ -1,17 +1,17 @@
 //! Quorum of workers: what an owner that the store does not answer may still do, and when
 //! its successor may count on it having stopped.
 //!
-//! The store holds the names of the workers that count, the members. An owner that is cut
-//! off from the store acts while most members answer it, and its successor, which reads
-//! the same record, knows that this has ended once most members have answered the successor:
+//! The store holds the names of the workers that count, the voters. An owner that is cut
+//! off from the store acts while most voters answer it, and its successor, which reads
+//! the same record, knows that this has ended once most voters have answered the successor:
 //! they refuse the orders of the earlier owner from then on. Both must count the same
-//! members, and the record stays until the earlier owner has stopped. The registry is no
+//! voters, and the record stays until the earlier owner has stopped. The registry is no
 //! substitute: entries vanish while their workers go on.
 //!
 //! The time for which an owner acts without the store is limited as well, so that the
-//! tasks of lost workers start elsewhere even if most members are lost.
+//! tasks of lost workers start elsewhere even if most voters are lost.
 
-use super::report::Member;
+use super::report::Voter;
 use super::worker::{WorkerInfo, WorkerKey};
 use super::{Dispatcher, Millis, Monotonic, Worker};
 use crate::collections::HashSet;
@@ -20,17 +20,17 @@
 /// than usual outages of the store.
 const OUTAGE_LIMIT_MS: Millis = 15_000;
 
-/// Shortest time between two records of the members, in milliseconds.
+/// Shortest time between two records of the voters, in milliseconds.
 const RECORD_INTERVAL_MS: Millis = 1_000;
 
-/// The members as this owner and the store know them.
+/// The voters as this owner and the store know them.
 #[derive(Debug, Default)]
-pub(super) struct Members {
-    /// Members that the earlier owner counted.
+pub(super) struct Voters {
+    /// Voters that the earlier owner counted.
     inherited: HashSet<WorkerKey>,
-    /// Members that the store holds.
+    /// Voters that the store holds.
     stored: HashSet<WorkerKey>,
-    /// Members that are being written; the store may hold either.
+    /// Voters that are being written; the store may hold either.
     writing: Option<HashSet<WorkerKey>>,
     /// Whether the known workers have changed since the last record.
     is_dirty: bool,
@@ -38,7 +38,7 @@
     recorded_at: Option<Monotonic>,
 }
 
-impl Members {
+impl Voters {
     /// Records that a worker was added, moved or dropped.
     pub fn mark_dirty(&mut self) {
         self.is_dirty = true;
@@ -46,21 +46,21 @@
 }
 
 impl Dispatcher {
-    /// Restores the members that the store holds. Without a record, as from a version
+    /// Restores the voters that the store holds. Without a record, as from a version
     /// that wrote none, the workers known so far count.
-    pub fn restore_members(&mut self, record: Option<Vec<Member>>) {
+    pub fn restore_voters(&mut self, record: Option<Vec<Voter>>) {
         let keys: HashSet<WorkerKey> = match record {
-            Some(members) => members.into_iter().map(|m| self.member_key(m)).collect(),
+            Some(voters) => voters.into_iter().map(|m| self.voter_key(m)).collect(),
             None => self.workers.keys().collect(),
         };
-        self.members.inherited.clone_from(&keys);
-        self.members.stored = keys;
-        self.members.is_dirty = true;
+        self.voters.inherited.clone_from(&keys);
+        self.voters.stored = keys;
+        self.voters.is_dirty = true;
     }
 
-    /// Worker of a member; one that is unknown is added unlisted.
-    fn member_key(&mut self, member: Member) -> WorkerKey {
-        let Member(name, address) = member;
+    /// Worker of a voter; one that is unknown is added unlisted.
+    fn voter_key(&mut self, voter: Voter) -> WorkerKey {
+        let Voter(name, address) = voter;
         if let Some(key) = self.worker_keys.get(&name) {
             return *key;
         }
@@ -71,38 +71,37 @@
         })
     }
 
-    /// Takes the members to be written with the next commit, if they have changed. While an
-    /// earlier owner may act, its members stay, so that a further owner counts them too.
-    pub fn take_members(&mut self, now: Monotonic) -> Option<Vec<Member>> {
+    /// Takes the voters to be written with the next commit, if they have changed. While an
+    /// earlier owner may act, its voters stay, so that a further owner counts them too.
+    pub fn take_voters(&mut self, now: Monotonic) -> Option<Vec<Voter>> {
         if now < self.inherited_end() {
             return None;
         }
-        let members = &mut self.members;
-        let is_early = members
+        let voters = &mut self.voters;
+        let is_early = voters
             .recorded_at
             .is_some_and(|at| now.since(at) < RECORD_INTERVAL_MS);
-        if !members.is_dirty || is_early || members.writing.is_some() || self.is_fenced {
+        if !voters.is_dirty || is_early || voters.writing.is_some() || self.is_fenced {
             return None;
         }
-        members.is_dirty = false;
-        members.recorded_at = Some(now);
+        voters.is_dirty = false;
+        voters.recorded_at = Some(now);
         let known = self.workers.iter();
         let known: Vec<_> = known.filter(|(_, w)| !w.info.address.is_empty()).collect();
-        members.writing = Some(known.iter().map(|(key, _)| *key).collect());
-        let member =
-            |worker: &Worker| Member(worker.info.name.clone(), worker.info.address.clone());
-        Some(known.iter().map(|(_, worker)| member(worker)).collect())
+        voters.writing = Some(known.iter().map(|(key, _)| *key).collect());
+        let voter = |worker: &Worker| Voter(worker.info.name.clone(), worker.info.address.clone());
+        Some(known.iter().map(|(_, worker)| voter(worker)).collect())
     }
 
-    /// Applies the commit of the members last taken.
-    pub(super) fn members_stored(&mut self) {
-        if let Some(stored) = self.members.writing.take() {
-            self.members.stored = stored;
+    /// Applies the commit of the voters last taken.
+    pub(super) fn voters_stored(&mut self) {
+        if let Some(stored) = self.voters.writing.take() {
+            self.voters.stored = stored;
         }
     }
 
     /// Whether leases may be extended and runs started: the store has confirmed the
-    /// ownership within `quorum_ms`, or most members have answered within that time and
+    /// ownership within `quorum_ms`, or most voters have answered within that time and
     /// the outage is not too long.
     pub(super) fn may_act(&self, now: Monotonic) -> bool {
         if self.is_fenced || self.suspended_at.is_some() {
@@ -116,29 +115,29 @@
     fn has_quorum(&self, now: Monotonic) -> bool {
         let limit = self.bounds.quorum_ms;
         let answers = |worker: &Worker| worker.answered_within(now, limit);
-        let mut views = self.members.writing.iter().chain([&self.members.stored]);
-        views.all(|members| self.is_majority(members, answers))
+        let mut views = self.voters.writing.iter().chain([&self.voters.stored]);
+        views.all(|voters| self.is_majority(voters, answers))
     }
 
-    fn is_majority(&self, members: &HashSet<WorkerKey>, counts: impl Fn(&Worker) -> bool) -> bool {
-        let workers = members.iter().filter_map(|key| self.workers.get(*key));
-        workers.filter(|worker| counts(worker)).count() * 2 > members.len()
+    fn is_majority(&self, voters: &HashSet<WorkerKey>, counts: impl Fn(&Worker) -> bool) -> bool {
+        let workers = voters.iter().filter_map(|key| self.workers.get(*key));
+        workers.filter(|worker| counts(worker)).count() * 2 > voters.len()
     }
 
-    /// Records when most members of the earlier owner have answered this one.
+    /// Records when most voters of the earlier owner have answered this one.
     pub(super) fn check_takeover(&mut self, now: Monotonic) {
         if self.quorum_at.is_some() {
             return;
         }
         let has_answered = |worker: &Worker| worker.answered_at.is_some();
-        if self.is_majority(&self.members.inherited, has_answered) {
+        if self.is_majority(&self.voters.inherited, has_answered) {
             self.quorum_at = Some(now);
         }
     }
 
     /// When an earlier owner acts no more.
     fn inherited_end(&self) -> Monotonic {
-        if self.members.inherited.is_empty() {
+        if self.voters.inherited.is_empty() {
             return self.began_at;
         }
         let outage_end = self.began_at + OUTAGE_LIMIT_MS;
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -202,7 +202,7 @@
 
 /// Record in the store of a worker that counts for the quorum.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Member(
+pub struct Voter(
     /// Name.
     pub String,
     /// Address at which it takes calls.
--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -33,8 +33,8 @@
 /// with the ones made after it was sent.
 pub(super) const COMMIT: &str = "commit/last";
 
-/// Key of the members: the workers that count for the owner's quorum.
-pub(super) const MEMBERS: &str = "quorum/members";
+/// Key of the voters: the workers that count for the owner's quorum.
+pub(super) const VOTERS: &str = "quorum/voters";
 
 /// Key of the learned pressures between images.
 pub(super) const PRESSURES: &str = "learned/headroom";
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -6,7 +6,7 @@
 
 use super::driver::Driver;
 use super::{Outcome, OwnerEvent};
-use crate::dispatch::{JobState, Member, Write};
+use crate::dispatch::{JobState, Voter, Write};
 use crate::domain::Millis;
 use crate::entry::keys::{self, JobEntry};
 use crate::entry::{observe, watcher};
@@ -21,7 +21,7 @@
     pub(super) fn build_transaction(
         &self,
         writes: &[Write],
-        members: Option<&[Member]>,
+        voters: Option<&[Voter]>,
     ) -> Transaction {
         // Identifies this commit if its answer is lost.
         let commit_id = format!("{:016x}", rand::random::<u64>());
@@ -36,8 +36,8 @@
             )],
             removes: Vec::new(),
         };
-        if let Some(members) = members {
-            let put = Put::persistent(keys::MEMBERS.to_owned(), keys::encode(&members));
+        if let Some(voters) = voters {
+            let put = Put::persistent(keys::VOTERS.to_owned(), keys::encode(&voters));
             transaction.puts.push(put);
         }
         for write in writes {
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -38,7 +38,7 @@
 const RELIST_MS: Millis = 2_500;
 
 /// Largest number of jobs in one commit. With three entries per job, the conditions, the
-/// commit ID, the members and the learned pressures, one more would not fit into the
+/// commit ID, the voters and the learned pressures, one more would not fit into the
 /// largest transaction that the store accepts.
 const MAX_COMMIT_JOBS: usize = 8;
 
@@ -79,13 +79,13 @@
     ) -> Result<Self, KvError> {
         let began = Instant::now();
         let kv = shared.platform.kv();
-        let (registry, progress, intake, commit, learned, members) = tokio::join!(
+        let (registry, progress, intake, commit, learned, voters) = tokio::join!(
             kv.range(shared.platform.registry_prefix()),
             kv.range(keys::PROGRESS_PREFIX),
             kv.range(keys::INTAKE_PREFIX),
             kv.get(keys::COMMIT),
             kv.get(keys::PRESSURES),
-            kv.get(keys::MEMBERS),
+            kv.get(keys::VOTERS),
         );
         let bounds = Bounds {
             lease_ms: WORKER_LEASE_MS.min(shared.settings.lease_max),
@@ -115,8 +115,8 @@
         }
         driver.declare();
         driver.apply_registry(WatchUpdate::Listed(registry?.0));
-        let members = members?.as_ref().and_then(decode);
-        driver.dispatcher.restore_members(members);
+        let voters = voters?.as_ref().and_then(decode);
+        driver.dispatcher.restore_voters(voters);
         let mut records: HashMap<JobId, ProgressRecord> = HashMap::default();
         for item in &progress?.0 {
             let Some(id) = keys::parse_progress(&item.key) else {
@@ -258,9 +258,9 @@
         }
         if self.pending_commit.is_none() {
             let writes = self.dispatcher.take_writes(MAX_COMMIT_JOBS);
-            let members = self.dispatcher.take_members(now.at);
-            if !writes.is_empty() || members.is_some() {
-                let mut transaction = self.build_transaction(&writes, members.as_deref());
+            let voters = self.dispatcher.take_voters(now.at);
+            if !writes.is_empty() || voters.is_some() {
+                let mut transaction = self.build_transaction(&writes, voters.as_deref());
                 self.add_pressures(&mut transaction);
                 self.pending_commit = Some((transaction, Instant::now()));
                 self.send_commit(Duration::ZERO);
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -126,9 +126,9 @@
 }
 
 /// The former owner's successor adds workers and is itself replaced, while the former one
-/// still has a majority of the members that it knows.
+/// still has a majority of the voters that it knows.
 #[test]
-fn no_task_runs_twice_when_members_change_beside_a_former_owner() {
+fn no_task_runs_twice_when_voters_change_beside_a_former_owner() {
     let mut world = World::new(12);
     world.run(1_500);
     world.submit(1, "batch", job(vec![step(24, 4, 60_000)]));
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -8,8 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use verbenahitch::dispatch::{
-    Amount, Bounds, CallFailure, Dispatcher, EndCause, JobId, JobRecord, JobSpec, JobState, Member,
-    Now, Order, Poll, Report, RunKey, RunningEntry, Start, TaskId, WorkerInfo, WorkerKey, Write,
+    Amount, Bounds, CallFailure, Dispatcher, EndCause, JobId, JobRecord, JobSpec, JobState, Now,
+    Order, Poll, Report, RunKey, RunningEntry, Start, TaskId, Voter, WorkerInfo, WorkerKey, Write,
 };
 use verbenahitch::domain::{Millis, Monotonic};
 
@@ -106,9 +106,9 @@
     /// Orders that workers carry out late, with their fencing tokens.
     late_orders: Vec<(Millis, u64, Order)>,
     writing: Vec<Write>,
-    writing_members: Option<Vec<Member>>,
-    /// Members that the store holds.
-    members: Option<Vec<Member>>,
+    writing_voters: Option<Vec<Voter>>,
+    /// Voters that the store holds.
+    voters: Option<Vec<Voter>>,
     /// Workers that the owner cannot reach.
     cut: BTreeSet<String>,
     /// Earlier owner that goes on without the store.
@@ -123,7 +123,7 @@
     polls: Vec<(Millis, Poll)>,
     events: Vec<(Millis, Event)>,
     writing: Vec<Write>,
-    writing_members: Option<Vec<Member>>,
+    writing_voters: Option<Vec<Voter>>,
     cut: BTreeSet<String>,
 }
 
@@ -160,8 +160,8 @@
             events: Vec::new(),
             late_orders: Vec::new(),
             writing: Vec::new(),
-            writing_members: None,
-            members: None,
+            writing_voters: None,
+            voters: None,
             cut: BTreeSet::new(),
             former: None,
         };
@@ -235,11 +235,11 @@
         self.polls.clear();
         self.events.clear();
         self.writing.clear();
-        self.writing_members = None;
+        self.writing_voters = None;
         self.dispatcher = Dispatcher::new(BOUNDS, Monotonic(self.now));
         self.declare();
         self.send_registry();
-        self.dispatcher.restore_members(self.members.clone());
+        self.dispatcher.restore_voters(self.voters.clone());
         let now = self.clock();
         for (id, spec) in &self.specs {
             let record = self.record("batch", spec);
@@ -262,7 +262,7 @@
             polls: Vec::new(),
             events: Vec::new(),
             writing: Vec::new(),
-            writing_members: None,
+            writing_voters: None,
             cut: inside,
         });
         self.swap_owner();
@@ -280,7 +280,7 @@
         std::mem::swap(&mut self.polls, &mut former.polls);
         std::mem::swap(&mut self.events, &mut former.events);
         std::mem::swap(&mut self.writing, &mut former.writing);
-        std::mem::swap(&mut self.writing_members, &mut former.writing_members);
+        std::mem::swap(&mut self.writing_voters, &mut former.writing_voters);
         std::mem::swap(&mut self.cut, &mut former.cut);
     }
 
@@ -374,11 +374,11 @@
         for order in self.dispatcher.pass(self.clock()) {
             self.execute(order);
         }
-        let is_committing = !self.writing.is_empty() || self.writing_members.is_some();
+        let is_committing = !self.writing.is_empty() || self.writing_voters.is_some();
         if self.store_up && !is_committing {
             self.writing = self.dispatcher.take_writes(16);
-            self.writing_members = self.dispatcher.take_members(Monotonic(self.now));
-            if !self.writing.is_empty() || self.writing_members.is_some() {
+            self.writing_voters = self.dispatcher.take_voters(Monotonic(self.now));
+            if !self.writing.is_empty() || self.writing_voters.is_some() {
                 let at = self.now + self.commit_ms;
                 self.events.push((at, Event::CommitStored));
             }
@@ -413,8 +413,8 @@
                     for write in std::mem::take(&mut self.writing) {
                         self.records.insert(write.job, write);
                     }
-                    if let Some(members) = self.writing_members.take() {
-                        self.members = Some(members);
+                    if let Some(voters) = self.writing_voters.take() {
+                        self.voters = Some(voters);
                     }
                     self.dispatcher.commit_stored(at);
                 }
