Skip runs that giving up another start has ended

Cause: giving up a start can end its job when the declared attempts were lowered, and with it further runs of the same pass; the owner would have panicked on the next of them. Found in review, by reading; no run has shown it. Change: a run that is gone by its turn is skipped. Measured: the 50 dispatcher tests pass.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -94,7 +94,11 @@
         };
         let ready: Vec<RunKey> = self.due_runs.iter().filter(is_ready).copied().collect();
         for key in ready {
-            if self.is_leaving(self.runs[key].worker) {
+            // Giving up a start can end further runs.
+            let Some(run) = self.runs.get(key) else {
+                continue;
+            };
+            if self.is_leaving(run.worker) {
                 self.withdraw_start(key, now);
             }
             if let Some(order) = self.next_order(key, now) {
