End inherited runs that a restarted worker no longer lists

What callers saw: a standing task that no longer ran anywhere. Cause: a run that an earlier owner had recorded counted as confirmed only until the first list. Change: a list confirms a run, whoever started it.

--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -251,10 +251,8 @@
         run.incarnation = self.workers[run.worker].incarnation();
         run.inherited = false;
         run.seen_at = now;
-        if run.phase != Phase::Live {
-            run.phase = Phase::Live;
-            run.confirmed_at.get_or_insert(now);
-        }
+        run.phase = Phase::Live;
+        run.confirmed_at.get_or_insert(now);
         if entry.progress_percent != run.progress {
             run.progress = entry.progress_percent;
             run.progressed_at = now;
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -310,7 +310,7 @@
     pub phase: Phase,
     /// First version of the job that includes the assignment.
     pub recorded_in: u64,
-    /// When the worker confirmed its start or its stop.
+    /// When the worker first confirmed its start or its stop, or listed it.
     pub confirmed_at: Option<Monotonic>,
     /// Whether it comes from an earlier owner's record and no poll has listed it yet.
     pub inherited: bool,
--- a/testsuite/tests/testsuite/dispatch/incarnations.rs
+++ b/testsuite/tests/testsuite/dispatch/incarnations.rs
@@ -4,7 +4,7 @@
 use test_case::test_case;
 use verbenahitch::dispatch::{JobId, JobState};
 
-use super::world::{World, job, step};
+use super::world::{World, job, standing, step};
 
 /// Number of workers.
 const WORKERS: usize = 3;
@@ -133,3 +133,18 @@
     world.ledger.assert_once();
     assert_eq!(world.state(JobId(1)), Some(JobState::Completed));
 }
+
+/// An earlier owner recorded the run, and the worker has listed it since.
+#[test]
+fn no_standing_task_is_lost_when_its_worker_restarts_after_a_takeover() {
+    let mut world = World::new(WORKERS);
+    let id = world.submit(1, "push", job(vec![standing(1, 2, "s")]));
+    world.run(SETTLE_MS);
+    world.take_over();
+    world.run(1_000);
+    restart_all(&mut world, 50);
+    assert!(world.workers_of(id).is_empty());
+    world.run(3_000);
+    assert_eq!(world.workers_of(id).len(), 1);
+    world.ledger.assert_once();
+}
