Acknowledge ends only while the worker lists some

What callers saw: a task that was done ran again. Cause: each poll repeated the last acknowledged number. An idle worker that restarts between two polls makes no call fail; its new incarnation took the number for its own. Change: a poll acknowledges only if the last list contained ends.

--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -64,8 +64,9 @@
                 session
                     .unacked_ends
                     .retain(|end| end.sequence > session.acked);
-                // Another incarnation would take it for its own ends, which no list has shown.
-                if !may_have_restarted {
+                // Another incarnation would take it for its own ends, which no list has shown. It
+                // is needed only until a list is without ends.
+                if !may_have_restarted && session.lists_ends {
                     acked = session.acked;
                 }
                 if !session.unacked_ends.is_empty() && now < worker.next_poll + COMMIT_WAIT_MS {
@@ -180,6 +181,9 @@
     }
 
     fn apply_ends(&mut self, key: WorkerKey, report: &Report, now: Monotonic) {
+        if let Some(session) = &mut self.workers[key].session {
+            session.lists_ends = !report.ended.is_empty();
+        }
         for end in &report.ended {
             let Some(session) = &mut self.workers[key].session else {
                 return;
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -86,6 +86,8 @@
     pub clock: ClockReading,
     /// Latest end of a lease that it may have been given, on its clock.
     pub lease_end: Millis,
+    /// Whether its last list contained ends.
+    pub lists_ends: bool,
     /// Ends that were applied and are not yet acknowledged.
     pub unacked_ends: Vec<UnackedEnd>,
     /// Highest sequence number of an end that was applied.
@@ -121,6 +123,7 @@
             began_at: clock.at,
             clock,
             lease_end: clock.clock_ms + lease_ms,
+            lists_ends: false,
             unacked_ends: Vec::new(),
             last_end: 0,
             acked: 0,
--- a/testsuite/tests/testsuite/dispatch/incarnations.rs
+++ b/testsuite/tests/testsuite/dispatch/incarnations.rs
@@ -88,6 +88,14 @@
     restart_all(world, 10);
 }
 
+/// As before, but the workers are idle and restart between two polls, so that no call fails.
+fn end_after_unnoticed_restart(world: &mut World) {
+    world.submit(2, "push", job(vec![step(9, 1, 100)]));
+    world.run(SETTLE_MS);
+    restart_all(world, 0);
+    submit(world, 4, 40);
+}
+
 /// A start without an answer is carried out by the next incarnation, after the run was
 /// confirmed by the earlier one.
 fn late_start(world: &mut World) {
@@ -120,6 +128,7 @@
 #[test_case(ends_numbered_anew; "ends numbered anew")]
 #[test_case(lease_for_the_earlier_incarnation; "lease for the earlier incarnation")]
 #[test_case(end_before_first_list; "end before the first list")]
+#[test_case(end_after_unnoticed_restart; "end after an unnoticed restart")]
 #[test_case(late_start; "late start")]
 #[test_case(late_start_of_an_ended_run; "late start of an ended run")]
 fn no_task_runs_twice_when_its_worker_restarts(arrange: fn(&mut World)) {
