--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -38,8 +38,8 @@
 const RELIST_MS: Millis = 2_500;
 
 /// Largest number of jobs in one commit. With three entries per job, the conditions, the
-/// commit ID, the voters and the learned pressures, one more would not fit into the
-/// largest transaction that the store accepts.
+/// commit ID, the voters and the learned pressures, they fit into the largest transaction
+/// that the store accepts.
 const MAX_COMMIT_JOBS: usize = 8;
 
 /// Longest time that a planned hand-over waits for the commit in flight, in
