--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -15,10 +15,13 @@
 
 mod jobs;
 mod once;
+mod owners;
+mod registry;
 mod worker;
 
 pub use jobs::{TARGET_MS, filler, job, queue, standing, step};
 use once::RunLedger;
+use owners::Former;
 use worker::Incarnation;
 pub use worker::{FakeRun, FakeWorker};
 
@@ -115,18 +118,6 @@
     former: Option<Former>,
 }
 
-/// An earlier owner, with what belongs to it alone.
-struct Former {
-    dispatcher: Dispatcher,
-    fence: u64,
-    store_up: bool,
-    polls: Vec<(Millis, Poll)>,
-    events: Vec<(Millis, Event)>,
-    writing: Vec<Write>,
-    writing_voters: Option<Vec<Voter>>,
-    cut: BTreeSet<String>,
-}
-
 pub const BOUNDS: Bounds = Bounds {
     lease_ms: 4_000,
     lease_max_ms: worker::LEASE_MAX_MS,
@@ -229,106 +220,6 @@
         id
     }
 
-    /// Replaces the owner by a new one that reads the records and the registry.
-    pub fn take_over(&mut self) {
-        self.fence += 1;
-        self.polls.clear();
-        self.events.clear();
-        self.writing.clear();
-        self.writing_voters = None;
-        self.dispatcher = Dispatcher::new(BOUNDS, Monotonic(self.now));
-        self.declare();
-        self.send_registry();
-        self.dispatcher.restore_voters(self.voters.clone());
-        let now = self.clock();
-        for (id, spec) in &self.specs {
-            let record = self.record("batch", spec);
-            let progress = self.records.get(id).map(|write| write.record.clone());
-            self.dispatcher.recover(*id, record, progress, now);
-        }
-    }
-
-    /// Lets the owner go on without the store, reaching only the workers in `zone`; a new
-    /// owner reaches the others.
-    pub fn split_owner(&mut self, zone: &[&str]) {
-        let names = self.workers.keys().cloned();
-        let (inside, outside) = names.partition(|name| zone.contains(&name.as_str()));
-        self.store_up = false;
-        self.cut = outside;
-        self.former = Some(Former {
-            dispatcher: Dispatcher::new(BOUNDS, Monotonic(self.now)),
-            fence: self.fence,
-            store_up: true,
-            polls: Vec::new(),
-            events: Vec::new(),
-            writing: Vec::new(),
-            writing_voters: None,
-            cut: inside,
-        });
-        self.swap_owner();
-        self.take_over();
-    }
-
-    /// Cuts the owner off from a worker, or ends that.
-    pub fn set_cut(&mut self, name: &str, is_cut: bool) {
-        if is_cut {
-            self.cut.insert(name.to_owned());
-        } else {
-            self.cut.remove(name);
-        }
-    }
-
-    /// Exchanges the owner and the earlier one.
-    fn swap_owner(&mut self) {
-        let Some(former) = &mut self.former else {
-            return;
-        };
-        std::mem::swap(&mut self.dispatcher, &mut former.dispatcher);
-        std::mem::swap(&mut self.fence, &mut former.fence);
-        std::mem::swap(&mut self.store_up, &mut former.store_up);
-        std::mem::swap(&mut self.polls, &mut former.polls);
-        std::mem::swap(&mut self.events, &mut former.events);
-        std::mem::swap(&mut self.writing, &mut former.writing);
-        std::mem::swap(&mut self.writing_voters, &mut former.writing_voters);
-        std::mem::swap(&mut self.cut, &mut former.cut);
-    }
-
-    /// Lets a worker announce that it drains.
-    pub fn drain_worker(&mut self, name: &str) {
-        self.workers.get_mut(name).unwrap().info.draining = true;
-        self.send_registry();
-    }
-
-    /// Evacuates the zone of a worker, in which it is alone.
-    pub fn evacuate_zone_of(&mut self, name: &str) {
-        let worker = self.workers.get_mut(name).unwrap();
-        worker.info.zone = "evacuated".to_owned();
-        self.send_registry();
-        let queues = [queue("push", 0), queue("batch", 2)];
-        self.dispatcher.declare(&queues, &["evacuated".to_owned()]);
-    }
-
-    /// Removes a worker's entry from the registry.
-    pub fn unlist_worker(&mut self, name: &str) {
-        self.workers.get_mut(name).unwrap().unlisted = true;
-        self.dispatcher.unlist_worker(name, Monotonic(self.now));
-    }
-
-    /// Brings the workers' entries in the registry up to date.
-    pub fn list_workers(&mut self) {
-        for worker in self.workers.values_mut() {
-            worker.info.incarnation = worker.life.number;
-        }
-        self.send_registry();
-    }
-
-    fn send_registry(&mut self) {
-        for worker in self.workers.values().filter(|worker| !worker.unlisted) {
-            self.dispatcher
-                .upsert_worker(worker.info.clone(), Monotonic(self.now));
-        }
-    }
-
     pub fn state(&self, id: JobId) -> Option<JobState> {
         self.dispatcher.state(id)
     }
--- /dev/null
+++ b/testsuite/tests/testsuite/dispatch/world/owners.rs
@@ -0,0 +1,86 @@
+//! Changes of the owner, also while the earlier one goes on.
+
+use std::collections::BTreeSet;
+
+use verbenahitch::dispatch::{Dispatcher, Poll, Voter, Write};
+use verbenahitch::domain::{Millis, Monotonic};
+
+use super::{BOUNDS, Event, World};
+
+/// An earlier owner, with what belongs to it alone.
+pub(super) struct Former {
+    dispatcher: Dispatcher,
+    fence: u64,
+    store_up: bool,
+    polls: Vec<(Millis, Poll)>,
+    events: Vec<(Millis, Event)>,
+    writing: Vec<Write>,
+    writing_voters: Option<Vec<Voter>>,
+    cut: BTreeSet<String>,
+}
+
+impl World {
+    /// Replaces the owner by a new one that reads the records and the registry.
+    pub fn take_over(&mut self) {
+        self.fence += 1;
+        self.polls.clear();
+        self.events.clear();
+        self.writing.clear();
+        self.writing_voters = None;
+        self.dispatcher = Dispatcher::new(BOUNDS, Monotonic(self.now));
+        self.declare();
+        self.send_registry();
+        self.dispatcher.restore_voters(self.voters.clone());
+        let now = self.clock();
+        for (id, spec) in &self.specs {
+            let record = self.record("batch", spec);
+            let progress = self.records.get(id).map(|write| write.record.clone());
+            self.dispatcher.recover(*id, record, progress, now);
+        }
+    }
+
+    /// Lets the owner go on without the store, reaching only the workers in `zone`; a new
+    /// owner reaches the others.
+    pub fn split_owner(&mut self, zone: &[&str]) {
+        let names = self.workers.keys().cloned();
+        let (inside, outside) = names.partition(|name| zone.contains(&name.as_str()));
+        self.store_up = false;
+        self.cut = outside;
+        self.former = Some(Former {
+            dispatcher: Dispatcher::new(BOUNDS, Monotonic(self.now)),
+            fence: self.fence,
+            store_up: true,
+            polls: Vec::new(),
+            events: Vec::new(),
+            writing: Vec::new(),
+            writing_voters: None,
+            cut: inside,
+        });
+        self.swap_owner();
+        self.take_over();
+    }
+
+    /// Cuts the owner off from a worker, or ends that.
+    pub fn set_cut(&mut self, name: &str, is_cut: bool) {
+        if is_cut {
+            self.cut.insert(name.to_owned());
+        } else {
+            self.cut.remove(name);
+        }
+    }
+
+    /// Exchanges the owner and the earlier one.
+    pub(super) fn swap_owner(&mut self) {
+        let Some(former) = &mut self.former else {
+            return;
+        };
+        std::mem::swap(&mut self.dispatcher, &mut former.dispatcher);
+        std::mem::swap(&mut self.fence, &mut former.fence);
+        std::mem::swap(&mut self.store_up, &mut former.store_up);
+        std::mem::swap(&mut self.polls, &mut former.polls);
+        std::mem::swap(&mut self.events, &mut former.events);
+        std::mem::swap(&mut self.writing, &mut former.writing);
+        std::mem::swap(&mut self.writing_voters, &mut former.writing_voters);
+        std::mem::swap(&mut self.cut, &mut former.cut);
+    }
+}
--- /dev/null
+++ b/testsuite/tests/testsuite/dispatch/world/registry.rs
@@ -0,0 +1,43 @@
+//! Changes of the workers' entries in the registry, and of the zones in service.
+
+use verbenahitch::domain::Monotonic;
+
+use super::{World, queue};
+
+impl World {
+    /// Lets a worker announce that it drains.
+    pub fn drain_worker(&mut self, name: &str) {
+        self.workers.get_mut(name).unwrap().info.draining = true;
+        self.send_registry();
+    }
+
+    /// Evacuates the zone of a worker, in which it is alone.
+    pub fn evacuate_zone_of(&mut self, name: &str) {
+        let worker = self.workers.get_mut(name).unwrap();
+        worker.info.zone = "evacuated".to_owned();
+        self.send_registry();
+        let queues = [queue("push", 0), queue("batch", 2)];
+        self.dispatcher.declare(&queues, &["evacuated".to_owned()]);
+    }
+
+    /// Removes a worker's entry from the registry.
+    pub fn unlist_worker(&mut self, name: &str) {
+        self.workers.get_mut(name).unwrap().unlisted = true;
+        self.dispatcher.unlist_worker(name, Monotonic(self.now));
+    }
+
+    /// Brings the workers' entries in the registry up to date.
+    pub fn list_workers(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.info.incarnation = worker.life.number;
+        }
+        self.send_registry();
+    }
+
+    pub(super) fn send_registry(&mut self) {
+        for worker in self.workers.values().filter(|worker| !worker.unlisted) {
+            self.dispatcher
+                .upsert_worker(worker.info.clone(), Monotonic(self.now));
+        }
+    }
+}
