Count a recovered job as waiting until a task of it has started

Cause: after a change of the owner a job with a recorded assignment counted as started, also when no start had been answered. The extended test failed with 0 waiting jobs, expected 1. Change: a recovered job has started if its recorded state says so.

--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -23,7 +23,8 @@
         };
         job.state = progress.state;
         job.visible_state = progress.state;
-        job.has_started = !progress.tasks.is_empty();
+        // An assignment may have been recorded without a start.
+        job.has_started = progress.state != JobState::Queued;
         let last = progress.tasks.iter().map(|task| task.at.0).max();
         while job.rounds_begun <= last.unwrap_or(0) && job.rounds_begun < job.times() {
             job.begin_round();
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -51,6 +51,7 @@
     }
     world.starts.clear();
     world.take_over();
+    assert_eq!(world.dispatcher.waiting("batch"), 1);
     world.run(2_000);
     assert_eq!(world.starts_of(id).len(), 2);
     // The successor uses a new run number.
