Limit an owner without the store to 12 s

Cause: a successor that most voters do not answer waits for this limit, then for the leases. Change: 12 s, still longer than usual outages of the store. All 56 dispatcher tests pass.

--- a/crates/verbenahitch/src/dispatch/quorum.rs
+++ b/crates/verbenahitch/src/dispatch/quorum.rs
@@ -18,7 +18,7 @@
 
 /// How long an owner acts without a confirmation by the store, in milliseconds. Longer
 /// than usual outages of the store.
-const OUTAGE_LIMIT_MS: Millis = 15_000;
+const OUTAGE_LIMIT_MS: Millis = 12_000;
 
 /// Shortest time between two records of the voters, in milliseconds.
 const RECORD_INTERVAL_MS: Millis = 1_000;
