--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -218,6 +218,27 @@
     assert!(world.starts_of(id).len() > 2);
 }
 
+/// Each owner is replaced as planned after a second.
+#[test]
+fn tasks_of_a_lost_worker_start_elsewhere_while_owners_change() {
+    let mut world = World::new(4);
+    let id = world.submit(1, "batch", job(vec![step(1, 1, 60_000)]));
+    world.run(1_500);
+    let worker = world.starts_of(id)[0].worker.clone();
+    world.workers.get_mut(&worker).unwrap().silent = true;
+    let lost_at = world.now;
+    for _ in 0..12 {
+        world.take_over();
+        world.run(1_000);
+    }
+    world.ledger.assert_once();
+    let starts = world.starts_of(id);
+    assert_eq!(starts.len(), 2, "the task did not start again");
+    // The longest lease, the time for which the first owner may act without the store, and
+    // 1 s for the start.
+    assert!(starts[1].at <= lost_at + BOUNDS.lease_max_ms + BOUNDS.quorum_ms + 1_000);
+}
+
 /// The answer to a renewal was on its way while the process was paused.
 #[test]
 fn a_renewal_from_before_a_pause_lets_nothing_start() {
