Client accounts: declared by operators, named in a job's record

Cause: nothing carries the client accounts that a deployment may declare, and the parts that authenticate, cap and share need one interface. Nothing decides by them yet.

--- a/crates/verbenahitch/src/dispatch/job.rs
+++ b/crates/verbenahitch/src/dispatch/job.rs
@@ -295,6 +295,10 @@
     pub queue: Queue,
     /// Job as submitted.
     pub spec: JobSpec,
+    /// Client account of the caller, none where the operators declare no accounts or the
+    /// queue takes jobs of anyone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<String>,
     /// Time of acceptance in milliseconds since the Unix epoch, by the accepting host's
     /// clock.
     pub accepted_ms: Millis,
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -21,6 +21,7 @@
 //! standing tasks), `health` (quarantine of
 //! workers), `straggler` (runs much slower than their peers).
 
+mod account;
 mod assign;
 mod commit;
 mod ends;
@@ -48,6 +49,7 @@
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
+pub use account::Account;
 use headroom::HeadroomModel;
 pub use headroom::Pressure;
 pub use job::{
@@ -107,6 +109,7 @@
     /// Jobs with repetitions that have not begun.
     recurring: Vec<JobId>,
     queues: HashMap<String, Queue>,
+    accounts: HashMap<String, Account>,
     evacuated: HashSet<String>,
     /// Cancelled jobs that have not been submitted yet.
     early_cancels: HashSet<JobId>,
@@ -151,6 +154,7 @@
             pending: HashSet::default(),
             recurring: Vec::new(),
             queues: HashMap::default(),
+            accounts: HashMap::default(),
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
             headroom: HeadroomModel::default(),
@@ -169,12 +173,17 @@
         }
     }
 
-    /// Sets the queues in force and the zones whose workers get no tasks.
-    pub fn declare(&mut self, queues: &[Queue], evacuated: &[String]) {
+    /// Sets the queues and client accounts in force and the zones whose workers get no
+    /// tasks.
+    pub fn declare(&mut self, queues: &[Queue], accounts: &[Account], evacuated: &[String]) {
         self.queues = queues
             .iter()
             .map(|queue| (queue.name.clone(), queue.clone()))
             .collect();
+        self.accounts = accounts
+            .iter()
+            .map(|account| (account.name.clone(), account.clone()))
+            .collect();
         self.evacuated = evacuated.iter().cloned().collect();
     }
 
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -139,6 +139,7 @@
                 steps: Vec::new(),
                 repeat: None,
             },
+            account: None,
             accepted_ms: now.wall_ms,
         };
         let mut job = Self::new(record, now);
--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -18,7 +18,7 @@
 use super::watcher::{WatchTiming, WatchUpdate, watch_prefix};
 use super::{election, owner};
 use crate::collections::HashMap;
-use crate::dispatch::Queue;
+use crate::dispatch::{Account, Queue};
 use crate::domain::Millis;
 use crate::event::{Entry, Kind};
 use crate::port::{Change, Directive, Item, Platform, Queues};
@@ -85,12 +85,17 @@
         self.store_up.load(Ordering::Relaxed)
     }
 
-    /// Queues in force, and the evacuated zones.
-    pub fn declared(&self) -> (Vec<Queue>, Vec<String>) {
-        let queues = self.queues.load_full();
-        let routes = queues.iter().flat_map(|queues| &queues.routes);
+    /// Queues and client accounts in force, and the evacuated zones.
+    pub fn declared(&self) -> (Vec<Queue>, Vec<Account>, Vec<String>) {
+        let declared = self.queues.load_full();
+        let routes = declared.iter().flat_map(|queues| &queues.routes);
         let queues = routes.map(|route| route.queue.clone()).collect();
-        (queues, self.evacuated_zones.borrow().clone())
+        let accounts = declared.iter().flat_map(|queues| &queues.accounts);
+        let accounts = accounts
+            .flatten()
+            .map(|keyed| keyed.account.clone())
+            .collect();
+        (queues, accounts, self.evacuated_zones.borrow().clone())
     }
 
     /// Capability of this host while its event loop is on time.
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -161,8 +161,8 @@
     }
 
     fn declare(&mut self) {
-        let (queues, zones) = self.shared.declared();
-        self.dispatcher.declare(&queues, &zones);
+        let (queues, accounts, zones) = self.shared.declared();
+        self.dispatcher.declare(&queues, &accounts, &zones);
     }
 
     pub(super) async fn drive(
--- a/crates/verbenahitch/src/port/dispatch.rs
+++ b/crates/verbenahitch/src/port/dispatch.rs
@@ -1,7 +1,9 @@
 //! The platform's interfaces that the dispatcher uses: calls to workers, and the
 //! entries that operators and workers write to the key-value service.
 
-use crate::dispatch::{CallFailure, Poll, Queue, Report, Start, Target, WorkerInfo};
+use sha2::{Digest, Sha256};
+
+use crate::dispatch::{Account, CallFailure, Poll, Queue, Report, Start, Target, WorkerInfo};
 
 use super::{Item, KeyValue};
 
@@ -14,15 +16,45 @@
     pub prefix: String,
     /// Queue that the route leads to.
     pub queue: Queue,
+    /// Whether callers need no key where client accounts are declared.
+    pub public: bool,
+}
+
+/// SHA-256 digest of a caller's key.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// Digest of a key.
+    pub fn new(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+}
+
+impl std::fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+/// Client account with the keys of its callers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyedAccount {
+    /// Account.
+    pub account: Account,
+    /// Digests of the keys.
+    pub keys: Vec<KeyDigest>,
 }
 
-/// Queues in force.
+/// Queues and client accounts in force.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Queues {
     /// Version of the operators' document that declares the queues.
     pub version: u64,
     /// Routes.
     pub routes: Vec<QueueRoute>,
+    /// Client accounts; `None` where callers need no keys.
+    pub accounts: Option<Vec<KeyedAccount>>,
 }
 
 /// Content of an entry that operators write.
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -165,7 +165,7 @@
 
     fn declare(&mut self) {
         self.dispatcher
-            .declare(&[queue("push", 0), queue("batch", 2)], &[]);
+            .declare(&[queue("push", 0), queue("batch", 2)], &[], &[]);
     }
 
     pub fn add_worker(&mut self, name: &str, cores: u64) {
@@ -207,6 +207,7 @@
         JobRecord {
             queue: queue(name, if name == "push" { 0 } else { 2 }),
             spec: spec.clone(),
+            account: None,
             accepted_ms: self.now,
         }
     }
--- a/testsuite/tests/testsuite/dispatch/world/registry.rs
+++ b/testsuite/tests/testsuite/dispatch/world/registry.rs
@@ -17,7 +17,8 @@
         worker.info.zone = "evacuated".to_owned();
         self.send_registry();
         let queues = [queue("push", 0), queue("batch", 2)];
-        self.dispatcher.declare(&queues, &["evacuated".to_owned()]);
+        self.dispatcher
+            .declare(&queues, &[], &["evacuated".to_owned()]);
     }
 
     /// Removes a worker's entry from the registry.
