Recovery: time waited by one owner counts for the next

Each owner waited anew for its predecessors and the longest lease; a chain of owners never replaced the voters, most of which were gone; vanished workers were recorded as voters; a worker whose address another one had taken was waited for.

Change: an owner that ends its term as planned records how long earlier owners may act and how long the leases of silent workers last, in the transaction that ends the term. A run ends when another worker answers at the address of its incarnation, which the progress record keeps.

The known red test now ends each ownership as planned, as its comment says; its bounds stand.

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -1,7 +1,8 @@
 //! Records for the store, and the effects of their commit.
 
-use super::report::{ProgressRecord, RunRecord, TaskRecord, Write};
+use super::report::{HomeRecord, ProgressRecord, RunRecord, TaskRecord, Write};
 use super::table::Job;
+use super::worker::WorkerKey;
 use super::{Dispatcher, JobId, Phase};
 use crate::domain::Monotonic;
 use crate::event::{Entry, Kind};
@@ -68,9 +69,25 @@
         ProgressRecord {
             state: job.state,
             tasks,
+            homes: self.homes_of(job),
         }
     }
 
+    fn homes_of(&self, job: &Job) -> Vec<HomeRecord> {
+        let runs = job.runs().filter_map(|key| self.runs.get(key));
+        let known = runs.filter(|run| run.incarnation != 0 && !run.home.is_empty());
+        let mut homes: Vec<(WorkerKey, u64, &str)> = known
+            .map(|run| (run.worker, run.incarnation, &*run.home))
+            .collect();
+        homes.sort_unstable();
+        homes.dedup();
+        let record = |(worker, incarnation, address): (WorkerKey, u64, &str)| {
+            let name = self.workers[worker].info.name.clone();
+            HomeRecord(name, incarnation, address.to_owned())
+        };
+        homes.into_iter().map(record).collect()
+    }
+
     /// Marks the writes last taken as stored.
     pub fn commit_stored(&mut self, now: Monotonic) {
         self.voters_stored();
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -70,6 +70,9 @@
         };
         let worker = &mut self.workers[key];
         worker.listed = false;
+        if worker.is_vanished() {
+            self.voters.mark_dirty();
+        }
         self.unlisted.insert(key, now);
         Entry::new(Kind::WorkerUnreachable)
             .with("worker", name)
@@ -223,7 +226,8 @@
             retry_at: now,
             tries: 0,
             unanswered: false,
-            incarnation: 0,
+            incarnation: self.workers[worker].incarnation(),
+            home: self.workers[worker].home(),
             started_at: now,
             resumed: false,
             progress: 0,
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -36,6 +36,7 @@
 mod quorum;
 mod recover;
 mod report;
+mod retire;
 pub mod step_order;
 mod straggler;
 mod table;
@@ -58,8 +59,8 @@
 };
 use quorum::Voters;
 pub use report::{
-    CallFailure, EndCause, EndedEntry, Order, Poll, ProgressRecord, Report, RunRecord,
-    RunningEntry, Start, Target, TaskRecord, Voter, Write,
+    CallFailure, EndCause, EndedEntry, HomeRecord, Order, Poll, ProgressRecord, Report, Retirement,
+    RunRecord, RunningEntry, Start, Target, TaskRecord, Voter, Write,
 };
 use table::{Job, Round};
 use worker::{Phase, Run, Worker};
@@ -132,6 +133,10 @@
     began_at: Monotonic,
     /// When most voters of the earlier owner had answered this one.
     quorum_at: Option<Monotonic>,
+    /// When all earlier owners act no more, by the record of the last one.
+    retired_end: Option<Monotonic>,
+    /// When the leases of workers have lapsed, by that record.
+    recorded_lapses: SecondaryMap<WorkerKey, Monotonic>,
     /// Last confirmation of the ownership by the store.
     ownership_at: Monotonic,
     /// Number of runs that workers listed without an assignment, until it is taken.
@@ -168,6 +173,8 @@
             voters: Voters::default(),
             began_at: now,
             quorum_at: None,
+            retired_end: None,
+            recorded_lapses: SecondaryMap::new(),
             ownership_at: now,
             unassigned: 0,
         }
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -1,12 +1,12 @@
 //! One pass of the dispatcher: the polls, starts, stops and changes of pace that are due.
 
 use super::report::{EndCause, Evidence, Order, Start, Target};
-use super::worker::{Run, Session, WorkerKey};
+use super::worker::{Run, WorkerKey};
 use super::{Dispatcher, Millis, Monotonic, Now, Phase, RunKey, health};
 
 /// Maximum age of a worker's last answer for it to be given tasks, in milliseconds.
 /// Longer than a poll with its grace.
-const USABLE_AGE_MS: Millis = 1_800;
+pub(super) const USABLE_AGE_MS: Millis = 1_800;
 
 /// Time after which the assignment of waiting tasks is retried without a change, in
 /// milliseconds.
@@ -147,7 +147,11 @@
             return (run.stopped_at.is_none()).then_some(Order::Stop(target));
         }
         if phase == Phase::Starting {
-            if !worker.answered_within(now, USABLE_AGE_MS) {
+            if !worker.answered_within(now, USABLE_AGE_MS) || *worker.home() != *target.address {
+                return None;
+            }
+            if worker.incarnation() != self.runs[key].incarnation {
+                self.record_again(key);
                 return None;
             }
             return self.start_order(key, target, now);
@@ -156,6 +160,20 @@
         (wanted != pace && phase == Phase::Live).then_some(Order::Pace(target, wanted))
     }
 
+    /// Records a run anew for the present incarnation of its worker, before it starts there.
+    fn record_again(&mut self, key: RunKey) {
+        let run = &self.runs[key];
+        let (worker, job) = (&self.workers[run.worker], run.task.job);
+        let (incarnation, home) = (worker.incarnation(), worker.home());
+        self.mark_dirty(job);
+        let version = self.jobs.get(&job).map_or(0, |job| job.version);
+        let run = &mut self.runs[key];
+        run.incarnation = incarnation;
+        run.home = home;
+        run.phase = Phase::Recording;
+        run.recorded_in = version;
+    }
+
     fn start_order(&mut self, key: RunKey, target: Target, now: Monotonic) -> Option<Order> {
         let payload = self.payload(target.task.job);
         let checkpoint = self
@@ -166,10 +184,8 @@
         let lease = worker.lease_length(&self.bounds);
         let session = worker.session.as_mut()?;
         let lease_end = session.give_lease(now, lease);
-        let incarnation = session.incarnation;
         let run = &mut self.runs[key];
         run.tries += 1;
-        run.incarnation = incarnation;
         run.resumed = !checkpoint.is_empty();
         Some(Order::Start(Start {
             target,
@@ -191,8 +207,7 @@
             .collect();
         for key in silent {
             let worker = &self.workers[key];
-            let own = worker.session.as_ref().map(Session::lapsed_at);
-            if now < own.unwrap_or_else(|| self.inherited_lapse()) {
+            if now < self.lapsed_at(key) {
                 continue;
             }
             let runs: Vec<RunKey> = worker.runs.iter().copied().collect();
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -79,6 +79,7 @@
                 }
             }
             worker.poll_sent = Some(now);
+            worker.poll_address.clone_from(&worker.info.address);
             let has_no_ends = |session: &Session| session.unacked_ends.is_empty();
             let is_long_poll =
                 !worker.runs.is_empty() && worker.session.as_ref().is_some_and(has_no_ends);
@@ -123,6 +124,9 @@
                 .with("worker", &worker.info.name)
                 .emit();
         }
+        if worker.is_vanished() {
+            self.voters.mark_dirty();
+        }
         worker.failed_polls = 0;
         worker.answered_at = Some(sent);
         let known = worker.incarnation();
@@ -169,6 +173,9 @@
         worker.next_poll = now + FAILED_PAUSE_MS;
         worker.failed_polls += 1;
         worker.failed_at = Some(now);
+        if worker.is_vanished() {
+            self.voters.mark_dirty();
+        }
         if worker.failed_polls == 2 {
             Entry::new(Kind::WorkerUnreachable)
                 .with("worker", &worker.info.name)
@@ -177,6 +184,20 @@
         }
         if *failure == CallFailure::OtherLife {
             health::order_refused(worker, now);
+            self.end_replaced(key, now);
+        }
+    }
+
+    /// Ends the runs of an incarnation at whose address another worker has answered.
+    fn end_replaced(&mut self, key: WorkerKey, now: Monotonic) {
+        let worker = &self.workers[key];
+        let is_replaced = |run: &&RunKey| {
+            let run = &self.runs[**run];
+            run.incarnation != 0 && *run.home == *worker.poll_address
+        };
+        let gone: Vec<RunKey> = worker.runs.iter().filter(is_replaced).copied().collect();
+        for run in gone {
+            self.end_run(run, EndCause::Lapsed, Evidence::Replaced, "", now);
         }
     }
 
@@ -252,7 +273,9 @@
 
     fn apply_progress(&mut self, key: RunKey, entry: &RunningEntry, now: Monotonic) {
         let run = &mut self.runs[key];
-        run.incarnation = self.workers[run.worker].incarnation();
+        let worker = &self.workers[run.worker];
+        run.incarnation = worker.incarnation();
+        run.home = worker.home();
         run.inherited = false;
         run.seen_at = now;
         run.phase = Phase::Live;
--- a/crates/verbenahitch/src/dispatch/quorum.rs
+++ b/crates/verbenahitch/src/dispatch/quorum.rs
@@ -89,7 +89,8 @@
         voters.is_dirty = false;
         voters.recorded_at = Some(now);
         let known = self.workers.iter();
-        let known: Vec<_> = known.filter(|(_, w)| !w.info.address.is_empty()).collect();
+        let counts = |worker: &Worker| !worker.info.address.is_empty() && !worker.is_vanished();
+        let known: Vec<_> = known.filter(|(_, worker)| counts(worker)).collect();
         voters.writing = Some(known.iter().map(|(key, _)| *key).collect());
         let voter = |worker: &Worker| Voter(worker.info.name.clone(), worker.info.address.clone());
         Some(known.iter().map(|(_, worker)| voter(worker)).collect())
@@ -149,13 +150,14 @@
     }
 
     /// When an earlier owner acts no more.
-    fn inherited_end(&self) -> Monotonic {
+    pub(super) fn inherited_end(&self) -> Monotonic {
         if !self.has_predecessor() {
             return self.began_at;
         }
         let outage_end = self.began_at + OUTAGE_LIMIT_MS;
         let quorum_end = self.quorum_at.map(|at| at + self.bounds.quorum_ms);
-        quorum_end.map_or(outage_end, |end| end.min(outage_end))
+        let ends = [Some(outage_end), quorum_end, self.retired_end];
+        ends.into_iter().flatten().min().unwrap_or(outage_end)
     }
 
     /// When all leases that an earlier owner gave have lapsed. A worker that has restarted may
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -1,6 +1,8 @@
 //! Takeover: restores the jobs, runs and workers that an earlier owner recorded.
 
-use super::report::{ProgressRecord, TaskRecord};
+use std::sync::Arc;
+
+use super::report::{HomeRecord, ProgressRecord, TaskRecord};
 use super::worker::{WorkerInfo, WorkerKey};
 use super::{Dispatcher, JobId, JobRecord, JobState, Now, Phase, TaskId, Worker};
 use crate::domain::Monotonic;
@@ -30,12 +32,18 @@
             job.begin_round();
         }
         for task in progress.tasks {
-            self.recover_task(id, task, now.at);
+            self.recover_task(id, task, &progress.homes, now.at);
         }
         self.close_if_ended(id);
     }
 
-    fn recover_task(&mut self, id: JobId, record: TaskRecord, now: Monotonic) {
+    fn recover_task(
+        &mut self,
+        id: JobId,
+        record: TaskRecord,
+        homes: &[HomeRecord],
+        now: Monotonic,
+    ) {
         let (round, step, index) = record.at;
         let at = TaskId {
             job: id,
@@ -59,12 +67,15 @@
         }
         let is_obsolete = record.done || self.is_job_final(id);
         for run in record.runs {
-            let worker = self.worker_named(&run.1);
+            let is_home = |home: &&HomeRecord| home.0 == run.1 && home.1 == run.2;
+            let home = homes.iter().find(is_home).map_or("", |home| &home.2);
+            let worker = self.worker_named(&run.1, home);
             let key = self.insert_run(at, run.0, worker, now);
             let state = &mut self.runs[key];
             state.phase = Phase::Live;
             state.inherited = true;
             state.incarnation = run.2;
+            state.home = Arc::from(home);
             if is_obsolete {
                 self.stop_run(key);
             }
@@ -79,13 +90,14 @@
         state.is_some_and(JobState::is_final)
     }
 
-    /// Worker of that name; one that is unknown is added unlisted and without address.
-    fn worker_named(&mut self, name: &str) -> WorkerKey {
+    /// Worker of that name; one that is unknown is added unlisted, with that address.
+    fn worker_named(&mut self, name: &str, address: &str) -> WorkerKey {
         if let Some(key) = self.worker_keys.get(name) {
             return *key;
         }
         self.add_unlisted(WorkerInfo {
             name: name.to_owned(),
+            address: address.to_owned(),
             ..WorkerInfo::default()
         })
     }
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -37,6 +37,8 @@
     Missing,
     /// The worker has restarted.
     Restart,
+    /// Another worker answers at the address of its incarnation.
+    Replaced,
     /// All leases of the worker have lapsed.
     Lapse,
     /// The worker refused its only start.
@@ -247,6 +249,31 @@
     pub state: JobState,
     /// Tasks with at least one assignment.
     pub tasks: Vec<TaskRecord>,
+    /// Addresses of the incarnations that the runs are on.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub homes: Vec<HomeRecord>,
+}
+
+/// Record in the store of the address at which an incarnation of a worker takes calls.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct HomeRecord(
+    /// Name of the worker.
+    pub String,
+    /// Start of the incarnation in milliseconds since the Unix epoch.
+    pub u64,
+    /// Address.
+    pub String,
+);
+
+/// Record in the store of what an owner that acts no more leaves behind. Times count from
+/// the writing.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Retirement {
+    /// How long owners before it may still act, in milliseconds.
+    pub acts_ms: Millis,
+    /// Silent workers with runs, and how long their leases may still last, in milliseconds.
+    pub lapses: Vec<(String, Millis)>,
 }
 
 /// Record to be written.
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -4,6 +4,8 @@
 //! A worker may restart under its name. What belongs to one incarnation is kept in its
 //! [`Session`] and ends with it.
 
+use std::sync::Arc;
+
 use slotmap::new_key_type;
 
 use super::Bounds;
@@ -33,6 +35,10 @@
 /// worker API says seconds, without a limit.
 const LATE_START_MS: Millis = 15_000;
 
+/// Number of failed polls in a row after which a worker without a registry entry counts as
+/// vanished.
+const VANISHED_POLLS: u32 = 2;
+
 /// Registry entry of a worker.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerInfo {
@@ -83,6 +89,8 @@
     pub incarnation: u64,
     /// Arrival of its first list.
     pub began_at: Monotonic,
+    /// Address that its last list came from.
+    pub address: Arc<str>,
     pub clock: ClockReading,
     /// Latest end of a lease that it may have been given, on its clock.
     pub lease_end: Millis,
@@ -121,6 +129,7 @@
         Self {
             incarnation,
             began_at: clock.at,
+            address: Arc::from(""),
             clock,
             lease_end: clock.clock_ms + lease_ms,
             lists_ends: false,
@@ -141,17 +150,22 @@
     /// allowed for.
     pub fn lapsed_at(&self) -> Monotonic {
         let left = self.lease_end.saturating_sub(self.clock.clock_ms);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            clippy::cast_precision_loss,
-            reason = "a lease is a few seconds"
-        )]
-        let slowest = (left as f64 / (1.0 - CLOCK_DRIFT)) as Millis;
-        self.clock.at + slowest + LAPSE_MARGIN_MS
+        self.clock.at + on_slowest_clock(left) + LAPSE_MARGIN_MS
     }
 }
 
+/// Longest real time in which a clock advances by `millis`.
+pub(super) fn on_slowest_clock(millis: Millis) -> Millis {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "a lease is a few seconds"
+    )]
+    let slowest = (millis as f64 / (1.0 - CLOCK_DRIFT)).ceil() as Millis;
+    slowest
+}
+
 /// State of a worker.
 #[derive(Debug, Default)]
 pub(super) struct Worker {
@@ -169,6 +183,8 @@
     pub answered_at: Option<Monotonic>,
     /// When the poll in progress was sent.
     pub poll_sent: Option<Monotonic>,
+    /// Address that the last poll was sent to.
+    pub poll_address: String,
     pub next_poll: Monotonic,
     /// Failed polls in a row.
     pub failed_polls: u32,
@@ -232,6 +248,17 @@
         starts
     }
 
+    /// Whether it has no entry in the registry and does not answer either.
+    pub fn is_vanished(&self) -> bool {
+        !self.listed && self.failed_polls >= VANISHED_POLLS
+    }
+
+    /// Address at which its present incarnation takes calls, empty if unknown.
+    pub fn home(&self) -> Arc<str> {
+        let session = self.session.as_ref();
+        session.map_or_else(|| Arc::from(""), |session| Arc::clone(&session.address))
+    }
+
     /// Whether it may have restarted since it was asked for its last list.
     pub fn may_have_restarted(&self) -> bool {
         self.failed_at >= self.answered_at
@@ -277,6 +304,9 @@
             .get_or_insert_with(|| Session::new(incarnation, clock, lease_ms));
         session.clock = clock;
         session.incarnation = session.incarnation.max(incarnation);
+        if *session.address != *self.poll_address {
+            session.address = Arc::from(self.poll_address.as_str());
+        }
     }
 
     /// Rack, the second label.
@@ -331,6 +361,8 @@
     /// Incarnation of the worker that its start was last meant for or that last listed it,
     /// zero if unknown.
     pub incarnation: u64,
+    /// Address at which that incarnation takes calls, empty if unknown.
+    pub home: Arc<str>,
     pub started_at: Monotonic,
     /// Whether it resumed from a checkpoint.
     pub resumed: bool,
--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -29,6 +29,10 @@
 /// Key that exists while the owner is slow; its value is the owner's fencing token.
 pub(super) const SLOW: &str = "lead/slow";
 
+/// Key of what the last owner left behind that ended its term as planned; its revision is
+/// that of the end.
+pub(super) const RETIRED: &str = "lead/retired";
+
 /// Key that every commit of an owner changes, so that a delayed commit conflicts
 /// with the ones made after it was sent.
 pub(super) const COMMIT: &str = "commit/last";
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
-use super::{Outcome, OwnerEvent, Sender};
+use super::{Outcome, OwnerEvent, Sender, retirement};
 use crate::collections::HashMap;
 use crate::dispatch::{Bounds, Dispatcher, JobId, Now, Order, Pressure, ProgressRecord};
 use crate::domain::{Millis, Monotonic};
@@ -79,13 +79,14 @@
     ) -> Result<Self, KvError> {
         let began = Instant::now();
         let kv = shared.platform.kv();
-        let (registry, progress, intake, commit, learned, voters) = tokio::join!(
+        let (registry, progress, intake, commit, learned, voters, retired) = tokio::join!(
             kv.range(shared.platform.registry_prefix()),
             kv.range(keys::PROGRESS_PREFIX),
             kv.range(keys::INTAKE_PREFIX),
             kv.get(keys::COMMIT),
             kv.get(keys::PRESSURES),
             kv.get(keys::VOTERS),
+            retirement::read(kv, term.fence),
         );
         let bounds = Bounds {
             lease_ms: WORKER_LEASE_MS.min(shared.settings.lease_max),
@@ -131,7 +132,12 @@
             driver.recover(item, &mut records);
         }
         driver.apply_intake(WatchUpdate::Listed(intake));
+        let retired = retired?;
+        if let Some(record) = &retired {
+            driver.dispatcher.restore_retirement(record, clock.now());
+        }
         Entry::new(Kind::ShardRecovered)
+            .with("retired", retired.is_some())
             .with("workers", driver.worker_names.len())
             .with("took-ms", began.elapsed().as_millis() as u64)
             .emit();
--- a/crates/verbenahitch/src/entry/owner/handover.rs
+++ b/crates/verbenahitch/src/entry/owner/handover.rs
@@ -94,11 +94,14 @@
                 (keys::OWNER.to_owned(), self.term.fence),
                 (keys::COMMIT.to_owned(), self.commit_revision),
             ],
-            puts: vec![Put {
-                key: keys::OWNER.to_owned(),
-                value: keys::encode(&request.owner),
-                lease: request.lease,
-            }],
+            puts: vec![
+                Put {
+                    key: keys::OWNER.to_owned(),
+                    value: keys::encode(&request.owner),
+                    lease: request.lease,
+                },
+                self.retirement(),
+            ],
             removes: vec![keys::SUCCESSOR.to_owned(), keys::SLOW.to_owned()],
         };
         let mut may_be_applied = false;
--- a/crates/verbenahitch/src/entry/owner/mod.rs
+++ b/crates/verbenahitch/src/entry/owner/mod.rs
@@ -3,6 +3,7 @@
 mod commit;
 mod driver;
 mod handover;
+mod retirement;
 mod updates;
 
 use std::rc::Rc;
@@ -114,6 +115,7 @@
         }
         if outcome == Outcome::Stopped {
             driver.finish_commit(&mut events).await;
+            driver.retire().await;
             election::revoke_lease(shared.platform.kv(), term.lease).await;
         }
         return outcome;
--- /dev/null
+++ b/crates/verbenahitch/src/entry/owner/retirement.rs
@@ -0,0 +1,98 @@
+//! Planned end of a term: the record of the owner that ends it, and its reading by the next one.
+//!
+//! The record counts only if no other owner came between. The store's history of the owner's
+//! key tells; it also shows an owner of a version that leaves no record.
+
+use std::time::Duration;
+
+use super::driver::{Driver, decode};
+use crate::dispatch::Retirement;
+use crate::domain::Millis;
+use crate::entry::keys;
+use crate::event::{Entry, Kind};
+use crate::port::{Change, Clock, Item, KeyValue, KvError, Platform, Put, Transaction};
+
+/// How long a stop waits for the commit of the record, and a new owner for the history, in
+/// milliseconds.
+const TIMEOUT_MS: Millis = 500;
+
+/// Largest number of calls for the history between two owners.
+const HISTORY_CALLS: u32 = 4;
+
+impl<P: Platform> Driver<P> {
+    /// Record of this owner, which must make no pass from now on if it is stored.
+    pub(super) fn retirement(&self) -> Put {
+        let record = self.dispatcher.retirement(self.clock.now());
+        Entry::new(Kind::OwnerRetired)
+            .with("fence", self.term.fence)
+            .with("acts-ms", record.acts_ms)
+            .with("silent", record.lapses.len())
+            .with(
+                "lapse-ms",
+                record.lapses.iter().map(|(_, lapse_ms)| *lapse_ms).max(),
+            )
+            .emit();
+        Put::persistent(keys::RETIRED.to_owned(), keys::encode(&record))
+    }
+
+    /// Ends the term in the store, with the record of this owner. Without an answer the
+    /// owner's key ends with its lease.
+    pub(super) async fn retire(&self) {
+        let transaction = Transaction {
+            expected: vec![(keys::OWNER.to_owned(), self.term.fence)],
+            puts: vec![self.retirement()],
+            removes: vec![keys::OWNER.to_owned(), keys::SLOW.to_owned()],
+        };
+        let limit = Duration::from_millis(TIMEOUT_MS);
+        let commit = self.shared.platform.kv().commit(&transaction);
+        match tokio::time::timeout(limit, commit).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => log::info!("the end of the term was not recorded: {error}"),
+            Err(_) => log::info!("no answer to the record of the end of the term"),
+        }
+    }
+}
+
+/// Reads the record of the owner before the one with the token `fence`; none if that owner
+/// left none, or may not have been the last.
+pub(super) async fn read<K: KeyValue>(kv: &K, fence: u64) -> Result<Option<Retirement>, KvError> {
+    let Some(item) = kv.get(keys::RETIRED).await? else {
+        return Ok(None);
+    };
+    // A hand-over writes both keys at once.
+    if item.revision != fence {
+        let limit = Duration::from_millis(TIMEOUT_MS);
+        let check = tokio::time::timeout(limit, is_next(kv, item.revision, fence)).await;
+        if !check.is_ok_and(|is_next| is_next) {
+            return Ok(None);
+        }
+    }
+    Ok(decode(&item))
+}
+
+/// Whether the owner with the token `fence` was the first one after the revision `retired`.
+async fn is_next<K: KeyValue>(kv: &K, retired: u64, fence: u64) -> bool {
+    let mut after = retired;
+    for _ in 0..HISTORY_CALLS {
+        let (changes, revision) = match kv.watch(keys::OWNER, after, 0).await {
+            Ok(update) => update,
+            Err(error) => {
+                log::info!("the history of the owner's key cannot be read: {error}");
+                return false;
+            }
+        };
+        if let Some(owner) = changes.iter().find_map(elected) {
+            return owner.revision == fence;
+        }
+        after = revision.max(after);
+    }
+    false
+}
+
+/// The owner's key as written by an election.
+fn elected(change: &Change) -> Option<&Item> {
+    match change {
+        Change::Put(item) if item.key == keys::OWNER => Some(item),
+        Change::Put(_) | Change::Removed(_) => None,
+    }
+}
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -78,6 +78,7 @@
     OwnerChanged = 306, "owner-changed", Info, "There is a new owner, or no owner.";
     OwnershipRequested = 307, "ownership-requested", Info, "Another host asks this owner for the ownership.";
     OwnerLag = 308, "owner-lag", Warn, "The owner's event loop began, or ceased, to run late.";
+    OwnerRetired = 309, "owner-retired", Info, "This owner ends its term as planned and records how long leases may last.";
     StoreDown = 310, "store-down", Warn, "The platform's store does not answer.";
     StoreUp = 311, "store-up", Info, "The platform's store answers, for the first time or again.";
     PermitLapsed = 312, "permit-lapsed", Warn, "No task may start until the zone is confirmed to be in service.";
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -2,7 +2,7 @@
 
 use test_case::test_case;
 use verbenahitch::dispatch::{JobId, JobState};
-use verbenahitch::domain::Monotonic;
+use verbenahitch::domain::{Millis, Monotonic};
 
 use super::world::{BOUNDS, Started, World, job, step};
 
@@ -228,7 +228,7 @@
     world.workers.get_mut(&worker).unwrap().silent = true;
     let lost_at = world.now;
     for _ in 0..12 {
-        world.take_over();
+        world.hand_over();
         world.run(1_000);
     }
     world.ledger.assert_once();
@@ -239,6 +239,117 @@
     assert!(starts[1].at <= lost_at + BOUNDS.lease_max_ms + BOUNDS.quorum_ms + 1_000);
 }
 
+/// Loss of a worker, and what its task has to wait for.
+struct Loss {
+    arrange: fn(&mut World, &str),
+    within_ms: Millis,
+}
+
+/// Another worker answers at the address of a lost one.
+fn replaced(world: &mut World, name: &str) {
+    world.replace_worker(name);
+}
+
+/// As before, and the owner changes without a planned end.
+fn replaced_at_takeover(world: &mut World, name: &str) {
+    world.replace_worker(name);
+    world.take_over();
+}
+
+/// The worker is lost just before a crash of the owner, which planned changes follow.
+fn silent_at_takeover(world: &mut World, name: &str) {
+    world.workers.get_mut(name).unwrap().silent = true;
+    world.take_over();
+    for _ in 0..5 {
+        world.run(1_000);
+        world.hand_over();
+    }
+}
+
+/// Most workers are lost one after another before the owner crashes. The registry no longer
+/// lists them.
+fn most_vanished(world: &mut World, name: &str) {
+    for lost in ["w00", "w01", "w02"] {
+        world.workers.get_mut(lost).unwrap().silent = true;
+        world.unlist_worker(lost);
+    }
+    assert!(["w00", "w01", "w02"].contains(&name));
+    world.run(2_500);
+    world.take_over();
+}
+
+/// Bounds: the age of a poll that fails; or the time for which an earlier owner may act with a
+/// quorum and the longest lease, with 5% and 2% for the clocks.
+#[test_case(Loss { arrange: replaced, within_ms: 1_500 }; "replaced")]
+#[test_case(Loss { arrange: replaced_at_takeover, within_ms: 1_500 }; "replaced at a takeover")]
+#[test_case(Loss { arrange: silent_at_takeover, within_ms: 9_500 }; "silent at a takeover before planned changes")]
+#[test_case(Loss { arrange: most_vanished, within_ms: 12_000 }; "most workers vanished before a takeover")]
+fn a_task_of_a_lost_worker_starts_elsewhere(case: Loss) {
+    let mut world = World::new(4);
+    for name in ["w03", "w02", "w01"] {
+        world.workers.get_mut(name).unwrap().slow_clock = true;
+    }
+    world.run(1_500);
+    let id = world.submit(1, "batch", job(vec![step(1, 1, 60_000)]));
+    world.run(1_500);
+    let name = world.starts_of(id)[0].worker.clone();
+    let lost_at = world.now;
+    (case.arrange)(&mut world, &name);
+    world.run(20_000);
+    world.ledger.assert_once();
+    let starts = world.starts_of(id);
+    assert_eq!(starts.len(), 2);
+    assert!(
+        starts[1].at <= lost_at + case.within_ms,
+        "{} ms",
+        starts[1].at - lost_at
+    );
+}
+
+/// A worker restarts under its name at another address. Its entry in the registry then names
+/// its first address again, at which another worker answers.
+#[test]
+fn an_entry_with_an_earlier_address_ends_no_run() {
+    let mut world = World::new(2);
+    world.run(1_500);
+    let now = world.now;
+    let worker = world.workers.get_mut("w00").unwrap();
+    worker.restart(now, 0);
+    worker.address = "moved:1".to_owned();
+    worker.info.address = "moved:1".to_owned();
+    world.list_workers();
+    world.run(1_500);
+    let id = world.submit(1, "batch", job(vec![step(2, 16, 60_000)]));
+    world.run(1_000);
+    assert_eq!(world.workers_of(id).len(), 2);
+    world.workers.get_mut("w00").unwrap().info.address = "w00:1".to_owned();
+    world.list_workers();
+    world.run(2_000);
+    world.take_over();
+    world.run(2_000);
+    world.ledger.assert_once();
+    assert_eq!(world.starts_of(id).len(), 2);
+}
+
+/// A worker restarts under its name, and is heard, while the assignment of a run is being
+/// recorded.
+#[test]
+fn a_start_waits_for_the_record_of_its_incarnation() {
+    let mut world = World::new(1);
+    world.run(1_500);
+    world.commit_ms = 1_500;
+    let id = world.submit(1, "push", job(vec![step(1, 1, 20_000)]));
+    world.run(50);
+    let now = world.now;
+    world.workers.get_mut("w00").unwrap().restart(now, 0);
+    while world.starts_of(id).is_empty() {
+        world.run(5);
+    }
+    let record = world.records[&id].record.clone();
+    assert_eq!(record.tasks[0].runs[0].2, 2);
+    assert_eq!(record.homes[0].1, 2);
+}
+
 /// The answer to a renewal was on its way while the process was paused.
 #[test]
 fn a_renewal_from_before_a_pause_lets_nothing_start() {
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -185,6 +185,7 @@
         self.dispatcher
             .upsert_worker(info.clone(), Monotonic(self.now));
         let worker = FakeWorker {
+            address: info.address.clone(),
             info,
             life: Incarnation {
                 number: 1,
@@ -286,12 +287,18 @@
         }
     }
 
-    /// Fails if the owner cannot reach a worker.
-    fn check_reachable(&self, name: &str) -> Result<(), CallFailure> {
+    /// Fails if the owner cannot reach a worker, or not at this address.
+    fn check_reachable(&self, name: &str, address: &str) -> Result<(), CallFailure> {
         if self.cut.contains(name) {
             return Err(CallFailure::Unanswered("cut".to_owned()));
         }
-        self.workers[name].check_reachable(self.now)
+        let worker = &self.workers[name];
+        worker.check_reachable(self.now)?;
+        if worker.address == address {
+            Ok(())
+        } else {
+            Err(CallFailure::OtherLife)
+        }
     }
 
     fn deliver(&mut self) {
@@ -336,20 +343,22 @@
                 let (key, name) = (start.target.key, start.target.name.clone());
                 let orders = self.start_orders.entry(name.clone()).or_default();
                 orders.push(self.now);
-                if let Some(due) = self.delays_order(&name) {
+                let address = start.target.address.clone();
+                if let Some(due) = self.delays_order(&name, &address) {
                     let failure = CallFailure::Unanswered("delayed".to_owned());
                     self.events.push((at, Event::Started(key, Err(failure))));
                     let late = (due, self.fence, Order::Start(start));
                     self.late_orders.push(late);
                     return;
                 }
-                let result = self.check_reachable(&name);
+                let result = self.check_reachable(&name, &address);
                 let result = result.and_then(|()| self.start(&start, self.fence));
                 self.events.push((at, Event::Started(key, result)));
             }
             Order::Stop(target) => {
                 let (fence, now) = (self.fence, self.now);
-                let result = self.check_reachable(&target.name).and_then(|()| {
+                let reached = self.check_reachable(&target.name, &target.address);
+                let result = reached.and_then(|()| {
                     let worker = self.workers.get_mut(&target.name).unwrap();
                     worker.stop(&target, fence, now)
                 });
@@ -371,8 +380,8 @@
     }
 
     /// When a worker carries out an order that it receives now, if it delays orders.
-    fn delays_order(&self, name: &str) -> Option<Millis> {
-        self.check_reachable(name).ok()?;
+    fn delays_order(&self, name: &str, address: &str) -> Option<Millis> {
+        self.check_reachable(name, address).ok()?;
         Some(self.now + self.workers[name].order_delay?)
     }
 
@@ -419,7 +428,8 @@
                 .ended
                 .iter()
                 .any(|end| end.sequence > poll.acked);
-            if self.check_reachable(&poll.name).is_ok() && !has_end && now < due {
+            let is_reached = self.check_reachable(&poll.name, &poll.address).is_ok();
+            if is_reached && !has_end && now < due {
                 self.polls.push((due, poll));
                 continue;
             }
@@ -433,7 +443,7 @@
         let fence = self.fence;
         let tails = self.tails(&poll.name);
         let now = self.now;
-        self.check_reachable(&poll.name)?;
+        self.check_reachable(&poll.name, &poll.address)?;
         let worker = self.workers.get_mut(&poll.name).unwrap();
         worker.check_fence(fence)?;
         worker.extend_leases(poll.lease_end.unwrap_or(0), now);
--- a/testsuite/tests/testsuite/dispatch/world/owners.rs
+++ b/testsuite/tests/testsuite/dispatch/world/owners.rs
@@ -39,6 +39,14 @@
         }
     }
 
+    /// Replaces the owner as planned.
+    pub fn hand_over(&mut self) {
+        let record = self.dispatcher.retirement(Monotonic(self.now));
+        self.take_over();
+        let now = Monotonic(self.now);
+        self.dispatcher.restore_retirement(&record, now);
+    }
+
     /// Lets the owner go on without the store, reaching only the workers in `zone`; a new
     /// owner reaches the others.
     pub fn split_owner(&mut self, zone: &[&str]) {
--- a/testsuite/tests/testsuite/dispatch/world/registry.rs
+++ b/testsuite/tests/testsuite/dispatch/world/registry.rs
@@ -27,6 +27,15 @@
         self.dispatcher.unlist_worker(name, Monotonic(self.now));
     }
 
+    /// Ends a worker; another one, which the registry does not list yet, takes its address.
+    pub fn replace_worker(&mut self, name: &str) {
+        let worker = self.workers.get_mut(name).unwrap();
+        worker.replaced = true;
+        worker.life.runs.clear();
+        worker.unlisted = true;
+        self.dispatcher.unlist_worker(name, Monotonic(self.now));
+    }
+
     /// Brings the workers' entries in the registry up to date.
     pub fn list_workers(&mut self) {
         for worker in self.workers.values_mut() {
--- a/testsuite/tests/testsuite/dispatch/world/worker.rs
+++ b/testsuite/tests/testsuite/dispatch/world/worker.rs
@@ -42,6 +42,8 @@
 pub struct FakeWorker {
     /// Entry in the registry, which may be behind.
     pub info: WorkerInfo,
+    /// Address at which it takes calls.
+    pub address: String,
     pub life: Incarnation,
     /// Whether it has no entry in the registry.
     pub unlisted: bool,
@@ -49,6 +51,8 @@
     pub down_until: Millis,
     /// Until when another worker answers at its address.
     pub moved_until: Millis,
+    /// Whether it has ended, and another worker answers at its address.
+    pub replaced: bool,
     /// Time that a stop takes, in milliseconds.
     pub stop_ms: Millis,
     /// Whether its clock runs 2% slow.
@@ -85,7 +89,7 @@
         if now < self.down_until {
             return Err(CallFailure::NotSent("refused".to_owned()));
         }
-        if now < self.moved_until {
+        if now < self.moved_until || self.replaced {
             return Err(CallFailure::OtherLife);
         }
         if self.silent {
