Entry hosts: client keys, bounded age of what a host knows of them

Change: entry::accounts decides without I/O who a caller is, which version is in force and how old its confirmation by the store is; 401 for missing, unknown and withdrawn keys, 503 with Retry-After while a strict deployment's host cannot know. Confirmations are listings, or strong reads that the watch has covered, and count from their sending. Routes are indexed by host and prefix. A job's record names the account; a cancel of another account's job finds no job. A document is parsed once, and of several changes of a key only the last one. Conclusion: switched on only by declared accounts.

--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -5,23 +5,26 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
+use arc_swap::ArcSwap;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use super::accounts::{InForce, Offer, Revocation};
 use super::intake::{self, Intake};
 use super::keys::{self, OwnerRecord, SuccessorRecord};
 use super::link::{self, Inbox};
 use super::owner::OwnerEvent;
+use super::pause::boot_now;
 use super::succession::Capability;
-use super::watcher::{WatchTiming, WatchUpdate, watch_prefix};
-use super::{election, owner};
-use crate::collections::HashMap;
+use super::watcher::{Coverage, WatchTiming, WatchUpdate, watch_prefix};
+use super::{election, observe, owner};
+use crate::collections::{HashMap, HashSet};
 use crate::dispatch::{Account, Queue};
-use crate::domain::Millis;
+use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
-use crate::port::{Change, Directive, Item, Platform, Queues};
+use crate::port::{Change, Directive, Item, KeyValue, Platform, Queues, Unreadable};
 
 /// Timing of the watches on the operators' keys and the owner's key. The wait is a
 /// quarter of the time within which a change must be in force.
@@ -30,6 +33,19 @@
     pause_ms: 0,
 };
 
+/// Timing of the watch on the operators' keys while calls with keys are refused.
+const CATCH_UP_WATCH: WatchTiming = WatchTiming {
+    wait_ms: CATCH_UP_MS,
+    pause_ms: 0,
+};
+
+/// Time between two strong reads that confirm the version in force, in milliseconds. With
+/// the wait of the watch it is well below the shortest bound of a withdrawal.
+const CONFIRM_MS: Millis = 1_000;
+
+/// The same while calls with keys are refused, in milliseconds.
+const CATCH_UP_MS: Millis = 200;
+
 /// Settings of an entry host, without those of the platform.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -41,6 +57,8 @@
     pub share: f64,
     /// Longest lease that workers accept, in milliseconds.
     pub lease_max: Millis,
+    /// How long a withdrawn key may still be used.
+    pub revocation: Revocation,
 }
 
 /// The owner that the store names.
@@ -66,7 +84,9 @@
 pub(super) struct Shared<P> {
     pub platform: P,
     pub settings: EntrySettings,
-    pub queues: Arc<ArcSwapOption<Queues>>,
+    pub in_force: Arc<ArcSwap<InForce>>,
+    /// Whether the version in force was confirmed in time when it was last looked at.
+    was_fresh: Cell<bool>,
     pub evacuated_zones: RefCell<Vec<String>>,
     pub owner: watch::Sender<Option<KnownOwner>>,
     /// Largest share of a core of all owners seen, zero before the first.
@@ -87,7 +107,8 @@
 
     /// Queues and client accounts in force, and the evacuated zones.
     pub fn declared(&self) -> (Vec<Queue>, Vec<Account>, Vec<String>) {
-        let declared = self.queues.load_full();
+        let in_force = self.in_force.load();
+        let declared = in_force.declared().map(|declared| declared.queues());
         let routes = declared.iter().flat_map(|queues| &queues.routes);
         let queues = routes.map(|route| route.queue.clone()).collect();
         let accounts = declared.iter().flat_map(|queues| &queues.accounts);
@@ -106,6 +127,45 @@
         }
     }
 
+    /// Whether calls with keys can be served.
+    fn is_fresh(&self) -> bool {
+        boot_now().is_some_and(|now| self.in_force.load().is_fresh(now))
+    }
+
+    /// Changes what is known of the version in force.
+    fn update<T>(&self, change: impl FnOnce(&mut InForce) -> T) -> T {
+        let mut next = InForce::clone(&self.in_force.load());
+        let result = change(&mut next);
+        self.in_force.store(Arc::new(next));
+        result
+    }
+
+    /// Reports the age of the version in force, and whether it is too old for calls with
+    /// keys.
+    fn report_age(&self) {
+        let in_force = self.in_force.load();
+        if !in_force.needs_confirmation() {
+            return;
+        }
+        let now = boot_now().unwrap_or(Monotonic(Millis::MAX));
+        let (age, fresh) = (in_force.age_ms(now), in_force.is_fresh(now));
+        observe::set_declaration_age(age);
+        if self.was_fresh.replace(fresh) == fresh {
+            return;
+        }
+        let kind = if fresh {
+            Kind::DeclarationsConfirmed
+        } else {
+            Kind::DeclarationsOutdated
+        };
+        let version = in_force.declared().map(|held| held.queues().version);
+        Entry::new(kind)
+            .with("version", version)
+            .with("age-ms", age)
+            .with("store-up", self.is_store_up())
+            .emit();
+    }
+
     fn apply_owner_change(&self, change: &Change) {
         match change {
             Change::Put(item) if item.key == keys::OWNER => self.set_owner(Some(read_owner(item))),
@@ -179,12 +239,13 @@
     /// Creates a host; [`EntryHost::run`] starts it.
     pub fn new(platform: P, settings: EntrySettings, stopping: watch::Receiver<bool>) -> Self {
         let (sender, calls) = mpsc::unbounded_channel();
-        let queues = Arc::new(ArcSwapOption::empty());
+        let in_force = Arc::new(ArcSwap::from_pointee(InForce::new(settings.revocation)));
         let store_up = Arc::new(AtomicBool::new(false));
         let shared = Shared {
             platform,
             settings,
-            queues: Arc::clone(&queues),
+            in_force: Arc::clone(&in_force),
+            was_fresh: Cell::new(false),
             evacuated_zones: RefCell::new(Vec::new()),
             owner: watch::channel(None).0,
             largest_share: Cell::new(0.0),
@@ -197,7 +258,7 @@
             shared: Rc::new(shared),
             intake: Intake {
                 calls: sender,
-                queues,
+                in_force,
                 store_up,
             },
             calls,
@@ -226,6 +287,7 @@
             link::serve(listener, shared.inbox.clone()),
             intake::serve(Rc::clone(&shared), calls),
             watch_operators(&shared),
+            confirm(&shared),
             watch_owner(&shared),
             election::campaign(&shared),
         );
@@ -234,10 +296,17 @@
 }
 
 async fn watch_operators<P: Platform>(shared: &Shared<P>) {
-    let mut zones: HashMap<String, String> = HashMap::default();
+    let mut operators = Operators::default();
     let kv = shared.platform.kv();
     let prefix = shared.platform.operator_prefix();
-    watch_prefix(kv, prefix, CONTROL_WATCH, |update| {
+    let timing = || {
+        if shared.is_fresh() {
+            CONTROL_WATCH
+        } else {
+            CATCH_UP_WATCH
+        }
+    };
+    watch_prefix(kv, prefix, timing, |update, coverage| {
         shared.set_store_up(
             !matches!(update, WatchUpdate::Unavailable(_)),
             match &update {
@@ -245,26 +314,12 @@
                 _ => None,
             },
         );
-        match update {
-            WatchUpdate::Listed(items) => {
-                zones.clear();
-                for item in &items {
-                    apply_directive(shared, &mut zones, item);
-                }
-            }
-            WatchUpdate::Changes(changes) => {
-                for change in changes {
-                    match change {
-                        Change::Put(item) => apply_directive(shared, &mut zones, &item),
-                        Change::Removed(key) => {
-                            zones.remove(&key);
-                        }
-                    }
-                }
-            }
-            WatchUpdate::Unchanged | WatchUpdate::Unavailable(_) => return,
+        let has_changed = operators.apply(shared, update, coverage);
+        shared.report_age();
+        if !has_changed {
+            return;
         }
-        let mut evacuated: Vec<String> = zones.values().cloned().collect();
+        let mut evacuated: Vec<String> = operators.zones.values().cloned().collect();
         evacuated.sort_unstable();
         if *shared.evacuated_zones.borrow() != evacuated {
             Entry::new(Kind::Declared)
@@ -277,42 +332,155 @@
     .await;
 }
 
-fn apply_directive<P: Platform>(
-    shared: &Shared<P>,
-    zones: &mut HashMap<String, String>,
-    item: &Item,
-) {
-    match shared.platform.parse_directive(item) {
-        Ok(Directive::Queues(queues)) => {
-            let held = shared.queues.load_full();
-            if held.is_some_and(|held| held.version >= queues.version) {
-                return;
+/// Asks the store again and again for its revision, so that the watch can tell how old
+/// what it has heard is.
+async fn confirm<P: Platform>(shared: &Shared<P>) {
+    loop {
+        let pause = if shared.is_fresh() {
+            CONFIRM_MS
+        } else {
+            CATCH_UP_MS
+        };
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        if !shared.in_force.load().needs_confirmation() {
+            continue;
+        }
+        let Some(asked) = boot_now() else {
+            continue;
+        };
+        match shared.platform.kv().range(keys::READ_PREFIX).await {
+            Ok((_, revision)) => shared.update(|in_force| in_force.read(asked, revision)),
+            Err(error) => log::info!("the version in force was not confirmed: {error}"),
+        }
+        shared.report_age();
+    }
+}
+
+/// What the watch has heard of the operators' keys.
+#[derive(Default)]
+struct Operators {
+    /// Evacuated zones by key.
+    zones: HashMap<String, String>,
+    /// Key of the document that declares queues and accounts, once it was seen.
+    document: Option<String>,
+}
+
+impl Operators {
+    /// Applies an update; returns whether there may be a change.
+    fn apply<P: Platform>(
+        &mut self,
+        shared: &Shared<P>,
+        update: WatchUpdate,
+        coverage: Coverage,
+    ) -> bool {
+        let has_changed = match update {
+            WatchUpdate::Listed(items) => {
+                self.zones.clear();
+                let mut has_document = false;
+                for item in &items {
+                    has_document |= self.apply_item(shared, item);
+                }
+                match coverage.asked {
+                    Some(asked) if has_document => shared.update(|in_force| in_force.list(asked)),
+                    _ => {}
+                }
+                if !has_document {
+                    shared.update(InForce::remove);
+                }
+                true
             }
-            Entry::new(Kind::Declared)
-                .with("version", queues.version)
-                .with("queues", queues.routes.len())
-                .emit();
-            shared.queues.store(Some(Arc::new(queues)));
+            WatchUpdate::Changes(changes) => {
+                let mut seen = HashSet::default();
+                // A key's last change is the one that counts.
+                for change in changes.iter().rev() {
+                    match change {
+                        Change::Put(item) if seen.insert(item.key.as_str()) => {
+                            self.apply_item(shared, item);
+                        }
+                        Change::Removed(key) if seen.insert(key.as_str()) => {
+                            self.zones.remove(key);
+                            if self.document.as_ref() == Some(key) {
+                                shared.update(InForce::remove);
+                            }
+                        }
+                        Change::Put(_) | Change::Removed(_) => {}
+                    }
+                }
+                true
+            }
+            WatchUpdate::Unchanged => false,
+            WatchUpdate::Unavailable(_) => return false,
+        };
+        if shared.in_force.load().needs_confirmation() {
+            shared.update(|in_force| in_force.cover(coverage.revision));
         }
-        Ok(Directive::Evacuate(zone)) => {
-            zones.insert(item.key.clone(), zone);
+        has_changed
+    }
+
+    /// Applies an entry; returns whether it is the document that declares queues and
+    /// accounts.
+    fn apply_item<P: Platform>(&mut self, shared: &Shared<P>, item: &Item) -> bool {
+        let is_document = self.document.as_ref() == Some(&item.key);
+        if is_document && !shared.in_force.load().is_new(item.revision) {
+            return true;
         }
-        Ok(Directive::Other) => {}
-        Err(cause) => Entry::new(Kind::DeclarationUnreadable)
-            .with("key", &item.key)
-            .with("revision", item.revision)
-            .with("cause", cause)
+        match shared.platform.parse_directive(item) {
+            Ok(Directive::Queues(queues)) => {
+                self.document = Some(item.key.clone());
+                offer(shared, item, queues);
+                true
+            }
+            Ok(Directive::Evacuate(zone)) => {
+                self.zones.insert(item.key.clone(), zone);
+                false
+            }
+            Ok(Directive::Other) => false,
+            Err(Unreadable { cause, listed }) => {
+                self.document = Some(item.key.clone());
+                shared.update(|in_force| {
+                    in_force.offer_unreadable(item.revision, listed.as_ref());
+                });
+                report_unusable(item, cause);
+                true
+            }
+        }
+    }
+}
+
+fn offer<P: Platform>(shared: &Shared<P>, item: &Item, queues: Queues) {
+    let (version, routes) = (queues.version, queues.routes.len());
+    let accounts = queues.accounts.as_ref().map(Vec::len);
+    match shared.update(|in_force| in_force.offer(item.revision, queues)) {
+        Offer::Adopted => Entry::new(Kind::Declared)
+            .with("version", version)
+            .with("queues", routes)
+            .with("accounts", accounts)
             .emit(),
+        Offer::Held => {}
+        Offer::Superseded => report_unusable(
+            item,
+            format!("version {version} is no newer than the one in force and differs from it"),
+        ),
+        Offer::Faulty(fault) => report_unusable(item, format!("version {version}: {fault}")),
     }
 }
 
+/// Reports a document that does not come into force.
+fn report_unusable(item: &Item, cause: String) {
+    Entry::new(Kind::DeclarationUnreadable)
+        .with("key", &item.key)
+        .with("revision", item.revision)
+        .with("cause", cause)
+        .emit();
+}
+
 async fn watch_owner<P: Platform>(shared: &Shared<P>) {
     let kv = shared.platform.kv();
     watch_prefix(
         kv,
         keys::OWNER_PREFIX,
-        CONTROL_WATCH,
-        |update| match update {
+        || CONTROL_WATCH,
+        |update, _| match update {
             WatchUpdate::Listed(items) => {
                 shared.knows_owner.set(true);
                 let find = |key: &str| items.iter().find(|item| item.key == key);
--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -10,17 +10,20 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, oneshot};
 
+use super::accounts::{Admission, Declared, Denial, InForce};
 use super::host::Shared;
 use super::keys::{self, JobEntry};
 use super::link::Link;
+use super::observe;
 use super::owner::OwnerEvent;
+use super::pause::boot_now;
 use crate::dispatch::{JobId, JobRecord, JobState, ProgressRecord};
-use crate::domain::Millis;
+use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
-use crate::port::{KeyValue, KvError, Platform, Put, Queues, Transaction};
+use crate::port::{Item, KeyDigest, KeyValue, KvError, Platform, Put, QueueRoute, Transaction};
 
 /// `Retry-After` of callers that are refused for the time being, such as when the store
 /// is unavailable, in milliseconds. The store recovers within seconds, and callers that
@@ -55,7 +58,7 @@
 #[derive(Debug)]
 pub(super) enum Call {
     Submit(JobId, Box<JobRecord>, oneshot::Sender<IntakeOutcome>),
-    Cancel(JobId, oneshot::Sender<IntakeOutcome>),
+    Cancel(JobId, Option<Arc<str>>, oneshot::Sender<IntakeOutcome>),
     State(JobId, oneshot::Sender<Status>),
     Waiting(String, oneshot::Sender<Option<usize>>),
 }
@@ -64,20 +67,47 @@
 #[derive(Clone, Debug)]
 pub struct Intake {
     pub(super) calls: mpsc::UnboundedSender<Call>,
-    pub(super) queues: Arc<ArcSwapOption<Queues>>,
+    pub(super) in_force: Arc<ArcSwap<InForce>>,
     pub(super) store_up: Arc<AtomicBool>,
 }
 
 impl Intake {
-    /// Queues in force; `None` until they have been read once.
-    pub fn queues(&self) -> Option<Arc<Queues>> {
-        self.queues.load_full()
+    /// Declarations in force; `None` until they have been read once.
+    pub fn declared(&self) -> Option<Arc<Declared>> {
+        self.in_force.load().declared().cloned()
     }
 
-    /// Whether this host can accept jobs. While the store refuses only this host,
-    /// callers should use another one.
+    /// Whether this host can accept jobs. While the store refuses only this host, or this
+    /// host does not know which keys are good, callers should use another one.
     pub fn is_ready(&self) -> bool {
-        self.queues.load().is_some() && self.store_up.load(Ordering::Relaxed)
+        let in_force = self.in_force.load();
+        in_force.declared().is_some()
+            && self.store_up.load(Ordering::Relaxed)
+            && boot_now().is_some_and(|now| in_force.is_fresh(now))
+    }
+
+    /// Decides whether a call that has arrived is served, and for which account.
+    pub fn authenticate(&self, route: &QueueRoute, key: Option<&KeyDigest>) -> Admission {
+        let in_force = self.in_force.load();
+        let in_touch = self.store_up.load(Ordering::Relaxed);
+        // Without a clock nothing is known to be recent.
+        let now = boot_now().unwrap_or(Monotonic(Millis::MAX));
+        let admission = in_force.admit(now, in_touch, route.public, key);
+        if let Err(denial) = &admission {
+            observe::record_denial(denial);
+            let account = match denial {
+                Denial::Withdrawn(name) => Some(name.as_ref()),
+                Denial::NoKey | Denial::Unknown | Denial::Outdated => None,
+            };
+            Entry::new(Kind::KeyRefused)
+                .with("queue", &route.queue.name)
+                .with("cause", denial.name())
+                .with("account", account)
+                .with("age-ms", in_force.age_ms(now))
+                .with("store-up", in_touch)
+                .emit();
+        }
+        admission
     }
 
     /// Accepts a job.
@@ -86,9 +116,9 @@
         answer.await.unwrap_or(IntakeOutcome::Unknown)
     }
 
-    /// Cancels a job.
-    pub async fn cancel(&self, id: JobId) -> IntakeOutcome {
-        let answer = self.call(|sender| Call::Cancel(id, sender));
+    /// Cancels a job for `account`; there is no such job if it belongs to another account.
+    pub async fn cancel(&self, id: JobId, account: Option<Arc<str>>) -> IntakeOutcome {
+        let answer = self.call(|sender| Call::Cancel(id, account, sender));
         answer.await.unwrap_or(IntakeOutcome::Unknown)
     }
 
@@ -141,8 +171,8 @@
             Call::Submit(id, record, answer) => {
                 let _ = answer.send(self.submit(id, *record).await);
             }
-            Call::Cancel(id, answer) => {
-                let _ = answer.send(self.cancel(id).await);
+            Call::Cancel(id, account, answer) => {
+                let _ = answer.send(self.cancel(id, account.as_deref()).await);
             }
             Call::State(id, answer) => {
                 let _ = answer.send(self.state(id).await);
@@ -214,11 +244,12 @@
         });
     }
 
-    async fn cancel(&self, id: JobId) -> IntakeOutcome {
+    async fn cancel(&self, id: JobId, account: Option<&str>) -> IntakeOutcome {
         if !self.shared.is_store_up() {
             return IntakeOutcome::Refused;
         }
         match self.shared.platform.kv().get(&keys::job(id)).await {
+            Ok(Some(item)) if is_foreign(&item, account) => return IntakeOutcome::Missing,
             Ok(Some(_)) => {}
             Ok(None) => return IntakeOutcome::Missing,
             Err(error) => {
@@ -317,3 +348,20 @@
             .and_then(|owner| owner.record.address.parse().ok())
     }
 }
+
+/// Whether a job's entry names another account than the caller's. Either may be without
+/// one: the caller on a public route, and a job that was accepted there.
+fn is_foreign(item: &Item, caller: Option<&str>) -> bool {
+    match serde_json::from_slice(&item.value) {
+        Ok(JobEntry::Open(JobRecord {
+            account: Some(account),
+            ..
+        })) => caller.is_some_and(|caller| caller != account),
+        // The entry of a job that has ended keeps no account, and its cancel does nothing.
+        Ok(JobEntry::Open(_) | JobEntry::Ended(_)) => false,
+        Err(error) => {
+            log::error!("{} cannot be parsed: {error}", item.key);
+            false
+        }
+    }
+}
--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -19,6 +19,9 @@
 /// Prefix of the owner's key.
 pub(super) const OWNER_PREFIX: &str = "lead/";
 
+/// Prefix without keys: a listing of it shows the store's revision and nothing else.
+pub(super) const READ_PREFIX: &str = "read/";
+
 /// Key of the owner; its revision is the fencing token. It is written only when the
 /// ownership begins.
 pub(super) const OWNER: &str = "lead/owner";
--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -6,9 +6,10 @@
 //! otherwise find the job through its own watch. Accepting, cancelling and reading
 //! the state of a job need only the store when the owner does not answer.
 //!
-//! [`intake`] serves callers, `election` elects the owner by the rules in [`succession`], `owner` runs the
+//! [`intake`] serves callers, [`accounts`] decides who a caller is, `election` elects the owner by the rules in [`succession`], `owner` runs the
 //! [`Dispatcher`](crate::dispatch::Dispatcher), `link` carries calls to the owner.
 
+pub mod accounts;
 mod election;
 mod host;
 pub mod intake;
@@ -17,6 +18,7 @@
 pub mod observe;
 mod owner;
 mod pause;
+pub mod routes;
 pub mod succession;
 mod watcher;
 
--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -4,6 +4,9 @@
 
 use metrics::{counter, gauge, histogram};
 
+use super::accounts::Denial;
+use crate::domain::Millis;
+
 /// Records a final answer to a caller and its duration.
 pub fn record_answer(method: &str, status: u16, took: Duration) {
     let labels = [
@@ -15,6 +18,23 @@
         .record(took.as_secs_f64());
 }
 
+/// Records a call that was refused for its key.
+pub(super) fn record_denial(denial: &Denial) {
+    let account = match denial {
+        Denial::Withdrawn(name) => name.to_string(),
+        Denial::NoKey | Denial::Unknown | Denial::Outdated => String::new(),
+    };
+    let labels = [("cause", denial.name().to_owned()), ("account", account)];
+    counter!("verbenahitch_keys_refused_total", &labels).increment(1);
+}
+
+/// Sets the age of the declarations in force; infinite before the first confirmation.
+pub(super) fn set_declaration_age(age: Option<Millis>) {
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52 milliseconds")]
+    let seconds = age.map_or(f64::INFINITY, |age| age as f64 / 1_000.0);
+    gauge!("verbenahitch_declaration_age_seconds").set(seconds);
+}
+
 /// Records a call to a worker that the dispatcher ordered, and its duration.
 pub(super) fn record_order(kind: &'static str, is_ok: bool, took: Duration) {
     let outcome = if is_ok { "done" } else { "failed" };
--- a/crates/verbenahitch/src/entry/owner/mod.rs
+++ b/crates/verbenahitch/src/entry/owner/mod.rs
@@ -159,17 +159,27 @@
 
 async fn watch_intake<P: Platform>(shared: Rc<Shared<P>>, sender: Sender) {
     let kv = shared.platform.kv();
-    watch_prefix(kv, keys::INTAKE_PREFIX, INTAKE_WATCH, |update| {
-        let _ = sender.send(OwnerEvent::Intake(update));
-    })
+    watch_prefix(
+        kv,
+        keys::INTAKE_PREFIX,
+        || INTAKE_WATCH,
+        |update, _| {
+            let _ = sender.send(OwnerEvent::Intake(update));
+        },
+    )
     .await;
 }
 
 async fn watch_registry<P: Platform>(shared: Rc<Shared<P>>, sender: Sender) {
     let kv = shared.platform.kv();
     let prefix = shared.platform.registry_prefix();
-    watch_prefix(kv, prefix, REGISTRY_WATCH, |update| {
-        let _ = sender.send(OwnerEvent::Registry(update));
-    })
+    watch_prefix(
+        kv,
+        prefix,
+        || REGISTRY_WATCH,
+        |update, _| {
+            let _ = sender.send(OwnerEvent::Registry(update));
+        },
+    )
     .await;
 }
--- a/crates/verbenahitch/src/entry/pause.rs
+++ b/crates/verbenahitch/src/entry/pause.rs
@@ -2,7 +2,7 @@
 
 use nix::time::{ClockId, clock_gettime};
 
-use crate::domain::Millis;
+use crate::domain::{Millis, Monotonic};
 
 /// Gap between two readings above which the process counts as paused, in
 /// milliseconds. Half of the shortest time after which another host can be owner.
@@ -29,14 +29,20 @@
 }
 
 fn boot_ms() -> Millis {
+    boot_now().map_or(0, |now| now.0)
+}
+
+/// Time of the boot-time clock, which also runs while the host is suspended; `None` if it
+/// cannot be read.
+pub(super) fn boot_now() -> Option<Monotonic> {
     match clock_gettime(ClockId::CLOCK_BOOTTIME) {
         Ok(time) => {
             let millis = time.tv_sec() * 1000 + time.tv_nsec() / 1_000_000;
-            Millis::try_from(millis).unwrap_or(0)
+            Millis::try_from(millis).ok().map(Monotonic)
         }
         Err(error) => {
             log::error!("CLOCK_BOOTTIME cannot be read: {error}");
-            0
+            None
         }
     }
 }
--- a/crates/verbenahitch/src/entry/watcher.rs
+++ b/crates/verbenahitch/src/entry/watcher.rs
@@ -4,7 +4,8 @@
 
 use rand::Rng;
 
-use crate::domain::Millis;
+use super::pause::boot_now;
+use crate::domain::{Millis, Monotonic};
 use crate::port::{Change, Item, KeyValue, KvError};
 
 /// Shortest delay after a failed call, in milliseconds.
@@ -35,6 +36,15 @@
     Unavailable(KvError),
 }
 
+/// What an update covers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Coverage {
+    /// Boot time at which the call was sent; `None` if unknown.
+    pub asked: Option<Monotonic>,
+    /// Revision up to which all changes are known; zero after a failed call.
+    pub revision: u64,
+}
+
 /// Watches the keys that begin with `prefix` until it is dropped.
 ///
 /// After any failure of a watch call the prefix is listed again, so that changes
@@ -42,34 +52,38 @@
 pub(super) async fn watch_prefix<K: KeyValue>(
     kv: &K,
     prefix: &str,
-    timing: WatchTiming,
-    mut on_update: impl FnMut(WatchUpdate),
+    timing: impl Fn() -> WatchTiming,
+    mut on_update: impl FnMut(WatchUpdate, Coverage),
 ) {
     loop {
+        let asked = boot_now();
         let mut after = match kv.range(prefix).await {
             Ok((items, revision)) => {
-                on_update(WatchUpdate::Listed(items));
+                on_update(WatchUpdate::Listed(items), Coverage { asked, revision });
                 revision
             }
             Err(error) => {
-                on_update(WatchUpdate::Unavailable(error));
+                on_update(WatchUpdate::Unavailable(error), Coverage::default());
                 back_off().await;
                 continue;
             }
         };
         loop {
+            let timing = timing();
+            let asked = boot_now();
             match kv.watch(prefix, after, timing.wait_ms).await {
                 Ok((changes, revision)) => {
                     after = revision.max(after);
-                    if changes.is_empty() {
-                        on_update(WatchUpdate::Unchanged);
+                    let update = if changes.is_empty() {
+                        WatchUpdate::Unchanged
                     } else {
-                        on_update(WatchUpdate::Changes(changes));
-                    }
+                        WatchUpdate::Changes(changes)
+                    };
+                    on_update(update, Coverage { asked, revision });
                 }
                 Err(KvError::Compacted) => break,
                 Err(error) => {
-                    on_update(WatchUpdate::Unavailable(error));
+                    on_update(WatchUpdate::Unavailable(error), Coverage::default());
                     back_off().await;
                     break;
                 }
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -90,4 +90,7 @@
     PeerLost = 405, "peer-lost", Warn, "Another process is no longer live.";
     PeerHeard = 406, "peer-heard", Info, "Another process is live, for the first time or again.";
     DeclarationUnreadable = 407, "declaration-unreadable", Warn, "A record that operators or workers wrote cannot be parsed and is ignored.";
+    KeyRefused = 408, "key-refused", Info, "A call was refused: its key is missing, unknown or withdrawn, or what this host knows of keys is too old.";
+    DeclarationsOutdated = 409, "declarations-outdated", Warn, "The store has not confirmed the declarations in time; calls with keys are refused.";
+    DeclarationsConfirmed = 410, "declarations-confirmed", Info, "The store has confirmed the declarations, for the first time or again; calls with keys are served.";
 }
--- a/crates/verbenahitch/src/port/dispatch.rs
+++ b/crates/verbenahitch/src/port/dispatch.rs
@@ -1,8 +1,12 @@
 //! The platform's interfaces that the dispatcher uses: calls to workers, and the
 //! entries that operators and workers write to the key-value service.
 
+use std::hash::{Hash, Hasher};
+
 use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
 
+use crate::collections::HashSet;
 use crate::dispatch::{Account, CallFailure, Poll, Queue, Report, Start, Target, WorkerInfo};
 
 use super::{Item, KeyValue};
@@ -20,8 +24,9 @@
     pub public: bool,
 }
 
-/// SHA-256 digest of a caller's key.
-#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+/// SHA-256 digest of a caller's key. Comparisons take the same time wherever two digests
+/// differ.
+#[derive(Clone, Copy, Eq)]
 pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
@@ -31,6 +36,20 @@
     }
 }
 
+impl PartialEq for KeyDigest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Hash for KeyDigest {
+    /// A part of the digest suffices: digests are spread evenly.
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        state.write_u64(u64::from_le_bytes([a, b, c, d, e, f, g, h]));
+    }
+}
+
 impl std::fmt::Debug for KeyDigest {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("KeyDigest(..)")
@@ -68,6 +87,15 @@
     Other,
 }
 
+/// The document that declares queues and accounts cannot be read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unreadable {
+    /// Cause; it shows no key.
+    pub cause: String,
+    /// Digests of the keys that the document lists, if these can be read.
+    pub listed: Option<HashSet<KeyDigest>>,
+}
+
 /// Calls to the platform.
 #[expect(
     async_fn_in_trait,
@@ -97,8 +125,8 @@
     ///
     /// # Errors
     ///
-    /// When the entry is malformed.
-    fn parse_directive(&self, item: &Item) -> Result<Directive, String>;
+    /// When the document that declares queues and accounts is malformed.
+    fn parse_directive(&self, item: &Item) -> Result<Directive, Unreadable>;
 
     /// Extends the leases of a worker's tasks and reads its lists of running and finished runs.
     ///
--- a/crates/verbenahitch/src/port/mod.rs
+++ b/crates/verbenahitch/src/port/mod.rs
@@ -11,7 +11,7 @@
 mod worker;
 
 pub use clock::{Clock, ManualClock, SystemClock};
-pub use dispatch::{Directive, KeyDigest, KeyedAccount, Platform, QueueRoute, Queues};
+pub use dispatch::{Directive, KeyDigest, KeyedAccount, Platform, QueueRoute, Queues, Unreadable};
 pub use hosts::{HostRecord, HostState};
 pub use kv::{Change, Item, KeyValue, KvError, Put, Transaction};
 pub use store::{Entry, Op, StoreError, TxnOutcome};
--- a/testsuite/tests/testsuite/entry/mod.rs
+++ b/testsuite/tests/testsuite/entry/mod.rs
@@ -1,3 +1,5 @@
 //! Entry hosts: decisions without I/O.
 
+mod accounts;
+mod routes;
 mod succession;
