--- a/crates/verbenahitch/src/entry/accounts/in_force.rs
+++ b/crates/verbenahitch/src/entry/accounts/in_force.rs
@@ -239,7 +239,10 @@
 
     /// Takes note that all changes up to `revision` are known.
     pub fn cover(&mut self, revision: u64) {
-        while let Some((asked, _)) = self.reads.pop_front_if(|(_, read)| *read <= revision) {
+        while let Some(&(asked, read)) = self.reads.front()
+            && read <= revision
+        {
+            self.reads.pop_front();
             self.confirm(asked);
         }
     }
@@ -275,6 +278,13 @@
         self.age_ms(now).is_some_and(|age| age < limit)
     }
 
+    /// Whether a key that this host does not know can be called unknown: none was added
+    /// that it should have heard of.
+    fn is_recent(&self, now: Monotonic) -> bool {
+        let limit = self.revocation.limit.map(|limit| limit / 2);
+        limit.is_none_or(|limit| self.age_ms(now).is_some_and(|age| age < limit))
+    }
+
     /// Decides on a call that arrived before `now`. `in_touch` says whether the last call
     /// to the store succeeded: without the store a key may have been added meanwhile.
     pub fn admit(
@@ -298,6 +308,7 @@
             Some(KeyHolder::Unknown) => Denial::Unknown,
             None => Denial::NoKey,
         };
-        Err(if in_touch { denial } else { Denial::Outdated })
+        let is_certain = in_touch && self.is_recent(now);
+        Err(if is_certain { denial } else { Denial::Outdated })
     }
 }
--- a/testsuite/tests/testsuite/entry/accounts.rs
+++ b/testsuite/tests/testsuite/entry/accounts.rs
@@ -141,6 +141,8 @@
 #[test_case(case(after_first(&[Cut]), 1_001, "k", SERVED); "a good key without the store")]
 #[test_case(case(after_first(&[Cut]), 1_001, "x", denied(Denial::Outdated)); "a key that may have been added")]
 #[test_case(Case { key: None, ..case(after_first(&[Cut]), 1_001, "", denied(Denial::Outdated)) }; "a route that may have become public")]
+#[test_case(case(first().to_vec(), 3_449, "x", denied(Denial::Unknown)); "an unknown key after a short silence")]
+#[test_case(case(first().to_vec(), 3_450, "x", denied(Denial::Outdated)); "a key that may have been added during a pause")]
 // Age: a fiftieth of the bound is left for the clock.
 #[test_case(case(first().to_vec(), 5_899, "k", SERVED); "within the bound")]
 #[test_case(case(first().to_vec(), 5_900, "k", denied(Denial::Outdated)); "at the bound")]
