Caps of client accounts

A task is placed only within the cap; a step that meets the cap blocks the later ones of its account. Starts not yet ordered are withdrawn when a cap falls. A successor counts what it inherits.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -9,7 +9,8 @@
 use super::step_order::StepRank;
 use super::table::Task;
 use super::worker::WorkerKey;
-use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, StepSpec, TaskId};
+use super::{AccountKey, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, StepSpec, TaskId};
+use crate::collections::HashSet;
 
 /// Number of filler steps without a place after which a pass skips all further ones:
 /// these are usually as large and less urgent.
@@ -29,6 +30,8 @@
     usable: Vec<WorkerKey>,
     /// Pools and steps for which no worker had the label and the free resources.
     unplaced: Vec<(String, StepSpec)>,
+    /// Accounts that met their cap; their later steps must not take what a step waits for.
+    capped: HashSet<AccountKey>,
     now: Monotonic,
 }
 
@@ -101,6 +104,7 @@
     room: u32,
     busy: u32,
     harm: u32,
+    cap: u32,
 }
 
 impl MisfitCounts {
@@ -111,6 +115,7 @@
             Misfit::Room => &mut self.room,
             Misfit::Busy => &mut self.busy,
             Misfit::Harm => &mut self.harm,
+            Misfit::Cap => &mut self.cap,
         } += 1;
     }
 }
@@ -184,8 +189,10 @@
                 .filter(|key| self.is_usable(*key, now))
                 .collect(),
             unplaced: Vec::new(),
+            capped: HashSet::default(),
             now,
         };
+        self.count_late_claims(now);
         self.headroom.expire_trials(now);
         let mut unplaced_fillers = 0;
         for step in waiting {
@@ -199,9 +206,12 @@
         }
     }
 
-    /// Assigns the waiting tasks of a step; returns false if some found no place.
+    /// Assigns the waiting tasks of a step; returns false if some found no place on a worker.
     fn assign_step(&mut self, step: &Waiting, pass: &mut AssignPass) -> bool {
         let job = &self.jobs[&step.job];
+        if job.account.is_some_and(|key| pass.capped.contains(&key)) {
+            return true;
+        }
         let spec = &job.record.spec.steps[step.step as usize];
         if !spec.filler && pass.is_unplaceable(&self.queue_of(job).pool, spec) {
             return false;
@@ -243,6 +253,15 @@
                 self.log_waiting(step, pass.usable.len(), misfits);
                 return false;
             };
+            if !self.has_cap_room(step.job, &spec) {
+                misfits.count(Misfit::Cap);
+                if let Some(account) = self.account_of(step.job) {
+                    pass.capped.insert(account);
+                    self.cap_reached(account, spec.amount, pass.now);
+                }
+                self.log_waiting(step, pass.usable.len(), misfits);
+                return true;
+            }
             let same_step = count_on(&per_worker, worker) + 1;
             per_worker.insert(worker, same_step);
             let task = TaskId {
@@ -339,6 +358,7 @@
             .with("most-free", most)
             .with("busy", misfits.busy)
             .with("harm", misfits.harm)
+            .with("cap", misfits.cap)
             .emit();
     }
 
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -204,12 +204,15 @@
             0
         };
         let image = self.headroom.image_id(&spec.image);
+        let claim = self.claim(task.job, &spec);
+        self.accounts.hold(claim);
         let key = self.runs.insert(Run {
             task,
             image,
             number,
             worker,
             amount,
+            claim,
             filler_milli,
             standing: spec.standing,
             target_ms: spec.target_ms,
@@ -265,6 +268,7 @@
             return;
         };
         self.assign_needed = true;
+        self.accounts.release(run.claim);
         self.cached_loads.remove(run.worker);
         let worker = &mut self.workers[run.worker];
         worker.runs.remove(&key);
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 //!
 //! Each decision has a module of its own, which names the load pattern that it is
 //! made for: [`step_order`] (order of waiting steps), `place` (choice of a worker),
-//! `headroom` (what fillers take from standing tasks), `interference` (relief of slowed
+//! `account` (caps and shares of client accounts), `headroom` (what fillers take from standing tasks), `interference` (relief of slowed
 //! standing tasks), `health` (quarantine of
 //! workers), `straggler` (runs much slower than their peers).
 
@@ -49,7 +49,8 @@
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
-pub use account::Account;
+pub use account::{Account, InUse, admits};
+use account::{AccountKey, Accounts, Claim};
 use headroom::HeadroomModel;
 pub use headroom::Pressure;
 pub use job::{
@@ -77,6 +78,8 @@
     pub quorum_ms: Millis,
     /// How long a worker stays usable after its registry entry has vanished.
     pub relist_ms: Millis,
+    /// Part of an account's cap by which late starts may exceed it.
+    pub cap_overshoot: f64,
 }
 
 /// Time of an event on both clocks.
@@ -109,7 +112,7 @@
     /// Jobs with repetitions that have not begun.
     recurring: Vec<JobId>,
     queues: HashMap<String, Queue>,
-    accounts: HashMap<String, Account>,
+    accounts: Accounts,
     evacuated: HashSet<String>,
     /// Cancelled jobs that have not been submitted yet.
     early_cancels: HashSet<JobId>,
@@ -154,7 +157,7 @@
             pending: HashSet::default(),
             recurring: Vec::new(),
             queues: HashMap::default(),
-            accounts: HashMap::default(),
+            accounts: Accounts::default(),
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
             headroom: HeadroomModel::default(),
@@ -180,10 +183,7 @@
             .iter()
             .map(|queue| (queue.name.clone(), queue.clone()))
             .collect();
-        self.accounts = accounts
-            .iter()
-            .map(|account| (account.name.clone(), account.clone()))
-            .collect();
+        self.accounts.declare(accounts);
         self.evacuated = evacuated.iter().cloned().collect();
     }
 
@@ -204,7 +204,10 @@
     }
 
     fn insert_job(&mut self, id: JobId, record: JobRecord, now: Now) {
-        let job = Job::new(record, now);
+        let account = record.account.as_deref();
+        let account = account.map(|name| self.accounts.key(name));
+        let mut job = Job::new(record, now);
+        job.account = account;
         if job.rounds_begun < job.times() {
             self.recurring.push(id);
         }
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -100,6 +100,8 @@
             };
             if self.is_leaving(run.worker) {
                 self.withdraw_start(key, now);
+            } else if !self.check_cap(key, now) {
+                continue;
             }
             if let Some(order) = self.next_order(key, now) {
                 self.runs[key].in_flight = true;
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -229,6 +229,8 @@
     Busy,
     /// The filler would slow a standing task too much.
     Harm,
+    /// The client account has no room under its cap, on any worker.
+    Cap,
 }
 
 /// Checks the label, the spread and the free resources of a worker for one more task
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use super::Now;
 use super::job::{JobRecord, JobSpec, JobState, Queue, StepSpec};
 use super::step_order;
 use super::worker::{RunKey, WorkerKey};
+use super::{AccountKey, Now};
 use crate::domain::{Millis, Monotonic};
 
 /// State of a task.
@@ -85,6 +85,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Job {
     pub record: JobRecord,
+    /// Client account.
+    pub account: Option<AccountKey>,
     /// Critical path from each step, in milliseconds.
     pub critical_paths: Vec<Millis>,
     /// Acceptance on this process's clock.
@@ -117,6 +119,7 @@
             version: 0,
             stored_version: 0,
             is_dirty: false,
+            account: None,
             record,
         };
         job.begin_due(now.wall_ms);
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -6,12 +6,12 @@
 
 use slotmap::new_key_type;
 
-use super::Bounds;
 use super::headroom::{ImageId, Level};
 use super::interference::MitigationState;
 use super::job::{Amount, JobId, TaskId};
 use super::mitigation::PastFiller;
 use super::report::CallFailure;
+use super::{Bounds, Claim};
 use crate::collections::HashSet;
 use crate::domain::{Millis, Monotonic};
 
@@ -102,6 +102,8 @@
 pub(super) struct LateStart {
     pub task: TaskId,
     pub run: u32,
+    /// What it takes from its account if it is carried out.
+    claim: Option<Claim>,
     /// When the run ended.
     at: Monotonic,
 }
@@ -221,6 +223,7 @@
         self.late_starts.push(LateStart {
             task: run.task,
             run: run.number,
+            claim: run.claim,
             at: now,
         });
     }
@@ -232,6 +235,13 @@
         starts
     }
 
+    /// What starts that a new incarnation may still carry out take from their accounts.
+    pub fn late_claims(&self, now: Monotonic) -> impl Iterator<Item = Claim> {
+        let starts = self.late_starts.iter();
+        let recent = starts.filter(move |start| now.since(start.at) <= LATE_START_MS);
+        recent.filter_map(|start| start.claim)
+    }
+
     /// Whether it may have restarted since it was asked for its last list.
     pub fn may_have_restarted(&self) -> bool {
         self.failed_at >= self.answered_at
@@ -303,6 +313,8 @@
     pub number: u32,
     pub worker: WorkerKey,
     pub amount: Amount,
+    /// What it takes from its account.
+    pub claim: Option<Claim>,
     pub image: ImageId,
     /// CPU of a filler in thousandths of a core, zero for other tasks.
     pub filler_milli: u64,
--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -41,6 +41,8 @@
     pub share: f64,
     /// Longest lease that workers accept, in milliseconds.
     pub lease_max: Millis,
+    /// Part of an account's cap by which it may be exceeded.
+    pub cap_overshoot: f64,
 }
 
 /// The owner that the store names.
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -92,6 +92,7 @@
             lease_max_ms: shared.settings.lease_max,
             quorum_ms: QUORUM_MS,
             relist_ms: RELIST_MS,
+            cap_overshoot: shared.settings.cap_overshoot,
         };
         let mut driver = Self {
             shared: Rc::clone(shared),
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -13,12 +13,15 @@
 };
 use verbenahitch::domain::{Millis, Monotonic};
 
+mod accounts;
 mod jobs;
 mod once;
 mod owners;
 mod registry;
 mod worker;
 
+use accounts::AccountUsage;
+pub use accounts::{account, cores};
 pub use jobs::{TARGET_MS, filler, job, queue, standing, step};
 use once::RunLedger;
 use owners::Former;
@@ -102,6 +105,8 @@
     /// Time that standing tasks were over their target, summed over the tasks.
     pub over_ms: Millis,
     pub finished: BTreeMap<JobId, Millis>,
+    /// Declared client accounts, and what they have running.
+    pub usage: AccountUsage,
     /// Runs of each task, checked to run once.
     pub ledger: RunLedger,
     polls: Vec<(Millis, Poll)>,
@@ -123,6 +128,7 @@
     lease_max_ms: worker::LEASE_MAX_MS,
     quorum_ms: 1_500,
     relist_ms: 2_500,
+    cap_overshoot: 0.1,
 };
 
 impl World {
@@ -146,6 +152,7 @@
             fence: 1,
             over_ms: 0,
             finished: BTreeMap::new(),
+            usage: AccountUsage::default(),
             ledger: RunLedger::default(),
             polls: Vec::new(),
             events: Vec::new(),
@@ -164,8 +171,8 @@
     }
 
     fn declare(&mut self) {
-        self.dispatcher
-            .declare(&[queue("push", 0), queue("batch", 2)], &[], &[]);
+        let queues = [queue("push", 0), queue("batch", 2)];
+        self.dispatcher.declare(&queues, &self.usage.accounts, &[]);
     }
 
     pub fn add_worker(&mut self, name: &str, cores: u64) {
@@ -214,7 +221,10 @@
 
     pub fn submit(&mut self, id: u64, name: &str, spec: JobSpec) -> JobId {
         let id = JobId(id);
-        let record = self.record(name, &spec);
+        let record = JobRecord {
+            account: self.usage.owners.get(&id).cloned(),
+            ..self.record(name, &spec)
+        };
         self.specs.insert(id, spec);
         let now = self.clock();
         self.dispatcher.submit(id, record, now);
@@ -379,8 +389,11 @@
     fn start(&mut self, start: &Start, fence: u64) -> Result<(), CallFailure> {
         let now = self.now;
         let worker = self.workers.get_mut(&start.target.name).unwrap();
+        let drops_answer = worker.drops_start_answers;
         if worker.start(start, fence, now)? {
             let (task, run) = (start.target.task, start.target.run);
+            self.usage
+                .check_start(now, task, &self.specs, self.workers.values());
             self.ledger.run_started(now, task);
             self.starts.push(Started {
                 at: now,
@@ -389,7 +402,7 @@
                 worker: start.target.name.clone(),
             });
         }
-        if worker.drops_start_answers {
+        if drops_answer {
             return Err(CallFailure::Unanswered("mute".to_owned()));
         }
         Ok(())
--- a/testsuite/tests/testsuite/dispatch/world/owners.rs
+++ b/testsuite/tests/testsuite/dispatch/world/owners.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use verbenahitch::dispatch::{Dispatcher, Poll, Voter, Write};
+use verbenahitch::dispatch::{Dispatcher, JobRecord, Poll, Voter, Write};
 use verbenahitch::domain::{Millis, Monotonic};
 
 use super::{BOUNDS, Event, World};
@@ -33,7 +33,10 @@
         self.dispatcher.restore_voters(self.voters.clone());
         let now = self.clock();
         for (id, spec) in &self.specs {
-            let record = self.record("batch", spec);
+            let record = JobRecord {
+                account: self.usage.owners.get(id).cloned(),
+                ..self.record("batch", spec)
+            };
             let progress = self.records.get(id).map(|write| write.record.clone());
             self.dispatcher.recover(*id, record, progress, now);
         }
