Shares of client accounts

Change: steps are ordered by account after the queue's priority: jobs beyond the account's rate last, then accounts beyond their entitlement by quarters of it, with deficits and debts carried. Log lines and metrics say why an account's work waits.

--- a/crates/verbenahitch/src/dispatch/account/mod.rs
+++ b/crates/verbenahitch/src/dispatch/account/mod.rs
@@ -2,22 +2,30 @@
 //! all workers are full.
 //!
 //! `cap` decides whether an account has room for one more task, `ledger` counts what an
-//! account has running. Accounts have small keys, which are never reused; an account that
+//! account has running, `rate` marks the jobs beyond an account's rate, `share` orders the
+//! accounts, `status` tells operators why work waits. Accounts have small keys, which are never reused; an account that
 //! is no longer declared keeps its last limits.
 //!
 //! A deployment whose operators declare no accounts is served as one without this module.
 
 mod cap;
 mod ledger;
+mod rate;
+mod share;
+mod status;
 
 use serde::{Deserialize, Serialize};
 
-use super::job::Amount;
+use super::job::{Amount, JobId};
 use crate::collections::HashMap;
 use crate::domain::Monotonic;
 
 pub use cap::{InUse, admits};
 pub(super) use ledger::Claim;
+use rate::Bucket;
+pub use share::ShareRank;
+use share::Standing;
+pub use status::AccountStatus;
 
 /// Limits of a client account.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -44,7 +52,11 @@
     is_known: bool,
     /// When it was last logged to be at its cap.
     cap_logged: Option<Monotonic>,
+    /// Whether it met its cap in the last pass.
+    is_at_cap: bool,
     in_use: InUse,
+    bucket: Bucket,
+    standing: Standing,
 }
 
 /// All accounts that were declared or that a job names.
@@ -54,6 +66,14 @@
     states: Vec<State>,
     /// Whether accounts are declared now.
     is_declared: bool,
+    /// Jobs whose rate is yet to be judged, by the time of acceptance.
+    unrated: Vec<(Monotonic, JobId)>,
+    /// Whether steps found no place in the last pass.
+    is_full: bool,
+    /// When the entitlements were last computed.
+    weighed_at: Monotonic,
+    /// When the waiting accounts were last logged.
+    logged_at: Monotonic,
 }
 
 impl Accounts {
--- /dev/null
+++ b/crates/verbenahitch/src/dispatch/account/rate.rs
@@ -0,0 +1,77 @@
+//! Rate up to which an account's jobs precede those beyond.
+//!
+//! Load pattern: an account sends five to eight times its usual for some seconds. What lies
+//! beyond its rate waits behind the work of all accounts within theirs, and uses idle room.
+//!
+//! Inputs: the time of acceptance, with the clock skew of the accepting host.
+
+use super::Accounts;
+use crate::dispatch::{Dispatcher, JobId};
+use crate::domain::Monotonic;
+
+/// Time whose jobs may come at once, in seconds: callers do not send evenly.
+const BURST_S: f64 = 2.0;
+
+/// Smallest number of jobs that may come at once, for accounts with a low rate.
+const BURST_MIN: f64 = 3.0;
+
+/// Token bucket of an account's jobs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bucket {
+    /// Tokens missing from a full bucket.
+    missing: f64,
+    filled_at: Monotonic,
+}
+
+impl Default for Bucket {
+    fn default() -> Self {
+        Self {
+            missing: 0.0,
+            filled_at: Monotonic(0),
+        }
+    }
+}
+
+impl Bucket {
+    /// Takes a token for a job that was accepted at `at`; returns false if there is none.
+    fn take(&mut self, rate: f64, at: Monotonic) -> bool {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "durations are far below 2^52 ms"
+        )]
+        let refill = at.since(self.filled_at) as f64 / 1_000.0 * rate;
+        self.missing = (self.missing - refill).max(0.0);
+        self.filled_at = self.filled_at.max(at);
+        let size = (rate * BURST_S).max(BURST_MIN);
+        let has_token = self.missing + 1.0 <= size;
+        if has_token {
+            self.missing += 1.0;
+        }
+        has_token
+    }
+}
+
+impl Accounts {
+    /// Adds a job whose rate is yet to be judged.
+    pub fn add_job(&mut self, id: JobId, accepted_at: Monotonic) {
+        self.unrated.push((accepted_at, id));
+    }
+}
+
+impl Dispatcher {
+    /// Judges the jobs added since the last call, in the order of their acceptance.
+    pub(super) fn rate_jobs(&mut self) {
+        let mut jobs = std::mem::take(&mut self.accounts.unrated);
+        jobs.sort_unstable();
+        for (accepted_at, id) in jobs {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let Some(account) = job.account else {
+                continue;
+            };
+            let state = self.accounts.state_mut(account);
+            job.beyond_rate = !state.bucket.take(state.limits.weight, accepted_at);
+        }
+    }
+}
--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -9,7 +9,9 @@
 use super::step_order::StepRank;
 use super::table::Task;
 use super::worker::WorkerKey;
-use super::{AccountKey, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, StepSpec, TaskId};
+use super::{
+    AccountKey, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, ShareRank, StepSpec, TaskId,
+};
 use crate::collections::HashSet;
 
 /// Number of filler steps without a place after which a pass skips all further ones:
@@ -131,10 +133,17 @@
             found.len() > before
         });
         self.pending = pending;
-        found.sort_by(|a, b| {
+        let by_rank = |a: &Waiting, b: &Waiting| {
             let order = a.rank.compare(&b.rank);
             order.then(a.job.cmp(&b.job)).then(a.step.cmp(&b.step))
-        });
+        };
+        found.sort_by(by_rank);
+        if self.accounts.is_declared() {
+            let steps = found.iter_mut();
+            let steps = steps.map(|step| (&mut step.rank, step.job, step.round, step.step));
+            self.rank_shares(steps, now);
+            found.sort_by(by_rank);
+        }
         found
     }
 
@@ -166,6 +175,7 @@
                         remaining_ms: job.critical_paths[step as usize],
                         objective_ms: stretched + queue.target_ms,
                         standing: spec.standing,
+                        share: ShareRank::default(),
                     },
                     job: id,
                     round: round.number,
@@ -195,15 +205,18 @@
         self.count_late_claims(now);
         self.headroom.expire_trials(now);
         let mut unplaced_fillers = 0;
+        let mut is_full = false;
         for step in waiting {
             if step.filler && unplaced_fillers >= MAX_UNPLACED_FILLERS {
                 continue;
             }
             let is_placed = self.assign_step(&step, &mut pass);
+            is_full |= !is_placed;
             if step.filler && !is_placed {
                 unplaced_fillers += 1;
             }
         }
+        self.accounts.end_pass(is_full, &pass.capped, now);
     }
 
     /// Assigns the waiting tasks of a step; returns false if some found no place on a worker.
--- a/crates/verbenahitch/src/dispatch/job.rs
+++ b/crates/verbenahitch/src/dispatch/job.rs
@@ -124,6 +124,15 @@
         *self = self.less(other);
     }
 
+    /// `count` times as much.
+    pub fn times(self, count: u64) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli * count,
+            memory_mb: self.memory_mb * count,
+            gpus: self.gpus * count,
+        }
+    }
+
     /// Difference of `self` and `other`, not below zero.
     pub fn less(self, other: Self) -> Self {
         Self {
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -49,7 +49,7 @@
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
-pub use account::{Account, InUse, admits};
+pub use account::{Account, AccountStatus, InUse, ShareRank, admits};
 use account::{AccountKey, Accounts, Claim};
 use headroom::HeadroomModel;
 pub use headroom::Pressure;
@@ -208,6 +208,9 @@
         let account = account.map(|name| self.accounts.key(name));
         let mut job = Job::new(record, now);
         job.account = account;
+        if account.is_some() {
+            self.accounts.add_job(id, job.accepted_at);
+        }
         if job.rounds_begun < job.times() {
             self.recurring.push(id);
         }
--- a/crates/verbenahitch/src/dispatch/step_order.rs
+++ b/crates/verbenahitch/src/dispatch/step_order.rs
@@ -10,6 +10,7 @@
 
 use std::cmp::Ordering;
 
+use super::account::ShareRank;
 use super::job::JobSpec;
 use crate::domain::Millis;
 
@@ -34,6 +35,8 @@
     pub objective_ms: Millis,
     /// Whether the step runs until its job is cancelled; all of its waiting time is lost.
     pub standing: bool,
+    /// Rank among the accounts, equal for all where none are declared.
+    pub share: ShareRank,
 }
 
 /// How a job stands to its objective, in the order in which steps start.
@@ -83,6 +86,7 @@
         let by_queue = self.priority.cmp(&other.priority);
         let by_prospect = self.deadline_class().cmp(&other.deadline_class());
         by_queue
+            .then(self.share.cmp(&other.share))
             .then(by_prospect)
             .then(self.slack().cmp(&other.slack()))
     }
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -87,6 +87,8 @@
     pub record: JobRecord,
     /// Client account.
     pub account: Option<AccountKey>,
+    /// Whether it lies beyond the rate of its account.
+    pub beyond_rate: bool,
     /// Critical path from each step, in milliseconds.
     pub critical_paths: Vec<Millis>,
     /// Acceptance on this process's clock.
@@ -120,6 +122,7 @@
             stored_version: 0,
             is_dirty: false,
             account: None,
+            beyond_rate: false,
             record,
         };
         job.begin_due(now.wall_ms);
--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -4,6 +4,8 @@
 
 use metrics::{counter, gauge, histogram};
 
+use crate::dispatch::AccountStatus;
+
 /// Records a final answer to a caller and its duration.
 pub fn record_answer(method: &str, status: u16, took: Duration) {
     let labels = [
@@ -38,3 +40,14 @@
     set(gauge!("verbenahitch_runs"), runs);
     counter!("verbenahitch_unassigned_runs_total").increment(unassigned);
 }
+
+/// Sets the metrics of client accounts.
+pub(super) fn set_account_metrics(accounts: &[AccountStatus]) {
+    for account in accounts {
+        let label = [("account", account.name.clone())];
+        gauge!("verbenahitch_account_share", &label).set(account.share);
+        gauge!("verbenahitch_account_entitled_share", &label).set(account.entitled);
+        gauge!("verbenahitch_account_cap_used", &label).set(account.cap_used);
+        gauge!("verbenahitch_account_waiting_steps", &label).set(f64::from(account.waiting));
+    }
+}
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -66,6 +66,7 @@
     Throttled = 221, "throttled", Info, "The CPU share of a task was changed, or the task is to restart on another worker.";
     Pressure = 222, "pressure", Info, "The estimated interference between two profiles or images has changed.";
     CapReached = 223, "cap-reached", Info, "A client account has no room under its cap for a waiting task.";
+    AccountWaiting = 224, "account-waiting", Info, "The work of a client account waits, with the reason.";
     WorkerQuarantined = 230, "worker-quarantined", Warn, "A worker whose tasks keep failing is quarantined: it gets no tasks, or only probes.";
     WorkerRestored = 231, "worker-restored", Info, "A quarantined worker passed its probe.";
     WorkerUnreachable = 232, "worker-unreachable", Warn, "A worker does not answer or is no longer listed.";
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -6,4 +6,5 @@
 mod load;
 mod order;
 mod recovery;
+mod shares;
 mod world;
--- a/testsuite/tests/testsuite/dispatch/order.rs
+++ b/testsuite/tests/testsuite/dispatch/order.rs
@@ -4,7 +4,7 @@
 
 use test_case::test_case;
 use verbenahitch::dispatch::step_order::{StepRank, critical_paths};
-use verbenahitch::dispatch::{JobSpec, StepSpec};
+use verbenahitch::dispatch::{JobSpec, ShareRank, StepSpec};
 
 struct Case {
     first: StepRank,
@@ -17,12 +17,28 @@
     remaining_ms: 1_000,
     objective_ms: 3_000,
     standing: false,
+    share: ShareRank {
+        beyond_rate: false,
+        level: 0,
+    },
 };
 
 #[test_case(Case {
     first: StepRank { priority: 0, age_ms: 9_000, ..FRESH },
     second: FRESH,
 }; "priority precedes the deadline")]
+#[test_case(Case {
+    first: StepRank { priority: 1, share: ShareRank { beyond_rate: true, level: 9 }, ..FRESH },
+    second: FRESH,
+}; "priority precedes the share")]
+#[test_case(Case {
+    first: StepRank { age_ms: 2_500, ..FRESH },
+    second: StepRank { share: ShareRank { beyond_rate: false, level: 1 }, ..FRESH },
+}; "the share precedes the deadline")]
+#[test_case(Case {
+    first: StepRank { share: ShareRank { beyond_rate: false, level: 9 }, ..FRESH },
+    second: StepRank { share: ShareRank { beyond_rate: true, level: 0 }, ..FRESH },
+}; "the rate precedes the share")]
 #[test_case(Case {
     first: FRESH,
     second: StepRank { age_ms: 2_500, ..FRESH },
