--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -59,6 +59,8 @@
     pub lease_max: Millis,
     /// How long a withdrawn key may still be used.
     pub revocation: Revocation,
+    /// Part of an account's cap by which it may be exceeded.
+    pub cap_overshoot: f64,
 }
 
 /// The owner that the store names.
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -1,8 +1,10 @@
 //! Tests of the dispatcher with simulated workers and a simulated store.
 
+mod caps;
 mod execution;
 mod incarnations;
 mod load;
 mod order;
 mod recovery;
+mod shares;
 mod world;
