--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -310,7 +310,7 @@
 /// its first address again, at which another worker answers.
 #[test]
 fn an_entry_with_an_earlier_address_ends_no_run() {
-    let mut world = World::new(2);
+    let mut world = World::new(3);
     world.run(1_500);
     let now = world.now;
     let worker = world.workers.get_mut("w00").unwrap();
@@ -319,16 +319,17 @@
     worker.info.address = "moved:1".to_owned();
     world.list_workers();
     world.run(1_500);
-    let id = world.submit(1, "batch", job(vec![step(2, 16, 60_000)]));
+    let id = world.submit(1, "batch", job(vec![step(3, 16, 60_000)]));
     world.run(1_000);
-    assert_eq!(world.workers_of(id).len(), 2);
+    assert_eq!(world.workers_of(id).len(), 3);
+    world.add_worker("w03", 16);
     world.workers.get_mut("w00").unwrap().info.address = "w00:1".to_owned();
     world.list_workers();
     world.run(2_000);
     world.take_over();
     world.run(2_000);
     world.ledger.assert_once();
-    assert_eq!(world.starts_of(id).len(), 2);
+    assert_eq!(world.starts_of(id).len(), 3);
 }
 
 /// A worker restarts under its name, and is heard, while the assignment of a run is being
