Recovery: pauses during hand-overs, removed keys, runs of ended jobs

A pause during a hand-over that failed was not noticed; an owner went on renewing the lease of a key that was gone; a run of an ended job committed nothing, so that its worker was given other tasks beside it.

Change: the dispatcher compares the readings of the boot-time clock itself; the owner ends its term when its host sees the key gone; a worker with a run of unknown size gets no other tasks.

The removed key has no test.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -198,8 +198,10 @@
         worker: WorkerKey,
         now: Monotonic,
     ) -> RunKey {
-        // A run of an unknown step commits no resources.
-        let spec = self.spec_of(task).cloned().unwrap_or_default();
+        // A run of an unknown step commits no resources; its worker gets no others.
+        let spec = self.spec_of(task).cloned();
+        let is_unsized = spec.is_none();
+        let spec = spec.unwrap_or_default();
         let amount = place::committed(&spec);
         let filler_milli = if spec.filler {
             spec.amount.cpu_milli
@@ -213,6 +215,7 @@
             number,
             worker,
             amount,
+            is_unsized,
             filler_milli,
             standing: spec.standing,
             target_ms: spec.target_ms,
@@ -242,6 +245,7 @@
         self.cached_loads.remove(worker);
         let state = &mut self.workers[worker];
         state.committed.add(amount);
+        state.unsized_runs += u32::from(is_unsized);
         state.filler_milli += filler_milli;
         if state.runs.is_empty() {
             state.next_poll = state.next_poll.min(now);
@@ -274,6 +278,7 @@
         worker.runs.remove(&key);
         worker.run_ended(&run, now);
         worker.committed.remove(run.amount);
+        worker.unsized_runs -= u32::from(run.is_unsized);
         worker.filler_milli = worker.filler_milli.saturating_sub(run.filler_milli);
         if run.filler_milli > 0 && run.phase == Phase::Live {
             let past = PastFiller::new(&run, worker.info.capacity.cpu_milli, now);
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -31,6 +31,7 @@
 mod job;
 mod mitigation;
 mod orders;
+mod pause;
 mod place;
 mod polls;
 mod quorum;
@@ -57,6 +58,7 @@
     Amount, IdError, JobId, JobRecord, JobSpec, JobState, Queue, Repeat, SpecError, StepSpec,
     TaskId,
 };
+use pause::PauseDetector;
 use quorum::Voters;
 pub use report::{
     CallFailure, EndCause, EndedEntry, HomeRecord, Order, Poll, ProgressRecord, Report, Retirement,
@@ -128,6 +130,7 @@
     is_fenced: bool,
     /// When the ownership last came into doubt, until it is confirmed.
     suspended_at: Option<Monotonic>,
+    pauses: PauseDetector,
     voters: Voters,
     /// Begin of the ownership.
     began_at: Monotonic,
@@ -170,6 +173,7 @@
             checked_at: now,
             is_fenced: false,
             suspended_at: None,
+            pauses: PauseDetector::default(),
             voters: Voters::default(),
             began_at: now,
             quorum_at: None,
@@ -266,6 +270,16 @@
         self.suspended_at = Some(now);
     }
 
+    /// Records that the process ran at `boot_ms`, a reading of a clock that also runs while the
+    /// host is suspended. Suspends the dispatcher after a pause; returns whether there was one.
+    pub fn note_running(&mut self, boot_ms: Millis, now: Monotonic) -> bool {
+        let has_paused = self.pauses.has_paused(boot_ms);
+        if has_paused {
+            self.suspend(now);
+        }
+        has_paused
+    }
+
     /// Records that the store confirmed the ownership, as asked for at `sent`. This ends a
     /// suspension that began before.
     pub fn confirm_ownership(&mut self, sent: Monotonic) {
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -65,6 +65,7 @@
             && worker.session.is_some()
             && worker.answered_within(now, USABLE_AGE_MS)
             && worker.quarantined_until <= now
+            && worker.unsized_runs == 0
     }
 
     fn begin_rounds(&mut self, wall_ms: Millis) {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -179,6 +179,8 @@
     /// CPU of its fillers in thousandths of a core.
     pub filler_milli: u64,
     pub runs: HashSet<RunKey>,
+    /// Number of its runs whose resources are not known, as of jobs that have ended.
+    pub unsized_runs: u32,
     /// When the last answered poll was sent.
     pub answered_at: Option<Monotonic>,
     /// When the poll in progress was sent.
@@ -333,6 +335,8 @@
     pub number: u32,
     pub worker: WorkerKey,
     pub amount: Amount,
+    /// Whether its resources are not known.
+    pub is_unsized: bool,
     pub image: ImageId,
     /// CPU of a filler in thousandths of a core, zero for other tasks.
     pub filler_milli: u64,
--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -16,7 +16,6 @@
 mod link;
 pub mod observe;
 mod owner;
-mod pause;
 pub mod succession;
 mod watcher;
 
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -14,7 +14,6 @@
 use crate::entry::host::Shared;
 use crate::entry::keys::{self, IntakeKey, JobEntry, SuccessorRecord};
 use crate::entry::observe;
-use crate::entry::pause::PauseDetector;
 use crate::entry::succession::{Capability, LagMeter};
 use crate::entry::watcher::WatchUpdate;
 use crate::event::{Entry, Kind};
@@ -175,17 +174,12 @@
         &mut self,
         events: &mut mpsc::UnboundedReceiver<OwnerEvent>,
     ) -> Outcome {
-        let mut pauses = PauseDetector::new();
         loop {
+            self.check_pause();
             self.run_pass();
             let tick = Duration::from_millis(self.dispatcher.next_pass_ms(TICK_MS));
             let event = tokio::time::timeout(tick, events.recv()).await;
-            if pauses.has_paused() {
-                log::warn!(
-                    "this process was paused; orders are suspended until the owner's lease is renewed"
-                );
-                self.dispatcher.suspend(self.clock.now());
-            }
+            self.check_pause();
             let mut next = event.ok().flatten();
             while let Some(event) = next {
                 if let Some(outcome) = self.handle(event) {
@@ -200,6 +194,15 @@
         }
     }
 
+    fn check_pause(&mut self) {
+        let now = self.clock.now();
+        if self.dispatcher.note_running(self.clock.boot_ms(), now) {
+            log::warn!(
+                "this process was paused; orders are suspended until the owner's lease is renewed"
+            );
+        }
+    }
+
     /// Waits for the commit in flight before a planned hand-over; returns the outcome of
     /// the term if it ends meanwhile.
     pub(super) async fn finish_commit(
--- a/crates/verbenahitch/src/entry/owner/mod.rs
+++ b/crates/verbenahitch/src/entry/owner/mod.rs
@@ -9,11 +9,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
 use super::election::{self, LEASE_MS, Term};
-use super::host::Shared;
+use super::host::{KnownOwner, Shared};
 use super::keys::{self, SuccessorRecord};
 use super::watcher::{self, WatchTiming, WatchUpdate, watch_prefix};
 use crate::dispatch::{CallFailure, JobId, JobRecord, JobState, Report, RunKey, WorkerKey};
@@ -101,6 +101,8 @@
             return Outcome::Unreadable;
         }
     };
+    let owner = shared.owner.subscribe();
+    background.spawn_local(watch_key(owner, term.fence, sender.clone()));
     background.spawn_local(forward_stop(shared.stopping.clone(), sender.clone()));
     background.spawn_local(watch_intake(Rc::clone(shared), sender.clone()));
     background.spawn_local(watch_registry(Rc::clone(shared), sender.clone()));
@@ -152,6 +154,17 @@
     }
 }
 
+/// Ends the term when the owner's key, once seen, is gone or another host's. The key may go
+/// while its lease is still renewed.
+async fn watch_key(mut owner: watch::Receiver<Option<KnownOwner>>, fence: u64, sender: Sender) {
+    let is_own = |known: &Option<KnownOwner>| known.as_ref().is_some_and(|k| k.fence == fence);
+    let seen = owner.wait_for(is_own).await.is_ok();
+    if seen && owner.wait_for(|known| !is_own(known)).await.is_ok() {
+        // The loop may have ended.
+        let _ = sender.send(OwnerEvent::LeaseEnded);
+    }
+}
+
 async fn forward_stop(mut stopping: tokio::sync::watch::Receiver<bool>, sender: Sender) {
     if stopping.wait_for(|stopping| *stopping).await.is_ok() {
         // The loop may have ended.
--- a/crates/verbenahitch/src/port/clock.rs
+++ b/crates/verbenahitch/src/port/clock.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
+
 use crate::domain::{Millis, Monotonic};
 
 /// Source of time.
@@ -28,6 +30,22 @@
     }
 }
 
+impl SystemClock {
+    /// Reading of the boot-time clock, which also runs while the host is suspended.
+    pub fn boot_ms(self) -> Millis {
+        match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+            Ok(time) => {
+                let millis = time.tv_sec() * 1000 + time.tv_nsec() / 1_000_000;
+                Millis::try_from(millis).unwrap_or(0)
+            }
+            Err(error) => {
+                log::error!("CLOCK_BOOTTIME cannot be read: {error}");
+                0
+            }
+        }
+    }
+}
+
 impl Clock for SystemClock {
     fn now(&self) -> Monotonic {
         Monotonic(u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX))
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery after the loss of workers and after a change of the owner.
 
 use test_case::test_case;
-use verbenahitch::dispatch::{JobId, JobState};
+use verbenahitch::dispatch::{Dispatcher, JobId, JobState};
 use verbenahitch::domain::{Millis, Monotonic};
 
 use super::world::{BOUNDS, Started, World, job, step};
@@ -368,6 +368,50 @@
     assert!(world.workers["w00"].life.lease_end > lease_end);
 }
 
+/// The process runs no pass for a while, as during a hand-over that then fails. The store's
+/// answer to an earlier renewal arrives after it.
+#[test]
+fn nothing_starts_after_a_pause_between_passes() {
+    let mut world = World::new(2);
+    world.run(500);
+    let sent = Monotonic(world.now);
+    world.dispatcher.note_running(world.now, sent);
+    world.now += 800;
+    world.store_up = false;
+    let now = Monotonic(world.now);
+    assert!(world.dispatcher.note_running(world.now, now));
+    world.dispatcher.confirm_ownership(sent);
+    let lease_end = world.workers["w00"].life.lease_end;
+    world.run(700);
+    assert_eq!(world.workers["w00"].life.lease_end, lease_end);
+    world.store_up = true;
+    world.run(1_000);
+    assert!(world.workers["w00"].life.lease_end > lease_end);
+}
+
+/// A worker runs what a job left there that has ended since, and whose size is not known.
+#[test]
+fn a_worker_with_a_run_of_an_ended_job_gets_no_other() {
+    let mut world = World::new(1);
+    world.workers.get_mut("w00").unwrap().stop_ms = 900;
+    world.run(1_500);
+    let ended = world.submit(1, "batch", job(vec![step(1, 16, 60_000)]));
+    world.run(500);
+    world.dispatcher = Dispatcher::new(BOUNDS, Monotonic(world.now));
+    world.fence += 1;
+    world.declare();
+    world.list_workers();
+    let now = world.clock();
+    world.dispatcher.add_ended(ended, JobState::Completed, now);
+    world.specs.insert(JobId(1), job(vec![step(1, 16, 60_000)]));
+    let next = world.submit(2, "batch", job(vec![step(1, 16, 500)]));
+    for _ in 0..1_000 {
+        world.run(5);
+        assert!(world.workers["w00"].committed(&world.specs) <= 16);
+    }
+    assert_eq!(world.starts_of(next).len(), 1);
+}
+
 #[test]
 fn an_owner_that_reaches_neither_store_nor_quorum_extends_no_leases() {
     let mut world = World::new(4);
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -163,7 +163,7 @@
         world
     }
 
-    fn declare(&mut self) {
+    pub(super) fn declare(&mut self) {
         self.dispatcher
             .declare(&[queue("push", 0), queue("batch", 2)], &[], &[]);
     }
