--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -16,7 +16,6 @@
 use super::keys::{self, OwnerRecord, SuccessorRecord};
 use super::link::{self, Inbox};
 use super::owner::OwnerEvent;
-use super::pause::boot_now;
 use super::succession::Capability;
 use super::watcher::{Coverage, WatchTiming, WatchUpdate, watch_prefix};
 use super::{election, observe, owner};
@@ -24,7 +23,7 @@
 use crate::dispatch::{Account, Queue};
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
-use crate::port::{Change, Directive, Item, KeyValue, Platform, Queues, Unreadable};
+use crate::port::{Change, Directive, Item, KeyValue, Platform, Queues, Unreadable, boot_now};
 
 /// Timing of the watches on the operators' keys and the owner's key. The wait is a
 /// quarter of the time within which a change must be in force.
--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -19,11 +19,12 @@
 use super::link::Link;
 use super::observe;
 use super::owner::OwnerEvent;
-use super::pause::boot_now;
 use crate::dispatch::{JobId, JobRecord, JobState, ProgressRecord};
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
-use crate::port::{Item, KeyDigest, KeyValue, KvError, Platform, Put, QueueRoute, Transaction};
+use crate::port::{
+    Item, KeyDigest, KeyValue, KvError, Platform, Put, QueueRoute, Transaction, boot_now,
+};
 
 /// `Retry-After` of callers that are refused for the time being, such as when the store
 /// is unavailable, in milliseconds. The store recovers within seconds, and callers that
--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -17,7 +17,6 @@
 mod link;
 pub mod observe;
 mod owner;
-mod pause;
 pub mod routes;
 pub mod succession;
 mod watcher;
--- a/crates/verbenahitch/src/entry/watcher.rs
+++ b/crates/verbenahitch/src/entry/watcher.rs
@@ -4,9 +4,8 @@
 
 use rand::Rng;
 
-use super::pause::boot_now;
 use crate::domain::{Millis, Monotonic};
-use crate::port::{Change, Item, KeyValue, KvError};
+use crate::port::{Change, Item, KeyValue, KvError, boot_now};
 
 /// Shortest delay after a failed call, in milliseconds.
 const RETRY_MIN_MS: Millis = 80;
--- a/crates/verbenahitch/src/port/mod.rs
+++ b/crates/verbenahitch/src/port/mod.rs
@@ -10,7 +10,7 @@
 mod store;
 mod worker;
 
-pub use clock::{Clock, ManualClock, SystemClock};
+pub use clock::{Clock, ManualClock, SystemClock, boot_now};
 pub use dispatch::{Directive, KeyDigest, KeyedAccount, Platform, QueueRoute, Queues, Unreadable};
 pub use hosts::{HostRecord, HostState};
 pub use kv::{Change, Item, KeyValue, KvError, Put, Transaction};
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -170,7 +170,7 @@
         world
     }
 
-    fn declare(&mut self) {
+    pub(super) fn declare(&mut self) {
         let queues = [queue("push", 0), queue("batch", 2)];
         self.dispatcher.declare(&queues, &self.usage.accounts, &[]);
     }
