Short steps before standing ones; jobs that cannot all be in time are thinned out

Change: `dispatch/room` lets short steps precede standing ones of their priority, within an eighth of the pool's CPU, and places tasks where they destroy the fewest pieces that a short task fits, while such pieces are scarce. `dispatch/step_order` defers the jobs of least value for their work when not all can be in time (Moore and Hodgson), and puts late ones by value for the work that is left; a job long past its objective no longer precedes late ones that still earn. `waiting` gives the task's amount, counts workers without memory by themselves and takes `most-free` from usable workers of the pool alone; `overload` and `verbenahitch_steps_waiting` are new.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -2,19 +2,27 @@
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
+use std::ops::Range;
 
 use slotmap::SecondaryMap;
 
 use super::place::{self, Misfit};
-use super::step_order::StepRank;
-use super::table::Task;
-use super::worker::WorkerKey;
+use super::room::{self, Allowance, Pieces};
+use super::step_order::outlook::{self, Prospect};
+use super::step_order::{self, DeadlineClass, StepRank};
+use super::worker::{Worker, WorkerKey};
 use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, StepSpec, TaskId};
 
 /// Number of filler steps without a place after which a pass skips all further ones:
 /// these are usually as large and less urgent.
 const MAX_UNPLACED_FILLERS: usize = 8;
 
+/// Shortest time between two log lines on an overload, in milliseconds.
+const OVERLOAD_PAUSE_MS: Millis = 1_000;
+
+/// Fraction of a pool's CPU that waiting work of a kind is expected to get at least.
+const RATE_MIN_DIVISOR: u64 = 50;
+
 /// A step with tasks to place.
 struct Waiting {
     rank: StepRank,
@@ -22,11 +30,79 @@
     round: u32,
     step: u32,
     filler: bool,
+    /// Whether it is short, see [`room::is_short`].
+    short: bool,
+    /// CPU of its waiting tasks in thousandths of a core.
+    cpu_milli: u64,
+    /// Core-milliseconds of its job that have not been placed.
+    work: u64,
+    /// Index of its pool in [`AssignPass::pools`].
+    pool: usize,
+}
+
+/// Numbers of waiting steps by how their jobs stand to their objectives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StepCounts {
+    /// Steps that run until their job is cancelled.
+    pub standing: usize,
+    /// Steps of jobs that are expected to be in time.
+    pub in_time: usize,
+    /// Steps of jobs that could be in time if others were not.
+    pub deferred: usize,
+    /// Steps of late jobs.
+    pub late: usize,
+    /// Steps of jobs that are too late to be of value.
+    pub no_value: usize,
+    /// Short steps ahead of standing ones, which are counted above too.
+    pub ahead: usize,
+}
+
+impl StepCounts {
+    fn new(waiting: &[Waiting]) -> Self {
+        let mut counts = Self::default();
+        for rank in waiting.iter().map(|step| &step.rank) {
+            counts.ahead += usize::from(rank.ahead);
+            *match rank.deadline_class() {
+                DeadlineClass::Standing => &mut counts.standing,
+                DeadlineClass::InTime => &mut counts.in_time,
+                DeadlineClass::Deferred => &mut counts.deferred,
+                DeadlineClass::Late => &mut counts.late,
+                DeadlineClass::NoValue => &mut counts.no_value,
+            } += 1;
+        }
+        counts
+    }
+}
+
+/// Use of the usable workers of a pool.
+#[derive(Debug, Default)]
+struct PoolUse {
+    name: String,
+    capacity_milli: u64,
+    short_milli: u64,
+    filler_milli: u64,
+    /// Number of pieces for short steps that are left.
+    pieces_left: u64,
+    /// Pieces for short steps, none while enough are left.
+    pieces: Option<Pieces>,
+}
+
+/// Index of a pool, which is added if it is new.
+fn pool_index(pools: &mut Vec<PoolUse>, name: &str) -> usize {
+    if let Some(index) = pools.iter().position(|pool| pool.name == name) {
+        return index;
+    }
+    pools.push(PoolUse {
+        name: name.to_owned(),
+        ..PoolUse::default()
+    });
+    pools.len() - 1
 }
 
 /// State of one assignment pass.
 struct AssignPass {
     usable: Vec<WorkerKey>,
+    pools: Vec<PoolUse>,
     /// Pools and steps for which no worker had the label and the free resources.
     unplaced: Vec<(String, StepSpec)>,
     now: Monotonic,
@@ -98,7 +174,8 @@
 struct MisfitCounts {
     label: u32,
     spread: u32,
-    room: u32,
+    cpu: u32,
+    memory: u32,
     busy: u32,
     harm: u32,
 }
@@ -108,33 +185,111 @@
         *match misfit {
             Misfit::Label => &mut self.label,
             Misfit::Spread => &mut self.spread,
-            Misfit::Room => &mut self.room,
+            Misfit::Cpu => &mut self.cpu,
+            Misfit::Memory => &mut self.memory,
             Misfit::Busy => &mut self.busy,
             Misfit::Harm => &mut self.harm,
         } += 1;
     }
 }
 
+/// Defers jobs that cannot be in time together. Fillers and other steps use different CPU.
+fn defer(found: &mut [Waiting], pools: &[PoolUse]) {
+    for (index, pool) in pools.iter().enumerate() {
+        for (filler, in_use) in [(false, pool.short_milli), (true, pool.filler_milli)] {
+            let rate = in_use.max(pool.capacity_milli / RATE_MIN_DIVISOR);
+            let (jobs, spans) = prospects(found, index, filler);
+            for at in outlook::deferred(&jobs, rate) {
+                for step in &mut found[spans[at].clone()] {
+                    let is_concerned = step.pool == index && step.filler == filler;
+                    step.rank.deferred |= is_concerned;
+                }
+            }
+        }
+    }
+}
+
+/// Jobs with waiting steps of a kind that would be in time one by one, and the places of
+/// their steps.
+fn prospects(found: &[Waiting], pool: usize, filler: bool) -> (Vec<Prospect>, Vec<Range<usize>>) {
+    let mut jobs = Vec::new();
+    let mut spans: Vec<Range<usize>> = Vec::new();
+    let mut last = None;
+    for (at, step) in found.iter().enumerate() {
+        let concerns = step.pool == pool && step.filler == filler;
+        if !concerns || step.rank.deadline_class() != DeadlineClass::InTime {
+            continue;
+        }
+        let round = Some((step.job, step.round));
+        match spans.last_mut().filter(|_| last == round) {
+            Some(span) => span.end = at + 1,
+            None => {
+                jobs.push(Prospect {
+                    time_left: step.rank.time_left(),
+                    work: step.work,
+                    density: step.rank.density,
+                });
+                spans.push(at..at + 1);
+            }
+        }
+        last = round;
+    }
+    (jobs, spans)
+}
+
+/// Puts short steps ahead of standing ones, as far as the allowance of their pool goes;
+/// true if there are any.
+fn put_ahead(found: &mut [Waiting], pools: &[PoolUse]) -> bool {
+    let mut allowances: Vec<Allowance> = pools
+        .iter()
+        .map(|pool| Allowance::new(pool.capacity_milli, pool.short_milli))
+        .collect();
+    if !found.iter().any(|step| step.rank.standing) {
+        return false;
+    }
+    let mut is_any = false;
+    for step in found.iter_mut().filter(|step| step.short) {
+        match step.rank.deadline_class() {
+            DeadlineClass::InTime | DeadlineClass::Deferred | DeadlineClass::Late => {}
+            DeadlineClass::Standing | DeadlineClass::NoValue => continue,
+        }
+        step.rank.ahead = allowances[step.pool].take(step.cpu_milli);
+        is_any |= step.rank.ahead;
+    }
+    is_any
+}
+
 impl Dispatcher {
     /// Waiting steps in the order in which they are placed.
-    fn waiting_steps(&mut self, now: Monotonic) -> Vec<Waiting> {
+    fn waiting_steps(&mut self, pools: &mut Vec<PoolUse>, now: Monotonic) -> Vec<Waiting> {
         let mut found = Vec::new();
         let mut pending = std::mem::take(&mut self.pending);
         pending.retain(|id| {
             let before = found.len();
-            self.add_waiting_steps(*id, now, &mut found);
+            self.add_waiting_steps(*id, pools, now, &mut found);
             found.len() > before
         });
         self.pending = pending;
-        found.sort_by(|a, b| {
+        let in_order = |a: &Waiting, b: &Waiting| {
             let order = a.rank.compare(&b.rank);
             order.then(a.job.cmp(&b.job)).then(a.step.cmp(&b.step))
-        });
+        };
+        defer(&mut found, pools);
+        found.sort_by(in_order);
+        if put_ahead(&mut found, pools) {
+            found.sort_by(in_order);
+        }
         found
     }
 
     /// Adds the waiting steps of a job.
-    fn add_waiting_steps(&self, id: JobId, now: Monotonic, found: &mut Vec<Waiting>) {
+    fn add_waiting_steps(
+        &self,
+        id: JobId,
+        pools: &mut Vec<PoolUse>,
+        now: Monotonic,
+        found: &mut Vec<Waiting>,
+    ) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.state.is_final()) else {
             return;
         };
@@ -147,11 +302,19 @@
             reason = "durations are far below 2^52 ms"
         )]
         let stretched = (longest as f64 * queue.stretch.max(0.0)) as Millis;
+        let mean = self.work_means.get(&queue.name);
+        let mean = mean.map_or(0.0, |mean| mean.value());
         for round in &job.rounds {
+            let begin = found.len();
+            let mut left: u64 = 0;
             for (step, state) in (0u32..).zip(&round.steps) {
+                if state.remaining == 0 {
+                    continue;
+                }
                 let spec = &job.record.spec.steps[step as usize];
-                let is_waiting = state.tasks.iter().any(Task::is_waiting);
-                if !is_waiting || !round.is_ready(spec) {
+                let waiting = state.tasks.iter().filter(|task| task.is_waiting()).count() as u64;
+                left = left.saturating_add(step_order::work_of(spec, waiting));
+                if waiting == 0 || !round.is_ready(spec) {
                     continue;
                 }
                 found.push(Waiting {
@@ -159,30 +322,76 @@
                         priority: queue.priority,
                         age_ms: now.since(job.accepted_at),
                         remaining_ms: job.critical_paths[step as usize],
-                        objective_ms: stretched + queue.target_ms,
+                        objective_ms: stretched.saturating_add(queue.target_ms),
                         standing: spec.standing,
+                        ahead: false,
+                        deferred: false,
+                        density: 0.0,
                     },
                     job: id,
                     round: round.number,
                     step,
                     filler: spec.filler,
+                    short: room::is_short(spec),
+                    cpu_milli: spec.amount.cpu_milli.saturating_mul(waiting),
+                    work: 0,
+                    pool: pool_index(pools, &queue.pool),
                 });
             }
+            let density = outlook::density(job.work, left, mean);
+            for step in &mut found[begin..] {
+                step.work = left;
+                step.rank.density = density;
+            }
+        }
+    }
+
+    /// Use of the pools by their usable workers.
+    fn pool_uses(&self, usable: &[WorkerKey], now: Monotonic) -> Vec<PoolUse> {
+        let mut pools = Vec::new();
+        for worker in usable.iter().map(|key| &self.workers[*key]) {
+            let index = pool_index(&mut pools, &worker.info.pool);
+            let pool = &mut pools[index];
+            pool.capacity_milli += worker.info.capacity.cpu_milli;
+            pool.short_milli += worker.short_milli;
+            pool.filler_milli += worker.filler_milli;
+        }
+        for pool in &mut pools {
+            let Some(demand) = self.demands.get(&pool.name) else {
+                continue;
+            };
+            let pieces = demand.pieces(now);
+            let in_pool = usable.iter().map(|key| &self.workers[*key]);
+            pool.pieces_left = in_pool
+                .filter(|worker| worker.info.pool == pool.name)
+                .map(|worker| pieces.count(worker.free()))
+                .sum();
+            pool.pieces = pieces.are_scarce(pool.pieces_left).then_some(pieces);
         }
+        pools
     }
 
     /// Assigns waiting tasks to workers.
     pub(super) fn assign(&mut self, now: Monotonic) {
-        let waiting = self.waiting_steps(now);
-        if waiting.is_empty() {
+        if self.pending.is_empty() {
+            self.steps_waiting = StepCounts::default();
             return;
         }
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        let usable: Vec<WorkerKey> = keys
+            .into_iter()
+            .filter(|key| self.is_usable(*key, now))
+            .collect();
+        let mut pools = self.pool_uses(&usable, now);
+        let waiting = self.waiting_steps(&mut pools, now);
+        self.steps_waiting = StepCounts::new(&waiting);
+        if waiting.is_empty() {
+            return;
+        }
+        self.log_overload(&pools, now);
         let mut pass = AssignPass {
-            usable: keys
-                .into_iter()
-                .filter(|key| self.is_usable(*key, now))
-                .collect(),
+            usable,
+            pools,
             unplaced: Vec::new(),
             now,
         };
@@ -222,7 +431,8 @@
         }
         let pool = self.queue_of(job).pool.clone();
         let spec = spec.clone();
-        let request = place::AssignmentRequest::new(&mut self.headroom, &spec);
+        let pieces = pass.pools[step.pool].pieces;
+        let request = place::AssignmentRequest::new(&mut self.headroom, &spec, pieces);
         let (mut candidates, mut misfits) = self.candidates(&pool, &request, &per_worker, pass);
         for (index, avoid) in waiting {
             let worker = loop {
@@ -240,7 +450,7 @@
                 if !spec.filler && misfits.spread == 0 {
                     pass.unplaced.push((pool, spec));
                 }
-                self.log_waiting(step, pass.usable.len(), misfits);
+                self.log_waiting(step, &pass.usable, misfits);
                 return false;
             };
             let same_step = count_on(&per_worker, worker) + 1;
@@ -296,7 +506,7 @@
         let worker = &self.workers[key];
         place::fit(worker, request.step, same_step)?;
         if !request.needs_load() {
-            return Ok(place::plain_cost(worker, request.step, same_step));
+            return Ok(place::plain_cost(worker, request, same_step));
         }
         if !self.cached_loads.contains_key(key) {
             self.cached_loads.insert(key, self.load(key));
@@ -316,32 +526,71 @@
     }
 
     /// Logs, once for each step, why it waits.
-    fn log_waiting(&mut self, step: &Waiting, usable: usize, misfits: MisfitCounts) {
-        let job = self.jobs.get_mut(&step.job);
-        let Some(state) = job.and_then(|job| job.step_mut(step.round, step.step)) else {
+    fn log_waiting(&mut self, step: &Waiting, usable: &[WorkerKey], misfits: MisfitCounts) {
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return;
+        };
+        let Some(state) = job.step_mut(step.round, step.step) else {
             return;
         };
         if std::mem::replace(&mut state.wait_logged, true) {
             return;
         }
-        let free = self
-            .workers
-            .values()
-            .map(|worker| worker.info.capacity.less(worker.committed));
+        let unplaced = state.tasks.iter().filter(|task| task.is_waiting()).count();
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        let pool = &self.queue_of(job).pool;
+        let in_pool = usable.iter().map(|key| &self.workers[*key]);
+        let free = in_pool
+            .filter(|worker| worker.info.pool == *pool)
+            .map(Worker::free);
         let most = free.max_by_key(|free| free.cpu_milli).unwrap_or_default();
         Entry::new(Kind::Waiting)
             .with_text("job", step.job)
             .with("step", step.step)
-            .with("workers", usable)
+            .with("class", step.rank.deadline_class())
+            .with("ahead", step.rank.ahead)
+            .with("tasks", unplaced)
+            .with("amount", job.step_spec(step.step).map(|spec| spec.amount))
+            .with("age-ms", step.rank.age_ms)
+            .with("workers", usable.len())
             .with("no-label", misfits.label)
             .with("spread", misfits.spread)
-            .with("no-room", misfits.room)
+            .with("no-room", misfits.cpu + misfits.memory)
+            .with("no-memory", misfits.memory)
             .with("most-free", most)
             .with("busy", misfits.busy)
             .with("harm", misfits.harm)
             .emit();
     }
 
+    /// Logs, at most once a second, that jobs wait that cannot all be in time.
+    fn log_overload(&mut self, pools: &[PoolUse], now: Monotonic) {
+        let counts = self.steps_waiting;
+        let is_recent = self
+            .overload_logged
+            .is_some_and(|at| now.since(at) < OVERLOAD_PAUSE_MS);
+        if is_recent || counts.deferred + counts.late + counts.no_value == 0 {
+            return;
+        }
+        self.overload_logged = Some(now);
+        let sum = |part: fn(&PoolUse) -> u64| pools.iter().map(part).sum::<u64>();
+        Entry::new(Kind::Overload)
+            .with("standing", counts.standing)
+            .with("ahead", counts.ahead)
+            .with("in-time", counts.in_time)
+            .with("deferred", counts.deferred)
+            .with("late", counts.late)
+            .with("no-value", counts.no_value)
+            .with("cpu-milli", sum(|pool| pool.capacity_milli))
+            .with("short-milli", sum(|pool| pool.short_milli))
+            .with("filler-milli", sum(|pool| pool.filler_milli))
+            .with("pieces", sum(|pool| pool.pieces_left))
+            .with("scarce", pools.iter().any(|pool| pool.pieces.is_some()))
+            .emit();
+    }
+
     fn assign_task(&mut self, task: TaskId, worker: WorkerKey, now: Monotonic) {
         let Some(state) = self.task_mut(task) else {
             return;
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -7,7 +7,7 @@
 use super::worker::{Run, WorkerInfo, WorkerKey};
 use super::{
     Dispatcher, Entry, JobId, JobState, Kind, Millis, Monotonic, Phase, RunKey, StepSpec, TaskId,
-    Worker, health, place,
+    Worker, health, place, room,
 };
 
 /// Delay before a late or unanswered start, or a failed pace order, is sent again, in
@@ -203,6 +203,11 @@
         } else {
             0
         };
+        let short_milli = if room::is_short(&spec) {
+            spec.amount.cpu_milli
+        } else {
+            0
+        };
         let image = self.headroom.image_id(&spec.image);
         let key = self.runs.insert(Run {
             task,
@@ -211,6 +216,7 @@
             worker,
             amount,
             filler_milli,
+            short_milli,
             standing: spec.standing,
             target_ms: spec.target_ms,
             phase: Phase::Recording,
@@ -239,6 +245,7 @@
         let state = &mut self.workers[worker];
         state.committed.add(amount);
         state.filler_milli += filler_milli;
+        state.short_milli += short_milli;
         if state.runs.is_empty() {
             state.next_poll = state.next_poll.min(now);
         }
@@ -271,6 +278,7 @@
         worker.run_ended(&run, now);
         worker.committed.remove(run.amount);
         worker.filler_milli = worker.filler_milli.saturating_sub(run.filler_milli);
+        worker.short_milli = worker.short_milli.saturating_sub(run.short_milli);
         if run.filler_milli > 0 && run.phase == Phase::Live {
             let past = PastFiller::new(&run, worker.info.capacity.cpu_milli, now);
             worker.past_fillers.push(past);
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -16,7 +16,8 @@
 //!   owner have no effect after those of its successor.
 //!
 //! Each decision has a module of its own, which names the load pattern that it is
-//! made for: [`step_order`] (order of waiting steps), `place` (choice of a worker),
+//! made for: [`step_order`] (order of waiting steps), [`room`] (room for short steps beside
+//! standing tasks), `place` (choice of a worker),
 //! `headroom` (what fillers take from standing tasks), `interference` (relief of slowed
 //! standing tasks), `health` (quarantine of
 //! workers), `straggler` (runs much slower than their peers).
@@ -36,6 +37,7 @@
 mod quorum;
 mod recover;
 mod report;
+pub mod room;
 pub mod step_order;
 mod straggler;
 mod table;
@@ -50,6 +52,7 @@
 use crate::event::{Entry, Kind};
 
 pub use account::Account;
+pub use assign::StepCounts;
 use headroom::HeadroomModel;
 pub use headroom::Pressure;
 pub use job::{
@@ -114,6 +117,14 @@
     /// Cancelled jobs that have not been submitted yet.
     early_cancels: HashSet<JobId>,
     headroom: HeadroomModel,
+    /// Recent demand of short steps, by pool.
+    demands: HashMap<String, room::Demand>,
+    /// Mean work of a job, by queue.
+    work_means: HashMap<String, table::WorkMean>,
+    /// Waiting steps of the last assignment.
+    steps_waiting: StepCounts,
+    /// Last log line on an overload.
+    overload_logged: Option<Monotonic>,
     /// Jobs with changes to be written.
     dirty: Vec<JobId>,
     /// Versions of the jobs in the write in progress.
@@ -158,6 +169,10 @@
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
             headroom: HeadroomModel::default(),
+            demands: HashMap::default(),
+            work_means: HashMap::default(),
+            steps_waiting: StepCounts::default(),
+            overload_logged: None,
             dirty: Vec::new(),
             writing: HashMap::default(),
             assign_needed: true,
@@ -205,6 +220,7 @@
 
     fn insert_job(&mut self, id: JobId, record: JobRecord, now: Now) {
         let job = Job::new(record, now);
+        self.note_demand(&job, now.at);
         if job.rounds_begun < job.times() {
             self.recurring.push(id);
         }
@@ -214,6 +230,23 @@
         self.assign_needed = true;
     }
 
+    /// Takes a new job into the recent demand.
+    fn note_demand(&mut self, job: &Job, now: Monotonic) {
+        let queue = self.queue_of(job);
+        let (pool, name) = (queue.pool.clone(), queue.name.clone());
+        self.work_means.entry(name).or_default().add(job.work);
+        let demand = self.demands.entry(pool).or_default();
+        for step in job
+            .record
+            .spec
+            .steps
+            .iter()
+            .filter(|step| room::is_short(step))
+        {
+            demand.add(step.count, step.amount, step.estimate_ms, now);
+        }
+    }
+
     /// Adds a job that ended under an earlier owner.
     pub fn add_ended(&mut self, id: JobId, state: JobState, now: Now) {
         self.jobs.insert(id, Job::ended(state, now));
@@ -311,6 +344,11 @@
         std::mem::take(&mut self.unassigned)
     }
 
+    /// Waiting steps of the last assignment, before it.
+    pub fn steps_waiting(&self) -> StepCounts {
+        self.steps_waiting
+    }
+
     /// Number of usable workers, and of runs.
     pub fn counts(&self, now: Monotonic) -> (usize, usize) {
         let usable = self
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -18,6 +18,7 @@
 
 use super::headroom::{self, Exposure, HeadroomModel, ImageId, Level};
 use super::job::{Amount, StepSpec};
+use super::room::Pieces;
 use super::worker::Worker;
 
 /// Share of its committed CPU that a standing task is assumed to use: a little under
@@ -59,6 +60,13 @@
 /// Cost per unit of headroom below [`TIGHT_HEADROOM`].
 const TIGHT_COST: f64 = 0.2;
 
+/// Cost, for a short task, of each piece for such tasks that it destroys.
+const SHORT_PIECE_COST: f64 = 1.0;
+
+/// Cost, for a standing task, of each piece for short tasks that it destroys. Less than
+/// [`NEW_IMAGE_COST`].
+const STANDING_PIECE_COST: f64 = 0.3;
+
 /// Longest time ahead for which loads are estimated, in milliseconds.
 const AHEAD_MAX_MS: u64 = 10_000;
 
@@ -141,10 +149,12 @@
     pub image: ImageId,
     /// Harmfulness of a filler, zero for other tasks.
     harmfulness: f64,
+    /// Pieces for short steps, none while enough are left.
+    pieces: Option<Pieces>,
 }
 
 impl<'a> AssignmentRequest<'a> {
-    pub fn new(model: &mut HeadroomModel, step: &'a StepSpec) -> Self {
+    pub fn new(model: &mut HeadroomModel, step: &'a StepSpec, pieces: Option<Pieces>) -> Self {
         let image = model.image_id(&step.image);
         Self {
             step,
@@ -154,9 +164,18 @@
             } else {
                 0.0
             },
+            pieces,
         }
     }
 
+    /// Cost of the pieces for short steps that the task destroys.
+    fn piece_cost(&self, worker: &Worker, weight: f64) -> f64 {
+        self.pieces.map_or(0.0, |pieces| {
+            let count = pieces.destroyed(worker.free(), committed(self.step));
+            as_float(count) * weight
+        })
+    }
+
     /// Whether the cost of placing it depends on the load of a worker.
     pub fn needs_load(&self) -> bool {
         self.step.filler || self.step.target_ms > 0
@@ -223,8 +242,10 @@
     Label,
     /// The worker has as many tasks of the step as the step's spread allows.
     Spread,
-    /// The free resources do not suffice.
-    Room,
+    /// The free CPU or accelerators do not suffice.
+    Cpu,
+    /// The free memory does not suffice, or would not after a filler.
+    Memory,
     /// The idle CPU does not suffice for a filler.
     Busy,
     /// The filler would slow a standing task too much.
@@ -246,21 +267,32 @@
         return Err(Misfit::Spread);
     }
     let amount = committed(step);
-    let free = info.capacity.less(worker.committed);
+    let free = worker.free();
     let reserve = if step.filler {
         reserve_mb(info.capacity, free)
     } else {
         0
     };
-    if !amount.fits(free) || amount.memory_mb + reserve > free.memory_mb {
-        return Err(Misfit::Room);
+    if amount.cpu_milli > free.cpu_milli || amount.gpus > free.gpus {
+        return Err(Misfit::Cpu);
+    }
+    if amount.memory_mb.saturating_add(reserve) > free.memory_mb {
+        return Err(Misfit::Memory);
     }
     Ok(())
 }
 
-/// Cost of one more task of a step without a target on a worker where it fits.
-pub(super) fn plain_cost(worker: &Worker, step: &StepSpec, same_step: u32) -> f64 {
-    rack_cost(worker, step) + committed_share(worker) + f64::from(same_step) * SAME_STEP_COST
+/// Cost of one more task of a step without a target on a worker where it fits. Where
+/// pieces for short steps are scarce, it goes where it destroys fewest, and then where it
+/// fits best.
+pub(super) fn plain_cost(worker: &Worker, request: &AssignmentRequest<'_>, same_step: u32) -> f64 {
+    let committed = committed_share(worker);
+    let load = if request.pieces.is_some() {
+        1.0 - committed + request.piece_cost(worker, SHORT_PIECE_COST)
+    } else {
+        committed
+    };
+    rack_cost(worker, request.step) + load + f64::from(same_step) * SAME_STEP_COST
 }
 
 /// Cost of one more filler, or task with a target, on a worker where it fits.
@@ -282,6 +314,7 @@
         let packing = image_cost(load, request.image) + f64::from(same_step) * SAME_STEP_COST;
         return Ok(rack_cost(worker, step)
             + committed_share(worker) * COMMITTED_WEIGHT
+            + request.piece_cost(worker, STANDING_PIECE_COST)
             + packing
             + impact.cost());
     }
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -81,12 +81,43 @@
     }
 }
 
+/// Mean work of the jobs of a queue, in core-milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct WorkMean {
+    sum: f64,
+    count: f64,
+}
+
+impl WorkMean {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "work is far below 2^52 core-milliseconds"
+    )]
+    pub fn add(&mut self, work: u64) {
+        self.sum += work as f64;
+        self.count += 1.0;
+    }
+
+    pub fn value(self) -> f64 {
+        self.sum / self.count.max(1.0)
+    }
+}
+
+/// Core-milliseconds of one round of a job by declared run times.
+fn work_of(spec: &JobSpec) -> u64 {
+    let each = spec.steps.iter();
+    each.map(|step| step_order::work_of(step, u64::from(step.count)))
+        .fold(0, u64::saturating_add)
+}
+
 /// State of a job.
 #[derive(Clone, Debug)]
 pub(super) struct Job {
     pub record: JobRecord,
     /// Critical path from each step, in milliseconds.
     pub critical_paths: Vec<Millis>,
+    /// Core-milliseconds of one round by declared run times.
+    pub work: u64,
     /// Acceptance on this process's clock.
     pub accepted_at: Monotonic,
     pub rounds: Vec<Round>,
@@ -108,6 +139,7 @@
         let age = now.wall_ms.saturating_sub(record.accepted_ms);
         let mut job = Self {
             critical_paths: step_order::critical_paths(&record.spec),
+            work: work_of(&record.spec),
             accepted_at: now.at - age,
             rounds: Vec::new(),
             rounds_begun: 0,
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -164,6 +164,8 @@
     pub committed: Amount,
     /// CPU of its fillers in thousandths of a core.
     pub filler_milli: u64,
+    /// CPU of its short runs in thousandths of a core.
+    pub short_milli: u64,
     pub runs: HashSet<RunKey>,
     /// When the last answered poll was sent.
     pub answered_at: Option<Monotonic>,
@@ -199,6 +201,11 @@
         }
     }
 
+    /// Resources that are not committed.
+    pub fn free(&self) -> Amount {
+        self.info.capacity.less(self.committed)
+    }
+
     /// Whether it has answered a poll that was sent at most `limit_ms` ago.
     pub fn answered_within(&self, now: Monotonic, limit_ms: Millis) -> bool {
         self.answered_at.is_some_and(|at| now.since(at) <= limit_ms)
@@ -306,6 +313,8 @@
     pub image: ImageId,
     /// CPU of a filler in thousandths of a core, zero for other tasks.
     pub filler_milli: u64,
+    /// CPU of a short step's run in thousandths of a core, zero for other tasks.
+    pub short_milli: u64,
     /// Whether it runs until its job is cancelled.
     pub standing: bool,
     /// Target of its tail latency in milliseconds, zero for none.
--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -4,6 +4,8 @@
 
 use metrics::{counter, gauge, histogram};
 
+use crate::dispatch::StepCounts;
+
 /// Records a final answer to a caller and its duration.
 pub fn record_answer(method: &str, status: u16, took: Duration) {
     let labels = [
@@ -29,12 +31,29 @@
     histogram!("verbenahitch_owner_commit_seconds").record(took.as_secs_f64());
 }
 
-/// Sets the metrics of the owner: workers that may be given tasks, active runs, and the
-/// runs that workers have listed without an assignment since the last call.
-pub(super) fn set_owner_metrics(workers: usize, runs: usize, unassigned: u64) {
+/// Sets the metrics of the owner: workers that may be given tasks, active runs, the runs
+/// that workers have listed without an assignment since the last call, and the waiting
+/// steps.
+pub(super) fn set_owner_metrics(
+    workers: usize,
+    runs: usize,
+    unassigned: u64,
+    waiting: &StepCounts,
+) {
     #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
     let set = |gauge: metrics::Gauge, count: usize| gauge.set(count as f64);
     set(gauge!("verbenahitch_workers_usable"), workers);
     set(gauge!("verbenahitch_runs"), runs);
     counter!("verbenahitch_unassigned_runs_total").increment(unassigned);
+    let set = |class: &'static str, count: usize| {
+        set(
+            gauge!("verbenahitch_steps_waiting", "class" => class),
+            count,
+        );
+    };
+    set("standing", waiting.standing);
+    set("in-time", waiting.in_time);
+    set("deferred", waiting.deferred);
+    set("late", waiting.late);
+    set("no-value", waiting.no_value);
 }
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -69,7 +69,9 @@
         }
         self.checked_at = now;
         let (workers, runs) = self.dispatcher.counts(now);
-        observe::set_owner_metrics(workers, runs, self.dispatcher.take_unassigned());
+        let unassigned = self.dispatcher.take_unassigned();
+        let waiting = self.dispatcher.steps_waiting();
+        observe::set_owner_metrics(workers, runs, unassigned, &waiting);
         let learned = self.dispatcher.learned_pressures();
         if learned != self.stored_pressures {
             let put = Put::persistent(keys::PRESSURES.to_owned(), keys::encode(&learned));
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -65,6 +65,7 @@
     Evicted = 220, "evicted", Info, "A task was ordered to stop, or a copy of a slow task was requested on another worker.";
     Throttled = 221, "throttled", Info, "The CPU share of a task was changed, or the task is to restart on another worker.";
     Pressure = 222, "pressure", Info, "The estimated interference between two profiles or images has changed.";
+    Overload = 223, "overload", Info, "Jobs wait that cannot all be in time; at most once a second.";
     WorkerQuarantined = 230, "worker-quarantined", Warn, "A worker whose tasks keep failing is quarantined: it gets no tasks, or only probes.";
     WorkerRestored = 231, "worker-restored", Info, "A quarantined worker passed its probe.";
     WorkerUnreachable = 232, "worker-unreachable", Warn, "A worker does not answer or is no longer listed.";
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -4,5 +4,6 @@
 mod incarnations;
 mod load;
 mod order;
+mod overload;
 mod recovery;
 mod world;
