--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -7,7 +7,7 @@
 use super::worker::{Run, WorkerInfo, WorkerKey};
 use super::{
     Dispatcher, Entry, JobId, JobState, Kind, Millis, Monotonic, Phase, RunKey, StepSpec, TaskId,
-    Worker, health, place,
+    Worker, health, place, room,
 };
 
 /// Delay before a late or unanswered start, or a failed pace order, is sent again, in
@@ -208,6 +208,11 @@
         } else {
             0
         };
+        let short_milli = if room::is_short(&spec) {
+            spec.amount.cpu_milli
+        } else {
+            0
+        };
         let image = self.headroom.image_id(&spec.image);
         let claim = self.claim(task.job, &spec);
         self.accounts.hold(claim);
@@ -220,6 +225,7 @@
             claim,
             is_unsized,
             filler_milli,
+            short_milli,
             standing: spec.standing,
             target_ms: spec.target_ms,
             phase: Phase::Recording,
@@ -250,6 +256,7 @@
         state.committed.add(amount);
         state.unsized_runs += u32::from(is_unsized);
         state.filler_milli += filler_milli;
+        state.short_milli += short_milli;
         if state.runs.is_empty() {
             state.next_poll = state.next_poll.min(now);
         }
@@ -284,6 +291,7 @@
         worker.committed.remove(run.amount);
         worker.unsized_runs -= u32::from(run.is_unsized);
         worker.filler_milli = worker.filler_milli.saturating_sub(run.filler_milli);
+        worker.short_milli = worker.short_milli.saturating_sub(run.short_milli);
         if run.filler_milli > 0 && run.phase == Phase::Live {
             let past = PastFiller::new(&run, worker.info.capacity.cpu_milli, now);
             worker.past_fillers.push(past);
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -16,8 +16,10 @@
 //!   owner have no effect after those of its successor.
 //!
 //! Each decision has a module of its own, which names the load pattern that it is
-//! made for: [`step_order`] (order of waiting steps), `place` (choice of a worker),
-//! `account` (caps and shares of client accounts), `headroom` (what fillers take from standing tasks), `interference` (relief of slowed
+//! made for: [`step_order`] (order of waiting steps), [`room`] (room for short steps beside
+//! standing tasks), `place` (choice of a worker), `account` (caps and shares of client
+//! accounts), `headroom` (what fillers take from standing tasks), `interference` (relief of
+//! slowed
 //! standing tasks), `health` (quarantine of
 //! workers), `straggler` (runs much slower than their peers).
 
@@ -38,6 +40,7 @@
 mod recover;
 mod report;
 mod retire;
+pub mod room;
 pub mod step_order;
 mod straggler;
 mod table;
@@ -53,6 +56,7 @@
 
 pub use account::{Account, AccountStatus, InUse, ShareRank, admits};
 use account::{AccountKey, Accounts, Claim};
+pub use assign::StepCounts;
 use headroom::HeadroomModel;
 pub use headroom::Pressure;
 pub use job::{
@@ -120,6 +124,14 @@
     /// Cancelled jobs that have not been submitted yet.
     early_cancels: HashSet<JobId>,
     headroom: HeadroomModel,
+    /// Recent demand of short steps, by pool.
+    demands: HashMap<String, room::Demand>,
+    /// Mean work of a job, by queue.
+    work_means: HashMap<String, table::WorkMean>,
+    /// Waiting steps of the last assignment.
+    steps_waiting: StepCounts,
+    /// Last log line on an overload.
+    overload_logged: Option<Monotonic>,
     /// Jobs with changes to be written.
     dirty: Vec<JobId>,
     /// Versions of the jobs in the write in progress.
@@ -169,6 +181,10 @@
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
             headroom: HeadroomModel::default(),
+            demands: HashMap::default(),
+            work_means: HashMap::default(),
+            steps_waiting: StepCounts::default(),
+            overload_logged: None,
             dirty: Vec::new(),
             writing: HashMap::default(),
             assign_needed: true,
@@ -222,6 +238,7 @@
         if account.is_some() {
             self.accounts.add_job(id, job.accepted_at);
         }
+        self.note_demand(&job, now.at);
         if job.rounds_begun < job.times() {
             self.recurring.push(id);
         }
@@ -231,6 +248,23 @@
         self.assign_needed = true;
     }
 
+    /// Takes a new job into the recent demand.
+    fn note_demand(&mut self, job: &Job, now: Monotonic) {
+        let queue = self.queue_of(job);
+        let (pool, name) = (queue.pool.clone(), queue.name.clone());
+        self.work_means.entry(name).or_default().add(job.work);
+        let demand = self.demands.entry(pool).or_default();
+        for step in job
+            .record
+            .spec
+            .steps
+            .iter()
+            .filter(|step| room::is_short(step))
+        {
+            demand.add(step.count, step.amount, step.estimate_ms, now);
+        }
+    }
+
     /// Adds a job that ended under an earlier owner.
     pub fn add_ended(&mut self, id: JobId, state: JobState, now: Now) {
         self.jobs.insert(id, Job::ended(state, now));
@@ -338,6 +372,11 @@
         std::mem::take(&mut self.unassigned)
     }
 
+    /// Waiting steps of the last assignment, before it.
+    pub fn steps_waiting(&self) -> StepCounts {
+        self.steps_waiting
+    }
+
     /// Number of usable workers, and of runs.
     pub fn counts(&self, now: Monotonic) -> (usize, usize) {
         let usable = self
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod incarnations;
 mod load;
 mod order;
+mod overload;
 mod recovery;
 mod shares;
 mod world;
