A successor's inherited runs no longer make later runs of their step slow; starts under a fallen cap

Cause: the property test of caps found jobs that never finished. (1) After a change of owner the end of an inherited run gave a duration since the take-over, not of the whole run; later tasks of the step looked three times slower and were restarted again and again (152 runs of a task in 120 s). It needs no caps, only steps in waves. (2) Unanswered starts under a fallen cap waited for each other's room for ever. Change: (1) inherited runs give no duration and no projection. (2) such a start is stopped once its worker has answered without listing it.

--- a/crates/verbenahitch/src/dispatch/account/ledger.rs
+++ b/crates/verbenahitch/src/dispatch/account/ledger.rs
@@ -134,9 +134,9 @@
             .emit();
     }
 
-    /// Withdraws a start that was never ordered and no longer fits under its account's cap;
-    /// returns whether the run may be ordered now. One that may have been carried out is
-    /// neither stopped nor ordered again.
+    /// Withdraws a start that no longer fits under its account's cap; returns whether an order
+    /// for the run may be sent now. One that may have been carried out is stopped only when
+    /// its worker has answered since and does not list it.
     pub(in crate::dispatch) fn check_cap(&mut self, key: RunKey, now: Monotonic) -> bool {
         let run = &self.runs[key];
         let is_start = run.phase == Phase::Starting && !run.stop_wanted;
@@ -145,7 +145,13 @@
         }
         if run.tries == 0 {
             self.end_run(key, EndCause::Stopped, Evidence::NotOrdered, "", now);
+            return false;
+        }
+        let answered_at = self.workers[run.worker].answered_at;
+        let is_absent = answered_at.is_some_and(|at| at > run.retry_at);
+        if is_absent {
+            self.stop_run(key);
         }
-        false
+        is_absent
     }
 }
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -64,6 +64,7 @@
             let state = &mut self.runs[key];
             state.phase = Phase::Live;
             state.inherited = true;
+            state.resumed = true;
             state.incarnation = run.2;
             if is_obsolete {
                 self.stop_run(key);
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -344,7 +344,8 @@
     /// zero if unknown.
     pub incarnation: u64,
     pub started_at: Monotonic,
-    /// Whether it resumed from a checkpoint.
+    /// Whether the time since `started_at` is not that of all its work: it resumed from a
+    /// checkpoint, or an earlier owner recorded it.
     pub resumed: bool,
     /// Reported progress in percent; 100 for a standing task that serves.
     pub progress: u8,
--- a/testsuite/tests/testsuite/dispatch/caps.rs
+++ b/testsuite/tests/testsuite/dispatch/caps.rs
@@ -128,6 +128,25 @@
     assert_kept(&world);
 }
 
+/// Several starts without an answer must not wait for each other's room under a fallen cap.
+/// Together they exceed it, so the account waits until they can no longer be carried out,
+/// 15 s.
+#[test]
+fn unanswered_starts_do_not_block_each_other_under_a_fallen_cap() {
+    let mut world = World::new(1);
+    world.declare_accounts(vec![account("a", 1.0, cores(9))]);
+    world.run(200);
+    world.workers.get_mut("w00").unwrap().silent = true;
+    let id = world.submit_for("a", 1, "batch", job(vec![step(3, 3, 100)]));
+    world.run(200);
+    world.declare_accounts(vec![account("a", 1.0, cores(3))]);
+    world.run(200);
+    world.workers.get_mut("w00").unwrap().silent = false;
+    world.run(20_000);
+    assert_eq!(world.state(id), Some(JobState::Completed));
+    assert_kept(&world);
+}
+
 /// Both owners together keep to the cap: the former one runs on in its zone, and its
 /// successor counts what it inherits.
 #[test]
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -37,6 +37,19 @@
     assert_eq!(world.state(id), Some(JobState::Completed));
 }
 
+/// A successor saw only the end of an inherited run: the whole runs of later tasks of the
+/// step are not slow beside it, and must not be restarted again and again.
+#[test]
+fn inherited_runs_do_not_make_later_ones_slow() {
+    let mut world = World::new(1);
+    let id = world.submit(1, "batch", job(vec![step(8, 8, 1_400)]));
+    world.run(1_300);
+    world.take_over();
+    world.run(8_000);
+    assert_eq!(world.state(id), Some(JobState::Completed));
+    world.ledger.assert_once();
+}
+
 #[test]
 fn a_successor_starts_assignments_that_were_recorded_but_not_started() {
     let mut world = World::new(3);
