--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -74,6 +74,7 @@
             let state = &mut self.runs[key];
             state.phase = Phase::Live;
             state.inherited = true;
+            state.resumed = true;
             state.incarnation = run.2;
             state.home = Arc::from(home);
             if is_obsolete {
