--- a/testsuite/tests/testsuite/entry/accounts.rs
+++ b/testsuite/tests/testsuite/entry/accounts.rs
@@ -158,7 +158,8 @@
 #[test_case(case(after_first(&[Read(2_000, 20), Covered(20)]), 60_000, "k", denied(Denial::Outdated)); "answers of before a pause")]
 #[test_case(case(after_first(&[Read(2_000, 20), Covered(20), Read(60_000, 30), Covered(31)]), 60_001, "k", SERVED); "a read after a pause")]
 #[test_case(case(after_first(&[Listed(60_000)]), 60_001, "k", SERVED); "a listing after a pause")]
-#[test_case(case(after_first(&[Read(4_000, 20), adopted(18, 2, &["k"]), Covered(20)]), 8_000, "l", withdrawn()); "a withdrawal that the read covers")]
+#[test_case(case(after_first(&[Read(4_000, 20), adopted(18, 2, &["k"]), Covered(20)]), 6_000, "l", withdrawn()); "a withdrawal that the read covers")]
+#[test_case(case(after_first(&[Read(4_000, 20), adopted(18, 2, &["k"]), Covered(20)]), 8_000, "l", denied(Denial::Outdated)); "a withdrawn key that may be back")]
 // Versions out of order.
 #[test_case(case(after_first(&[adopted(12, 3, &["k"]), Document(13, version(2, &["k", "l"]), Offer::Superseded)]), 1_001, "l", withdrawn()); "an older version brings no key back")]
 #[test_case(case(after_first(&[adopted(12, 3, &["k", "l"]), Document(13, version(2, &["k"]), Offer::Superseded)]), 1_001, "l", withdrawn()); "an older version that lacks a key")]
