--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery after the loss of workers and after a change of the owner.
 
 use test_case::test_case;
-use verbenahitch::dispatch::{Dispatcher, JobId, JobState};
+use verbenahitch::dispatch::{Dispatcher, JobId, JobState, Retirement};
 use verbenahitch::domain::{Millis, Monotonic};
 
 use super::world::{BOUNDS, Started, World, job, step};
@@ -370,13 +370,15 @@
 
 /// The process runs no pass for a while, as during a hand-over that then fails. The store's
 /// answer to an earlier renewal arrives after it.
-#[test]
-fn nothing_starts_after_a_pause_between_passes() {
+#[test_case(800)]
+#[test_case(3_000)]
+#[test_case(10_000)]
+fn nothing_starts_after_a_pause_between_passes(pause_ms: Millis) {
     let mut world = World::new(2);
     world.run(500);
     let sent = Monotonic(world.now);
     world.dispatcher.note_running(world.now, sent);
-    world.now += 800;
+    world.now += pause_ms;
     world.store_up = false;
     let now = Monotonic(world.now);
     assert!(world.dispatcher.note_running(world.now, now));
@@ -389,6 +391,65 @@
     assert!(world.workers["w00"].life.lease_end > lease_end);
 }
 
+/// A worker is silent for a while. Its run goes on unless its lease lapses, which was given up to
+/// two polls before the silence.
+#[test_case(1_000, 1; "one second")]
+#[test_case(2_000, 1; "two seconds")]
+#[test_case(6_000, 2; "six seconds")]
+#[test_case(10_000, 2; "ten seconds")]
+fn a_run_survives_the_silence_of_its_worker(silent_ms: Millis, starts: usize) {
+    let mut world = World::new(3);
+    let id = world.submit(1, "batch", job(vec![step(1, 1, 15_000)]));
+    world.run(2_000);
+    let worker = world.starts_of(id)[0].worker.clone();
+    world.workers.get_mut(&worker).unwrap().silent = true;
+    world.run(silent_ms);
+    world.workers.get_mut(&worker).unwrap().silent = false;
+    world.run(25_000);
+    world.ledger.assert_once();
+    assert_eq!(world.starts_of(id).len(), starts);
+    assert_eq!(world.state(id), Some(JobState::Completed));
+}
+
+#[test]
+fn a_worker_that_has_left_gets_no_tasks_from_a_successor() {
+    let mut world = World::new(2);
+    world.run(1_500);
+    let id = world.submit(1, "batch", job(vec![step(2, 16, 2_000)]));
+    world.run(1_000);
+    world.unlist_worker("w00");
+    world.take_over();
+    world.run(3_000);
+    assert_eq!(world.state(id), Some(JobState::Completed));
+    let next = world.submit(2, "batch", job(vec![step(2, 16, 500)]));
+    world.run(3_000);
+    let starts = world.starts_of(next);
+    assert_eq!(starts.len(), 2);
+    assert!(starts.iter().all(|start| start.worker == "w01"));
+}
+
+/// Values that no worker and no owner would send.
+#[test]
+fn values_out_of_range_end_no_run_early() {
+    let mut world = World::new(2);
+    world.run(1_500);
+    let id = world.submit(1, "batch", job(vec![step(1, 1, 20_000)]));
+    world.run(1_000);
+    let worker = world.starts_of(id)[0].worker.clone();
+    world.workers.get_mut(&worker).unwrap().clock_offset = Millis::MAX - 100_000;
+    world.run(3_000);
+    world.take_over();
+    let record = Retirement {
+        acts_ms: Millis::MAX,
+        lapses: vec![(worker, Millis::MAX), ("nobody".to_owned(), 0)],
+    };
+    let now = Monotonic(world.now);
+    world.dispatcher.restore_retirement(&record, now);
+    world.run(1_500);
+    world.ledger.assert_once();
+    assert_eq!(world.starts_of(id).len(), 1);
+}
+
 /// A worker runs what a job left there that has ended since, and whose size is not known.
 #[test]
 fn a_worker_with_a_run_of_an_ended_job_gets_no_other() {
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -477,7 +477,7 @@
         });
         Ok(Report {
             incarnation: worker.life.number,
-            clock_ms: worker.clock(now),
+            clock_ms: worker.clock(now) + worker.clock_offset,
             running: running.collect(),
             ended: worker.life.ended.clone(),
         })
--- a/testsuite/tests/testsuite/dispatch/world/worker.rs
+++ b/testsuite/tests/testsuite/dispatch/world/worker.rs
@@ -57,6 +57,8 @@
     pub stop_ms: Millis,
     /// Whether its clock runs 2% slow.
     pub slow_clock: bool,
+    /// What it adds to its clock in its lists.
+    pub clock_offset: Millis,
     /// Delay after which it carries out orders, which it then does not answer.
     pub order_delay: Option<Millis>,
     /// Answers no calls; its runs continue.
