--- a/testsuite/tests/testsuite/dispatch/overload.rs
+++ b/testsuite/tests/testsuite/dispatch/overload.rs
@@ -100,19 +100,19 @@
     assert!(at_work >= WORKERS * 4 * 9 / 10, "{at_work} standing tasks");
 }
 
-/// Pamoja's burst: batch work of 0.8 of the CPU, and of 2.2 times as much for six seconds.
-/// By deadline alone, most jobs of the next ten seconds miss it. Of the work that is in
-/// time at best, 70% is, by the number of jobs; none is never done.
+/// Pamoja's burst: batch work of all the CPU, and of 2.2 times as much for fifteen seconds.
+/// By deadline alone, most jobs miss it from then on. The target is that of every
+/// kind of request on every day: 55% of its worth. None is never done.
 #[test]
-fn a_burst_makes_few_jobs_late() {
+fn a_burst_leaves_most_jobs_in_time() {
     let mut world = World::new(10);
     world.run(500);
     let mut draws = Draws(7);
     let mut jobs = Vec::new();
     for tenth in 0..300_u64 {
-        let is_burst = (80..140).contains(&tenth);
-        // 160 cores, 136 core-seconds a job: 0.94 of them a second are 0.8 of the CPU.
-        let rate = if is_burst { 207 } else { 94 };
+        let is_burst = (80..230).contains(&tenth);
+        // 160 cores, 136 core-seconds a job.
+        let rate = if is_burst { 259 } else { 118 };
         if draws.below(1_000) < rate {
             let count = 4 + draws.below(33) as u32;
             let mut second = filler(count, 2, 1_700, "batch");
@@ -126,7 +126,7 @@
     }
     world.run(30_000);
     let share = in_time(&world, &jobs);
-    assert!(share >= 70, "{share}% of {} jobs", jobs.len());
+    assert!(share >= 55, "{share}% of {} jobs", jobs.len());
     assert_eq!(world.finished.len(), jobs.len());
 }
 
