Forecast and admission: when a new job would end, and what is refused

Cause: every job was accepted, whatever waited ahead of it, also one with tasks larger than any worker.

Change: the owner observes the rate at which each queue's work gets done while work waits, and forecasts the end of a new job (`dispatch::forecast`). A digest with its fencing token and age rides on the answers to `submitted` and `state`. Hosts decide by it (`entry::admission`) and refuse for good: a refusal is a key that every acceptance names, so that no earlier attempt's late write follows it (`entry::refusals`). Jobs with tasks larger than any worker are refused. Jobs expected to end after three times their objective are only counted. Estimates and intervals of the largest number no longer overflow.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -9,7 +9,7 @@
 use super::step_order::StepRank;
 use super::table::Task;
 use super::worker::WorkerKey;
-use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, StepSpec, TaskId};
+use super::{Dispatcher, Entry, JobId, Kind, Monotonic, StepSpec, TaskId};
 
 /// Number of filler steps without a place after which a pass skips all further ones:
 /// these are usually as large and less urgent.
@@ -140,13 +140,7 @@
         };
         let queue = self.queue_of(job);
         let longest = job.critical_paths.iter().max().copied().unwrap_or(0);
-        #[expect(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "durations are far below 2^52 ms"
-        )]
-        let stretched = (longest as f64 * queue.stretch.max(0.0)) as Millis;
+        let objective_ms = queue.objective_ms(longest);
         for round in &job.rounds {
             for (step, state) in (0u32..).zip(&round.steps) {
                 let spec = &job.record.spec.steps[step as usize];
@@ -159,7 +153,7 @@
                         priority: queue.priority,
                         age_ms: now.since(job.accepted_at),
                         remaining_ms: job.critical_paths[step as usize],
-                        objective_ms: stretched + queue.target_ms,
+                        objective_ms,
                         standing: spec.standing,
                     },
                     job: id,
--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -86,7 +86,10 @@
                     Entry::new(Kind::JobFinished)
                         .with_text("job", id)
                         .with("state", job.state)
+                        .with("took-ms", now.since(job.accepted_at))
+                        .with("forecast-ms", job.forecast_ms)
                         .emit();
+                    self.forecaster.job_ended(job, now);
                 }
             }
             self.start_recorded(id, version, now);
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -21,6 +21,7 @@
 impl Dispatcher {
     /// Applies a new or changed registry entry; a worker is `listed` while it has one.
     pub fn upsert_worker(&mut self, info: WorkerInfo, now: Monotonic) {
+        self.forecaster.worker_listed(&info.pool, info.capacity);
         let Some(&key) = self.worker_keys.get(&info.name) else {
             let name = info.name.clone();
             let key = self.workers.insert(Worker::new(info));
@@ -360,12 +361,16 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        // Durations of resumed or throttled runs are not comparable.
+        let is_comparable = !run.resumed && run.wanted_pace == 100;
+        let took_ms = is_comparable.then(|| now.since(run.started_at));
         if let Some(step) = job.step_mut(task.round, task.step) {
             step.remaining = step.remaining.saturating_sub(1);
-            // Durations of resumed or throttled runs are not comparable.
-            if !run.resumed && run.wanted_pace == 100 {
-                step.durations.push(now.since(run.started_at));
-            }
+            step.durations.extend(took_ms);
+        }
+        if let Some(spec) = job.step_spec(task.step) {
+            let queue = &job.record.queue.name;
+            self.forecaster.task_done(queue, spec, took_ms);
         }
         let is_done =
             job.rounds_begun == job.times() && job.rounds.iter().all(super::Round::is_done);
--- a/crates/verbenahitch/src/dispatch/job.rs
+++ b/crates/verbenahitch/src/dispatch/job.rs
@@ -105,6 +105,15 @@
 }
 
 impl Amount {
+    /// Greater of each resource.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
     /// Whether `self` fits into `free`.
     pub fn fits(self, free: Self) -> bool {
         self.cpu_milli <= free.cpu_milli
@@ -287,6 +296,21 @@
     pub target_ms: Millis,
 }
 
+impl Queue {
+    /// Completion objective of a job with that critical path, in milliseconds since its
+    /// acceptance.
+    pub fn objective_ms(&self, critical_ms: Millis) -> Millis {
+        #[expect(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "saturates; durations are far below 2^52 ms"
+        )]
+        let stretched = (critical_ms as f64 * self.stretch.max(0.0)) as Millis;
+        stretched.saturating_add(self.target_ms)
+    }
+}
+
 /// Record of a job in the store until the job has ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 //!
 //! Each decision has a module of its own, which names the load pattern that it is
 //! made for: [`step_order`] (order of waiting steps), `place` (choice of a worker),
-//! `headroom` (what fillers take from standing tasks), `interference` (relief of slowed
+//! [`forecast`] (when a new job would end), `headroom` (what fillers take from standing tasks), `interference` (relief of slowed
 //! standing tasks), `health` (quarantine of
 //! workers), `straggler` (runs much slower than their peers).
 
@@ -25,6 +25,7 @@
 mod assign;
 mod commit;
 mod ends;
+pub mod forecast;
 mod headroom;
 mod health;
 mod interference;
@@ -50,6 +51,8 @@
 use crate::event::{Entry, Kind};
 
 pub use account::Account;
+use forecast::Forecaster;
+pub use forecast::{Digest, Hindsight, PoolLimit, QueueForecast};
 use headroom::HeadroomModel;
 pub use headroom::Pressure;
 pub use job::{
@@ -114,6 +117,7 @@
     /// Cancelled jobs that have not been submitted yet.
     early_cancels: HashSet<JobId>,
     headroom: HeadroomModel,
+    forecaster: Forecaster,
     /// Jobs with changes to be written.
     dirty: Vec<JobId>,
     /// Versions of the jobs in the write in progress.
@@ -158,6 +162,7 @@
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
             headroom: HeadroomModel::default(),
+            forecaster: Forecaster::default(),
             dirty: Vec::new(),
             writing: HashMap::default(),
             assign_needed: true,
@@ -192,12 +197,17 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        let forecast = self.forecast(&record);
         Entry::new(Kind::JobAccepted)
             .with_text("job", id)
             .with("queue", &record.queue.name)
             .with("steps", record.spec.steps.len())
+            .with("forecast-ms", forecast)
             .emit();
         self.insert_job(id, record, now);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.forecast_ms = forecast;
+        }
         if self.early_cancels.remove(&id) {
             self.cancel(id, now.at);
         }
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -48,6 +48,7 @@
                 self.assign(now.at);
             }
             self.due_orders(now.at, &mut orders);
+            self.update_forecast(now);
         }
         orders
     }
--- a/crates/verbenahitch/src/dispatch/step_order.rs
+++ b/crates/verbenahitch/src/dispatch/step_order.rs
@@ -14,7 +14,7 @@
 use crate::domain::Millis;
 
 /// Multiple of the objective after which a job has no value, by the users' rules.
-const NO_VALUE_FACTOR: f64 = 3.0;
+const NO_VALUE_FACTOR: Millis = 3;
 
 /// Time past the objective after which a job precedes late ones, even without any
 /// value left, so that it does not starve, in milliseconds. Half of the shortest
@@ -48,22 +48,13 @@
 
 impl StepRank {
     fn deadline_class(&self) -> DeadlineClass {
-        let end = self.age_ms + self.remaining_ms;
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "durations are far below 2^52 ms"
-        )]
-        let value_end = self.objective_ms as f64 * NO_VALUE_FACTOR;
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "durations are far below 2^52 ms"
-        )]
-        let has_no_value = end as f64 > value_end;
+        let end = self.age_ms.saturating_add(self.remaining_ms);
+        let has_no_value = end > value_end(self.objective_ms);
         if self.standing {
             DeadlineClass::Standing
         } else if end <= self.objective_ms {
             DeadlineClass::InTime
-        } else if self.age_ms > self.objective_ms + STARVATION_MS {
+        } else if self.age_ms > self.objective_ms.saturating_add(STARVATION_MS) {
             DeadlineClass::Starved
         } else if has_no_value {
             DeadlineClass::NoValue
@@ -74,7 +65,7 @@
 
     /// Time until the objective minus the remaining critical path, in milliseconds.
     fn slack(&self) -> i64 {
-        let end = i64::try_from(self.age_ms + self.remaining_ms).unwrap_or(i64::MAX);
+        let end = i64::try_from(self.age_ms.saturating_add(self.remaining_ms)).unwrap_or(i64::MAX);
         i64::try_from(self.objective_ms).unwrap_or(i64::MAX) - end
     }
 
@@ -88,6 +79,16 @@
     }
 }
 
+/// Time since acceptance after which a job has no value, in milliseconds.
+pub fn value_end(objective_ms: Millis) -> Millis {
+    objective_ms.saturating_mul(NO_VALUE_FACTOR)
+}
+
+/// Critical path of a job by declared run times, in milliseconds.
+pub fn longest_path(spec: &JobSpec) -> Millis {
+    critical_paths(spec).into_iter().max().unwrap_or(0)
+}
+
 /// Critical path from the start of each step to the end of the job, by declared run
 /// times, in milliseconds.
 pub fn critical_paths(spec: &JobSpec) -> Vec<Millis> {
@@ -95,7 +96,7 @@
     for step in (0..spec.steps.len()).rev() {
         for &on in &spec.steps[step].after {
             let on = on as usize;
-            let through = spec.steps[on].estimate_ms + longest[step];
+            let through = spec.steps[on].estimate_ms.saturating_add(longest[step]);
             longest[on] = longest[on].max(through);
         }
     }
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -89,6 +89,8 @@
     pub critical_paths: Vec<Millis>,
     /// Acceptance on this process's clock.
     pub accepted_at: Monotonic,
+    /// Time to its end as forecast at acceptance, in milliseconds.
+    pub forecast_ms: Option<Millis>,
     pub rounds: Vec<Round>,
     /// Number of repetitions that have begun.
     pub rounds_begun: u32,
@@ -109,6 +111,7 @@
         let mut job = Self {
             critical_paths: step_order::critical_paths(&record.spec),
             accepted_at: now.at - age,
+            forecast_ms: None,
             rounds: Vec::new(),
             rounds_begun: 0,
             state: JobState::Queued,
@@ -158,7 +161,8 @@
     pub fn begin_due(&mut self, wall_ms: Millis) {
         while self.rounds_begun < self.times() {
             let due = self.record.spec.repeat.map_or(0, |repeat| {
-                repeat.first_ms + repeat.interval_ms * Millis::from(self.rounds_begun)
+                let past = repeat.interval_ms.saturating_mul(self.rounds_begun.into());
+                repeat.first_ms.saturating_add(past)
             });
             if wall_ms < due {
                 return;
--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: bursts, retries of callers that lost an answer, and outages of
 //! the store. A job is accepted by one conditional write, which succeeds once per
-//! identifier. A job that cannot be stored is refused at once. When a write may
+//! identifier. A job that cannot be stored is refused at once, and so is one that would have
+//! no value left at its end ([`admission`](super::admission)). When a write may
 //! have been applied, the outcome is unknown, never refused.
 
 use std::net::SocketAddr;
@@ -13,14 +14,17 @@
 use arc_swap::ArcSwapOption;
 use tokio::sync::{mpsc, oneshot};
 
+use super::admission::return_ms;
 use super::host::Shared;
 use super::keys::{self, JobEntry};
 use super::link::Link;
+use super::observe;
 use super::owner::OwnerEvent;
+use super::refusals::{self, Exclusion, Refusals};
 use crate::dispatch::{JobId, JobRecord, JobState, ProgressRecord};
 use crate::domain::Millis;
 use crate::event::{Entry, Kind};
-use crate::port::{KeyValue, KvError, Platform, Put, Queues, Transaction};
+use crate::port::{KeyValue, KvError, Platform, Queues};
 
 /// `Retry-After` of callers that are refused for the time being, such as when the store
 /// is unavailable, in milliseconds. The store recovers within seconds, and callers that
@@ -34,6 +38,9 @@
     Stored,
     /// Not stored, and it will not be stored later.
     Refused,
+    /// Refused since it would have no value left at its end; its caller may return after
+    /// this time in milliseconds.
+    Deferred(Millis),
     /// Possibly stored.
     Unknown,
     /// There is no such job.
@@ -120,10 +127,12 @@
     mut calls: mpsc::UnboundedReceiver<Call>,
 ) {
     let link = Rc::new(Link::default());
+    let refusals = Rc::new(Refusals::default());
     while let Some(call) = calls.recv().await {
         let handler = Handler {
             shared: Rc::clone(&shared),
             link: Rc::clone(&link),
+            refusals: Rc::clone(&refusals),
         };
         tokio::task::spawn_local(async move { handler.serve(call).await });
     }
@@ -132,6 +141,7 @@
 struct Handler<P> {
     shared: Rc<Shared<P>>,
     link: Rc<Link>,
+    refusals: Rc<Refusals>,
 }
 
 impl<P: Platform> Handler<P> {
@@ -154,43 +164,59 @@
     }
 
     async fn submit(&self, id: JobId, record: JobRecord) -> IntakeOutcome {
+        if let Some(outcome) = self.refuse(id, &record).await {
+            return outcome;
+        }
         let entry = JobEntry::Open(record);
         let bytes = keys::encode(&entry);
-        let outcome = self.store(keys::job(id), bytes.clone()).await;
+        let refused = Some(keys::refused(id));
+        let outcome = self.store(keys::job(id), bytes.clone(), refused).await;
         if outcome == IntakeOutcome::Stored {
             self.announce(id, entry, bytes);
         }
         outcome
     }
 
-    /// Creates a key. An existing key counts as stored: it is from an earlier attempt.
-    async fn store(&self, key: String, value: Vec<u8>) -> IntakeOutcome {
+    /// Refuses a job if that is decided and the store confirms that it holds no such job.
+    async fn refuse(&self, id: JobId, record: &JobRecord) -> Option<IntakeOutcome> {
+        let fence = self.shared.owner.borrow().as_ref().map(|owner| owner.fence);
+        let inbox = &self.shared.inbox;
+        let refusal = self.refusals.decide(record, inbox, fence)?;
+        if !refusal.cause.is_enforced() {
+            observe::record_unenforced(&refusal);
+            log::info!("job {id} is accepted, though it should be refused: {refusal:?}");
+            return None;
+        }
         if !self.shared.is_store_up() {
-            return IntakeOutcome::Refused;
+            return Some(IntakeOutcome::Refused);
         }
-        let transaction = Transaction {
-            expected: vec![(key.clone(), 0)],
-            puts: vec![Put::persistent(key, value)],
-            removes: Vec::new(),
+        let waited_ms = match self.refusals.exclude(self.shared.platform.kv(), id).await {
+            Exclusion::Excluded(waited_ms) => waited_ms,
+            Exclusion::Stored => return Some(IntakeOutcome::Stored),
+            Exclusion::Unconfirmed => return None,
         };
-        let kv = self.shared.platform.kv();
-        match kv.commit(&transaction).await {
-            Ok(_) | Err(KvError::Conflict { .. }) => return IntakeOutcome::Stored,
-            Err(KvError::Unanswered { cause }) => {
-                log::info!("no answer to a write, which is sent again: {cause}");
-            }
-            Err(error) => {
-                log::info!("the store refused a write: {error}");
-                return IntakeOutcome::Refused;
-            }
-        }
-        match kv.commit(&transaction).await {
-            Ok(_) | Err(KvError::Conflict { .. }) => IntakeOutcome::Stored,
-            Err(error) => {
-                log::warn!("a write may or may not have been applied: {error}");
-                IntakeOutcome::Unknown
-            }
+        let retry_ms = return_ms(id, refusal.room_ms, waited_ms);
+        Entry::new(Kind::JobRefused)
+            .with_text("job", id)
+            .with("queue", &record.queue.name)
+            .with("cause", refusal.cause)
+            .with("end-ms", refusal.end_ms)
+            .with("limit-ms", refusal.limit_ms)
+            .with("waited-ms", waited_ms)
+            .with("retry-ms", retry_ms)
+            .with("digest-age-ms", refusal.age_ms)
+            .with("fence", fence)
+            .emit();
+        observe::record_refusal(&refusal);
+        Some(IntakeOutcome::Deferred(retry_ms))
+    }
+
+    /// Creates a key, unless the store is known to be away.
+    async fn store(&self, key: String, value: Vec<u8>, refused: Option<String>) -> IntakeOutcome {
+        if !self.shared.is_store_up() {
+            return IntakeOutcome::Refused;
         }
+        refusals::create(self.shared.platform.kv(), key, value, refused).await
     }
 
     /// Notifies the owner of a job. If this fails, the owner finds the job by its watch.
@@ -207,9 +233,12 @@
             return;
         };
         let link = Rc::clone(&self.link);
+        let refusals = Rc::clone(&self.refusals);
+        let asked_at = refusals.now();
         tokio::task::spawn_local(async move {
-            if let Err(error) = link.notify_submitted(address, id, &bytes).await {
-                log::info!("job {id} was not announced: {error}");
+            match link.notify_submitted(address, id, &bytes).await {
+                Ok(digest) => refusals.learn(digest, asked_at),
+                Err(error) => log::info!("job {id} was not announced: {error}"),
             }
         });
     }
@@ -226,7 +255,7 @@
                 return IntakeOutcome::Refused;
             }
         }
-        let outcome = self.store(keys::cancel(id), b"{}".to_vec()).await;
+        let outcome = self.store(keys::cancel(id), b"{}".to_vec(), None).await;
         if outcome == IntakeOutcome::Stored && !self.shared.inbox.send(OwnerEvent::Cancelled(id)) {
             let Some(address) = self.owner_address() else {
                 return outcome;
@@ -247,7 +276,14 @@
         {
             Some(state) => Ok(state),
             None => match self.owner_address() {
-                Some(address) => self.link.state(address, id).await,
+                Some(address) => {
+                    let asked_at = self.refusals.now();
+                    let answer = self.link.state(address, id).await;
+                    answer.map(|(state, digest)| {
+                        self.refusals.learn(digest, asked_at);
+                        state
+                    })
+                }
                 None => Ok(None),
             },
         };
--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -13,6 +13,9 @@
 /// Prefix of accepted cancels.
 const CANCEL_PREFIX: &str = "intake/cancel/";
 
+/// Prefix of the keys that exclude jobs which were refused.
+const REFUSED_PREFIX: &str = "refused/";
+
 /// Prefix of the owner's progress records.
 pub(super) const PROGRESS_PREFIX: &str = "progress/";
 
@@ -84,6 +87,12 @@
     format!("{JOB_PREFIX}{id}")
 }
 
+/// Key that is created when a job is refused. Each acceptance names its revision, so that
+/// one sent before the refusal is not carried out after it.
+pub(super) fn refused(id: JobId) -> String {
+    format!("{REFUSED_PREFIX}{id}")
+}
+
 pub(super) fn cancel(id: JobId) -> String {
     format!("{CANCEL_PREFIX}{id}")
 }
--- a/crates/verbenahitch/src/entry/link.rs
+++ b/crates/verbenahitch/src/entry/link.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -14,29 +14,62 @@
 
 use super::keys::JobEntry;
 use super::owner::OwnerEvent;
-use crate::dispatch::{JobId, JobState};
+use crate::dispatch::{Amount, Digest, JobId, JobState, PoolLimit, QueueForecast};
 use crate::domain::Millis;
-use crate::owner_capnp::{State, owner};
+use crate::owner_capnp::{State, digest, owner};
 use crate::peer::network;
 
 /// Timeout of a call, including the connection setup, in milliseconds. A busy owner
 /// answers within tens of milliseconds.
 const CALL_TIMEOUT_MS: Millis = 350;
 
+/// A digest with its origin, as an owner passes it on.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct SentDigest {
+    pub digest: Digest,
+    /// Fencing token of the owner.
+    pub fence: u64,
+    pub age_ms: Millis,
+}
+
+#[derive(Debug, Default)]
+struct InboxState {
+    sender: RefCell<Option<mpsc::UnboundedSender<OwnerEvent>>>,
+    /// Newest digest of the loop, with its fencing token and its time.
+    digest: RefCell<Option<(Digest, u64, Instant)>>,
+}
+
 /// Channel to the owner's loop in this process, if this host is the owner; clones share
 /// it.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Inbox(Rc<RefCell<Option<mpsc::UnboundedSender<OwnerEvent>>>>);
+pub(super) struct Inbox(Rc<InboxState>);
 
 impl Inbox {
     /// Connects the inbox to a loop, or disconnects it.
     pub fn set(&self, sender: Option<mpsc::UnboundedSender<OwnerEvent>>) {
-        self.0.replace(sender);
+        self.0.sender.replace(sender);
+        self.0.digest.replace(None);
+    }
+
+    /// Sets the newest digest of the loop.
+    pub fn publish(&self, digest: Digest, fence: u64) {
+        self.0.digest.replace(Some((digest, fence, Instant::now())));
+    }
+
+    /// Newest digest of the loop; `None` if there is no loop or it has made none.
+    pub fn digest(&self) -> Option<SentDigest> {
+        let held = self.0.digest.borrow();
+        let (digest, fence, made_at) = held.as_ref()?;
+        Some(SentDigest {
+            digest: digest.clone(),
+            fence: *fence,
+            age_ms: u64::try_from(made_at.elapsed().as_millis()).unwrap_or(u64::MAX),
+        })
     }
 
     /// Sends an event to the loop; false if there is none.
     pub fn send(&self, event: OwnerEvent) -> bool {
-        let sender = self.0.borrow();
+        let sender = self.0.sender.borrow();
         sender
             .as_ref()
             .is_some_and(|sender| sender.send(event).is_ok())
@@ -88,18 +121,24 @@
 }
 
 impl Link {
-    /// Notifies the owner of a job, with the entry that the store holds.
+    /// Notifies the owner of a job, with the entry that the store holds; returns its newest
+    /// digest.
     pub async fn notify_submitted(
         &self,
         address: SocketAddr,
         id: JobId,
         entry: &[u8],
-    ) -> Result<(), LinkError> {
+    ) -> Result<Option<SentDigest>, LinkError> {
         self.call(address, async |client: owner::Client| {
             let mut request = client.submitted_request();
             request.get().set_job(id.to_string());
             request.get().set_record(entry);
-            request.send().promise.await.map(|_| ())
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            if !results.has_digest() {
+                return Ok(None);
+            }
+            decode_digest(results.get_digest()?).map(Some)
         })
         .await
     }
@@ -114,17 +153,23 @@
         .await
     }
 
-    /// State of a job; `None` if the owner does not know it.
+    /// State of a job, `None` if the owner does not know it, and the owner's newest digest.
     pub async fn state(
         &self,
         address: SocketAddr,
         id: JobId,
-    ) -> Result<Option<JobState>, LinkError> {
+    ) -> Result<(Option<JobState>, Option<SentDigest>), LinkError> {
         self.call(address, async |client: owner::Client| {
             let mut request = client.state_request();
             request.get().set_job(id.to_string());
             let response = request.send().promise.await?;
-            Ok(decode(response.get()?.get_state()?))
+            let results = response.get()?;
+            let digest = if results.has_digest() {
+                Some(decode_digest(results.get_digest()?)?)
+            } else {
+                None
+            };
+            Ok((decode(results.get_state()?), digest))
         })
         .await
     }
@@ -241,16 +286,22 @@
     async fn submitted(
         self: Rc<Self>,
         params: owner::SubmittedParams,
-        _: owner::SubmittedResults,
+        mut results: owner::SubmittedResults,
     ) -> capnp::Result<()> {
         let params = params.get()?;
         let id = parse(params.get_job()?)?;
         let entry: JobEntry = serde_json::from_slice(params.get_record()?)
             .map_err(|error| capnp::Error::failed(error.to_string()))?;
         match entry {
-            JobEntry::Open(record) => self.send(OwnerEvent::Submitted(id, Box::new(record))),
-            JobEntry::Ended(_) => Err(capnp::Error::failed("the job has ended".to_owned())),
+            JobEntry::Open(record) => self.send(OwnerEvent::Submitted(id, Box::new(record)))?,
+            JobEntry::Ended(_) => {
+                return Err(capnp::Error::failed("the job has ended".to_owned()));
+            }
+        }
+        if let Some(digest) = self.inbox.digest() {
+            encode_digest(&digest, results.get().init_digest());
         }
+        Ok(())
     }
 
     async fn cancelled(
@@ -272,9 +323,11 @@
             .inbox
             .query(|answer| OwnerEvent::State(id, answer))
             .await;
-        results
-            .get()
-            .set_state(encode(state.ok_or_else(not_owner)?));
+        let mut results = results.get();
+        results.set_state(encode(state.ok_or_else(not_owner)?));
+        if let Some(digest) = self.inbox.digest() {
+            encode_digest(&digest, results.init_digest());
+        }
         Ok(())
     }
 
@@ -317,3 +370,62 @@
         State::Cancelled => Some(JobState::Cancelled),
     }
 }
+
+/// Largest number of rows of a digest that are read.
+const MAX_ROWS: u32 = 64;
+
+fn encode_digest(sent: &SentDigest, mut to: digest::Builder<'_>) {
+    to.set_fence(sent.fence);
+    to.set_age_ms(sent.age_ms);
+    let (queues, pools) = (&sent.digest.queues, &sent.digest.pools);
+    let mut rows = to.reborrow().init_queues(queues.len() as u32);
+    for (at, queue) in (0..).zip(queues) {
+        let mut row = rows.reborrow().get(at);
+        row.set_queue(&queue.queue);
+        row.set_wait_ms(queue.wait_ms);
+        row.set_error_ms(queue.error_ms);
+        row.set_rate_milli(queue.rate_milli);
+        row.set_ratio_milli(queue.ratio_milli);
+    }
+    let mut rows = to.init_pools(pools.len() as u32);
+    for (at, pool) in (0..).zip(pools) {
+        let mut row = rows.reborrow().get(at);
+        row.set_pool(&pool.pool);
+        row.set_cpu_milli(pool.largest.cpu_milli);
+        row.set_memory_mb(pool.largest.memory_mb);
+        row.set_gpus(pool.largest.gpus);
+    }
+}
+
+fn decode_digest(from: digest::Reader<'_>) -> capnp::Result<SentDigest> {
+    let (queues, pools) = (from.get_queues()?, from.get_pools()?);
+    let queues = (0..queues.len().min(MAX_ROWS)).map(|at| {
+        let row = queues.get(at);
+        Ok(QueueForecast {
+            queue: row.get_queue()?.to_string()?,
+            wait_ms: row.get_wait_ms(),
+            error_ms: row.get_error_ms(),
+            rate_milli: row.get_rate_milli(),
+            ratio_milli: row.get_ratio_milli(),
+        })
+    });
+    let pools = (0..pools.len().min(MAX_ROWS)).map(|at| {
+        let row = pools.get(at);
+        Ok(PoolLimit {
+            pool: row.get_pool()?.to_string()?,
+            largest: Amount {
+                cpu_milli: row.get_cpu_milli(),
+                memory_mb: row.get_memory_mb(),
+                gpus: row.get_gpus(),
+            },
+        })
+    });
+    Ok(SentDigest {
+        digest: Digest {
+            queues: queues.collect::<capnp::Result<_>>()?,
+            pools: pools.collect::<capnp::Result<_>>()?,
+        },
+        fence: from.get_fence(),
+        age_ms: from.get_age_ms(),
+    })
+}
--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -6,9 +6,11 @@
 //! otherwise find the job through its own watch. Accepting, cancelling and reading
 //! the state of a job need only the store when the owner does not answer.
 //!
-//! [`intake`] serves callers, `election` elects the owner by the rules in [`succession`], `owner` runs the
+//! [`intake`] serves callers, [`admission`] decides which jobs it refuses
+//! and [`refusals`] makes that final in the store, `election` elects the owner by the rules in [`succession`], `owner` runs the
 //! [`Dispatcher`](crate::dispatch::Dispatcher), `link` carries calls to the owner.
 
+pub mod admission;
 mod election;
 mod host;
 pub mod intake;
@@ -17,6 +19,7 @@
 pub mod observe;
 mod owner;
 mod pause;
+pub mod refusals;
 pub mod succession;
 mod watcher;
 
--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -4,6 +4,9 @@
 
 use metrics::{counter, gauge, histogram};
 
+use super::admission::Refusal;
+use crate::dispatch::{Digest, Hindsight};
+
 /// Records a final answer to a caller and its duration.
 pub fn record_answer(method: &str, status: u16, took: Duration) {
     let labels = [
@@ -38,3 +41,31 @@
     set(gauge!("verbenahitch_runs"), runs);
     counter!("verbenahitch_unassigned_runs_total").increment(unassigned);
 }
+
+/// Records a refused job and the age of the digest that decided.
+pub(super) fn record_refusal(refusal: &Refusal) {
+    counter!("verbenahitch_jobs_refused_total", "cause" => refusal.cause.name()).increment(1);
+    histogram!("verbenahitch_digest_age_seconds")
+        .record(Duration::from_millis(refusal.age_ms).as_secs_f64());
+}
+
+/// Records a job that is accepted though the forecast speaks against it.
+pub(super) fn record_unenforced(refusal: &Refusal) {
+    counter!("verbenahitch_jobs_without_prospect_total", "cause" => refusal.cause.name())
+        .increment(1);
+}
+
+/// Sets the expected waits of queues in which work waits, and the number of these queues.
+pub(super) fn set_forecasts(digest: &Digest) {
+    let longest = digest.queues.iter().map(|row| row.wait_ms).max();
+    let longest = Duration::from_millis(longest.unwrap_or(0)).as_secs_f64();
+    gauge!("verbenahitch_forecast_wait_seconds").set(longest);
+    #[expect(clippy::cast_precision_loss, reason = "a few queues")]
+    gauge!("verbenahitch_forecast_queues").set(digest.queues.len() as f64);
+}
+
+/// Records how far forecasts were from the ends of their jobs.
+pub(super) fn record_hindsight(hindsight: Hindsight) {
+    counter!("verbenahitch_forecasts_total").increment(hindsight.jobs);
+    counter!("verbenahitch_forecast_error_milliseconds_total").increment(hindsight.error_ms);
+}
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -70,6 +70,7 @@
         self.checked_at = now;
         let (workers, runs) = self.dispatcher.counts(now);
         observe::set_owner_metrics(workers, runs, self.dispatcher.take_unassigned());
+        observe::record_hindsight(self.dispatcher.take_hindsight());
         let learned = self.dispatcher.learned_pressures();
         if learned != self.stored_pressures {
             let put = Put::persistent(keys::PRESSURES.to_owned(), keys::encode(&learned));
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -256,6 +256,10 @@
         for order in self.dispatcher.pass(now) {
             self.send_order(order);
         }
+        if let Some(digest) = self.dispatcher.take_digest() {
+            observe::set_forecasts(&digest);
+            self.shared.inbox.publish(digest, self.term.fence);
+        }
         if self.pending_commit.is_none() {
             let writes = self.dispatcher.take_writes(MAX_COMMIT_JOBS);
             let voters = self.dispatcher.take_voters(now.at);
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -5,4 +5,5 @@
 mod load;
 mod order;
 mod recovery;
+mod refusals;
 mod world;
