--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -308,13 +308,7 @@
         };
         let queue = self.queue_of(job);
         let longest = job.critical_paths.iter().max().copied().unwrap_or(0);
-        #[expect(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "durations are far below 2^52 ms"
-        )]
-        let stretched = (longest as f64 * queue.stretch.max(0.0)) as Millis;
+        let objective_ms = queue.objective_ms(longest);
         let mean = self.work_means.get(&queue.name);
         let mean = mean.map_or(0.0, |mean| mean.value());
         for round in &job.rounds {
@@ -335,7 +329,7 @@
                         priority: queue.priority,
                         age_ms: now.since(job.accepted_at),
                         remaining_ms: job.critical_paths[step as usize],
-                        objective_ms: stretched.saturating_add(queue.target_ms),
+                        objective_ms,
                         standing: spec.standing,
                         share: ShareRank::default(),
                         ahead: false,
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -18,8 +18,8 @@
 //! Each decision has a module of its own, which names the load pattern that it is
 //! made for: [`step_order`] (order of waiting steps), [`room`] (room for short steps beside
 //! standing tasks), `place` (choice of a worker), `account` (caps and shares of client
-//! accounts), `headroom` (what fillers take from standing tasks), `interference` (relief of
-//! slowed
+//! accounts), [`forecast`] (when a new job would end), `headroom` (what fillers take from
+//! standing tasks), `interference` (relief of slowed
 //! standing tasks), `health` (quarantine of
 //! workers), `straggler` (runs much slower than their peers).
 
@@ -27,6 +27,7 @@
 mod assign;
 mod commit;
 mod ends;
+pub mod forecast;
 mod headroom;
 mod health;
 mod interference;
@@ -57,6 +58,8 @@
 pub use account::{Account, AccountStatus, InUse, ShareRank, admits};
 use account::{AccountKey, Accounts, Claim};
 pub use assign::StepCounts;
+use forecast::Forecaster;
+pub use forecast::{Digest, Hindsight, PoolLimit, QueueForecast};
 use headroom::HeadroomModel;
 pub use headroom::Pressure;
 pub use job::{
@@ -132,6 +135,7 @@
     steps_waiting: StepCounts,
     /// Last log line on an overload.
     overload_logged: Option<Monotonic>,
+    forecaster: Forecaster,
     /// Jobs with changes to be written.
     dirty: Vec<JobId>,
     /// Versions of the jobs in the write in progress.
@@ -185,6 +189,7 @@
             work_means: HashMap::default(),
             steps_waiting: StepCounts::default(),
             overload_logged: None,
+            forecaster: Forecaster::default(),
             dirty: Vec::new(),
             writing: HashMap::default(),
             assign_needed: true,
@@ -219,12 +224,17 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        let forecast = self.forecast(&record);
         Entry::new(Kind::JobAccepted)
             .with_text("job", id)
             .with("queue", &record.queue.name)
             .with("steps", record.spec.steps.len())
+            .with("forecast-ms", forecast)
             .emit();
         self.insert_job(id, record, now);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.forecast_ms = forecast;
+        }
         if self.early_cancels.remove(&id) {
             self.cancel(id, now.at);
         }
--- a/crates/verbenahitch/src/dispatch/step_order/mod.rs
+++ b/crates/verbenahitch/src/dispatch/step_order/mod.rs
@@ -20,7 +20,7 @@
 use crate::domain::Millis;
 
 /// Multiple of the objective after which a job has no value, by the users' rules.
-const NO_VALUE_FACTOR: u64 = 3;
+const NO_VALUE_FACTOR: Millis = 3;
 
 /// Properties of a waiting step that determine its place in the order.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -67,7 +67,7 @@
         let end = self.age_ms.saturating_add(self.remaining_ms);
         if self.standing {
             DeadlineClass::Standing
-        } else if end > self.objective_ms.saturating_mul(NO_VALUE_FACTOR) {
+        } else if end > value_end(self.objective_ms) {
             DeadlineClass::NoValue
         } else if end > self.objective_ms {
             DeadlineClass::Late
@@ -116,6 +116,16 @@
     each.saturating_mul(tasks)
 }
 
+/// Time since acceptance after which a job has no value, in milliseconds.
+pub fn value_end(objective_ms: Millis) -> Millis {
+    objective_ms.saturating_mul(NO_VALUE_FACTOR)
+}
+
+/// Critical path of a job by declared run times, in milliseconds.
+pub fn longest_path(spec: &JobSpec) -> Millis {
+    critical_paths(spec).into_iter().max().unwrap_or(0)
+}
+
 /// Critical path from the start of each step to the end of the job, by declared run
 /// times, in milliseconds.
 pub fn critical_paths(spec: &JobSpec) -> Vec<Millis> {
--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -6,10 +6,13 @@
 //! otherwise find the job through its own watch. Accepting, cancelling and reading
 //! the state of a job need only the store when the owner does not answer.
 //!
-//! [`intake`] serves callers, [`accounts`] decides who a caller is, `election` elects the owner by the rules in [`succession`], `owner` runs the
+//! [`intake`] serves callers, [`accounts`] decides who a caller is, [`admission`] decides
+//! which jobs are refused and [`refusals`] makes that final in the store, `election` elects
+//! the owner by the rules in [`succession`], `owner` runs the
 //! [`Dispatcher`](crate::dispatch::Dispatcher), `link` carries calls to the owner.
 
 pub mod accounts;
+pub mod admission;
 mod election;
 mod host;
 pub mod intake;
@@ -17,6 +20,7 @@
 mod link;
 pub mod observe;
 mod owner;
+pub mod refusals;
 pub mod routes;
 pub mod succession;
 mod watcher;
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -73,6 +73,7 @@
         let waiting = self.dispatcher.steps_waiting();
         observe::set_owner_metrics(workers, runs, unassigned, &waiting);
         observe::set_account_metrics(&self.dispatcher.account_statuses());
+        observe::record_hindsight(self.dispatcher.take_hindsight());
         let learned = self.dispatcher.learned_pressures();
         if learned != self.stored_pressures {
             let put = Put::persistent(keys::PRESSURES.to_owned(), keys::encode(&learned));
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -7,5 +7,6 @@
 mod order;
 mod overload;
 mod recovery;
+mod refusals;
 mod shares;
 mod world;
--- a/testsuite/tests/testsuite/entry/mod.rs
+++ b/testsuite/tests/testsuite/entry/mod.rs
@@ -1,5 +1,7 @@
-//! Entry hosts: decisions without I/O.
+//! Entry hosts: decisions without I/O, and refusals over a fake store.
 
 mod accounts;
+mod admission;
+mod refusals;
 mod routes;
 mod succession;
