Recovery: the record of a hand-over counts for one owner only

Cause: found by reading. A successor that got the ownership by a hand-over, acted and crashed left the record of its predecessor behind, and the next owner took it for that of the last one, since the successor's election has the revision of the record and not a later one. It would not have waited for the leases that the successor gave.

Change: the record says whether the ownership was handed over; then it counts only for the owner with that revision. The decision is succession::PlannedEnd, with a table of cases.

--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::{JobId, JobRecord, JobState};
+use crate::dispatch::{JobId, JobRecord, JobState, Retirement};
 
 /// Prefix of the keys that hosts write for callers.
 pub(super) const INTAKE_PREFIX: &str = "intake/";
@@ -79,6 +79,16 @@
     pub lease: u64,
 }
 
+/// Value of the key [`RETIRED`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct RetiredRecord {
+    /// Whether the ownership was handed over.
+    pub handed_over: bool,
+    /// What the owner leaves behind.
+    pub left: Retirement,
+}
+
 /// Encodes the value of a key.
 pub(super) fn encode<T: Serialize>(record: &T) -> Vec<u8> {
     serde_json::to_vec(record).expect("records have only string keys")
--- a/crates/verbenahitch/src/entry/owner/handover.rs
+++ b/crates/verbenahitch/src/entry/owner/handover.rs
@@ -100,7 +100,7 @@
                     value: keys::encode(&request.owner),
                     lease: request.lease,
                 },
-                self.retirement(),
+                self.retirement(true),
             ],
             removes: vec![keys::SUCCESSOR.to_owned(), keys::SLOW.to_owned()],
         };
--- a/crates/verbenahitch/src/entry/owner/retirement.rs
+++ b/crates/verbenahitch/src/entry/owner/retirement.rs
@@ -8,7 +8,8 @@
 use super::driver::{Driver, decode};
 use crate::dispatch::Retirement;
 use crate::domain::Millis;
-use crate::entry::keys;
+use crate::entry::keys::{self, RetiredRecord};
+use crate::entry::succession::PlannedEnd;
 use crate::event::{Entry, Kind};
 use crate::port::{Change, Clock, Item, KeyValue, KvError, Platform, Put, Transaction};
 
@@ -21,17 +22,18 @@
 
 impl<P: Platform> Driver<P> {
     /// Record of this owner, which must make no pass from now on if it is stored.
-    pub(super) fn retirement(&self) -> Put {
-        let record = self.dispatcher.retirement(self.clock.now());
+    pub(super) fn retirement(&self, handed_over: bool) -> Put {
+        let left = self.dispatcher.retirement(self.clock.now());
         Entry::new(Kind::OwnerRetired)
             .with("fence", self.term.fence)
-            .with("acts-ms", record.acts_ms)
-            .with("silent", record.lapses.len())
+            .with("acts-ms", left.acts_ms)
+            .with("silent", left.lapses.len())
             .with(
                 "lapse-ms",
-                record.lapses.iter().map(|(_, lapse_ms)| *lapse_ms).max(),
+                left.lapses.iter().map(|(_, lapse_ms)| *lapse_ms).max(),
             )
             .emit();
+        let record = RetiredRecord { handed_over, left };
         Put::persistent(keys::RETIRED.to_owned(), keys::encode(&record))
     }
 
@@ -40,7 +42,7 @@
     pub(super) async fn retire(&self) {
         let transaction = Transaction {
             expected: vec![(keys::OWNER.to_owned(), self.term.fence)],
-            puts: vec![self.retirement()],
+            puts: vec![self.retirement(false)],
             removes: vec![keys::OWNER.to_owned(), keys::SLOW.to_owned()],
         };
         let limit = Duration::from_millis(TIMEOUT_MS);
@@ -59,34 +61,43 @@
     let Some(item) = kv.get(keys::RETIRED).await? else {
         return Ok(None);
     };
-    // A hand-over writes both keys at once.
-    if item.revision != fence {
+    let Some(RetiredRecord { handed_over, left }) = decode(&item) else {
+        return Ok(None);
+    };
+    let mut end = PlannedEnd {
+        revision: item.revision,
+        handed_over,
+        next: None,
+    };
+    if !handed_over {
         let limit = Duration::from_millis(TIMEOUT_MS);
-        let check = tokio::time::timeout(limit, is_next(kv, item.revision, fence)).await;
-        if !check.is_ok_and(|is_next| is_next) {
-            return Ok(None);
-        }
+        let history = tokio::time::timeout(limit, next_election(kv, item.revision)).await;
+        end.next = history.unwrap_or_else(|_| {
+            log::info!("no answer on the history of the owner's key");
+            None
+        });
     }
-    Ok(decode(&item))
+    Ok(end.is_last_before(fence).then_some(left))
 }
 
-/// Whether the owner with the token `fence` was the first one after the revision `retired`.
-async fn is_next<K: KeyValue>(kv: &K, retired: u64, fence: u64) -> bool {
-    let mut after = retired;
+/// Revision of the first election after the revision `ended`; none if the history does not
+/// tell.
+async fn next_election<K: KeyValue>(kv: &K, ended: u64) -> Option<u64> {
+    let mut after = ended;
     for _ in 0..HISTORY_CALLS {
         let (changes, revision) = match kv.watch(keys::OWNER, after, 0).await {
             Ok(update) => update,
             Err(error) => {
                 log::info!("the history of the owner's key cannot be read: {error}");
-                return false;
+                return None;
             }
         };
         if let Some(owner) = changes.iter().find_map(elected) {
-            return owner.revision == fence;
+            return Some(owner.revision);
         }
         after = revision.max(after);
     }
-    false
+    None
 }
 
 /// The owner's key as written by an election.
--- a/crates/verbenahitch/src/entry/succession.rs
+++ b/crates/verbenahitch/src/entry/succession.rs
@@ -106,6 +106,28 @@
     }
 }
 
+/// Record of a planned end of an ownership, as a later owner finds it.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedEnd {
+    /// Revision of the end.
+    pub revision: u64,
+    /// Whether the ownership was handed over, so that the next one began at that revision.
+    pub handed_over: bool,
+    /// First election after the end, by its revision, as far as the store's history tells.
+    pub next: Option<u64>,
+}
+
+impl PlannedEnd {
+    /// Whether no other owner came between the end and the owner with the token `fence`.
+    pub fn is_last_before(self, fence: u64) -> bool {
+        if self.handed_over {
+            self.revision == fence
+        } else {
+            self.next == Some(fence)
+        }
+    }
+}
+
 /// Mean lag of an event loop over the last probes, with hysteresis.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LagMeter {
--- a/testsuite/tests/testsuite/entry/succession.rs
+++ b/testsuite/tests/testsuite/entry/succession.rs
@@ -2,7 +2,7 @@
 
 use test_case::test_case;
 use verbenahitch::domain::Millis;
-use verbenahitch::entry::succession::{Capability, LagMeter};
+use verbenahitch::entry::succession::{Capability, LagMeter, PlannedEnd};
 
 const fn host(share: f64) -> Capability {
     Capability { share, slow: false }
@@ -78,3 +78,21 @@
     assert_eq!(all(&[0, 200, 0, 200]), Some(true));
     assert_eq!(all(&[0; 20]), Some(false));
 }
+
+const fn end(handed_over: bool, next: Option<u64>) -> PlannedEnd {
+    PlannedEnd {
+        revision: 7,
+        handed_over,
+        next,
+    }
+}
+
+/// An owner with the token 9, or 7 after a hand-over, finds a record of revision 7.
+#[test_case(end(true, None), 7, true; "handed over to this owner")]
+#[test_case(end(true, Some(9)), 9, false; "the owner that it was handed over to came between")]
+#[test_case(end(false, Some(9)), 9, true; "elected after a stop")]
+#[test_case(end(false, Some(8)), 9, false; "another owner after the stop")]
+#[test_case(end(false, None), 9, false; "no history")]
+fn a_planned_end_counts_for_the_next_owner_only(end: PlannedEnd, fence: u64, counts: bool) {
+    assert_eq!(end.is_last_before(fence), counts);
+}
