A worker that was silent answers its next poll at once

Cause: the first poll after a silence extends no lease and waited 700 ms for an end, so a run whose lease had less left than that was lost although its worker was back. Change: such a poll does not wait; the next one extends the leases. No lease is longer for it.

--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -81,8 +81,11 @@
             worker.poll_sent = Some(now);
             worker.poll_address.clone_from(&worker.info.address);
             let has_no_ends = |session: &Session| session.unacked_ends.is_empty();
-            let is_long_poll =
-                !worker.runs.is_empty() && worker.session.as_ref().is_some_and(has_no_ends);
+            // After a silence the answer must come at once, since only the next poll extends
+            // the leases again.
+            let is_long_poll = worker.failed_polls == 0
+                && !worker.runs.is_empty()
+                && worker.session.as_ref().is_some_and(has_no_ends);
             orders.push(Order::Poll(Poll {
                 worker: key,
                 name: worker.info.name.clone(),
