Short tasks on the emptiest worker again, also where pieces are scarce

Change: the choice of a worker for short tasks is as it was before; standing tasks still spare the pieces that short ones fit.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -506,7 +506,7 @@
         let worker = &self.workers[key];
         place::fit(worker, request.step, same_step)?;
         if !request.needs_load() {
-            return Ok(place::plain_cost(worker, request, same_step));
+            return Ok(place::plain_cost(worker, request.step, same_step));
         }
         if !self.cached_loads.contains_key(key) {
             self.cached_loads.insert(key, self.load(key));
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -60,9 +60,6 @@
 /// Cost per unit of headroom below [`TIGHT_HEADROOM`].
 const TIGHT_COST: f64 = 0.2;
 
-/// Cost, for a short task, of each piece for such tasks that it destroys.
-const SHORT_PIECE_COST: f64 = 1.0;
-
 /// Cost, for a standing task, of each piece for short tasks that it destroys. Less than
 /// [`NEW_IMAGE_COST`].
 const STANDING_PIECE_COST: f64 = 0.3;
@@ -282,17 +279,9 @@
     Ok(())
 }
 
-/// Cost of one more task of a step without a target on a worker where it fits. Where
-/// pieces for short steps are scarce, it goes where it destroys fewest, and then where it
-/// fits best.
-pub(super) fn plain_cost(worker: &Worker, request: &AssignmentRequest<'_>, same_step: u32) -> f64 {
-    let committed = committed_share(worker);
-    let load = if request.pieces.is_some() {
-        1.0 - committed + request.piece_cost(worker, SHORT_PIECE_COST)
-    } else {
-        committed
-    };
-    rack_cost(worker, request.step) + load + f64::from(same_step) * SAME_STEP_COST
+/// Cost of one more task of a step without a target on a worker where it fits.
+pub(super) fn plain_cost(worker: &Worker, step: &StepSpec, same_step: u32) -> f64 {
+    rack_cost(worker, step) + committed_share(worker) + f64::from(same_step) * SAME_STEP_COST
 }
 
 /// Cost of one more filler, or task with a target, on a worker where it fits.
--- a/crates/verbenahitch/src/dispatch/room/mod.rs
+++ b/crates/verbenahitch/src/dispatch/room/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! Short steps are placed first within an [`Allowance`]; what they leave goes to standing
 //! tasks at once, so that none waits while there is room for it. By the [`Demand`] of the
-//! last seconds, tasks are placed where they destroy the fewest pieces that a short
+//! last seconds, standing tasks are placed where they destroy the fewest pieces that a short
 //! task fits.
 //!
 //! Inputs: declared sizes and run times of short steps; commitments, exact.
