While batch work is late, short tasks leave it the emptiest workers

Change: short tasks go where they destroy the fewest pieces and fit best while fillers wait that are not expected to be in time and pieces are scarce, and to the emptiest worker otherwise. A table of cases shows the choice; its third case fails without it.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -88,6 +88,8 @@
     pieces_left: u64,
     /// Pieces for short steps, none while enough are left.
     pieces: Option<Pieces>,
+    /// Whether fillers wait that are not expected to be in time.
+    fillers_late: bool,
 }
 
 /// Index of a pool, which is added if it is new.
@@ -396,6 +398,13 @@
         if waiting.is_empty() {
             return;
         }
+        for step in waiting.iter().filter(|step| step.filler) {
+            let is_late = match step.rank.deadline_class() {
+                DeadlineClass::Deferred | DeadlineClass::Late | DeadlineClass::NoValue => true,
+                DeadlineClass::Standing | DeadlineClass::InTime => false,
+            };
+            pools[step.pool].fillers_late |= is_late;
+        }
         self.log_overload(&pools, now);
         let mut pass = AssignPass {
             usable,
@@ -447,8 +456,10 @@
         }
         let pool = self.queue_of(job).pool.clone();
         let spec = spec.clone();
-        let pieces = pass.pools[step.pool].pieces;
-        let request = place::AssignmentRequest::new(&mut self.headroom, &spec, pieces);
+        let pool_use = &pass.pools[step.pool];
+        let spares_idle = pool_use.fillers_late && pool_use.pieces.is_some();
+        let request =
+            place::AssignmentRequest::new(&mut self.headroom, &spec, pool_use.pieces, spares_idle);
         let (mut candidates, mut misfits) = self.candidates(&pool, &request, &per_worker, pass);
         for (index, avoid) in waiting {
             let worker = loop {
@@ -531,7 +542,7 @@
         let worker = &self.workers[key];
         place::fit(worker, request.step, same_step)?;
         if !request.needs_load() {
-            return Ok(place::plain_cost(worker, request.step, same_step));
+            return Ok(place::plain_cost(worker, request, same_step));
         }
         if !self.cached_loads.contains_key(key) {
             self.cached_loads.insert(key, self.load(key));
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -60,6 +60,9 @@
 /// Cost per unit of headroom below [`TIGHT_HEADROOM`].
 const TIGHT_COST: f64 = 0.2;
 
+/// Cost, for a short task, of each piece for such tasks that it destroys.
+const SHORT_PIECE_COST: f64 = 1.0;
+
 /// Cost, for a standing task, of each piece for short tasks that it destroys. Less than
 /// [`NEW_IMAGE_COST`].
 const STANDING_PIECE_COST: f64 = 0.3;
@@ -148,10 +151,17 @@
     harmfulness: f64,
     /// Pieces for short steps, none while enough are left.
     pieces: Option<Pieces>,
+    /// Whether a short task leaves the emptiest workers to fillers.
+    spares_idle: bool,
 }
 
 impl<'a> AssignmentRequest<'a> {
-    pub fn new(model: &mut HeadroomModel, step: &'a StepSpec, pieces: Option<Pieces>) -> Self {
+    pub fn new(
+        model: &mut HeadroomModel,
+        step: &'a StepSpec,
+        pieces: Option<Pieces>,
+        spares_idle: bool,
+    ) -> Self {
         let image = model.image_id(&step.image);
         Self {
             step,
@@ -162,6 +172,7 @@
                 0.0
             },
             pieces,
+            spares_idle,
         }
     }
 
@@ -281,9 +292,17 @@
     Ok(())
 }
 
-/// Cost of one more task of a step without a target on a worker where it fits.
-pub(super) fn plain_cost(worker: &Worker, step: &StepSpec, same_step: u32) -> f64 {
-    rack_cost(worker, step) + committed_share(worker) + f64::from(same_step) * SAME_STEP_COST
+/// Cost of one more task of a step without a target on a worker where it fits: the emptiest
+/// worker, or where it destroys the fewest pieces and fits best while fillers are late.
+/// Harmful fillers can only use workers with few standing tasks, which are the emptiest.
+pub(super) fn plain_cost(worker: &Worker, request: &AssignmentRequest<'_>, same_step: u32) -> f64 {
+    let committed = committed_share(worker);
+    let load = if request.spares_idle {
+        1.0 - committed + request.piece_cost(worker, SHORT_PIECE_COST)
+    } else {
+        committed
+    };
+    rack_cost(worker, request.step) + load + f64::from(same_step) * SAME_STEP_COST
 }
 
 /// Cost of one more filler, or task with a target, on a worker where it fits.
--- a/testsuite/tests/testsuite/dispatch/overload.rs
+++ b/testsuite/tests/testsuite/dispatch/overload.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use test_case::test_case;
 use verbenahitch::dispatch::JobId;
 use verbenahitch::domain::Millis;
 
@@ -131,6 +132,41 @@
     assert_eq!(world.finished.len(), jobs.len());
 }
 
+/// Where a short task goes beside batch work.
+struct Spared {
+    /// Batch jobs, each of a third of the CPU for two seconds.
+    batch_jobs: u64,
+    beside_standing: bool,
+}
+
+/// While batch work is late, short tasks leave it the worker without standing tasks, which
+/// it does not harm there.
+#[test_case(Spared { batch_jobs: 0, beside_standing: false }; "no batch work")]
+#[test_case(Spared { batch_jobs: 1, beside_standing: false }; "batch work in time")]
+#[test_case(Spared { batch_jobs: 60, beside_standing: true }; "batch work beyond the CPU")]
+fn late_batch_work_keeps_the_emptiest_workers(case: Spared) {
+    let mut world = World::new(2);
+    world.run(500);
+    // A further task of one core destroys a piece of 1.25 cores on neither worker.
+    let serving = world.submit(1, "push", job(vec![standing(1, 5, "image")]));
+    world.run(500);
+    let busy = world.starts_of(serving)[0].worker.clone();
+    // So much short work lately that the pieces left for it count as scarce.
+    for number in 0..10 {
+        world.submit(10 + number, "push", job(vec![step(20, 1, 1_000)]));
+    }
+    world.run(9_000);
+    for number in 0..case.batch_jobs {
+        let spec = filler(10, 1, 2_000, "batch");
+        world.submit(100 + number, "batch", job(vec![spec]));
+    }
+    world.run(500);
+    let short = world.submit(2, "push", job(vec![step(1, 1, 1_000)]));
+    world.run(500);
+    let worker = &world.starts_of(short)[0].worker;
+    assert_eq!(*worker == busy, case.beside_standing);
+}
+
 /// 3,000 tasks wait on 350 full workers: a pass takes under 5 ms in a release build, and
 /// in a debug build, at twenty times that, a small part of the shortest objective.
 #[test]
