A conflict counts as stored only if the job's own key exists

Cause: found by reading. An acceptance names the key of an earlier refusal. If that key's lease ended between two attempts, the conflict showed neither key, and the caller was told 200 for a job that the store did not hold. Change: the attempt is repeated with the refusal's key absent; only the job's key counts as stored. Measured: the new case of the table failed before and passes with the change.

--- a/crates/verbenahitch/src/entry/refusals.rs
+++ b/crates/verbenahitch/src/entry/refusals.rs
@@ -199,19 +199,18 @@
     }
 }
 
-/// Lets a transaction replace the key of a refused job if it conflicts with just that key.
+/// Lets a transaction expect the key of a refused job as a conflict shows it, or its absence
+/// if its lease has ended meanwhile. False if the transaction's own key exists.
 fn expect_refusal(transaction: &mut Transaction, items: &[Item]) -> bool {
     let [(key, _), (refused, revision)] = transaction.expected.as_mut_slice() else {
         return false;
     };
-    let Some(item) = find(items, refused) else {
-        return false;
-    };
     if find(items, key).is_some() {
         return false;
     }
-    *revision = item.revision;
-    transaction.removes = vec![refused.clone()];
+    let item = find(items, refused);
+    *revision = item.map_or(0, |item| item.revision);
+    transaction.removes = item.map(|_| refused.clone()).into_iter().collect();
     true
 }
 
--- a/testsuite/tests/testsuite/entry/refusals.rs
+++ b/testsuite/tests/testsuite/entry/refusals.rs
@@ -26,6 +26,8 @@
     Delays,
     /// Has lost the lease.
     NoLease,
+    /// Removes the key of a refusal, whose lease ends, before the write that names it.
+    Lapses,
 }
 
 #[derive(Clone, Default)]
@@ -108,6 +110,14 @@
                 Err(unanswered())
             }
             Mode::NoLease => Err(KvError::NoLease),
+            Mode::Lapses => {
+                let names_refusal = |(key, at): &(String, u64)| key == REFUSED && *at > 0;
+                if transaction.expected.iter().any(names_refusal) {
+                    self.0.mode.set(Mode::Answers);
+                    self.0.items.borrow_mut().remove(REFUSED);
+                }
+                self.apply(transaction)
+            }
         }
     }
 
@@ -151,6 +161,7 @@
 
 #[test_case(Mode::Answers; "at once")]
 #[test_case(Mode::Loses; "after a lost answer")]
+#[test_case(Mode::Lapses; "as the lease of the refusal ends")]
 #[tokio::test]
 async fn a_refused_job_is_accepted_when_its_caller_returns(mode: Mode) {
     let (kv, refusals) = (FakeKv::default(), Refusals::default());
