--- a/crates/verbenahitch/src/dispatch/account/mod.rs
+++ b/crates/verbenahitch/src/dispatch/account/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! `cap` decides whether an account has room for one more task, `ledger` counts what an
 //! account has running, `rate` marks the jobs beyond an account's rate, `share` orders the
-//! accounts, `status` tells operators why work waits. Accounts have small keys, which are never reused; an account that
-//! is no longer declared keeps its last limits.
+//! accounts, `status` tells operators why work waits. Accounts have small keys, which are
+//! never reused; an account that is no longer declared keeps its last limits.
 //!
 //! A deployment whose operators declare no accounts is served as one without this module.
 
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -19,9 +19,8 @@
 //! made for: [`step_order`] (order of waiting steps), [`room`] (room for short steps beside
 //! standing tasks), `place` (choice of a worker), `account` (caps and shares of client
 //! accounts), [`forecast`] (when a new job would end), `headroom` (what fillers take from
-//! standing tasks), `interference` (relief of slowed
-//! standing tasks), `health` (quarantine of
-//! workers), `straggler` (runs much slower than their peers).
+//! standing tasks), `interference` (relief of slowed standing tasks), `health` (quarantine
+//! of workers), `straggler` (runs much slower than their peers).
 
 mod account;
 mod assign;
--- a/crates/verbenahitch/src/entry/admission/mod.rs
+++ b/crates/verbenahitch/src/entry/admission/mod.rs
@@ -56,9 +56,9 @@
 }
 
 impl Cause {
-    /// Whether hosts refuse for it. While waiting steps start in their present order, late
-    /// work with a value left gets done after all when the load falls, so that refusals for
-    /// a wait cost more than they gain (docs/design/admission.md); these are only recorded.
+    /// Whether hosts refuse for it. Late work with a value left gets done when the load falls,
+    /// so that callers lose more by refusals for a wait than others gain; these are only
+    /// recorded. See `docs/design/admission.md`.
     pub fn is_enforced(self) -> bool {
         match self {
             Self::NoValue => false,
--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -212,7 +212,7 @@
         let refusal = self.refusals.decide(record, inbox, fence)?;
         if !refusal.cause.is_enforced() {
             observe::record_unenforced(&refusal);
-            log::info!("job {id} is accepted, though it should be refused: {refusal:?}");
+            log::info!("job {id} is accepted without a prospect: {refusal:?}");
             return None;
         }
         if !self.shared.is_store_up() {
--- a/testsuite/tests/testsuite/gateway/silence.rs
+++ b/testsuite/tests/testsuite/gateway/silence.rs
@@ -53,6 +53,7 @@
     const UPSTREAMS: usize = 4;
     const SLOTS: usize = 8;
     const HASTY: usize = 40;
+    const MAX_REQUESTS: usize = 10 * HASTY;
     let mut upstreams = Vec::new();
     for _ in 0..UPSTREAMS {
         let script = |seen: &Seen| match seen.field("x-hasty") {
@@ -65,7 +66,10 @@
     let gateway = Setup::over(&addresses).start().await;
     let arrivals = || -> usize { upstreams.iter().map(Upstream::count).sum() };
     let mut expired = 0;
-    while expired < HASTY {
+    for _ in 0..MAX_REQUESTS {
+        if expired == HASTY {
+            break;
+        }
         let hasty = gateway.post("/charge").header("x-hasty", "1");
         let answer = send(hasty.header("x-deadline-ms", "20")).await;
         match (answer.status, answer.not_run) {
@@ -75,6 +79,7 @@
             _ => panic!("{answer:?}"),
         }
     }
+    assert_eq!(expired, HASTY, "of {MAX_REQUESTS} requests");
     let before: Vec<_> = upstreams.iter().map(Upstream::count).collect();
     let requests: Vec<_> = (0..UPSTREAMS * SLOTS)
         .map(|_| tokio::spawn(send(gateway.post("/charge"))))
