Log until when the leases of silent workers last, and why standing tasks still wait

`lease-awaited` is new, once for each worker and bound; `waiting` comes again every 5 s for standing steps, with `away-ms`; `overload` also comes while standing tasks wait, with the workers and the committed CPU. No decision changes.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -23,6 +23,9 @@
 /// Shortest time between two log lines on an overload, in milliseconds.
 const OVERLOAD_PAUSE_MS: Millis = 1_000;
 
+/// Time after which the wait of a standing step is logged again, in milliseconds.
+const WAITING_PAUSE_MS: Millis = 5_000;
+
 /// Fraction of a pool's CPU that waiting work of a kind is expected to get at least.
 const RATE_MIN_DIVISOR: u64 = 50;
 
@@ -405,7 +408,7 @@
             };
             pools[step.pool].fillers_late |= is_late;
         }
-        self.log_overload(&pools, now);
+        self.log_overload(&usable, &pools, now);
         let mut pass = AssignPass {
             usable,
             pools,
@@ -477,7 +480,7 @@
                 if !spec.filler && misfits.spread == 0 {
                     pass.unplaced.push((pool, spec));
                 }
-                self.log_waiting(step, &pass.usable, misfits);
+                self.log_waiting(step, pass, misfits);
                 return false;
             };
             if !self.has_cap_room(step.job, &spec) {
@@ -486,7 +489,7 @@
                     pass.capped.insert(account);
                     self.cap_reached(account, spec.amount, pass.now);
                 }
-                self.log_waiting(step, &pass.usable, misfits);
+                self.log_waiting(step, pass, misfits);
                 return true;
             }
             let same_step = count_on(&per_worker, worker) + 1;
@@ -561,18 +564,28 @@
         }
     }
 
-    /// Logs, once for each step, why it waits.
-    fn log_waiting(&mut self, step: &Waiting, usable: &[WorkerKey], misfits: MisfitCounts) {
+    /// Logs why a step waits: once, and again for a standing one that still waits.
+    fn log_waiting(&mut self, step: &Waiting, pass: &AssignPass, misfits: MisfitCounts) {
+        let (usable, now) = (&pass.usable, pass.now);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
         let Some(state) = job.step_mut(step.round, step.step) else {
             return;
         };
-        if std::mem::replace(&mut state.wait_logged, true) {
+        let is_due = state
+            .logged_at
+            .is_none_or(|at| step.rank.standing && now.since(at) >= WAITING_PAUSE_MS);
+        if !is_due {
             return;
         }
-        let unplaced = state.tasks.iter().filter(|task| task.is_waiting()).count();
+        state.logged_at = Some(now);
+        let tasks = state.tasks.iter().filter(|task| task.is_waiting());
+        let unplaced = tasks.clone().count();
+        let away_ms = tasks
+            .filter_map(|task| task.ended_at)
+            .map(|at| now.since(at))
+            .max();
         let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
@@ -590,6 +603,7 @@
             .with("tasks", unplaced)
             .with("amount", job.step_spec(step.step).map(|spec| spec.amount))
             .with("age-ms", step.rank.age_ms)
+            .with("away-ms", away_ms)
             .with("workers", usable.len())
             .with("no-label", misfits.label)
             .with("spread", misfits.spread)
@@ -602,17 +616,20 @@
             .emit();
     }
 
-    /// Logs, at most once a second, that jobs wait that cannot all be in time.
-    fn log_overload(&mut self, pools: &[PoolUse], now: Monotonic) {
+    /// Logs, at most once a second, that standing tasks wait, or jobs that cannot all be in time.
+    fn log_overload(&mut self, usable: &[WorkerKey], pools: &[PoolUse], now: Monotonic) {
         let counts = self.steps_waiting;
         let is_recent = self
             .overload_logged
             .is_some_and(|at| now.since(at) < OVERLOAD_PAUSE_MS);
-        if is_recent || counts.deferred + counts.late + counts.no_value == 0 {
+        if is_recent || counts.standing + counts.deferred + counts.late + counts.no_value == 0 {
             return;
         }
         self.overload_logged = Some(now);
         let sum = |part: fn(&PoolUse) -> u64| pools.iter().map(part).sum::<u64>();
+        let in_use = usable.iter().map(|key| &self.workers[*key]);
+        let committed: u64 = in_use.clone().map(|w| w.committed.cpu_milli).sum();
+        let most_free = in_use.map(|w| w.free().cpu_milli).max();
         Entry::new(Kind::Overload)
             .with("standing", counts.standing)
             .with("ahead", counts.ahead)
@@ -620,7 +637,11 @@
             .with("deferred", counts.deferred)
             .with("late", counts.late)
             .with("no-value", counts.no_value)
+            .with("workers", self.workers.len())
+            .with("usable", usable.len())
             .with("cpu-milli", sum(|pool| pool.capacity_milli))
+            .with("committed-milli", committed)
+            .with("most-free-milli", most_free)
             .with("short-milli", sum(|pool| pool.short_milli))
             .with("filler-milli", sum(|pool| pool.filler_milli))
             .with("pieces", sum(|pool| pool.pieces_left))
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -345,6 +345,7 @@
             return;
         };
         task.runs.retain(|other| *other != key);
+        task.ended_at = Some(now);
         if !checkpoint.is_empty() {
             checkpoint.clone_into(&mut task.checkpoint);
         }
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -2,7 +2,7 @@
 
 use super::report::{EndCause, Evidence, Order, Start, Target};
 use super::worker::{Run, WorkerKey};
-use super::{Dispatcher, Millis, Monotonic, Now, Phase, RunKey, health};
+use super::{Dispatcher, Entry, Kind, Millis, Monotonic, Now, Phase, RunKey, Worker, health};
 
 /// Maximum age of a worker's last answer for it to be given tasks, in milliseconds.
 /// Longer than a poll with its grace.
@@ -199,9 +199,37 @@
         }))
     }
 
+    /// Logs until when runs of silent workers may go on, for each worker and cause once.
+    fn log_lease_waits(&mut self, now: Monotonic) {
+        let is_silent = |worker: &Worker| {
+            !worker.runs.is_empty() && !worker.answered_within(now, USABLE_AGE_MS)
+        };
+        let silent = self.workers.iter().filter(|(_, worker)| is_silent(worker));
+        let silent: Vec<WorkerKey> = silent.map(|(key, _)| key).collect();
+        for key in silent {
+            let (lapse, bound) = self.lapse_bound(key);
+            let worker = &mut self.workers[key];
+            if worker.logged_bound.replace(bound) == Some(bound) {
+                continue;
+            }
+            let worker = &self.workers[key];
+            let runs = worker.runs.iter().map(|run| &self.runs[*run]);
+            Entry::new(Kind::LeaseAwaited)
+                .with("worker", &worker.info.name)
+                .with("listed", worker.listed)
+                .with("runs", worker.runs.len())
+                .with("standing", runs.filter(|run| run.standing).count())
+                .with("answer-age-ms", worker.answered_at.map(|at| now.since(at)))
+                .with("bound", bound)
+                .with("left-ms", lapse.since(now))
+                .emit();
+        }
+    }
+
     /// Ends the runs of silent workers whose leases have lapsed, and drops those workers
     /// that the registry no longer lists.
     fn expire_leases(&mut self, now: Monotonic) {
+        self.log_lease_waits(now);
         let lease_ms = self.bounds.lease_ms;
         let silent: Vec<WorkerKey> = self
             .workers
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -131,6 +131,7 @@
             self.voters.mark_dirty();
         }
         worker.failed_polls = 0;
+        worker.logged_bound = None;
         worker.answered_at = Some(sent);
         let known = worker.incarnation();
         let has_restarted = worker.is_other(report.incarnation);
--- a/crates/verbenahitch/src/dispatch/quorum.rs
+++ b/crates/verbenahitch/src/dispatch/quorum.rs
@@ -11,6 +11,8 @@
 //! The time for which an owner acts without the store is limited as well, so that the
 //! tasks of lost workers start elsewhere even if most voters are lost.
 
+use serde::Serialize;
+
 use super::report::Voter;
 use super::worker::{WorkerInfo, WorkerKey};
 use super::{Dispatcher, Millis, Monotonic, Worker};
@@ -23,6 +25,22 @@
 /// Shortest time between two records of the voters, in milliseconds.
 const RECORD_INTERVAL_MS: Millis = 1_000;
 
+/// What bounds the leases of a worker that does not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum LapseBound {
+    /// The longest time for which an earlier owner acts without the store.
+    Outage,
+    /// The answers of most voters.
+    Quorum,
+    /// The record of an owner that retired.
+    Retired,
+    /// What that record says of the worker.
+    Recorded,
+    /// The leases that this owner gave.
+    Session,
+}
+
 /// The voters as this owner and the store know them.
 #[derive(Debug, Default)]
 pub(super) struct Voters {
@@ -151,13 +169,21 @@
 
     /// When an earlier owner acts no more.
     pub(super) fn inherited_end(&self) -> Monotonic {
+        self.inherited_bound().0
+    }
+
+    /// When an earlier owner acts no more, and what tells so.
+    pub(super) fn inherited_bound(&self) -> (Monotonic, LapseBound) {
+        let outage = (self.began_at + OUTAGE_LIMIT_MS, LapseBound::Outage);
         if !self.has_predecessor() {
-            return self.began_at;
+            return (self.began_at, LapseBound::Outage);
         }
-        let outage_end = self.began_at + OUTAGE_LIMIT_MS;
         let quorum_end = self.quorum_at.map(|at| at + self.bounds.quorum_ms);
-        let ends = [Some(outage_end), quorum_end, self.retired_end];
-        ends.into_iter().flatten().min().unwrap_or(outage_end)
+        let quorum = quorum_end.map(|at| (at, LapseBound::Quorum));
+        let retired = self.retired_end.map(|at| (at, LapseBound::Retired));
+        let bounds = [Some(outage), quorum, retired];
+        let earliest = bounds.into_iter().flatten().min_by_key(|(at, _)| *at);
+        earliest.unwrap_or(outage)
     }
 
     /// When all leases that an earlier owner gave have lapsed. A worker that has restarted may
--- a/crates/verbenahitch/src/dispatch/retire.rs
+++ b/crates/verbenahitch/src/dispatch/retire.rs
@@ -6,8 +6,9 @@
 //! `docs/design/recovery-of-leases.md`.
 
 use super::orders::USABLE_AGE_MS;
+use super::quorum::LapseBound;
 use super::report::Retirement;
-use super::worker::{Session, WorkerKey, on_slowest_clock};
+use super::worker::{WorkerKey, on_slowest_clock};
 use super::{Dispatcher, Monotonic};
 
 impl Dispatcher {
@@ -40,13 +41,18 @@
     /// When all leases that a worker may have been given have lapsed, unless it is given
     /// further ones.
     pub(super) fn lapsed_at(&self, key: WorkerKey) -> Monotonic {
-        let session = self.workers[key].session.as_ref();
-        session.map_or_else(|| self.inherited_lapse_of(key), Session::lapsed_at)
+        self.lapse_bound(key).0
     }
 
-    fn inherited_lapse_of(&self, key: WorkerKey) -> Monotonic {
-        let recorded = self.recorded_lapses.get(key).copied();
-        let lapse = self.inherited_lapse();
-        recorded.map_or(lapse, |at| at.min(lapse))
+    /// [`Self::lapsed_at`], and what tells so.
+    pub(super) fn lapse_bound(&self, key: WorkerKey) -> (Monotonic, LapseBound) {
+        if let Some(session) = &self.workers[key].session {
+            return (session.lapsed_at(), LapseBound::Session);
+        }
+        let inherited = (self.inherited_lapse(), self.inherited_bound().1);
+        match self.recorded_lapses.get(key) {
+            Some(at) if *at < inherited.0 => (*at, LapseBound::Recorded),
+            Some(_) | None => inherited,
+        }
     }
 }
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -18,6 +18,8 @@
     pub last_run: u32,
     /// Runs that may still be running.
     pub runs: Vec<RunKey>,
+    /// When its last run ended, none if it has had none or that was before this owner.
+    pub ended_at: Option<Monotonic>,
     pub checkpoint: String,
     /// Worker that the next run avoids, as an earlier one failed or was slow there, or was
     /// moved off it.
@@ -39,8 +41,8 @@
     pub tasks: Vec<Task>,
     /// Number of tasks that are not done.
     pub remaining: u32,
-    /// Whether the wait of the step has been logged.
-    pub wait_logged: bool,
+    /// When the wait of the step was last logged.
+    pub logged_at: Option<Monotonic>,
     /// Durations of completed runs that were neither resumed nor throttled, in milliseconds.
     pub durations: Vec<Millis>,
 }
@@ -57,7 +59,7 @@
         let step = |spec: &StepSpec| Step {
             tasks: vec![Task::default(); spec.count as usize],
             remaining: spec.count,
-            wait_logged: false,
+            logged_at: None,
             durations: Vec::new(),
         };
         Self {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -12,6 +12,7 @@
 use super::interference::MitigationState;
 use super::job::{Amount, JobId, TaskId};
 use super::mitigation::PastFiller;
+use super::quorum::LapseBound;
 use super::report::CallFailure;
 use super::{Bounds, Claim};
 use crate::collections::HashSet;
@@ -194,6 +195,8 @@
     pub next_poll: Monotonic,
     /// Failed polls in a row.
     pub failed_polls: u32,
+    /// What bounded its leases when that was last logged, while it is silent.
+    pub logged_bound: Option<LapseBound>,
     /// When a call last failed in a way that a restart would explain.
     pub failed_at: Option<Monotonic>,
     /// Starts that the next incarnation may still carry out.
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -67,7 +67,8 @@
     Pressure = 222, "pressure", Info, "The estimated interference between two profiles or images has changed.";
     CapReached = 223, "cap-reached", Info, "A client account has no room under its cap for a waiting task.";
     AccountWaiting = 224, "account-waiting", Info, "The work of a client account waits, with the reason.";
-    Overload = 225, "overload", Info, "Jobs wait that cannot all be in time; at most once a second.";
+    Overload = 225, "overload", Info, "Standing tasks wait, or jobs that cannot all be in time; at most once a second.";
+    LeaseAwaited = 226, "lease-awaited", Info, "Runs of a worker that does not answer may go on until its leases have lapsed.";
     WorkerQuarantined = 230, "worker-quarantined", Warn, "A worker whose tasks keep failing is quarantined: it gets no tasks, or only probes.";
     WorkerRestored = 231, "worker-restored", Info, "A quarantined worker passed its probe.";
     WorkerUnreachable = 232, "worker-unreachable", Warn, "A worker does not answer or is no longer listed.";
