--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -27,3 +27,4 @@
 
 pub use host::{EntryHost, EntrySettings};
 pub use intake::{Intake, IntakeOutcome, Status};
+pub use owner::worker_bounds;
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -45,6 +45,18 @@
 /// milliseconds.
 const HANDOVER_TIMEOUT_MS: Millis = 500;
 
+/// Time bounds of an owner where workers grant leases of up to `lease_max_ms` and client accounts
+/// may exceed their caps by the part `cap_overshoot`.
+pub fn worker_bounds(lease_max_ms: Millis, cap_overshoot: f64) -> Bounds {
+    Bounds {
+        lease_ms: WORKER_LEASE_MS.min(lease_max_ms),
+        lease_max_ms,
+        quorum_ms: QUORUM_MS,
+        relist_ms: RELIST_MS,
+        cap_overshoot,
+    }
+}
+
 pub(super) struct Driver<P> {
     pub(super) shared: Rc<Shared<P>>,
     pub(super) term: Term,
@@ -87,13 +99,8 @@
             kv.get(keys::VOTERS),
             retirement::read(kv, term.fence),
         );
-        let bounds = Bounds {
-            lease_ms: WORKER_LEASE_MS.min(shared.settings.lease_max),
-            lease_max_ms: shared.settings.lease_max,
-            quorum_ms: QUORUM_MS,
-            relist_ms: RELIST_MS,
-            cap_overshoot: shared.settings.cap_overshoot,
-        };
+        let settings = &shared.settings;
+        let bounds = worker_bounds(settings.lease_max, settings.cap_overshoot);
         let mut driver = Self {
             shared: Rc::clone(shared),
             term,
--- a/crates/verbenahitch/src/entry/owner/mod.rs
+++ b/crates/verbenahitch/src/entry/owner/mod.rs
@@ -20,6 +20,7 @@
 use crate::domain::{Millis, Monotonic};
 use crate::port::{Clock, KeyValue, KvError, Platform, SystemClock};
 use driver::Driver;
+pub use driver::worker_bounds;
 
 /// Time between two renewals of the owner's lease, in milliseconds.
 const RENEW_MS: Millis = LEASE_MS / 4;
--- a/testsuite/tests/testsuite/dispatch/load.rs
+++ b/testsuite/tests/testsuite/dispatch/load.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use nix::time::{ClockId, clock_gettime};
+use test_case::test_case;
 
-use super::world::{Response, World, filler, job, queue, standing, step};
+use super::world::{FakeRun, Response, World, filler, job, queue, standing, step};
 
 /// Standing jobs that fit nowhere must not block the steps behind them.
 #[test]
@@ -295,6 +296,49 @@
     );
 }
 
+/// How a worker loses its standing tasks.
+#[derive(Clone, Copy)]
+enum Loss {
+    /// They fail.
+    Failure,
+    /// It stops answering.
+    Silence,
+}
+
+/// Short steps keep arriving beside standing tasks, take less than their allowance, and hold all
+/// the room that is left when a worker is lost. By the users' rule a standing task may not be away
+/// for 9 s while there is room for it.
+#[test_case(Loss::Failure; "tasks fail")]
+#[test_case(Loss::Silence; "worker is silent")]
+fn lost_standing_tasks_do_not_starve_behind_short_steps(loss: Loss) {
+    let mut world = World::new(16);
+    let standing_job = world.submit(1, "push", job(vec![standing(28, 8, "s")]));
+    world.run(3_000);
+    let mut count = 0;
+    let mut submit_short = |world: &mut World, millis: u64| {
+        for _ in 0..millis / 100 {
+            count += 1;
+            world.submit(100 + count, "push", job(vec![step(2, 4, 600)]));
+            world.run(100);
+        }
+    };
+    submit_short(&mut world, 2_000);
+    let name = (*world.workers_of(standing_job).first().unwrap()).to_owned();
+    let worker = world.workers.get_mut(&name).unwrap();
+    match loss {
+        Loss::Failure => worker.failing = true,
+        Loss::Silence => worker.silent = true,
+    }
+    submit_short(&mut world, 300);
+    world.workers.get_mut(&name).unwrap().failing = false;
+    submit_short(&mut world, 8_700);
+    let others = world.workers.values().filter(|worker| !worker.silent);
+    let running = others.flat_map(|worker| &worker.life.runs);
+    let is_standing = |run: &&FakeRun| run.task.job == standing_job;
+    assert_eq!(running.filter(is_standing).count(), 28);
+    world.ledger.assert_once();
+}
+
 /// Processor time of this thread, which other processes of the machine do not lengthen.
 pub fn processor_time() -> Duration {
     let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID);
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -3,8 +3,9 @@
 use test_case::test_case;
 use verbenahitch::dispatch::{Dispatcher, JobId, JobState, Retirement};
 use verbenahitch::domain::{Millis, Monotonic};
+use verbenahitch::entry;
 
-use super::world::{BOUNDS, Started, World, job, step};
+use super::world::{BOUNDS, Started, World, job, standing, step};
 
 #[test]
 fn tasks_of_a_silent_worker_start_elsewhere_only_after_its_lease_lapses() {
@@ -526,3 +527,46 @@
     world.run(1_000);
     assert!(world.starts_of(id).is_empty());
 }
+
+/// Longest time for which a standing task may be away while there is room for it, by the users'
+/// rule: 6 s after its last run, and 3 s.
+const AWAY_MAX_MS: Millis = 9_000;
+
+/// Time from the end of an owner to the begin of the next: the lease of the owner's key, which is
+/// 1.5 s, and reading the stored state.
+const ELECTION_MS: Millis = 1_900;
+
+/// Owners that are killed while a worker with a standing task is lost.
+struct KilledOwners {
+    /// Longest lease that workers grant, in milliseconds.
+    lease_max_ms: Millis,
+    /// When owners are killed, in milliseconds after the loss of the worker.
+    kills: &'static [Millis],
+}
+
+#[test_case(KilledOwners { lease_max_ms: 6_000, kills: &[0] }; "short leases")]
+#[test_case(KilledOwners { lease_max_ms: 10_000, kills: &[0] }; "long leases")]
+#[test_case(KilledOwners { lease_max_ms: 10_000, kills: &[0, 4_000] }; "one owner after another")]
+fn a_standing_task_of_a_lost_worker_runs_again_after_an_owner_was_killed(case: KilledOwners) {
+    let bounds = entry::worker_bounds(case.lease_max_ms, BOUNDS.cap_overshoot);
+    let mut world = World::with_bounds(5, bounds);
+    let id = world.submit(1, "push", job(vec![standing(1, 4, "s")]));
+    world.run(3_000);
+    let worker = world.starts_of(id)[0].worker.clone();
+    let now = world.now;
+    let lost = world.workers.get_mut(&worker).unwrap();
+    lost.silent = true;
+    lost.restart(now, 600_000);
+    let mut killed_at = now;
+    for at in case.kills {
+        killed_at = now + at;
+        world.run(killed_at.saturating_sub(world.now));
+        world.fail_over(ELECTION_MS);
+    }
+    world.run(AWAY_MAX_MS + 5_000);
+    let starts = world.starts_of(id);
+    assert_eq!(starts.len(), 2);
+    let away_ms = starts[1].at - killed_at;
+    assert!(away_ms <= AWAY_MAX_MS, "away for {away_ms} ms");
+    world.ledger.assert_once();
+}
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -121,11 +121,15 @@
     cut: BTreeSet<String>,
     /// Earlier owner that goes on without the store.
     former: Option<Former>,
+    /// Bounds of the owner, also of later ones.
+    bounds: Bounds,
+    /// Whether there is no owner.
+    is_orphaned: bool,
 }
 
 pub const BOUNDS: Bounds = Bounds {
     lease_ms: 4_000,
-    lease_max_ms: worker::LEASE_MAX_MS,
+    lease_max_ms: 6_000,
     quorum_ms: 1_500,
     relist_ms: 2_500,
     cap_overshoot: 0.1,
@@ -134,9 +138,14 @@
 impl World {
     /// Creates a world with `count` workers of 16 cores.
     pub fn new(count: usize) -> Self {
+        Self::with_bounds(count, BOUNDS)
+    }
+
+    /// As [`Self::new`], with other time bounds.
+    pub fn with_bounds(count: usize, bounds: Bounds) -> Self {
         let mut world = Self {
             now: 10_000,
-            dispatcher: Dispatcher::new(BOUNDS, Monotonic(10_000)),
+            dispatcher: Dispatcher::new(bounds, Monotonic(10_000)),
             workers: BTreeMap::new(),
             specs: BTreeMap::new(),
             pressures: BTreeMap::new(),
@@ -162,6 +171,8 @@
             voters: None,
             cut: BTreeSet::new(),
             former: None,
+            bounds,
+            is_orphaned: false,
         };
         for number in 0..count {
             world.add_worker(&format!("w{number:02}"), 16);
@@ -199,6 +210,7 @@
                 ..Incarnation::default()
             },
             speed: 1.0,
+            lease_max_ms: self.bounds.lease_max_ms,
             ..FakeWorker::default()
         };
         self.workers.insert(name.to_owned(), worker);
@@ -278,6 +290,9 @@
 
     /// Handles the events of the owner, and runs one pass.
     fn step_owner(&mut self) {
+        if self.is_orphaned {
+            return;
+        }
         self.answer_polls();
         self.deliver();
         if self.store_up {
--- a/testsuite/tests/testsuite/dispatch/world/owners.rs
+++ b/testsuite/tests/testsuite/dispatch/world/owners.rs
@@ -5,7 +5,7 @@
 use verbenahitch::dispatch::{Dispatcher, JobRecord, Poll, Voter, Write};
 use verbenahitch::domain::{Millis, Monotonic};
 
-use super::{BOUNDS, Event, World};
+use super::{Event, World};
 
 /// An earlier owner, with what belongs to it alone.
 pub(super) struct Former {
@@ -27,7 +27,7 @@
         self.events.clear();
         self.writing.clear();
         self.writing_voters = None;
-        self.dispatcher = Dispatcher::new(BOUNDS, Monotonic(self.now));
+        self.dispatcher = Dispatcher::new(self.bounds, Monotonic(self.now));
         self.declare();
         self.send_registry();
         self.dispatcher.restore_voters(self.voters.clone());
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Kills the owner; another one takes over after `millis`.
+    pub fn fail_over(&mut self, millis: Millis) {
+        self.is_orphaned = true;
+        self.run(millis);
+        self.is_orphaned = false;
+        self.take_over();
+    }
+
     /// Replaces the owner as planned.
     pub fn hand_over(&mut self) {
         let record = self.dispatcher.retirement(Monotonic(self.now));
@@ -58,7 +66,7 @@
         self.store_up = false;
         self.cut = outside;
         self.former = Some(Former {
-            dispatcher: Dispatcher::new(BOUNDS, Monotonic(self.now)),
+            dispatcher: Dispatcher::new(self.bounds, Monotonic(self.now)),
             fence: self.fence,
             store_up: true,
             polls: Vec::new(),
--- a/testsuite/tests/testsuite/dispatch/world/worker.rs
+++ b/testsuite/tests/testsuite/dispatch/world/worker.rs
@@ -8,9 +8,6 @@
 };
 use verbenahitch::domain::Millis;
 
-/// Longest lease that a worker grants, in milliseconds.
-pub const LEASE_MAX_MS: Millis = 6_000;
-
 pub struct FakeRun {
     pub task: TaskId,
     pub run: u32,
@@ -67,6 +64,8 @@
     pub drops_start_answers: bool,
     pub failing: bool,
     pub speed: f64,
+    /// Longest lease that it grants, in milliseconds.
+    pub lease_max_ms: Millis,
 }
 
 impl FakeWorker {
@@ -109,9 +108,9 @@
         Ok(())
     }
 
-    /// Extends all leases to `end` on its clock, by [`LEASE_MAX_MS`] from now at most.
+    /// Extends all leases to `end` on its clock, by its longest lease from now at most.
     pub fn extend_leases(&mut self, end: Millis, now: Millis) {
-        let limit = self.clock(now) + LEASE_MAX_MS;
+        let limit = self.clock(now) + self.lease_max_ms;
         self.life.lease_end = self.life.lease_end.max(end.min(limit));
     }
 
