A worker that may have restarted gets no lease before its next list

Cause: the poll after such a failure gave a lease, and as the worker may have restarted and its clock be behind, this counted for the longest that workers allow (10 s).

Change: neither a poll nor a start gives a lease then; the poll is sent at once, without a wait, and its list ends the doubt. Starts to that worker wait for it.

Test: the case of failed starts was away for 10.4 s before (away_max 9 s), and passes.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -151,7 +151,10 @@
             return (run.stopped_at.is_none()).then_some(Order::Stop(target));
         }
         if phase == Phase::Starting {
-            if !worker.answered_within(now, USABLE_AGE_MS) || *worker.home() != *target.address {
+            if !worker.answered_within(now, USABLE_AGE_MS)
+                || worker.may_have_restarted()
+                || *worker.home() != *target.address
+            {
                 return None;
             }
             if worker.incarnation() != self.runs[key].incarnation {
@@ -187,9 +190,8 @@
             .unwrap_or_default();
         let lease_ms = self.lease_ms();
         let worker = &mut self.workers[self.runs[key].worker];
-        let lease = worker.lease(lease_ms, self.bounds.lease_max_ms);
         let session = worker.session.as_mut()?;
-        let lease_end = session.give_lease(now, lease);
+        let lease_end = session.give_lease(now, lease_ms);
         let run = &mut self.runs[key];
         run.tries += 1;
         run.resumed = !checkpoint.is_empty();
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -51,7 +51,6 @@
             let mut acked = 0;
             let mut lease_end = None;
             let may_have_restarted = worker.may_have_restarted();
-            let lease = worker.lease(lease_ms, self.bounds.lease_max_ms);
             if let Some(session) = &mut worker.session {
                 // The end of a run of an unknown job changes no record, so there is nothing to
                 // store.
@@ -75,8 +74,8 @@
                 }
                 // A silent worker may have received every unanswered poll. Its leases are
                 // not extended, since they have to lapse before its tasks start elsewhere.
-                if may_act && worker.failed_polls == 0 {
-                    lease_end = Some(session.give_lease(now, lease));
+                if may_act && worker.failed_polls == 0 && !may_have_restarted {
+                    lease_end = Some(session.give_lease(now, lease_ms));
                 }
             }
             worker.poll_sent = Some(now);
@@ -84,7 +83,8 @@
             let has_no_ends = |session: &Session| session.unacked_ends.is_empty();
             // After a silence the answer must come at once, since only the next poll extends
             // the leases again.
-            let is_long_poll = worker.failed_polls == 0
+            let is_long_poll = !may_have_restarted
+                && worker.failed_polls == 0
                 && !worker.runs.is_empty()
                 && worker.session.as_ref().is_some_and(has_no_ends);
             orders.push(Order::Poll(Poll {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -117,15 +117,6 @@
     at: Monotonic,
 }
 
-/// Length of a lease.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct LeaseLength {
-    /// Length meant, on the clock of the session.
-    pub ms: Millis,
-    /// Length that it can have if the worker has restarted and its clock is behind.
-    pub longest_ms: Millis,
-}
-
 impl Session {
     /// Begins a session in which leases of up to `lease_ms` may have been given before.
     fn new(incarnation: u64, clock: ClockReading, lease_ms: Millis) -> Self {
@@ -143,10 +134,10 @@
     }
 
     /// Gives a lease that begins now; returns its end on the worker's clock.
-    pub fn give_lease(&mut self, now: Monotonic, lease: LeaseLength) -> Millis {
-        let begin = self.clock.clock_ms + now.since(self.clock.at);
-        self.lease_end = self.lease_end.max(begin + lease.longest_ms);
-        begin + lease.ms
+    pub fn give_lease(&mut self, now: Monotonic, lease_ms: Millis) -> Millis {
+        let end = self.clock.clock_ms + now.since(self.clock.at) + lease_ms;
+        self.lease_end = self.lease_end.max(end);
+        end
     }
 
     /// Whether it was given no lease longer than one of `lease_ms` from its last list on.
@@ -243,6 +234,8 @@
     pub fn order_answered(&mut self, result: &Result<(), CallFailure>, now: Monotonic) {
         if result.as_ref().is_err_and(CallFailure::allows_restart) {
             self.failed_at = Some(now);
+            // Leases and starts wait for its next list.
+            self.next_poll = self.next_poll.min(now);
         }
     }
 
@@ -286,7 +279,8 @@
         recent.filter_map(|start| start.claim)
     }
 
-    /// Whether it may have restarted since it was asked for its last list.
+    /// Whether it may have restarted since it was asked for its last list. It gets no lease then:
+    /// its clock may be behind, and it would take the lease for the longest that it allows.
     pub fn may_have_restarted(&self) -> bool {
         self.failed_at >= self.answered_at
     }
@@ -298,18 +292,6 @@
             .map_or(0, |session| session.incarnation)
     }
 
-    /// Lease of `lease_ms` that begins now; `longest_ms` is the longest that it allows.
-    pub fn lease(&self, lease_ms: Millis, longest_ms: Millis) -> LeaseLength {
-        LeaseLength {
-            ms: lease_ms,
-            longest_ms: if self.may_have_restarted() {
-                longest_ms
-            } else {
-                lease_ms
-            },
-        }
-    }
-
     /// Whether a list comes from another incarnation than the session in progress. An
     /// incarnation of zero is not known to be another one.
     pub fn is_other(&self, incarnation: u64) -> bool {
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -592,6 +592,7 @@
 #[test_case(LostWorker { lease_max_ms: 6_000, kills: &[0], is_busy: false }; "short leases")]
 #[test_case(LostWorker { lease_max_ms: 10_000, kills: &[0], is_busy: false }; "long leases")]
 #[test_case(LostWorker { lease_max_ms: 10_000, kills: &[0, 4_000], is_busy: false }; "one owner after another")]
+#[test_case(LostWorker { lease_max_ms: 10_000, kills: &[], is_busy: true }; "failed starts")]
 fn a_standing_task_of_a_lost_worker_is_not_away_for_too_long(case: LostWorker) {
     let bounds = entry::worker_bounds(case.lease_max_ms, BOUNDS.cap_overshoot);
     let mut world = World::with_bounds(5, bounds);
