Standing tasks that have been away for 5 s precede short steps

Cause: since short steps precede standing ones within an eighth of a pool, whatever the time that these have waited. A steady stream of short steps takes each place that becomes free; the logs show `away-ms` of 10 s and more beside 700 to 1,060 cores of short runs, and all sound workers usable, which excludes that room was counted wrongly.

Change: a standing task that ran before and has been away for 5 s, by when it was last listed or since an earlier owner, precedes short steps and the shares of accounts. If it fits nowhere, a worker whose short runs leave enough room is held for it.

Why it works: the users count such a task from 6 s after its last run. From 5 s on each place that becomes free is offered to it first, and pieces are kept together for it.

--- a/crates/verbenahitch/src/dispatch/account/share.rs
+++ b/crates/verbenahitch/src/dispatch/account/share.rs
@@ -158,7 +158,8 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            let Some(account) = job.account else {
+            // Overdue tasks precede all shares, and are listed again with the others of their step.
+            let Some(account) = job.account.filter(|_| !rank.overdue) else {
                 continue;
             };
             let standing = &mut self.accounts.state_mut(account).standing;
--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -26,10 +26,15 @@
 /// Time after which the wait of a standing step is logged again, in milliseconds.
 const WAITING_PAUSE_MS: Millis = 5_000;
 
+/// Most workers that are held for overdue standing tasks in one pass, which bounds the work of
+/// the pass. Those of further tasks are held in later passes.
+const MAX_HELD: usize = 16;
+
 /// Fraction of a pool's CPU that waiting work of a kind is expected to get at least.
 const RATE_MIN_DIVISOR: u64 = 50;
 
-/// A step with tasks to place.
+/// A step with tasks to place; of one that is overdue, only the overdue tasks.
+#[derive(Clone)]
 struct Waiting {
     rank: StepRank,
     job: JobId,
@@ -61,6 +66,8 @@
     pub no_value: usize,
     /// Short steps ahead of standing ones, which are counted above too.
     pub ahead: usize,
+    /// Standing steps with overdue tasks, which are counted above too.
+    pub overdue: usize,
 }
 
 impl StepCounts {
@@ -68,6 +75,10 @@
         let mut counts = Self::default();
         for rank in waiting.iter().map(|step| &step.rank) {
             counts.ahead += usize::from(rank.ahead);
+            if rank.overdue {
+                counts.overdue += 1;
+                continue;
+            }
             *match rank.deadline_class() {
                 DeadlineClass::Standing => &mut counts.standing,
                 DeadlineClass::InTime => &mut counts.in_time,
@@ -115,6 +126,9 @@
     unplaced: Vec<(String, StepSpec)>,
     /// Accounts that met their cap; their later steps must not take what a step waits for.
     capped: HashSet<AccountKey>,
+    /// Workers whose short runs make room for an overdue standing task: other steps would take it
+    /// piece by piece.
+    held: HashSet<WorkerKey>,
     now: Monotonic,
 }
 
@@ -189,6 +203,7 @@
     busy: u32,
     harm: u32,
     cap: u32,
+    held: u32,
 }
 
 impl MisfitCounts {
@@ -201,6 +216,7 @@
             Misfit::Busy => &mut self.busy,
             Misfit::Harm => &mut self.harm,
             Misfit::Cap => &mut self.cap,
+            Misfit::Held => &mut self.held,
         } += 1;
     }
 }
@@ -329,7 +345,7 @@
                 if waiting == 0 || !round.is_ready(spec) {
                     continue;
                 }
-                found.push(Waiting {
+                let step = Waiting {
                     rank: StepRank {
                         priority: queue.priority,
                         age_ms: now.since(job.accepted_at),
@@ -338,6 +354,7 @@
                         standing: spec.standing,
                         share: ShareRank::default(),
                         ahead: false,
+                        overdue: false,
                         deferred: false,
                         density: 0.0,
                     },
@@ -349,7 +366,14 @@
                     cpu_milli: spec.amount.cpu_milli.saturating_mul(waiting),
                     work: 0,
                     pool: pool_index(pools, &queue.pool),
-                });
+                };
+                // Its other tasks do not precede short steps with the overdue ones.
+                if spec.standing && state.tasks.iter().any(|task| task.is_overdue(now)) {
+                    let mut overdue = step.clone();
+                    overdue.rank.overdue = true;
+                    found.push(overdue);
+                }
+                found.push(step);
             }
             let density = outlook::density(job.work, left, mean);
             for step in &mut found[begin..] {
@@ -414,6 +438,7 @@
             pools,
             unplaced: Vec::new(),
             capped: HashSet::default(),
+            held: HashSet::default(),
             now,
         };
         self.count_late_claims(now);
@@ -440,7 +465,8 @@
             return true;
         }
         let spec = &job.record.spec.steps[step.step as usize];
-        if !spec.filler && pass.is_unplaceable(&self.queue_of(job).pool, spec) {
+        let may_hold = step.rank.overdue && pass.held.len() < MAX_HELD;
+        if !spec.filler && !may_hold && pass.is_unplaceable(&self.queue_of(job).pool, spec) {
             return false;
         }
         let round = job.rounds.iter().find(|round| round.number == step.round);
@@ -450,8 +476,12 @@
         let waiting: Vec<(u32, Option<WorkerKey>)> = (0u32..)
             .zip(tasks)
             .filter(|(_, task)| task.is_waiting())
+            .filter(|(_, task)| !step.rank.overdue || task.is_overdue(pass.now))
             .map(|(index, task)| (index, task.avoid))
             .collect();
+        if waiting.is_empty() {
+            return true;
+        }
         let mut per_worker: SecondaryMap<WorkerKey, u32> = SecondaryMap::new();
         for run in tasks.iter().flat_map(|task| &task.runs) {
             let worker = self.runs[*run].worker;
@@ -463,7 +493,12 @@
         let spares_idle = pool_use.fillers_late && pool_use.pieces.is_some();
         let request =
             place::AssignmentRequest::new(&mut self.headroom, &spec, pool_use.pieces, spares_idle);
-        let (mut candidates, mut misfits) = self.candidates(&pool, &request, &per_worker, pass);
+        let (mut candidates, mut misfits) =
+            self.candidates(&pool, &request, &per_worker, step.rank.overdue, pass);
+        if step.rank.overdue && candidates.len() < waiting.len() {
+            let missing = waiting.len() - candidates.len();
+            self.hold_workers(missing, &pool, &spec, &per_worker, pass);
+        }
         for (index, avoid) in waiting {
             let worker = loop {
                 let Some(worker) = cheapest(&mut candidates, avoid) else {
@@ -512,12 +547,42 @@
         true
     }
 
+    /// Holds workers for overdue tasks that fit nowhere: those on which the short runs leave enough
+    /// room, the least of which is missing first.
+    fn hold_workers(
+        &self,
+        tasks: usize,
+        pool: &str,
+        spec: &StepSpec,
+        per_worker: &SecondaryMap<WorkerKey, u32>,
+        pass: &mut AssignPass,
+    ) {
+        let amount = place::committed(spec);
+        let makes_room = |key: &WorkerKey| {
+            let worker = &self.workers[*key];
+            let mut free = worker.free();
+            let missing = amount.cpu_milli.saturating_sub(free.cpu_milli);
+            free.cpu_milli += worker.short_milli;
+            let is_fit = worker.info.pool == *pool
+                && missing > 0
+                && amount.fits(free)
+                && place::allows(worker, spec, count_on(per_worker, *key)).is_ok();
+            (is_fit && !pass.held.contains(key)).then_some((missing, *key))
+        };
+        let mut found: Vec<(u64, WorkerKey)> = pass.usable.iter().filter_map(makes_room).collect();
+        found.sort_unstable();
+        let left = MAX_HELD.saturating_sub(pass.held.len()).min(tasks);
+        pass.held
+            .extend(found.iter().take(left).map(|(_, key)| *key));
+    }
+
     /// Workers on which a step can be placed, and the reasons against the others.
     fn candidates(
         &mut self,
         pool: &str,
         request: &place::AssignmentRequest<'_>,
         per_worker: &SecondaryMap<WorkerKey, u32>,
+        is_overdue: bool,
         pass: &AssignPass,
     ) -> (BinaryHeap<Candidate>, MisfitCounts) {
         let mut misfits = MisfitCounts::default();
@@ -527,6 +592,11 @@
             if self.workers[worker].info.pool != pool {
                 continue;
             }
+            // Fillers take no committed CPU.
+            if !request.step.filler && !is_overdue && pass.held.contains(&worker) {
+                misfits.count(Misfit::Held);
+                continue;
+            }
             match self.cost(worker, request, count_on(per_worker, worker)) {
                 Ok(cost) => candidates.push(Candidate { cost, worker }),
                 Err(misfit) => misfits.count(misfit),
@@ -613,6 +683,7 @@
             .with("busy", misfits.busy)
             .with("harm", misfits.harm)
             .with("cap", misfits.cap)
+            .with("held", misfits.held)
             .emit();
     }
 
@@ -633,6 +704,7 @@
         Entry::new(Kind::Overload)
             .with("standing", counts.standing)
             .with("ahead", counts.ahead)
+            .with("overdue", counts.overdue)
             .with("in-time", counts.in_time)
             .with("deferred", counts.deferred)
             .with("late", counts.late)
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -321,6 +321,18 @@
             .with("incarnation", incarnation)
             .with("answer-age-ms", answer_age)
             .emit();
+        // A run that is inferred to have ended may have ended when it was last listed.
+        let ended_at = match evidence {
+            Evidence::Restart | Evidence::Replaced | Evidence::Lapse => {
+                (!run.inherited).then_some(run.seen_at)
+            }
+            Evidence::Listed | Evidence::Missing | Evidence::Refusal | Evidence::NotOrdered => {
+                Some(now)
+            }
+        };
+        if let Some(task) = self.task_mut(run.task) {
+            task.ended_at = ended_at;
+        }
         self.apply_end(&run, key, cause, checkpoint, now);
     }
 
@@ -346,7 +358,6 @@
             return;
         };
         task.runs.retain(|other| *other != key);
-        task.ended_at = Some(now);
         if !checkpoint.is_empty() {
             checkpoint.clone_into(&mut task.checkpoint);
         }
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -260,22 +260,34 @@
     Harm,
     /// The client account has no room under its cap, on any worker.
     Cap,
+    /// The worker is held for an overdue standing task.
+    Held,
 }
 
-/// Checks the label, the spread and the free resources of a worker for one more task
-/// of `step`.
+/// Checks the label and the spread of a worker for one more task of `step`.
 ///
 /// # Errors
 ///
 /// The first requirement that the worker does not meet.
-pub(super) fn fit(worker: &Worker, step: &StepSpec, same_step: u32) -> Result<(), Misfit> {
-    let info = &worker.info;
-    if !step.label.is_empty() && !info.labels.contains(&step.label) {
+pub(super) fn allows(worker: &Worker, step: &StepSpec, same_step: u32) -> Result<(), Misfit> {
+    if !step.label.is_empty() && !worker.info.labels.contains(&step.label) {
         return Err(Misfit::Label);
     }
     if step.spread > 0 && same_step >= step.spread {
         return Err(Misfit::Spread);
     }
+    Ok(())
+}
+
+/// Checks the label, the spread and the free resources of a worker for one more task
+/// of `step`.
+///
+/// # Errors
+///
+/// The first requirement that the worker does not meet.
+pub(super) fn fit(worker: &Worker, step: &StepSpec, same_step: u32) -> Result<(), Misfit> {
+    allows(worker, step, same_step)?;
+    let info = &worker.info;
     let amount = committed(step);
     let free = worker.free();
     let reserve = if step.filler {
--- a/crates/verbenahitch/src/dispatch/step_order/mod.rs
+++ b/crates/verbenahitch/src/dispatch/step_order/mod.rs
@@ -39,6 +39,8 @@
     pub share: ShareRank,
     /// Whether it precedes standing steps, see [`super::room::Allowance`].
     pub ahead: bool,
+    /// Whether its tasks ran before and have been away for long, see [`super::room::is_overdue`].
+    pub overdue: bool,
     /// Whether others have to be preferred for as many jobs as possible to be in time.
     pub deferred: bool,
     /// Value of the job for each core-millisecond that is left of it.
@@ -97,6 +99,7 @@
         let class = self.deadline_class();
         let by_queue = self.priority.cmp(&other.priority);
         by_queue
+            .then_with(|| other.overdue.cmp(&self.overdue))
             .then_with(|| self.share.cmp(&other.share))
             .then_with(|| other.ahead.cmp(&self.ahead))
             .then_with(|| class.cmp(&other.deadline_class()))
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use super::job::{JobRecord, JobSpec, JobState, Queue, StepSpec};
-use super::step_order;
 use super::worker::{RunKey, WorkerKey};
 use super::{AccountKey, Now};
+use super::{room, step_order};
 use crate::domain::{Millis, Monotonic};
 
 /// State of a task.
@@ -18,7 +18,8 @@
     pub last_run: u32,
     /// Runs that may still be running.
     pub runs: Vec<RunKey>,
-    /// When its last run ended, none if it has had none or that was before this owner.
+    /// When its last run ended, as far as known; none if it has had none, or that was before this
+    /// owner.
     pub ended_at: Option<Monotonic>,
     pub checkpoint: String,
     /// Worker that the next run avoids, as an earlier one failed or was slow there, or was
@@ -29,6 +30,12 @@
 }
 
 impl Task {
+    /// Whether it waits although it ran before, and has for long or since an earlier owner.
+    pub fn is_overdue(&self, now: Monotonic) -> bool {
+        let is_overdue = |at: Monotonic| room::is_overdue(now.since(at));
+        self.is_waiting() && self.last_run > 0 && self.ended_at.is_none_or(is_overdue)
+    }
+
     /// Whether a run of the task is to be placed.
     pub fn is_waiting(&self) -> bool {
         !self.done && (self.runs.is_empty() || (self.wants_copy && self.runs.len() == 1))
--- a/testsuite/tests/testsuite/dispatch/order.rs
+++ b/testsuite/tests/testsuite/dispatch/order.rs
@@ -25,6 +25,7 @@
         level: 0,
     },
     ahead: false,
+    overdue: false,
     deferred: false,
     density: 1.0,
 };
@@ -77,6 +78,19 @@
     first: StepRank { ahead: true, ..FRESH },
     second: StepRank { age_ms: 60_000, standing: true, ..FRESH },
 }; "a short step within the allowance precedes a standing one")]
+#[test_case(Case {
+    first: StepRank { standing: true, overdue: true, ..FRESH },
+    second: StepRank { ahead: true, ..FRESH },
+}; "an overdue standing step precedes a short one")]
+#[test_case(Case {
+    first: StepRank {
+        standing: true,
+        overdue: true,
+        share: ShareRank { beyond_rate: true, level: 0 },
+        ..FRESH
+    },
+    second: FRESH,
+}; "an overdue standing step precedes the shares")]
 #[test_case(Case {
     first: StepRank { ahead: true, ..FRESH },
     second: StepRank { age_ms: 2_500, ahead: true, ..FRESH },
