Test that a successor knows how long jobs have waited

The simulated world lets the clock of each owner begin at zero with its term, as that of the process does, and keeps the times of acceptance.

--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -1,10 +1,10 @@
 //! Recovery after the loss of workers and after a change of the owner.
 
 use test_case::test_case;
-use verbenahitch::dispatch::{Dispatcher, JobId, JobState, Retirement};
-use verbenahitch::domain::{Millis, Monotonic};
+use verbenahitch::dispatch::{Dispatcher, JobId, JobState, Retirement, StepSpec};
+use verbenahitch::domain::Millis;
 
-use super::world::{BOUNDS, Started, World, job, step};
+use super::world::{BOUNDS, Started, World, job, standing, step};
 
 #[test]
 fn tasks_of_a_silent_worker_start_elsewhere_only_after_its_lease_lapses() {
@@ -103,7 +103,7 @@
     world.run(40);
     world.take_over();
     world.store_up = false;
-    world.dispatcher.suspend(Monotonic(world.now));
+    world.dispatcher.suspend(world.clock().at);
     world.run(50);
     world.workers.get_mut(&worker).unwrap().silent = true;
     world.store_up = true;
@@ -221,7 +221,7 @@
     world.take_over();
     if listed_ms > 0 {
         world.store_up = false;
-        world.dispatcher.suspend(Monotonic(world.now));
+        world.dispatcher.suspend(world.clock().at);
         world.run(30);
         world.store_up = true;
     }
@@ -370,7 +370,7 @@
     let mut world = World::new(2);
     world.run(500);
     world.store_up = false;
-    let (sent, paused) = (Monotonic(world.now), Monotonic(world.now + 1));
+    let (sent, paused) = (world.clock().at, world.clock().at + 1);
     world.dispatcher.suspend(paused);
     world.dispatcher.confirm_ownership(sent);
     let lease_end = world.workers["w00"].life.lease_end;
@@ -389,11 +389,11 @@
 fn nothing_starts_after_a_pause_between_passes(pause_ms: Millis) {
     let mut world = World::new(2);
     world.run(500);
-    let sent = Monotonic(world.now);
+    let sent = world.clock().at;
     world.dispatcher.note_running(world.now, sent);
     world.now += pause_ms;
     world.store_up = false;
-    let now = Monotonic(world.now);
+    let now = world.clock().at;
     assert!(world.dispatcher.note_running(world.now, now));
     world.dispatcher.confirm_ownership(sent);
     let lease_end = world.workers["w00"].life.lease_end;
@@ -424,6 +424,34 @@
     assert_eq!(world.state(id), Some(JobState::Completed));
 }
 
+/// Task that waits at a change of the owner, beside an old one of no more value.
+struct Waiter {
+    /// Its step, which takes the whole worker.
+    step: fn() -> StepSpec,
+    /// Cores of the old task.
+    old_cores: u64,
+}
+
+/// A successor has to know how long jobs have waited. Otherwise those that are past their value
+/// count as new: they delay jobs in time, and as short steps precede standing tasks.
+#[test_case(Waiter { step: || step(1, 16, 1_000), old_cores: 16 }; "a job in time")]
+#[test_case(Waiter { step: || standing(1, 16, "s"), old_cores: 2 }; "a standing task")]
+fn a_job_without_value_does_not_precede_after_a_takeover(waiter: Waiter) {
+    let mut world = World::new(1);
+    world.run(1_500);
+    world.submit(1, "batch", job(vec![step(1, 16, 10_000)]));
+    world.run(100);
+    // Its value ends 7.5 s after acceptance, three times its objective.
+    let old = world.submit(2, "batch", job(vec![step(1, waiter.old_cores, 1_000)]));
+    world.run(9_000);
+    let next = world.submit(3, "batch", job(vec![(waiter.step)()]));
+    world.run(100);
+    world.take_over();
+    world.run(1_500);
+    assert_eq!(world.starts_of(next).len(), 1);
+    assert!(world.starts_of(old).is_empty());
+}
+
 #[test]
 fn a_worker_that_has_left_gets_no_tasks_from_a_successor() {
     let mut world = World::new(2);
@@ -456,7 +484,7 @@
         acts_ms: Millis::MAX,
         lapses: vec![(worker, Millis::MAX), ("nobody".to_owned(), 0)],
     };
-    let now = Monotonic(world.now);
+    let now = world.clock().at;
     world.dispatcher.restore_retirement(&record, now);
     world.run(1_500);
     world.ledger.assert_once();
@@ -471,7 +499,7 @@
     world.run(1_500);
     let ended = world.submit(1, "batch", job(vec![step(1, 16, 60_000)]));
     world.run(500);
-    world.dispatcher = Dispatcher::new(BOUNDS, Monotonic(world.now));
+    world.dispatcher = Dispatcher::new(BOUNDS, world.clock().at);
     world.fence += 1;
     world.declare();
     world.list_workers();
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -80,6 +80,10 @@
 
 pub struct World {
     pub now: Millis,
+    /// Begin of the owner's term, at which its monotonic clock is zero.
+    origin: Millis,
+    /// Times at which jobs were accepted.
+    accepted: BTreeMap<JobId, Millis>,
     pub dispatcher: Dispatcher,
     pub workers: BTreeMap<String, FakeWorker>,
     pub specs: BTreeMap<JobId, JobSpec>,
@@ -136,7 +140,9 @@
     pub fn new(count: usize) -> Self {
         let mut world = Self {
             now: 10_000,
-            dispatcher: Dispatcher::new(BOUNDS, Monotonic(10_000)),
+            origin: 10_000,
+            accepted: BTreeMap::new(),
+            dispatcher: Dispatcher::new(BOUNDS, Monotonic(0)),
             workers: BTreeMap::new(),
             specs: BTreeMap::new(),
             pressures: BTreeMap::new(),
@@ -189,8 +195,7 @@
             incarnation: 1,
             ..WorkerInfo::default()
         };
-        self.dispatcher
-            .upsert_worker(info.clone(), Monotonic(self.now));
+        self.dispatcher.upsert_worker(info.clone(), self.clock().at);
         let worker = FakeWorker {
             address: info.address.clone(),
             info,
@@ -204,9 +209,10 @@
         self.workers.insert(name.to_owned(), worker);
     }
 
+    /// Time on the clocks of the owner, whose monotonic one begins with its term.
     pub fn clock(&self) -> Now {
         Now {
-            at: Monotonic(self.now),
+            at: Monotonic(self.now - self.origin),
             wall_ms: self.now,
         }
     }
@@ -227,6 +233,7 @@
             ..self.record(name, &spec)
         };
         self.specs.insert(id, spec);
+        self.accepted.insert(id, self.now);
         let now = self.clock();
         self.dispatcher.submit(id, record, now);
         id
@@ -281,7 +288,7 @@
         self.answer_polls();
         self.deliver();
         if self.store_up {
-            self.dispatcher.confirm_ownership(Monotonic(self.now));
+            self.dispatcher.confirm_ownership(self.clock().at);
         }
         for order in self.dispatcher.pass(self.clock()) {
             self.execute(order);
@@ -289,7 +296,7 @@
         let is_committing = !self.writing.is_empty() || self.writing_voters.is_some();
         if self.store_up && !is_committing {
             self.writing = self.dispatcher.take_writes(16);
-            self.writing_voters = self.dispatcher.take_voters(Monotonic(self.now));
+            self.writing_voters = self.dispatcher.take_voters(self.clock().at);
             if !self.writing.is_empty() || self.writing_voters.is_some() {
                 let at = self.now + self.commit_ms;
                 self.events.push((at, Event::CommitStored));
@@ -318,7 +325,7 @@
             .partition(|(at, _)| *at <= now);
         self.events = later;
         let due: Vec<(Millis, Event)> = due;
-        let at = Monotonic(now);
+        let at = self.clock().at;
         for (_, event) in due {
             match event {
                 Event::Polled(key, result) => self.dispatcher.on_poll_answer(key, result, at),
--- a/testsuite/tests/testsuite/dispatch/world/owners.rs
+++ b/testsuite/tests/testsuite/dispatch/world/owners.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeSet;
 
 use verbenahitch::dispatch::{Dispatcher, JobRecord, Poll, Voter, Write};
-use verbenahitch::domain::{Millis, Monotonic};
+use verbenahitch::domain::Millis;
 
 use super::{BOUNDS, Event, World};
 
 /// An earlier owner, with what belongs to it alone.
 pub(super) struct Former {
+    origin: Millis,
     dispatcher: Dispatcher,
     fence: u64,
     store_up: bool,
@@ -27,7 +28,8 @@
         self.events.clear();
         self.writing.clear();
         self.writing_voters = None;
-        self.dispatcher = Dispatcher::new(BOUNDS, Monotonic(self.now));
+        self.origin = self.now;
+        self.dispatcher = Dispatcher::new(BOUNDS, self.clock().at);
         self.declare();
         self.send_registry();
         self.dispatcher.restore_voters(self.voters.clone());
@@ -35,6 +37,7 @@
         for (id, spec) in &self.specs {
             let record = JobRecord {
                 account: self.usage.owners.get(id).cloned(),
+                accepted_ms: self.accepted.get(id).copied().unwrap_or(self.now),
                 ..self.record("batch", spec)
             };
             let progress = self.records.get(id).map(|write| write.record.clone());
@@ -44,9 +47,9 @@
 
     /// Replaces the owner as planned.
     pub fn hand_over(&mut self) {
-        let record = self.dispatcher.retirement(Monotonic(self.now));
+        let record = self.dispatcher.retirement(self.clock().at);
         self.take_over();
-        let now = Monotonic(self.now);
+        let now = self.clock().at;
         self.dispatcher.restore_retirement(&record, now);
     }
 
@@ -58,7 +61,8 @@
         self.store_up = false;
         self.cut = outside;
         self.former = Some(Former {
-            dispatcher: Dispatcher::new(BOUNDS, Monotonic(self.now)),
+            origin: self.origin,
+            dispatcher: Dispatcher::new(BOUNDS, self.clock().at),
             fence: self.fence,
             store_up: true,
             polls: Vec::new(),
@@ -85,6 +89,7 @@
         let Some(former) = &mut self.former else {
             return;
         };
+        std::mem::swap(&mut self.origin, &mut former.origin);
         std::mem::swap(&mut self.dispatcher, &mut former.dispatcher);
         std::mem::swap(&mut self.fence, &mut former.fence);
         std::mem::swap(&mut self.store_up, &mut former.store_up);
--- a/testsuite/tests/testsuite/dispatch/world/registry.rs
+++ b/testsuite/tests/testsuite/dispatch/world/registry.rs
@@ -1,7 +1,5 @@
 //! Changes of the workers' entries in the registry, and of the zones in service.
 
-use verbenahitch::domain::Monotonic;
-
 use super::{World, queue};
 
 impl World {
@@ -24,7 +22,7 @@
     /// Removes a worker's entry from the registry.
     pub fn unlist_worker(&mut self, name: &str) {
         self.workers.get_mut(name).unwrap().unlisted = true;
-        self.dispatcher.unlist_worker(name, Monotonic(self.now));
+        self.dispatcher.unlist_worker(name, self.clock().at);
     }
 
     /// Ends a worker; another one, which the registry does not list yet, takes its address.
@@ -33,7 +31,7 @@
         worker.replaced = true;
         worker.life.runs.clear();
         worker.unlisted = true;
-        self.dispatcher.unlist_worker(name, Monotonic(self.now));
+        self.dispatcher.unlist_worker(name, self.clock().at);
     }
 
     /// Brings the workers' entries in the registry up to date.
@@ -47,7 +45,7 @@
     pub(super) fn send_registry(&mut self) {
         for worker in self.workers.values().filter(|worker| !worker.unlisted) {
             self.dispatcher
-                .upsert_worker(worker.info.clone(), Monotonic(self.now));
+                .upsert_worker(worker.info.clone(), self.clock().at);
         }
     }
 }
