A successor counts how long jobs have waited from their acceptance

What callers saw: at each change of owner late jobs counted as new. Worthless jobs were then started before those in time, and their short steps before standing tasks.

Cause: the acceptance was kept as an instant of the owner's monotonic clock, which begins at zero with its term. Instants before it saturate to its begin, so that every earlier job had the age of the term. The token buckets of the accounts took them as accepted at once, too.

Change: a job keeps its age at the time when the owner learned of it, and that time. The buckets count by the recorded wall-clock times of acceptance.

Why it works: no instant lies before the origin of a clock.

--- a/crates/verbenahitch/src/dispatch/account/mod.rs
+++ b/crates/verbenahitch/src/dispatch/account/mod.rs
@@ -18,7 +18,7 @@
 
 use super::job::{Amount, JobId};
 use crate::collections::HashMap;
-use crate::domain::Monotonic;
+use crate::domain::{Millis, Monotonic};
 
 pub use cap::{InUse, admits};
 pub(super) use ledger::Claim;
@@ -67,7 +67,7 @@
     /// Whether accounts are declared now.
     is_declared: bool,
     /// Jobs whose rate is yet to be judged, by the time of acceptance.
-    unrated: Vec<(Monotonic, JobId)>,
+    unrated: Vec<(Millis, JobId)>,
     /// Whether steps found no place in the last pass.
     is_full: bool,
     /// When the entitlements were last computed.
--- a/crates/verbenahitch/src/dispatch/account/rate.rs
+++ b/crates/verbenahitch/src/dispatch/account/rate.rs
@@ -7,7 +7,7 @@
 
 use super::Accounts;
 use crate::dispatch::{Dispatcher, JobId};
-use crate::domain::Monotonic;
+use crate::domain::Millis;
 
 /// Time whose jobs may come at once, in seconds: callers do not send evenly.
 const BURST_S: f64 = 2.0;
@@ -16,32 +16,25 @@
 const BURST_MIN: f64 = 3.0;
 
 /// Token bucket of an account's jobs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Bucket {
     /// Tokens missing from a full bucket.
     missing: f64,
-    filled_at: Monotonic,
-}
-
-impl Default for Bucket {
-    fn default() -> Self {
-        Self {
-            missing: 0.0,
-            filled_at: Monotonic(0),
-        }
-    }
+    /// Wall-clock time of the latest acceptance, in milliseconds since the Unix epoch.
+    filled_ms: Millis,
 }
 
 impl Bucket {
-    /// Takes a token for a job that was accepted at `at`; returns false if there is none.
-    fn take(&mut self, rate: f64, at: Monotonic) -> bool {
+    /// Takes a token for a job that was accepted at `accepted_ms`; returns false if there is
+    /// none.
+    fn take(&mut self, rate: f64, accepted_ms: Millis) -> bool {
         #[expect(
             clippy::cast_precision_loss,
             reason = "durations are far below 2^52 ms"
         )]
-        let refill = at.since(self.filled_at) as f64 / 1_000.0 * rate;
+        let refill = accepted_ms.saturating_sub(self.filled_ms) as f64 / 1_000.0 * rate;
         self.missing = (self.missing - refill).max(0.0);
-        self.filled_at = self.filled_at.max(at);
+        self.filled_ms = self.filled_ms.max(accepted_ms);
         let size = (rate * BURST_S).max(BURST_MIN);
         let has_token = self.missing + 1.0 <= size;
         if has_token {
@@ -53,8 +46,8 @@
 
 impl Accounts {
     /// Adds a job whose rate is yet to be judged.
-    pub fn add_job(&mut self, id: JobId, accepted_at: Monotonic) {
-        self.unrated.push((accepted_at, id));
+    pub fn add_job(&mut self, id: JobId, accepted_ms: Millis) {
+        self.unrated.push((accepted_ms, id));
     }
 }
 
@@ -63,7 +56,7 @@
     pub(super) fn rate_jobs(&mut self) {
         let mut jobs = std::mem::take(&mut self.accounts.unrated);
         jobs.sort_unstable();
-        for (accepted_at, id) in jobs {
+        for (accepted_ms, id) in jobs {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
@@ -71,7 +64,7 @@
                 continue;
             };
             let state = self.accounts.state_mut(account);
-            job.beyond_rate = !state.bucket.take(state.limits.weight, accepted_at);
+            job.beyond_rate = !state.bucket.take(state.limits.weight, accepted_ms);
         }
     }
 }
--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -332,7 +332,7 @@
                 found.push(Waiting {
                     rank: StepRank {
                         priority: queue.priority,
-                        age_ms: now.since(job.accepted_at),
+                        age_ms: job.age_ms(now),
                         remaining_ms: job.critical_paths[step as usize],
                         objective_ms,
                         standing: spec.standing,
--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -103,7 +103,7 @@
                     Entry::new(Kind::JobFinished)
                         .with_text("job", id)
                         .with("state", job.state)
-                        .with("took-ms", now.since(job.accepted_at))
+                        .with("took-ms", job.age_ms(now))
                         .with("forecast-ms", job.forecast_ms)
                         .emit();
                     self.forecaster.job_ended(job, now);
--- a/crates/verbenahitch/src/dispatch/forecast/backlog.rs
+++ b/crates/verbenahitch/src/dispatch/forecast/backlog.rs
@@ -75,7 +75,7 @@
             backlog.has_waited |= has_waited;
             let longest = job.critical_paths.iter().max().copied().unwrap_or(0);
             let objective_ms = self.queue_of(job).objective_ms(longest);
-            if now.since(job.accepted_at) < step_order::value_end(objective_ms) {
+            if job.age_ms(now) < step_order::value_end(objective_ms) {
                 #[expect(clippy::cast_precision_loss, reason = "an approximate value is enough")]
                 backlog.jobs.push((work, objective_ms as f64));
             }
@@ -97,7 +97,7 @@
                     round.is_ready(spec) && state.tasks.iter().any(|task| task.is_waiting());
             }
         }
-        let is_old = now.since(job.accepted_at) >= INTERVAL_MS;
+        let is_old = job.age_ms(now) >= INTERVAL_MS;
         (work, is_waiting && is_old)
     }
 }
--- a/crates/verbenahitch/src/dispatch/forecast/mod.rs
+++ b/crates/verbenahitch/src/dispatch/forecast/mod.rs
@@ -117,7 +117,7 @@
         let Some(forecast) = job.forecast_ms else {
             return;
         };
-        let took = now.since(job.accepted_at);
+        let took = job.age_ms(now);
         self.hindsight.jobs += 1;
         self.hindsight.error_ms += took.abs_diff(forecast);
     }
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -245,7 +245,7 @@
         let mut job = Job::new(record, now);
         job.account = account;
         if account.is_some() {
-            self.accounts.add_job(id, job.accepted_at);
+            self.accounts.add_job(id, job.record.accepted_ms);
         }
         self.note_demand(&job, now.at);
         if job.rounds_begun < job.times() {
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -124,8 +124,11 @@
     pub critical_paths: Vec<Millis>,
     /// Core-milliseconds of one round by declared run times.
     pub work: u64,
-    /// Acceptance on this process's clock.
-    pub accepted_at: Monotonic,
+    /// Time since its acceptance when this owner learned of it, in milliseconds. It may have
+    /// been accepted before the owner's clock began.
+    known_age_ms: Millis,
+    /// When this owner learned of it.
+    known_at: Monotonic,
     /// Time to its end as forecast at acceptance, in milliseconds.
     pub forecast_ms: Option<Millis>,
     pub rounds: Vec<Round>,
@@ -144,11 +147,11 @@
 
 impl Job {
     pub fn new(record: JobRecord, now: Now) -> Self {
-        let age = now.wall_ms.saturating_sub(record.accepted_ms);
         let mut job = Self {
             critical_paths: step_order::critical_paths(&record.spec),
             work: work_of(&record.spec),
-            accepted_at: now.at - age,
+            known_age_ms: now.wall_ms.saturating_sub(record.accepted_ms),
+            known_at: now.at,
             forecast_ms: None,
             rounds: Vec::new(),
             rounds_begun: 0,
@@ -192,6 +195,11 @@
         job
     }
 
+    /// Time since its acceptance, in milliseconds.
+    pub fn age_ms(&self, now: Monotonic) -> Millis {
+        self.known_age_ms.saturating_add(now.since(self.known_at))
+    }
+
     /// Number of repetitions.
     pub fn times(&self) -> u32 {
         self.record.spec.repeat.map_or(1, |repeat| repeat.times)
