A run is not bounded while a start of it may be carried out late

Found by review, by reading: a start without an answer, carried out by a later incarnation of its worker by an earlier clock, outlived the bound of a run that had been recorded as bounded, so that a successor could start the task a second time. Such a run is not bounded now; one of an earlier owner that was not recorded as bounded becomes so only after the time of late starts.

The margin for clocks is reckoned as for the leases of an own session, also for readings that were old when the lease was given, instead of 5%; an owner that retires records the lapse of the runs of a worker rather than of the longest lease.

--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -2,7 +2,7 @@
 //! reads which runs are in progress or have ended.
 
 use super::report::{CallFailure, EndCause, Evidence, Order, Poll, Report, RunningEntry};
-use super::worker::{ClockReading, Session, UnackedEnd, WorkerKey};
+use super::worker::{ClockReading, LATE_START_MS, Session, UnackedEnd, WorkerKey};
 use super::{Dispatcher, JobId, Phase, RunKey, TaskId, health};
 use crate::collections::HashSet;
 use crate::domain::{Millis, Monotonic};
@@ -289,7 +289,7 @@
     }
 
     fn apply_progress(&mut self, key: RunKey, entry: &RunningEntry, now: Monotonic) {
-        self.check_bounded(key);
+        self.check_bounded(key, now);
         let run = &mut self.runs[key];
         run.inherited = false;
         run.seen_at = now;
@@ -313,8 +313,9 @@
     /// Records for a listed run which incarnation it is on, and whether its leases are bounded. The
     /// store is told of standing tasks, once all of their job are bounded: their successor must
     /// not wait for longer leases than there are.
-    fn check_bounded(&mut self, key: RunKey) {
+    fn check_bounded(&mut self, key: RunKey, now: Monotonic) {
         let lease_ms = self.lease_ms();
+        let is_settled = now.since(self.began_at) >= LATE_START_MS;
         let run = &mut self.runs[key];
         let worker = &self.workers[run.worker];
         let is_moved = run.incarnation != worker.incarnation();
@@ -322,8 +323,12 @@
         run.home = worker.home();
         let was_bounded = std::mem::take(&mut run.bounded);
         let session = worker.session.as_ref();
+        // A start without an answer, also one of an earlier owner, may still be carried out by a
+        // later incarnation.
+        let may_start_late = run.unanswered || (run.recorded_in == 0 && !is_settled);
         let is_known = was_bounded && !is_moved;
-        run.bounded = is_known || session.is_some_and(|session| session.is_bounded(lease_ms));
+        run.bounded = is_known
+            || (!may_start_late && session.is_some_and(|session| session.is_bounded(lease_ms)));
         let (standing, id) = (run.standing, run.task.job);
         if was_bounded && is_moved {
             self.mark_dirty(id);
--- a/crates/verbenahitch/src/dispatch/quorum.rs
+++ b/crates/verbenahitch/src/dispatch/quorum.rs
@@ -20,7 +20,7 @@
 use serde::Serialize;
 
 use super::report::{Voter, VoterRecord};
-use super::worker::{WorkerInfo, WorkerKey};
+use super::worker::{WorkerInfo, WorkerKey, lapse_ms};
 use super::{Dispatcher, Millis, Monotonic, Worker};
 use crate::collections::HashSet;
 
@@ -238,6 +238,6 @@
     }
 
     fn lapse_after_end(&self, lease_ms: Millis) -> Monotonic {
-        self.inherited_end() + lease_ms + lease_ms / 20
+        self.inherited_end() + lapse_ms(lease_ms)
     }
 }
--- a/crates/verbenahitch/src/dispatch/retire.rs
+++ b/crates/verbenahitch/src/dispatch/retire.rs
@@ -9,7 +9,7 @@
 use super::quorum::LapseBound;
 use super::report::Retirement;
 use super::worker::{RunKey, WorkerKey, on_slowest_clock};
-use super::{Dispatcher, Monotonic};
+use super::{Dispatcher, Monotonic, Worker};
 
 impl Dispatcher {
     /// Record of this owner, which must make no pass after `now` if it is stored.
@@ -17,11 +17,14 @@
         let silent = self.workers.iter().filter(|(_, worker)| {
             !worker.runs.is_empty() && !worker.answered_within(now, USABLE_AGE_MS)
         });
-        let lapse = |key: WorkerKey| self.lapsed_at(key).since(now);
+        let lapse = |worker: &Worker| {
+            let ends = worker.runs.iter().map(|run| self.run_lapse(*run));
+            ends.max().map_or(0, |at| at.since(now))
+        };
         Retirement {
             acts_ms: self.inherited_end().since(now),
             lapses: silent
-                .map(|(key, worker)| (worker.info.name.clone(), lapse(key)))
+                .map(|(_, worker)| (worker.info.name.clone(), lapse(worker)))
                 .collect(),
         }
     }
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -13,6 +13,7 @@
 use super::interference::MitigationState;
 use super::job::{Amount, JobId, TaskId};
 use super::mitigation::PastFiller;
+use super::orders::USABLE_AGE_MS;
 use super::quorum::LapseBound;
 use super::report::CallFailure;
 use crate::collections::HashSet;
@@ -34,7 +35,7 @@
 
 /// How long a start that was not answered may still be carried out, in milliseconds. The
 /// worker API says seconds, without a limit.
-const LATE_START_MS: Millis = 15_000;
+pub(super) const LATE_START_MS: Millis = 15_000;
 
 /// Number of failed polls in a row after which a worker without a registry entry counts as
 /// vanished.
@@ -153,6 +154,13 @@
     }
 }
 
+/// Longest time for which a lease of `lease_ms` may last that another owner gave, by a reading of
+/// the worker's clock that was up to [`USABLE_AGE_MS`] old.
+pub(super) fn lapse_ms(lease_ms: Millis) -> Millis {
+    let drift_ms = on_slowest_clock(USABLE_AGE_MS) - USABLE_AGE_MS;
+    on_slowest_clock(lease_ms + drift_ms) + LAPSE_MARGIN_MS
+}
+
 /// Longest real time in which a clock advances by `millis`.
 pub(super) fn on_slowest_clock(millis: Millis) -> Millis {
     #[expect(
