Failing orders do not keep leases from a worker that answers polls

Found by review, by reading: while orders to a worker fail one after another, as on an owner that runs late, no lease was given however often its polls were answered. From 2 s before the last lease ends it is extended all the same, and counts for the longest that workers allow, as it did before. `lease-awaited` is not logged for workers that a new owner has not asked yet.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -191,7 +191,7 @@
         let lease_ms = self.lease_ms();
         let worker = &mut self.workers[self.runs[key].worker];
         let session = worker.session.as_mut()?;
-        let lease_end = session.give_lease(now, lease_ms);
+        let lease_end = session.give_lease(now, lease_ms, lease_ms);
         let run = &mut self.runs[key];
         run.tries += 1;
         run.resumed = !checkpoint.is_empty();
@@ -205,8 +205,16 @@
 
     /// Logs until when runs of silent workers may go on, for each worker and cause once.
     fn log_lease_waits(&mut self, now: Monotonic) {
+        // A successor has asked no worker yet when it begins.
+        let is_asked = |worker: &Worker| {
+            worker.answered_at.is_some()
+                || worker.failed_polls > 0
+                || worker.info.address.is_empty()
+        };
         let is_silent = |worker: &Worker| {
-            !worker.runs.is_empty() && !worker.answered_within(now, USABLE_AGE_MS)
+            !worker.runs.is_empty()
+                && is_asked(worker)
+                && !worker.answered_within(now, USABLE_AGE_MS)
         };
         let silent = self.workers.iter().filter(|(_, worker)| is_silent(worker));
         let silent: Vec<WorkerKey> = silent.map(|(key, _)| key).collect();
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -28,6 +28,11 @@
 /// Pause after a failed poll, in milliseconds.
 const FAILED_PAUSE_MS: Millis = 150;
 
+/// Rest of a lease from which it is extended although the worker may have restarted, in
+/// milliseconds: orders that fail all the time must not let the runs of a worker lapse that answers
+/// polls.
+const LEASE_RESERVE_MS: Millis = 2_000;
+
 /// Maximum number of ended runs that a worker lists at once, as defined by the worker API.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -74,8 +79,14 @@
                 }
                 // A silent worker may have received every unanswered poll. Its leases are
                 // not extended, since they have to lapse before its tasks start elsewhere.
-                if may_act && worker.failed_polls == 0 && !may_have_restarted {
-                    lease_end = Some(session.give_lease(now, lease_ms));
+                let is_urgent = session.lease_left(now) < LEASE_RESERVE_MS;
+                if may_act && worker.failed_polls == 0 && (!may_have_restarted || is_urgent) {
+                    let longest_ms = if may_have_restarted {
+                        self.bounds.lease_max_ms
+                    } else {
+                        lease_ms
+                    };
+                    lease_end = Some(session.give_lease(now, lease_ms, longest_ms));
                 }
             }
             worker.poll_sent = Some(now);
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -134,11 +134,18 @@
         }
     }
 
-    /// Gives a lease that begins now; returns its end on the worker's clock.
-    pub fn give_lease(&mut self, now: Monotonic, lease_ms: Millis) -> Millis {
-        let end = self.clock.clock_ms + now.since(self.clock.at) + lease_ms;
-        self.lease_end = self.lease_end.max(end);
-        end
+    /// Gives a lease that begins now; returns its end on the worker's clock. An incarnation that is
+    /// not known may take it for `longest_ms`.
+    pub fn give_lease(&mut self, now: Monotonic, lease_ms: Millis, longest_ms: Millis) -> Millis {
+        let begin = self.clock.clock_ms + now.since(self.clock.at);
+        self.lease_end = self.lease_end.max(begin + longest_ms);
+        begin + lease_ms
+    }
+
+    /// Rest of the longest lease given, in milliseconds.
+    pub fn lease_left(&self, now: Monotonic) -> Millis {
+        let clock_ms = self.clock.clock_ms + now.since(self.clock.at);
+        self.lease_end.saturating_sub(clock_ms)
     }
 
     /// Whether it was given no lease longer than one of `lease_ms` from its last list on.
@@ -287,8 +294,8 @@
         recent.filter_map(|start| start.claim)
     }
 
-    /// Whether it may have restarted since it was asked for its last list. It gets no lease then:
-    /// its clock may be behind, and it would take the lease for the longest that it allows.
+    /// Whether it may have restarted since it was asked for its last list. Leases are
+    /// avoided then: its clock may be behind, and it would take one for the longest that it allows.
     pub fn may_have_restarted(&self) -> bool {
         self.failed_at >= self.answered_at
     }
