Refused starts do not hide how long a standing task has been away

Found by review, by reading: a refused or withdrawn start counted as the last run of a task, so that it was overdue 5 s later only, again and again; a run that had lapsed counted from the list that told so. The last end is that of a run that had begun, and for a lost or lapsed run when it was last listed.

Workers are held for tasks that were not placed, not for those of a step that fits on fewer workers than it has tasks; never for an account at its cap; no more than a quarter of the usable workers; and not again in a pass that found none, so that hundreds of steps that fit nowhere do not each look at all workers.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -30,6 +30,9 @@
 /// the pass. Those of further tasks are held in later passes.
 const MAX_HELD: usize = 16;
 
+/// Fraction of the usable workers that are held at most, rounded up.
+const HELD_DIVISOR: usize = 4;
+
 /// Fraction of a pool's CPU that waiting work of a kind is expected to get at least.
 const RATE_MIN_DIVISOR: u64 = 50;
 
@@ -129,6 +132,8 @@
     /// Workers whose short runs make room for an overdue standing task: other steps would take it
     /// piece by piece.
     held: HashSet<WorkerKey>,
+    /// Whether no further worker is held.
+    is_hold_over: bool,
     now: Monotonic,
 }
 
@@ -439,6 +444,7 @@
             unplaced: Vec::new(),
             capped: HashSet::default(),
             held: HashSet::default(),
+            is_hold_over: false,
             now,
         };
         self.count_late_claims(now);
@@ -465,7 +471,7 @@
             return true;
         }
         let spec = &job.record.spec.steps[step.step as usize];
-        let may_hold = step.rank.overdue && pass.held.len() < MAX_HELD;
+        let may_hold = step.rank.overdue && !pass.is_hold_over;
         if !spec.filler && !may_hold && pass.is_unplaceable(&self.queue_of(job).pool, spec) {
             return false;
         }
@@ -495,10 +501,7 @@
             place::AssignmentRequest::new(&mut self.headroom, &spec, pool_use.pieces, spares_idle);
         let (mut candidates, mut misfits) =
             self.candidates(&pool, &request, &per_worker, step.rank.overdue, pass);
-        if step.rank.overdue && candidates.len() < waiting.len() {
-            let missing = waiting.len() - candidates.len();
-            self.hold_workers(missing, &pool, &spec, &per_worker, pass);
-        }
+        let mut left = waiting.len();
         for (index, avoid) in waiting {
             let worker = loop {
                 let Some(worker) = cheapest(&mut candidates, avoid) else {
@@ -512,7 +515,10 @@
                 }
             };
             let Some(worker) = worker else {
-                if !spec.filler && misfits.spread == 0 {
+                if step.rank.overdue && self.has_cap_room(step.job, &spec) {
+                    self.hold_workers(left, &pool, &spec, &per_worker, pass);
+                }
+                if !spec.filler && misfits.spread == 0 && !pass.is_unplaceable(&pool, &spec) {
                     pass.unplaced.push((pool, spec));
                 }
                 self.log_waiting(step, pass, misfits);
@@ -539,6 +545,7 @@
                 self.add_trials(&request, worker);
             }
             self.assign_task(task, worker, pass.now);
+            left -= 1;
             match self.cost(worker, &request, same_step) {
                 Ok(cost) => candidates.push(Candidate { cost, worker }),
                 Err(misfit) => misfits.count(misfit),
@@ -571,9 +578,12 @@
         };
         let mut found: Vec<(u64, WorkerKey)> = pass.usable.iter().filter_map(makes_room).collect();
         found.sort_unstable();
-        let left = MAX_HELD.saturating_sub(pass.held.len()).min(tasks);
-        pass.held
-            .extend(found.iter().take(left).map(|(_, key)| *key));
+        let limit = MAX_HELD.min(pass.usable.len().div_ceil(HELD_DIVISOR));
+        let left = limit.saturating_sub(pass.held.len()).min(tasks);
+        let keys = found.iter().take(left).map(|(_, key)| *key);
+        pass.held.extend(keys);
+        // Later steps would look at all workers again for nothing.
+        pass.is_hold_over = found.is_empty() || pass.held.len() >= limit;
     }
 
     /// Workers on which a step can be placed, and the reasons against the others.
@@ -652,10 +662,7 @@
         state.logged_at = Some(now);
         let tasks = state.tasks.iter().filter(|task| task.is_waiting());
         let unplaced = tasks.clone().count();
-        let away_ms = tasks
-            .filter_map(|task| task.ended_at)
-            .map(|at| now.since(at))
-            .max();
+        let away_ms = tasks.filter_map(|task| task.last_end.age_ms(now)).max();
         let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -3,7 +3,7 @@
 use super::headroom::Level;
 use super::mitigation::PastFiller;
 use super::report::{CallFailure, EndCause, Evidence};
-use super::table::Task;
+use super::table::{LastEnd, Task};
 use super::worker::{Run, WorkerInfo, WorkerKey};
 use super::{
     Dispatcher, Entry, JobId, JobState, Kind, Millis, Monotonic, Phase, RunKey, StepSpec, TaskId,
@@ -18,6 +18,22 @@
 /// milliseconds.
 const STOP_DELAY_MS: Millis = 250;
 
+/// When a task was last at work, after the end of a run. A run that lapsed or was lost may have
+/// ended when it was last listed; one that never began changes nothing.
+fn last_end(before: LastEnd, run: &Run, cause: EndCause, now: Monotonic) -> LastEnd {
+    let has_begun = run.inherited || run.confirmed_at.is_some();
+    match cause {
+        EndCause::Stopped if !has_begun => before,
+        EndCause::Lapsed if run.inherited => LastEnd::Earlier,
+        EndCause::Lapsed => LastEnd::At(run.seen_at),
+        EndCause::Done
+        | EndCause::Failed
+        | EndCause::Stopped
+        | EndCause::Broken
+        | EndCause::Alone => LastEnd::At(now),
+    }
+}
+
 impl Dispatcher {
     /// Applies a new or changed registry entry; a worker is `listed` while it has one.
     pub fn upsert_worker(&mut self, info: WorkerInfo, now: Monotonic) {
@@ -321,17 +337,8 @@
             .with("incarnation", incarnation)
             .with("answer-age-ms", answer_age)
             .emit();
-        // A run that is inferred to have ended may have ended when it was last listed.
-        let ended_at = match evidence {
-            Evidence::Restart | Evidence::Replaced | Evidence::Lapse => {
-                (!run.inherited).then_some(run.seen_at)
-            }
-            Evidence::Listed | Evidence::Missing | Evidence::Refusal | Evidence::NotOrdered => {
-                Some(now)
-            }
-        };
         if let Some(task) = self.task_mut(run.task) {
-            task.ended_at = ended_at;
+            task.last_end = last_end(task.last_end, &run, cause, now);
         }
         self.apply_end(&run, key, cause, checkpoint, now);
     }
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::report::{HomeRecord, ProgressRecord, TaskRecord};
+use super::table::LastEnd;
 use super::worker::{WorkerInfo, WorkerKey};
 use super::{Dispatcher, JobId, JobRecord, JobState, Now, Phase, TaskId, Worker};
 use crate::domain::Monotonic;
@@ -59,6 +60,9 @@
         task.last_run = record.run;
         task.failed = record.failed;
         task.checkpoint = record.checkpoint;
+        if record.run > 0 {
+            task.last_end = LastEnd::Earlier;
+        }
         if record.done
             && let Some(job) = self.jobs.get_mut(&id)
             && let Some(step) = job.step_mut(round, step)
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -8,6 +8,28 @@
 use super::{room, step_order};
 use crate::domain::{Millis, Monotonic};
 
+/// When the last run of a task ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum LastEnd {
+    /// It has not run.
+    #[default]
+    Never,
+    /// Before this owner.
+    Earlier,
+    /// As far as known.
+    At(Monotonic),
+}
+
+impl LastEnd {
+    /// Time since then in milliseconds; none if it is not known.
+    pub fn age_ms(self, now: Monotonic) -> Option<Millis> {
+        match self {
+            Self::Never | Self::Earlier => None,
+            Self::At(at) => Some(now.since(at)),
+        }
+    }
+}
+
 /// State of a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Task {
@@ -18,9 +40,8 @@
     pub last_run: u32,
     /// Runs that may still be running.
     pub runs: Vec<RunKey>,
-    /// When its last run ended, as far as known; none if it has had none, or that was before this
-    /// owner.
-    pub ended_at: Option<Monotonic>,
+    /// When its last run ended.
+    pub last_end: LastEnd,
     pub checkpoint: String,
     /// Worker that the next run avoids, as an earlier one failed or was slow there, or was
     /// moved off it.
@@ -32,8 +53,12 @@
 impl Task {
     /// Whether it waits although it ran before, and has for long or since an earlier owner.
     pub fn is_overdue(&self, now: Monotonic) -> bool {
-        let is_overdue = |at: Monotonic| room::is_overdue(now.since(at));
-        self.is_waiting() && self.last_run > 0 && self.ended_at.is_none_or(is_overdue)
+        let is_overdue = match self.last_end {
+            LastEnd::Never => false,
+            LastEnd::Earlier => true,
+            LastEnd::At(at) => room::is_overdue(now.since(at)),
+        };
+        is_overdue && self.is_waiting()
     }
 
     /// Whether a run of the task is to be placed.
