--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -79,13 +79,13 @@
         let began = Instant::now();
         let kv = shared.platform.kv();
         let (registry, progress, intake, commit, learned, voters, retired) = tokio::join!(
-            kv.range(shared.platform.registry_prefix()),
-            kv.range(keys::PROGRESS_PREFIX),
-            kv.range(keys::INTAKE_PREFIX),
-            kv.get(keys::COMMIT),
-            kv.get(keys::PRESSURES),
-            kv.get(keys::VOTERS),
-            retirement::read(kv, term.fence),
+            read("registry", kv.range(shared.platform.registry_prefix())),
+            read("progress", kv.range(keys::PROGRESS_PREFIX)),
+            read("intake", kv.range(keys::INTAKE_PREFIX)),
+            read("commit", kv.get(keys::COMMIT)),
+            read("pressures", kv.get(keys::PRESSURES)),
+            read("voters", kv.get(keys::VOTERS)),
+            read("retired", retirement::read(kv, term.fence)),
         );
         let bounds = Bounds {
             lease_ms: WORKER_LEASE_MS.min(shared.settings.lease_max),
@@ -119,7 +119,8 @@
         let voters = voters?.as_ref().and_then(decode);
         driver.dispatcher.restore_voters(voters);
         let mut records: HashMap<JobId, ProgressRecord> = HashMap::default();
-        for item in &progress?.0 {
+        let progress = progress?.0;
+        for item in &progress {
             let Some(id) = keys::parse_progress(&item.key) else {
                 continue;
             };
@@ -128,9 +129,12 @@
             }
         }
         let intake = intake?.0;
+        let stored = progress.iter().chain(&intake);
+        let bytes: usize = stored.map(|item| item.value.len()).sum();
         for item in &intake {
             driver.recover(item, &mut records);
         }
+        let (jobs, open) = (intake.len(), progress.len());
         driver.apply_intake(WatchUpdate::Listed(intake));
         let retired = retired?;
         if let Some(record) = &retired {
@@ -139,6 +143,9 @@
         Entry::new(Kind::ShardRecovered)
             .with("retired", retired.is_some())
             .with("workers", driver.worker_names.len())
+            .with("jobs", jobs)
+            .with("progress", open)
+            .with("bytes", bytes)
             .with("took-ms", began.elapsed().as_millis() as u64)
             .emit();
         Ok(driver)
@@ -322,6 +329,23 @@
     }
 }
 
+/// Reads a part of the stored state; logs one that cannot be read.
+async fn read<T>(
+    part: &'static str,
+    reading: impl Future<Output = Result<T, KvError>>,
+) -> Result<T, KvError> {
+    let began = Instant::now();
+    let result = reading.await;
+    if let Err(error) = &result {
+        Entry::new(Kind::StateUnread)
+            .with("part", part)
+            .with("took-ms", began.elapsed().as_millis() as u64)
+            .with_text("cause", error)
+            .emit();
+    }
+    result
+}
+
 /// Decodes the value of an item; logs one that cannot be decoded.
 pub(super) fn decode<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
     match serde_json::from_slice(&item.value) {
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -87,6 +87,7 @@
     StoreUp = 311, "store-up", Info, "The platform's store answers, for the first time or again.";
     PermitLapsed = 312, "permit-lapsed", Warn, "No task may start until the zone is confirmed to be in service.";
     PermitRenewed = 313, "permit-renewed", Info, "Tasks may start again.";
+    StateUnread = 314, "state-unread", Warn, "A new owner could not read a part of the stored state.";
     Declared = 400, "declared", Info, "A newer revision of the declarations is in force.";
     DeclarationsChanged = 401, "declarations-changed", Info, "An operator's change was accepted.";
     DeclarationsRefused = 402, "declarations-refused", Info, "An operator's change was refused.";
