--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -76,17 +76,21 @@
         clock: SystemClock,
         sender: Sender,
     ) -> Result<Self, KvError> {
-        let began = Instant::now();
+        let began = clock.now();
         let kv = shared.platform.kv();
-        let (registry, progress, intake, commit, learned, voters, retired) = tokio::join!(
-            read("registry", kv.range(shared.platform.registry_prefix())),
-            read("progress", kv.range(keys::PROGRESS_PREFIX)),
-            read("intake", kv.range(keys::INTAKE_PREFIX)),
+        // The lists, which can fill a thin link for seconds, come last: single keys have
+        // less time to arrive.
+        let (commit, learned, voters, retired) = tokio::join!(
             read("commit", kv.get(keys::COMMIT)),
             read("pressures", kv.get(keys::PRESSURES)),
             read("voters", kv.get(keys::VOTERS)),
             read("retired", retirement::read(kv, term.fence)),
         );
+        let (registry, progress, intake) = tokio::join!(
+            read("registry", kv.range(shared.platform.registry_prefix())),
+            read("progress", kv.range(keys::PROGRESS_PREFIX)),
+            read("intake", kv.range(keys::INTAKE_PREFIX)),
+        );
         let bounds = Bounds {
             lease_ms: WORKER_LEASE_MS.min(shared.settings.lease_max),
             lease_max_ms: shared.settings.lease_max,
@@ -111,6 +115,8 @@
             lag: LagMeter::default(),
             successor: None,
         };
+        // The reading may have taken longer than the lease; only renewals tell.
+        driver.dispatcher.confirm_ownership(began);
         if let Some(learned) = learned?.as_ref().and_then(decode::<Vec<Pressure>>) {
             driver.dispatcher.restore_pressures(&learned);
         }
@@ -146,7 +152,7 @@
             .with("jobs", jobs)
             .with("progress", open)
             .with("bytes", bytes)
-            .with("took-ms", began.elapsed().as_millis() as u64)
+            .with("took-ms", clock.now().since(began))
             .emit();
         Ok(driver)
     }
