A host that waits to ask for the ownership takes a vacancy

Each of these owners gave up after 0.7 s, and in the vacancy of some 10 ms the next small host was elected; a host that failed could even win again at once.

The wait ends now when the owner changes or is gone, and a host that could not read the state steps back from the next elections, for 320 ms and up to 1.3 s, longer than any other candidate waits. So the first vacancy goes to a host that has not failed, if there is one.

--- a/crates/verbenahitch/src/entry/election.rs
+++ b/crates/verbenahitch/src/entry/election.rs
@@ -18,6 +18,7 @@
 use super::host::{self, KnownOwner, Shared};
 use super::keys::{self, OwnerRecord, SuccessorRecord};
 use super::owner::Outcome;
+use super::succession;
 use super::watcher;
 use crate::domain::Millis;
 use crate::event::{Entry, Kind};
@@ -55,6 +56,7 @@
 pub(super) async fn campaign<P: Platform>(shared: &Rc<Shared<P>>) {
     let mut owner = shared.owner.subscribe();
     let mut skip_wait = false;
+    let mut unread = 0;
     loop {
         if *shared.stopping.borrow() {
             return;
@@ -62,7 +64,7 @@
         let attempt = if skip_wait {
             elect(shared).await
         } else {
-            match wait_for_chance(shared, &mut owner).await {
+            match wait_for_chance(shared, &mut owner, unread).await {
                 Some(Chance::Vacancy) => elect(shared).await,
                 Some(Chance::Succession(fence)) => succeed(shared, &mut owner, fence).await,
                 None => return,
@@ -88,6 +90,14 @@
                     is_own
                 });
                 skip_wait = outcome == Outcome::LeaseEnded;
+                unread = match outcome {
+                    Outcome::Unreadable => unread + 1,
+                    Outcome::LeaseEnded
+                    | Outcome::Superseded
+                    | Outcome::Outranked
+                    | Outcome::HandedOver
+                    | Outcome::Stopped => 0,
+                };
             }
             Ok(None) => watcher::back_off().await,
             Err(error) => {
@@ -107,10 +117,13 @@
 }
 
 /// Waits until this host should try to become owner; `None` when the host is dropped.
+/// `unread` is the number of its last terms in a row in which it could not read the state.
 async fn wait_for_chance<P: Platform>(
     shared: &Shared<P>,
     owner: &mut watch::Receiver<Option<KnownOwner>>,
+    unread: u32,
 ) -> Option<Chance> {
+    let step_back = succession::step_back_ms(unread);
     loop {
         if *shared.stopping.borrow() {
             return None;
@@ -120,7 +133,7 @@
             None if shared.knows_owner.get() => {
                 let wait = shared.capability().rank_wait(shared.largest_share.get());
                 let jitter = rand::rng().random_range(0..=JITTER_MS);
-                tokio::time::sleep(Duration::from_millis(wait + jitter)).await;
+                tokio::time::sleep(Duration::from_millis(wait + jitter + step_back)).await;
                 if owner.borrow_and_update().is_none() && shared.knows_owner.get() {
                     return Some(Chance::Vacancy);
                 }
@@ -128,9 +141,16 @@
             }
             Some(known) if shared.capability().should_succeed(known.capability()) => {
                 let jitter = rand::rng().random_range(0..REQUEST_INTERVAL_MS);
-                let wait = Duration::from_millis(REQUEST_INTERVAL_MS + jitter);
+                let wait = Duration::from_millis(REQUEST_INTERVAL_MS + jitter + step_back);
                 let began = Instant::now();
-                tokio::time::sleep(wait).await;
+                // The term may end first. A vacancy lasts only until some host takes it.
+                let has_changed = |held: &Option<KnownOwner>| {
+                    held.as_ref().is_none_or(|held| held.fence != known.fence)
+                };
+                if let Ok(changed) = tokio::time::timeout(wait, owner.wait_for(has_changed)).await {
+                    changed.ok()?;
+                    continue;
+                }
                 let lag = began.elapsed().saturating_sub(wait);
                 let is_on_time = lag <= Duration::from_millis(REQUEST_LAG_MS);
                 let is_unchanged = owner
--- a/crates/verbenahitch/src/entry/succession.rs
+++ b/crates/verbenahitch/src/entry/succession.rs
@@ -15,6 +15,13 @@
 /// milliseconds. Exceeds the differences by which hosts learn of a vacancy.
 const RANK_WAIT_MS: f64 = 160.0;
 
+/// Delay of a candidate that could not read the stored state, in milliseconds. Longer than
+/// any other delay, so that all other candidates come first.
+const STEP_BACK_MS: Millis = 320;
+
+/// How often that delay doubles at most.
+const STEP_BACK_DOUBLINGS: u32 = 2;
+
 /// Multiple of the owner's share from which a host asks for the ownership. A hand-over
 /// costs about as much as a tenth of a second without dispatching.
 const SHARE_RATIO: f64 = 1.5;
@@ -106,6 +113,15 @@
     }
 }
 
+/// Additional delay of a candidate that could not read the stored state in its last `unread`
+/// terms, in milliseconds. Elected again at once, it would keep out a host that can.
+pub fn step_back_ms(unread: u32) -> Millis {
+    match unread {
+        0 => 0,
+        _ => STEP_BACK_MS << (unread - 1).min(STEP_BACK_DOUBLINGS),
+    }
+}
+
 /// Record of a planned end of an ownership, as a later owner finds it.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedEnd {
--- a/testsuite/tests/testsuite/entry/succession.rs
+++ b/testsuite/tests/testsuite/entry/succession.rs
@@ -2,7 +2,7 @@
 
 use test_case::test_case;
 use verbenahitch::domain::Millis;
-use verbenahitch::entry::succession::{Capability, LagMeter, PlannedEnd};
+use verbenahitch::entry::succession::{Capability, LagMeter, PlannedEnd, step_back_ms};
 
 const fn host(share: f64) -> Capability {
     Capability { share, slow: false }
@@ -62,6 +62,17 @@
     assert_eq!(host(0.1).rank_wait(0.1), 0);
 }
 
+/// A host that cannot read the state lets even the smallest host that can try first.
+#[test_case(0, 0; "not before a failure")]
+#[test_case(1, 201; "once")]
+#[test_case(9, 201; "again and again")]
+#[test_case(u32::MAX, 201; "always")]
+fn a_host_that_cannot_read_the_state_steps_back(unread: u32, least_ms: Millis) {
+    let wait_ms = step_back_ms(unread);
+    assert!((least_ms..=2_000).contains(&wait_ms), "{wait_ms}");
+    assert!(unread > 0 || wait_ms == 0);
+}
+
 /// One stall of half a second, whose probes are handled together, is no slow host; a loop
 /// that is late all the time is, until it has been on time for a second or two.
 #[test]
