--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -326,7 +326,7 @@
     /// not wait for longer leases than there are.
     fn check_bounded(&mut self, key: RunKey, now: Monotonic) {
         let lease_ms = self.lease_ms();
-        let is_settled = now.since(self.began_at) >= LATE_START_MS;
+        let has_settled = now.since(self.began_at) >= LATE_START_MS;
         let run = &mut self.runs[key];
         let worker = &self.workers[run.worker];
         let is_moved = run.incarnation != worker.incarnation();
@@ -336,14 +336,13 @@
         let session = worker.session.as_ref();
         // A start without an answer, also one of an earlier owner, may still be carried out by a
         // later incarnation.
-        let may_start_late = run.unanswered || (run.recorded_in == 0 && !is_settled);
+        let may_start_late = run.unanswered || (run.recorded_in == 0 && !has_settled);
         let is_known = was_bounded && !is_moved;
         run.bounded = is_known
             || (!may_start_late && session.is_some_and(|session| session.is_bounded(lease_ms)));
-        let (standing, id) = (run.standing, run.task.job);
-        if was_bounded && is_moved {
-            self.mark_dirty(id);
-        } else if !was_bounded && run.bounded && standing && self.is_job_bounded(id) {
+        let (is_newly, id) = (!was_bounded && run.bounded, run.task.job);
+        let is_settled = is_newly && run.standing && self.is_job_bounded(id);
+        if is_settled || (was_bounded && is_moved) {
             self.mark_dirty(id);
         }
     }
