Log changes of a worker's room, and why a recorded start is given up

No line said that a worker's entry names less room than before, nor how much was committed there then; and a start that was given up after an order to stop left no line at all. `room-changed` (229) is new, once for each change; `task-requeued` also names the cause and the orders sent. No decision changes.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -6,8 +6,8 @@
 use super::table::Task;
 use super::worker::{Run, WorkerInfo, WorkerKey};
 use super::{
-    Dispatcher, Entry, JobId, JobState, Kind, Millis, Monotonic, Phase, RunKey, StepSpec, TaskId,
-    Worker, health, place, room,
+    Amount, Dispatcher, Entry, JobId, JobState, Kind, Millis, Monotonic, Phase, RunKey, StepSpec,
+    TaskId, Worker, health, place, room,
 };
 
 /// Delay before a late or unanswered start, or a failed pace order, is sent again, in
@@ -18,6 +18,21 @@
 /// milliseconds.
 const STOP_DELAY_MS: Millis = 250;
 
+/// Logs a change of a worker's room; one that is known by name only has none.
+fn log_room(worker: &Worker, capacity: Amount) {
+    let earlier = worker.info.capacity;
+    if earlier == capacity || earlier == Amount::default() {
+        return;
+    }
+    Entry::new(Kind::RoomChanged)
+        .with("worker", &worker.info.name)
+        .with("earlier", earlier)
+        .with("room", capacity)
+        .with("committed", worker.committed)
+        .with("runs", worker.runs.len())
+        .emit();
+}
+
 impl Dispatcher {
     /// Applies a new or changed registry entry; a worker is `listed` while it has one.
     pub fn upsert_worker(&mut self, info: WorkerInfo, now: Monotonic) {
@@ -47,6 +62,7 @@
             self.voters.mark_dirty();
         }
         let worker = &mut self.workers[key];
+        log_room(worker, info.capacity);
         worker.info = info;
         if worker.info.draining {
             self.stop_standing(key);
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -1,5 +1,7 @@
 //! One pass of the dispatcher: the polls, starts, stops and changes of pace that are due.
 
+use serde::Serialize;
+
 use super::report::{EndCause, Evidence, Order, Start, Target};
 use super::worker::{Run, WorkerKey};
 use super::{Dispatcher, Entry, Kind, Millis, Monotonic, Now, Phase, RunKey, Worker, health};
@@ -16,6 +18,14 @@
 /// every few milliseconds; ends of this time are handled together.
 const ASSIGN_PAUSE_MS: Millis = 15;
 
+/// Reason for which a recorded start is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Withdrawal {
+    /// The worker drains or its zone is evacuated.
+    Leaving,
+}
+
 impl Dispatcher {
     /// Longest time until the next pass, in milliseconds, at most `limit_ms`.
     pub fn next_pass_ms(&self, limit_ms: Millis) -> Millis {
@@ -101,7 +111,7 @@
                 continue;
             };
             if self.is_leaving(run.worker) {
-                self.withdraw_start(key, now);
+                self.withdraw_start(key, Withdrawal::Leaving, now);
             } else if !self.check_cap(key, now) {
                 continue;
             }
@@ -120,11 +130,21 @@
 
     /// Gives up a start that the worker has not confirmed; one that may still be carried out
     /// is stopped first.
-    fn withdraw_start(&mut self, key: RunKey, now: Monotonic) {
+    fn withdraw_start(&mut self, key: RunKey, cause: Withdrawal, now: Monotonic) {
         let run = &self.runs[key];
         if run.phase != Phase::Starting {
             return;
         }
+        // A stop that is sent again is no new decision.
+        if !run.stop_wanted {
+            Entry::new(Kind::TaskRequeued)
+                .with_text("task", run.task)
+                .with("run", run.number)
+                .with("worker", &self.workers[run.worker].info.name)
+                .with("cause", cause)
+                .with("tries", run.tries)
+                .emit();
+        }
         if run.tries == 0 {
             self.end_run(key, EndCause::Stopped, Evidence::NotOrdered, "", now);
         } else {
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -69,6 +69,7 @@
     AccountWaiting = 224, "account-waiting", Info, "The work of a client account waits, with the reason.";
     Overload = 225, "overload", Info, "Standing tasks wait, or jobs that cannot all be in time; at most once a second.";
     LeaseAwaited = 226, "lease-awaited", Info, "Runs of a worker that does not answer may go on until its leases have lapsed.";
+    RoomChanged = 229, "room-changed", Info, "A worker says of itself that it has more or less room.";
     WorkerQuarantined = 230, "worker-quarantined", Warn, "A worker whose tasks keep failing is quarantined: it gets no tasks, or only probes.";
     WorkerRestored = 231, "worker-restored", Info, "A quarantined worker passed its probe.";
     WorkerUnreachable = 232, "worker-unreachable", Warn, "A worker does not answer or is no longer listed.";
