--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher with simulated workers and a simulated store.
 
+mod capacity;
 mod caps;
 mod execution;
 mod incarnations;
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -18,6 +18,7 @@
 mod once;
 mod owners;
 mod registry;
+mod room;
 mod worker;
 
 use accounts::AccountUsage;
@@ -69,6 +70,14 @@
     CommitStored,
 }
 
+/// Order that a worker carries out late.
+struct LateOrder {
+    sent: Millis,
+    due: Millis,
+    fence: u64,
+    order: Order,
+}
+
 /// Start that a worker carried out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Started {
@@ -111,8 +120,10 @@
     pub ledger: RunLedger,
     polls: Vec<(Millis, Poll)>,
     events: Vec<(Millis, Event)>,
-    /// Orders that workers carry out late, with their fencing tokens.
-    late_orders: Vec<(Millis, u64, Order)>,
+    /// Starts that brought a worker over its room.
+    over_room: Vec<String>,
+    /// Orders that workers carry out late.
+    late_orders: Vec<LateOrder>,
     writing: Vec<Write>,
     writing_voters: Option<Vec<Voter>>,
     /// Voters that the store holds.
@@ -156,6 +167,7 @@
             ledger: RunLedger::default(),
             polls: Vec::new(),
             events: Vec::new(),
+            over_room: Vec::new(),
             late_orders: Vec::new(),
             writing: Vec::new(),
             writing_voters: None,
@@ -357,12 +369,16 @@
                 if let Some(due) = self.delays_order(&name, &address) {
                     let failure = CallFailure::Unanswered("delayed".to_owned());
                     self.events.push((at, Event::Started(key, Err(failure))));
-                    let late = (due, self.fence, Order::Start(start));
-                    self.late_orders.push(late);
+                    self.late_orders.push(LateOrder {
+                        sent: self.now,
+                        due,
+                        fence: self.fence,
+                        order: Order::Start(start),
+                    });
                     return;
                 }
                 let result = self.check_reachable(&name, &address);
-                let result = result.and_then(|()| self.start(&start, self.fence));
+                let result = result.and_then(|()| self.start(&start, self.fence, self.now));
                 self.events.push((at, Event::Started(key, result)));
             }
             Order::Stop(target) => {
@@ -395,7 +411,8 @@
         Some(self.now + self.workers[name].order_delay?)
     }
 
-    fn start(&mut self, start: &Start, fence: u64) -> Result<(), CallFailure> {
+    /// Carries out a start that was ordered at `sent`.
+    fn start(&mut self, start: &Start, fence: u64, sent: Millis) -> Result<(), CallFailure> {
         let now = self.now;
         let worker = self.workers.get_mut(&start.target.name).unwrap();
         let drops_answer = worker.drops_start_answers;
@@ -404,6 +421,10 @@
             self.usage
                 .check_start(now, task, &self.specs, self.workers.values());
             self.ledger.run_started(now, task);
+            let worker = &self.workers[&start.target.name];
+            if let Err(violation) = worker.check_room(task, &self.specs, sent) {
+                self.over_room.push(format!("{now}: {violation}"));
+            }
             self.starts.push(Started {
                 at: now,
                 task,
@@ -420,13 +441,13 @@
     fn execute_late_orders(&mut self) {
         let now = self.now;
         let orders = std::mem::take(&mut self.late_orders);
-        let (due, later) = orders.into_iter().partition(|(at, ..)| *at <= now);
+        let (due, later) = orders.into_iter().partition(|late| late.due <= now);
         self.late_orders = later;
-        let due: Vec<(Millis, u64, Order)> = due;
-        for (_, fence, order) in due {
-            if let Order::Start(start) = order {
+        let due: Vec<LateOrder> = due;
+        for late in due {
+            if let Order::Start(start) = late.order {
                 // A late order is not answered.
-                let _ = self.start(&start, fence);
+                let _ = self.start(&start, late.fence, late.sent);
             }
         }
     }
--- a/testsuite/tests/testsuite/dispatch/world/worker.rs
+++ b/testsuite/tests/testsuite/dispatch/world/worker.rs
@@ -8,6 +8,8 @@
 };
 use verbenahitch::domain::Millis;
 
+use super::room::EarlierRooms;
+
 /// Longest lease that a worker grants, in milliseconds.
 pub const LEASE_MAX_MS: Millis = 6_000;
 
@@ -42,6 +44,7 @@
 pub struct FakeWorker {
     /// Entry in the registry, which may be behind.
     pub info: WorkerInfo,
+    pub earlier_rooms: EarlierRooms,
     /// Address at which it takes calls.
     pub address: String,
     pub life: Incarnation,
