A recorded start that no longer fits its worker is not sent

Callers saw a worker brought over its capacity: a start that was recorded before the room shrank was sent after it, whatever was left. Cause: the room of a worker was looked at once, when a task was placed; the order came after the commit, or after a silence, a restart or an order without an answer. Change: before each start order the worker's commitments are compared with its room. What is being stopped stays committed until its end is known, so it counts here too.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -24,6 +24,8 @@
 enum Withdrawal {
     /// The worker drains or its zone is evacuated.
     Leaving,
+    /// The worker's runs need more than it has.
+    NoRoom,
 }
 
 impl Dispatcher {
@@ -112,7 +114,7 @@
             };
             if self.is_leaving(run.worker) {
                 self.withdraw_start(key, Withdrawal::Leaving, now);
-            } else if !self.check_cap(key, now) {
+            } else if !self.check_room(key, now) || !self.check_cap(key, now) {
                 continue;
             }
             if let Some(order) = self.next_order(key, now) {
@@ -128,6 +130,22 @@
         info.draining || self.evacuated.contains(&info.zone)
     }
 
+    /// Whether an order for a run may be sent as far as the room of its worker goes; a start
+    /// that no longer fits is given up. One that was ordered before may be running already, so
+    /// a list that was asked for since then decides.
+    fn check_room(&mut self, key: RunKey, now: Monotonic) -> bool {
+        let run = &self.runs[key];
+        let worker = &self.workers[run.worker];
+        if run.phase != Phase::Starting || run.stop_wanted || !worker.is_over() {
+            return true;
+        }
+        let is_absent = worker.answered_at.is_some_and(|at| at > run.retry_at);
+        if run.tries == 0 || is_absent {
+            self.withdraw_start(key, Withdrawal::NoRoom, now);
+        }
+        self.runs.get(key).is_some_and(|run| run.stop_wanted)
+    }
+
     /// Gives up a start that the worker has not confirmed; one that may still be carried out
     /// is stopped first.
     fn withdraw_start(&mut self, key: RunKey, cause: Withdrawal, now: Monotonic) {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -229,6 +229,11 @@
         self.info.capacity.less(self.committed)
     }
 
+    /// Whether its runs need more than it has, as after its room has shrunk.
+    pub fn is_over(&self) -> bool {
+        !self.committed.fits(self.info.capacity)
+    }
+
     /// Whether it has answered a poll that was sent at most `limit_ms` ago.
     pub fn answered_within(&self, now: Monotonic, limit_ms: Millis) -> bool {
         self.answered_at.is_some_and(|at| now.since(at) <= limit_ms)
