A worker that is over its room in any resource gets nothing

Callers saw fillers and tasks without memory or accelerators start on workers that ran more than they have; with starts checked before they are sent, such tasks were placed, recorded and given up in turn. Cause: the free resources were the capacity less the commitments, never below zero, so that an overcommitment looked like a full worker, and what needs none of a resource fits a full one. Change: a worker whose commitments exceed its room in CPU, memory or accelerators is no place, and has no free resources for the count of pieces and the log. The three cases of dispatch::capacity that failed pass.

--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -250,9 +250,9 @@
     Label,
     /// The worker has as many tasks of the step as the step's spread allows.
     Spread,
-    /// The free CPU or accelerators do not suffice.
+    /// The free CPU or accelerators do not suffice, or its runs need more than it has.
     Cpu,
-    /// The free memory does not suffice, or would not after a filler.
+    /// The free memory does not suffice, or would not after a filler, or its runs need more.
     Memory,
     /// The idle CPU does not suffice for a filler.
     Busy,
@@ -276,6 +276,15 @@
     if step.spread > 0 && same_step >= step.spread {
         return Err(Misfit::Spread);
     }
+    // What needs nothing of a resource fits into none of it, but not beside too much.
+    if worker.is_over() {
+        let has_memory = worker.committed.memory_mb <= info.capacity.memory_mb;
+        return Err(if has_memory {
+            Misfit::Cpu
+        } else {
+            Misfit::Memory
+        });
+    }
     let amount = committed(step);
     let free = worker.free();
     let reserve = if step.filler {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -224,8 +224,11 @@
         }
     }
 
-    /// Resources that are not committed.
+    /// Resources that are not committed; none while it is over its room.
     pub fn free(&self) -> Amount {
+        if self.is_over() {
+            return Amount::default();
+        }
         self.info.capacity.less(self.committed)
     }
 
