A worker's changed room counts from its entry on

A worker that had grown got tasks only with the next retry, up to 100 ms later; and the cached load of a worker kept the shares of its former room until the next poll, so that fillers were placed by them. Change: a change of room drops the cached load and requests an assignment. dispatch::capacity::room_that_has_grown_is_used_at_once passes at all four moments.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -21,7 +21,7 @@
 /// Logs a change of a worker's room; one that is known by name only has none.
 fn log_room(worker: &Worker, capacity: Amount) {
     let earlier = worker.info.capacity;
-    if earlier == capacity || earlier == Amount::default() {
+    if earlier == Amount::default() {
         return;
     }
     Entry::new(Kind::RoomChanged)
@@ -62,7 +62,12 @@
             self.voters.mark_dirty();
         }
         let worker = &mut self.workers[key];
-        log_room(worker, info.capacity);
+        if worker.info.capacity != info.capacity {
+            log_room(worker, info.capacity);
+            // Fillers use another share of it.
+            self.cached_loads.remove(key);
+            self.assign_needed = true;
+        }
         worker.info = info;
         if worker.info.draining {
             self.stop_standing(key);
