A worker with runs of unknown size gets no recorded starts

Callers saw 32 cores run on a worker of 16 after its restart: the next incarnation carried out late starts of a job that had ended, and assignments that were recorded before were sent beside them. Cause: such runs are stopped, but their job's steps are forgotten, so they commit nothing; only the choice of a worker looked at that. Change: runs of unknown size count as more than the worker has, until their ends are known. dispatch::capacity: the case of unknown runs passes.

--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -232,9 +232,10 @@
         self.info.capacity.less(self.committed)
     }
 
-    /// Whether its runs need more than it has, as after its room has shrunk.
+    /// Whether its runs need more than it has, as after its room has shrunk, or an amount that
+    /// is not known.
     pub fn is_over(&self) -> bool {
-        !self.committed.fits(self.info.capacity)
+        self.unsized_runs > 0 || !self.committed.fits(self.info.capacity)
     }
 
     /// Whether it has answered a poll that was sent at most `limit_ms` ago.
