No start is sent to a worker after a failed poll, before its next list

Callers saw 32 cores run on a worker of 16: after its restart it carried out late starts of its earlier life, and got recorded starts before the owner had its first list. Cause: a start needs an answer to a poll that was sent up to 1.8 s ago, and a worker can restart in that time; what its next incarnation may carry out late is counted with its first list. Change: after a failed poll starts wait for the next answer. Lost answers of orders hold back nothing. dispatch::capacity and dispatch::room_schedules pass. A restart between two polls of a worker that runs nothing fails no poll; there such starts are still possible.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -189,7 +189,10 @@
             return (run.stopped_at.is_none()).then_some(Order::Stop(target));
         }
         if phase == Phase::Starting {
-            if !worker.answered_within(now, USABLE_AGE_MS) || *worker.home() != *target.address {
+            // After a failed poll another incarnation may carry out late what the earlier one
+            // was sent; its list comes first.
+            let is_silent = worker.failed_polls > 0 || !worker.answered_within(now, USABLE_AGE_MS);
+            if is_silent || *worker.home() != *target.address {
                 return None;
             }
             if worker.incarnation() != self.runs[key].incarnation {
