--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -571,6 +571,7 @@
             let missing = amount.cpu_milli.saturating_sub(free.cpu_milli);
             free.cpu_milli += worker.short_milli;
             let is_fit = worker.info.pool == *pool
+                && !worker.is_over()
                 && missing > 0
                 && amount.fits(free)
                 && place::allows(worker, spec, count_on(per_worker, *key)).is_ok();
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -1,5 +1,7 @@
 //! One pass of the dispatcher: the polls, starts, stops and changes of pace that are due.
 
+use serde::Serialize;
+
 use super::report::{EndCause, Evidence, Order, Start, Target};
 use super::worker::{Run, WorkerKey};
 use super::{Dispatcher, Entry, Kind, Millis, Monotonic, Now, Phase, RunKey, Worker, health};
@@ -16,6 +18,16 @@
 /// every few milliseconds; ends of this time are handled together.
 const ASSIGN_PAUSE_MS: Millis = 15;
 
+/// Reason for which a recorded start is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Withdrawal {
+    /// The worker drains or its zone is evacuated.
+    Leaving,
+    /// The worker's runs need more than it has.
+    NoRoom,
+}
+
 impl Dispatcher {
     /// Longest time until the next pass, in milliseconds, at most `limit_ms`.
     pub fn next_pass_ms(&self, limit_ms: Millis) -> Millis {
@@ -101,8 +113,8 @@
                 continue;
             };
             if self.is_leaving(run.worker) {
-                self.withdraw_start(key, now);
-            } else if !self.check_cap(key, now) {
+                self.withdraw_start(key, Withdrawal::Leaving, now);
+            } else if !self.check_room(key, now) || !self.check_cap(key, now) {
                 continue;
             }
             if let Some(order) = self.next_order(key, now) {
@@ -118,13 +130,39 @@
         info.draining || self.evacuated.contains(&info.zone)
     }
 
+    /// Whether an order for a run may be sent as far as the room of its worker goes; a start
+    /// that no longer fits is given up. One that was ordered before may be running already, so
+    /// a list that was asked for since then decides.
+    fn check_room(&mut self, key: RunKey, now: Monotonic) -> bool {
+        let run = &self.runs[key];
+        let worker = &self.workers[run.worker];
+        if run.phase != Phase::Starting || run.stop_wanted || !worker.is_over() {
+            return true;
+        }
+        let is_absent = worker.answered_at.is_some_and(|at| at > run.retry_at);
+        if run.tries == 0 || is_absent {
+            self.withdraw_start(key, Withdrawal::NoRoom, now);
+        }
+        self.runs.get(key).is_some_and(|run| run.stop_wanted)
+    }
+
     /// Gives up a start that the worker has not confirmed; one that may still be carried out
     /// is stopped first.
-    fn withdraw_start(&mut self, key: RunKey, now: Monotonic) {
+    fn withdraw_start(&mut self, key: RunKey, cause: Withdrawal, now: Monotonic) {
         let run = &self.runs[key];
         if run.phase != Phase::Starting {
             return;
         }
+        // A stop that is sent again is no new decision.
+        if !run.stop_wanted {
+            Entry::new(Kind::TaskRequeued)
+                .with_text("task", run.task)
+                .with("run", run.number)
+                .with("worker", &self.workers[run.worker].info.name)
+                .with("cause", cause)
+                .with("tries", run.tries)
+                .emit();
+        }
         if run.tries == 0 {
             self.end_run(key, EndCause::Stopped, Evidence::NotOrdered, "", now);
         } else {
@@ -151,6 +189,8 @@
             return (run.stopped_at.is_none()).then_some(Order::Stop(target));
         }
         if phase == Phase::Starting {
+            // Another incarnation may carry out late what the earlier one was sent; its list comes
+            // first.
             if !worker.answered_within(now, USABLE_AGE_MS)
                 || worker.may_have_restarted()
                 || *worker.home() != *target.address
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -235,11 +235,20 @@
         }
     }
 
-    /// Resources that are not committed.
+    /// Resources that are not committed; none while it is over its room.
     pub fn free(&self) -> Amount {
+        if self.is_over() {
+            return Amount::default();
+        }
         self.info.capacity.less(self.committed)
     }
 
+    /// Whether its runs need more than it has, as after its room has shrunk, or an amount that
+    /// is not known.
+    pub fn is_over(&self) -> bool {
+        self.unsized_runs > 0 || !self.committed.fits(self.info.capacity)
+    }
+
     /// Whether it has answered a poll that was sent at most `limit_ms` ago.
     pub fn answered_within(&self, now: Monotonic, limit_ms: Millis) -> bool {
         self.answered_at.is_some_and(|at| now.since(at) <= limit_ms)
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher with simulated workers and a simulated store.
 
+mod capacity;
 mod caps;
 mod execution;
 mod incarnations;
@@ -8,5 +9,6 @@
 mod overload;
 mod recovery;
 mod refusals;
+mod room_schedules;
 mod shares;
 mod world;
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -19,6 +19,7 @@
 mod once;
 mod owners;
 mod registry;
+mod room;
 mod worker;
 
 use accounts::AccountUsage;
@@ -70,6 +71,14 @@
     CommitStored,
 }
 
+/// Order that a worker carries out late.
+struct LateOrder {
+    sent: Millis,
+    due: Millis,
+    fence: u64,
+    order: Order,
+}
+
 /// Start that a worker carried out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Started {
@@ -116,8 +125,10 @@
     pub ledger: RunLedger,
     polls: Vec<(Millis, Poll)>,
     events: Vec<(Millis, Event)>,
-    /// Orders that workers carry out late, with their fencing tokens.
-    late_orders: Vec<(Millis, u64, Order)>,
+    /// Starts that brought a worker over its room.
+    over_room: Vec<String>,
+    /// Orders that workers carry out late.
+    late_orders: Vec<LateOrder>,
     writing: Vec<Write>,
     writing_voters: Option<VoterRecord>,
     /// Voters that the store holds.
@@ -172,6 +183,7 @@
             ledger: RunLedger::default(),
             polls: Vec::new(),
             events: Vec::new(),
+            over_room: Vec::new(),
             late_orders: Vec::new(),
             writing: Vec::new(),
             writing_voters: None,
@@ -256,6 +268,30 @@
         self.dispatcher.state(id)
     }
 
+    pub fn cancel(&mut self, id: JobId) {
+        self.dispatcher.cancel(id, self.clock().at);
+    }
+
+    /// Cancels the jobs with standing tasks.
+    pub fn cancel_standing(&mut self) {
+        let is_standing = |spec: &JobSpec| spec.steps.iter().any(|step| step.standing);
+        let standing = self.specs.iter().filter(|(_, spec)| is_standing(spec));
+        let ids: Vec<JobId> = standing.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.cancel(id);
+        }
+    }
+
+    /// Jobs that have not ended.
+    pub fn waiting_jobs(&self) -> Vec<JobId> {
+        let is_final = |id: &JobId| self.state(*id).is_some_and(JobState::is_final);
+        self.specs
+            .keys()
+            .copied()
+            .filter(|id| !is_final(id))
+            .collect()
+    }
+
     pub fn starts_of(&self, id: JobId) -> Vec<&Started> {
         let starts = self.starts.iter();
         starts.filter(|start| start.task.job == id).collect()
@@ -380,12 +416,16 @@
                 if let Some(due) = self.delays_order(&name, &address) {
                     let failure = CallFailure::Unanswered("delayed".to_owned());
                     self.events.push((at, Event::Started(key, Err(failure))));
-                    let late = (due, self.fence, Order::Start(start));
-                    self.late_orders.push(late);
+                    self.late_orders.push(LateOrder {
+                        sent: self.now,
+                        due,
+                        fence: self.fence,
+                        order: Order::Start(start),
+                    });
                     return;
                 }
                 let result = self.check_reachable(&name, &address);
-                let result = result.and_then(|()| self.start(&start, self.fence));
+                let result = result.and_then(|()| self.start(&start, self.fence, self.now));
                 self.events.push((at, Event::Started(key, result)));
             }
             Order::Stop(target) => {
@@ -418,7 +458,8 @@
         Some(self.now + self.workers[name].order_delay?)
     }
 
-    fn start(&mut self, start: &Start, fence: u64) -> Result<(), CallFailure> {
+    /// Carries out a start that was ordered at `sent`.
+    fn start(&mut self, start: &Start, fence: u64, sent: Millis) -> Result<(), CallFailure> {
         let now = self.now;
         let worker = self.workers.get_mut(&start.target.name).unwrap();
         let drops_answer = worker.drops_start_answers;
@@ -427,6 +468,10 @@
             self.usage
                 .check_start(now, task, &self.specs, self.workers.values());
             self.ledger.run_started(now, task);
+            let worker = &self.workers[&start.target.name];
+            if let Err(violation) = worker.check_room(task, &self.specs, sent) {
+                self.over_room.push(format!("{now}: {violation}"));
+            }
             self.starts.push(Started {
                 at: now,
                 task,
@@ -443,13 +488,13 @@
     fn execute_late_orders(&mut self) {
         let now = self.now;
         let orders = std::mem::take(&mut self.late_orders);
-        let (due, later) = orders.into_iter().partition(|(at, ..)| *at <= now);
+        let (due, later) = orders.into_iter().partition(|late| late.due <= now);
         self.late_orders = later;
-        let due: Vec<(Millis, u64, Order)> = due;
-        for (_, fence, order) in due {
-            if let Order::Start(start) = order {
+        let due: Vec<LateOrder> = due;
+        for late in due {
+            if let Order::Start(start) = late.order {
                 // A late order is not answered.
-                let _ = self.start(&start, fence);
+                let _ = self.start(&start, late.fence, late.sent);
             }
         }
     }
--- a/testsuite/tests/testsuite/dispatch/world/worker.rs
+++ b/testsuite/tests/testsuite/dispatch/world/worker.rs
@@ -8,6 +8,8 @@
 };
 use verbenahitch::domain::Millis;
 
+use super::room::EarlierRooms;
+
 pub struct FakeRun {
     pub task: TaskId,
     pub run: u32,
@@ -39,6 +41,7 @@
 pub struct FakeWorker {
     /// Entry in the registry, which may be behind.
     pub info: WorkerInfo,
+    pub earlier_rooms: EarlierRooms,
     /// Address at which it takes calls.
     pub address: String,
     pub life: Incarnation,
