An owner that still reads the state gives way to a larger host

After an outage of the store the first host to hear of it again can be the smallest.

A request that comes while the state is being read is now answered at once, if that host can carry more: the transaction is that of a hand-over without the record of a retirement, since this owner has ordered nothing and stored nothing. The successor then counts as after an unplanned change. The reading stands still during the transaction, so that no owner begins to dispatch while its ownership may be given away.

--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -97,6 +97,8 @@
     /// Whether the last read or watch of the operators' keys succeeded.
     pub store_up: Arc<AtomicBool>,
     pub inbox: Inbox,
+    /// Last request of another host for the ownership.
+    pub offered: watch::Sender<Option<SuccessorRecord>>,
     pub stopping: watch::Receiver<bool>,
 }
 
@@ -206,10 +208,12 @@
         });
     }
 
-    /// Passes the request of another host to the owner's loop, if it runs here.
+    /// Passes the request of another host to the owner's loop, if it runs here, and to an
+    /// owner that still reads the state.
     fn offer_successor(&self, item: &Item) {
         match serde_json::from_slice::<SuccessorRecord>(&item.value) {
             Ok(record) => {
+                self.offered.send_replace(Some(record.clone()));
                 self.inbox.send(OwnerEvent::Offered(Box::new(record)));
             }
             Err(error) => log::error!("the successor's record cannot be parsed: {error}"),
@@ -253,6 +257,7 @@
             knows_owner: Cell::new(false),
             store_up: Arc::clone(&store_up),
             inbox: Inbox::default(),
+            offered: watch::channel(None).0,
             stopping,
         };
         Self {
--- a/crates/verbenahitch/src/entry/owner/handover.rs
+++ b/crates/verbenahitch/src/entry/owner/handover.rs
@@ -1,13 +1,16 @@
 //! Hand-over of the ownership to a host that can carry more.
 //!
 //! The last transaction of a term puts the successor's record into the owner's key. It
-//! has the conditions of a commit, so no commit of this term can follow it.
+//! has the conditions of a commit, so no commit of this term can follow it. A host that
+//! still reads the state gives the ownership away at once.
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::driver::Driver;
 use super::{Outcome, OwnerEvent};
 use crate::domain::Millis;
+use crate::entry::election::Term;
+use crate::entry::host::Shared;
 use crate::entry::keys::{self, SuccessorRecord};
 use crate::entry::succession::Capability;
 use crate::event::{Entry, Kind};
@@ -104,29 +107,87 @@
             ],
             removes: vec![keys::SUCCESSOR.to_owned(), keys::SLOW.to_owned()],
         };
-        let mut may_be_applied = false;
-        for _ in 0..ATTEMPTS {
-            match self.shared.platform.kv().commit(&transaction).await {
-                Ok(_) => return Some(Outcome::HandedOver),
-                // This attempt had no effect, such as when the successor has withdrawn.
-                Err(KvError::NoLease | KvError::Refused { .. } | KvError::Compacted) => {
-                    return may_be_applied.then_some(Outcome::HandedOver);
-                }
-                Err(KvError::Conflict { items }) => {
-                    let owner = items.iter().find(|item| item.key == keys::OWNER);
-                    let is_owner = owner.is_some_and(|item| item.revision == self.term.fence);
-                    return Some(match owner {
-                        None => Outcome::LeaseEnded,
-                        Some(_) if is_owner => Outcome::Superseded,
-                        Some(_) => Outcome::HandedOver,
-                    });
-                }
-                Err(KvError::Unanswered { cause }) => {
-                    may_be_applied = true;
-                    log::info!("no answer to the hand-over, which is sent again: {cause}");
-                }
+        replace_owner(self.shared.platform.kv(), &transaction, self.term.fence).await
+    }
+}
+
+/// Request of a host that can carry more than this one, next after those seen.
+pub(super) async fn next_request<P: Platform>(
+    shared: &Shared<P>,
+    offered: &mut watch::Receiver<Option<SuccessorRecord>>,
+) -> SuccessorRecord {
+    loop {
+        if offered.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        let Some(request) = offered.borrow_and_update().clone() else {
+            continue;
+        };
+        let successor = Capability {
+            share: request.owner.share,
+            slow: false,
+        };
+        if successor.should_succeed(shared.capability()) {
+            return request;
+        }
+    }
+}
+
+/// Gives the ownership to the successor before anything was dispatched, so that there is
+/// nothing to leave to it; `None` if this host remains owner.
+pub(super) async fn concede<P: Platform>(
+    shared: &Shared<P>,
+    term: Term,
+    request: SuccessorRecord,
+) -> Option<Outcome> {
+    Entry::new(Kind::OwnershipRequested)
+        .with("successor", &request.owner.name)
+        .with("share", request.owner.share)
+        .with("own-share", shared.settings.share)
+        .with("reading", true)
+        .with("yields", true)
+        .emit();
+    let transaction = Transaction {
+        expected: vec![(keys::OWNER.to_owned(), term.fence)],
+        puts: vec![Put {
+            key: keys::OWNER.to_owned(),
+            value: keys::encode(&request.owner),
+            lease: request.lease,
+        }],
+        removes: vec![keys::SUCCESSOR.to_owned()],
+    };
+    replace_owner(shared.platform.kv(), &transaction, term.fence).await
+}
+
+/// Carries out the transaction that gives the ownership away; returns the outcome of the
+/// term, or `None` if this host remains owner.
+async fn replace_owner<K: KeyValue>(
+    kv: &K,
+    transaction: &Transaction,
+    fence: u64,
+) -> Option<Outcome> {
+    let mut may_be_applied = false;
+    for _ in 0..ATTEMPTS {
+        match kv.commit(transaction).await {
+            Ok(_) => return Some(Outcome::HandedOver),
+            // This attempt had no effect, such as when the successor has withdrawn.
+            Err(KvError::NoLease | KvError::Refused { .. } | KvError::Compacted) => {
+                return may_be_applied.then_some(Outcome::HandedOver);
+            }
+            Err(KvError::Conflict { items }) => {
+                let owner = items.iter().find(|item| item.key == keys::OWNER);
+                let is_owner = owner.is_some_and(|item| item.revision == fence);
+                return Some(match owner {
+                    None => Outcome::LeaseEnded,
+                    Some(_) if is_owner => Outcome::Superseded,
+                    Some(_) => Outcome::HandedOver,
+                });
+            }
+            Err(KvError::Unanswered { cause }) => {
+                may_be_applied = true;
+                log::info!("no answer to the hand-over, which is sent again: {cause}");
             }
         }
-        Some(Outcome::HandedOver)
     }
+    Some(Outcome::HandedOver)
 }
--- a/crates/verbenahitch/src/entry/owner/mod.rs
+++ b/crates/verbenahitch/src/entry/owner/mod.rs
@@ -6,6 +6,7 @@
 mod retirement;
 mod updates;
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -93,7 +94,19 @@
     let mut background = JoinSet::new();
     let clock = SystemClock::default();
     background.spawn_local(renew(Rc::clone(shared), term, clock, sender.clone()));
-    let mut driver = match Driver::load(shared, term, clock, sender.clone()).await {
+    let mut offered = shared.offered.subscribe();
+    let mut loading = pin!(Driver::load(shared, term, clock, sender.clone()));
+    // A small host may read for seconds. Its successor would read the same again.
+    let loaded = loop {
+        let request = tokio::select! {
+            loaded = &mut loading => break loaded,
+            request = handover::next_request(shared, &mut offered) => request,
+        };
+        if let Some(outcome) = handover::concede(shared, term, request).await {
+            return outcome;
+        }
+    };
+    let mut driver = match loaded {
         Ok(driver) => driver,
         Err(error) => {
             log::error!("the stored state cannot be read: {error}");
