--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -316,6 +316,7 @@
             .with("worker", name)
             .with("cause", cause)
             .with("evidence", evidence)
+            .with("listed-ms", run.seen_at.since(run.started_at))
             .with("run-incarnation", run.incarnation)
             .with("incarnation", incarnation)
             .with("answer-age-ms", answer_age)
