--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher with simulated workers and a simulated store.
 
 mod caps;
+mod crashes;
 mod execution;
 mod incarnations;
 mod load;
--- /dev/null
+++ b/testsuite/tests/testsuite/dispatch/world/crashes.rs
@@ -0,0 +1,117 @@
+//! Workers that crash: under certain jobs' tasks, or by themselves.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use verbenahitch::dispatch::{JobId, TaskId};
+use verbenahitch::domain::{Millis, Monotonic};
+
+use super::World;
+
+/// How the tasks of a job crash the workers that start them.
+#[derive(Clone, Copy, Debug)]
+pub struct Deadly {
+    /// Time from the start to the crash; none: the start gets no answer.
+    pub delay_ms: Option<Millis>,
+    /// Time until the worker is back.
+    pub down_ms: Millis,
+    /// Whether it is back under a new name.
+    pub is_renamed: bool,
+}
+
+/// Crash of a worker.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    pub at: Millis,
+    /// What it ran.
+    pub tasks: Vec<TaskId>,
+}
+
+/// Crashes to come, and past ones.
+#[derive(Default)]
+pub struct Crashes {
+    pub deadly: BTreeMap<JobId, Deadly>,
+    pub past: Vec<Crash>,
+    /// Time, worker, its incarnation, and how it crashes.
+    due: Vec<(Millis, String, u64, Deadly)>,
+    /// Time, new name and address of workers that come back.
+    back: Vec<(Millis, String, String)>,
+}
+
+impl World {
+    /// Crashes a worker that has begun a run of a deadly job, or lets it crash later; returns
+    /// whether it has crashed before an answer.
+    pub(super) fn start_deadly(&mut self, name: &str, job: JobId) -> bool {
+        let Some(&deadly) = self.crashes.deadly.get(&job) else {
+            return false;
+        };
+        let Some(delay_ms) = deadly.delay_ms else {
+            self.crash_worker(name, deadly);
+            return true;
+        };
+        let life = self.workers[name].life.number;
+        let due = (self.now + delay_ms, name.to_owned(), life, deadly);
+        self.crashes.due.push(due);
+        false
+    }
+
+    pub fn crash_worker(&mut self, name: &str, how: Deadly) {
+        let now = self.now;
+        let worker = self.workers.get_mut(name).unwrap();
+        let crash = Crash {
+            at: now,
+            tasks: worker.tasks(),
+        };
+        self.crashes.past.push(crash);
+        worker.restart(now, how.down_ms);
+        if how.is_renamed {
+            worker.replaced = true;
+            worker.unlisted = true;
+            let back = (
+                now + how.down_ms,
+                format!("{name}x"),
+                worker.address.clone(),
+            );
+            self.crashes.back.push(back);
+            self.dispatcher.unlist_worker(name, Monotonic(now));
+        }
+    }
+
+    pub(super) fn execute_crashes(&mut self) {
+        let now = self.now;
+        for (_, name, life, how) in self
+            .crashes
+            .due
+            .extract_if(.., |due| due.0 <= now)
+            .collect::<Vec<_>>()
+        {
+            if self.workers[&name].life.number == life {
+                self.crash_worker(&name, how);
+            }
+        }
+        for (_, name, address) in self
+            .crashes
+            .back
+            .extract_if(.., |back| back.0 <= now)
+            .collect::<Vec<_>>()
+        {
+            self.add_worker_at(&name, &address, 16);
+        }
+    }
+
+    /// Tasks that were started a third time or more after a third crash under them.
+    pub fn overspent(&self) -> BTreeSet<TaskId> {
+        let tasks: BTreeSet<TaskId> = self.starts.iter().map(|start| start.task).collect();
+        let is_overspent = |task: &TaskId| {
+            let past = self.crashes.past.iter();
+            let third = past.filter(|crash| crash.tasks.contains(task)).nth(2);
+            let after = |at| {
+                let starts = self.starts.iter();
+                starts
+                    .filter(|start| start.task == *task && start.at > at)
+                    .count()
+            };
+            third.is_some_and(|crash| after(crash.at) >= 3)
+        };
+        tasks.into_iter().filter(is_overspent).collect()
+    }
+}
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -14,6 +14,7 @@
 use verbenahitch::domain::{Millis, Monotonic};
 
 mod accounts;
+mod crashes;
 mod jobs;
 mod once;
 mod owners;
@@ -22,6 +23,8 @@
 
 use accounts::AccountUsage;
 pub use accounts::{account, cores};
+use crashes::Crashes;
+pub use crashes::Deadly;
 pub use jobs::{TARGET_MS, filler, job, queue, standing, step};
 use once::RunLedger;
 use owners::Former;
@@ -109,6 +112,8 @@
     pub usage: AccountUsage,
     /// Runs of each task, checked to run once.
     pub ledger: RunLedger,
+    /// Crashes of workers.
+    pub crashes: Crashes,
     polls: Vec<(Millis, Poll)>,
     events: Vec<(Millis, Event)>,
     /// Orders that workers carry out late, with their fencing tokens.
@@ -154,6 +159,7 @@
             finished: BTreeMap::new(),
             usage: AccountUsage::default(),
             ledger: RunLedger::default(),
+            crashes: Crashes::default(),
             polls: Vec::new(),
             events: Vec::new(),
             late_orders: Vec::new(),
@@ -176,10 +182,15 @@
     }
 
     pub fn add_worker(&mut self, name: &str, cores: u64) {
+        self.add_worker_at(name, &format!("{name}:1"), cores);
+    }
+
+    /// Adds a worker that takes calls at `address`.
+    fn add_worker_at(&mut self, name: &str, address: &str, cores: u64) {
         let info = WorkerInfo {
             name: name.to_owned(),
             pool: "pool".to_owned(),
-            address: format!("{name}:1"),
+            address: address.to_owned(),
             zone: "zone".to_owned(),
             capacity: Amount {
                 cpu_milli: cores * 1_000,
@@ -261,6 +272,7 @@
     fn tick(&mut self) {
         self.now += TICK_MS;
         self.advance_runs();
+        self.execute_crashes();
         self.execute_late_orders();
         self.step_owner();
         self.swap_owner();
@@ -410,6 +422,9 @@
                 run,
                 worker: start.target.name.clone(),
             });
+            if self.start_deadly(&start.target.name, task.job) {
+                return Err(CallFailure::Unanswered("crashed".to_owned()));
+            }
         }
         if drops_answer {
             return Err(CallFailure::Unanswered("mute".to_owned()));
