Give up tasks that crash the workers that start them

Cause: a crash was kept as a lapse and counted nowhere, a suspect was placed like any task, and a start without an answer was sent again under its number to whatever answered next.

Change: dispatch/crash counts crashes under young runs in the progress record, tries suspects apart and gives a task up at the third crash. A start without an answer is sent again only after the worker has listed its runs.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -6,6 +6,7 @@
 
 use slotmap::SecondaryMap;
 
+use super::crash::Trials;
 use super::place::{self, Misfit};
 use super::room::{self, Allowance, Pieces};
 use super::step_order::outlook::{self, Prospect};
@@ -30,7 +31,7 @@
 const RATE_MIN_DIVISOR: u64 = 50;
 
 /// A step with tasks to place.
-struct Waiting {
+pub(super) struct Waiting {
     rank: StepRank,
     job: JobId,
     round: u32,
@@ -46,6 +47,18 @@
     pool: usize,
 }
 
+impl Waiting {
+    /// Task of the step.
+    pub fn task(&self, index: u32) -> TaskId {
+        TaskId {
+            job: self.job,
+            round: self.round,
+            step: self.step,
+            index,
+        }
+    }
+}
+
 /// Numbers of waiting steps by how their jobs stand to their objectives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StepCounts {
@@ -108,14 +121,16 @@
 }
 
 /// State of one assignment pass.
-struct AssignPass {
-    usable: Vec<WorkerKey>,
+pub(super) struct AssignPass {
+    pub usable: Vec<WorkerKey>,
     pools: Vec<PoolUse>,
     /// Pools and steps for which no worker had the label and the free resources.
     unplaced: Vec<(String, StepSpec)>,
     /// Accounts that met their cap; their later steps must not take what a step waits for.
     capped: HashSet<AccountKey>,
-    now: Monotonic,
+    /// Trials of tasks that may crash their workers; these are not usable.
+    pub trials: Trials,
+    pub now: Monotonic,
 }
 
 impl AssignPass {
@@ -391,10 +406,11 @@
             return;
         }
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
-        let usable: Vec<WorkerKey> = keys
+        let mut usable: Vec<WorkerKey> = keys
             .into_iter()
             .filter(|key| self.is_usable(*key, now))
             .collect();
+        let trials = self.trials(&mut usable);
         let mut pools = self.pool_uses(&usable, now);
         let waiting = self.waiting_steps(&mut pools, now);
         self.steps_waiting = StepCounts::new(&waiting);
@@ -414,6 +430,7 @@
             pools,
             unplaced: Vec::new(),
             capped: HashSet::default(),
+            trials,
             now,
         };
         self.count_late_claims(now);
@@ -463,6 +480,12 @@
         let spares_idle = pool_use.fillers_late && pool_use.pieces.is_some();
         let request =
             place::AssignmentRequest::new(&mut self.headroom, &spec, pool_use.pieces, spares_idle);
+        let (suspects, waiting) = self.split_suspects(step, waiting);
+        for task in suspects {
+            if self.has_cap_room(step.job, &spec) {
+                self.start_trial(task, &pool, &request, pass);
+            }
+        }
         let (mut candidates, mut misfits) = self.candidates(&pool, &request, &per_worker, pass);
         for (index, avoid) in waiting {
             let worker = loop {
@@ -494,12 +517,7 @@
             }
             let same_step = count_on(&per_worker, worker) + 1;
             per_worker.insert(worker, same_step);
-            let task = TaskId {
-                job: step.job,
-                round: step.round,
-                step: step.step,
-                index,
-            };
+            let task = step.task(index);
             if spec.filler {
                 self.add_trials(&request, worker);
             }
@@ -536,7 +554,7 @@
     }
 
     /// Cost of one more task on a worker; its load is computed and cached if needed.
-    fn cost(
+    pub(super) fn cost(
         &mut self,
         key: WorkerKey,
         request: &place::AssignmentRequest<'_>,
@@ -649,7 +667,7 @@
             .emit();
     }
 
-    fn assign_task(&mut self, task: TaskId, worker: WorkerKey, now: Monotonic) {
+    pub(super) fn assign_task(&mut self, task: TaskId, worker: WorkerKey, now: Monotonic) {
         let Some(state) = self.task_mut(task) else {
             return;
         };
--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -50,6 +50,7 @@
                         done: task.done,
                         run: task.last_run,
                         failed: task.failed,
+                        crashes: task.crashes,
                         runs: runs
                             .map(|run| {
                                 let worker = &self.workers[run.worker];
--- /dev/null
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -0,0 +1,260 @@
+//! Crashes of workers under tasks: which tasks are suspected, and when one is given up.
+//!
+//! Load pattern: some tasks crash each worker that starts them, with all that runs there; the worker
+//! is back after some seconds. Beside them workers are lost for other reasons, one by one, by
+//! turns or by the rack, and the tasks on them are sound. The crash of a worker tells only that
+//! one of its young runs may be at fault, if any.
+//!
+//! * *Evidence* of a crash: the worker answers as another incarnation, another worker answers at
+//!   its address, or it is silent past its leases and gone from the registry. The leases of a
+//!   listed worker may lapse behind a cut: its runs count once another incarnation has answered.
+//!   A worker that drained before has left and not crashed.
+//! * *Suspects*: tasks of runs that no list has shown [`SETTLED_MS`] after the start, also those
+//!   of which a start got no answer. A run that has settled or is done acquits its task.
+//! * *Common losses*: a crash together with many other workers, or with others of the rack, that
+//!   held no young run of the job is no evidence, once until an acquittal.
+//! * *Trial*: see [`trial`].
+//! * *Giving up*: at the crash number [`GIVEN_UP_CRASHES`] without an acquittal in between.
+//!
+//! The count is part of the job's record. The write that removes the run holds it, so that a
+//! successor counts each crash once, and the next start waits for that write.
+
+mod trial;
+
+use super::report::{EndCause, Evidence, Report};
+use super::worker::{Run, WorkerKey};
+use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, RunKey, TaskId};
+
+pub(super) use trial::Trials;
+
+/// Number of crashes under a task at which it is given up. The users' rule allows it from the
+/// second on; a sound task that two lost workers have met is not to be failed.
+const GIVEN_UP_CRASHES: u32 = 3;
+
+/// Time after its start for which lists have to show a run until it is no suspect, in
+/// milliseconds. Deadly tasks crash their workers at the start; the longer this is, the more sound
+/// tasks are suspected. Lists come every 0.7 s at the latest.
+const SETTLED_MS: Millis = 500;
+
+/// Number of further workers of a rack that are lost at once with the rack.
+const RACK_LOSS: usize = 3;
+
+/// Fraction of all workers that are lost at once only for a common reason.
+const COMMON_LOSS_DIVISOR: usize = 8;
+
+/// Time within which workers that are lost for a common reason cease to answer, in
+/// milliseconds: a poll fails at once, or by its time limit beyond the wait.
+const COMMON_LOSS_MS: Millis = 500;
+
+/// When a worker ceased to answer.
+#[derive(Clone, Debug)]
+pub(super) struct Loss {
+    at: Monotonic,
+    /// Jobs with young runs there.
+    jobs: Vec<JobId>,
+}
+
+/// Run on a worker whose leases have lapsed; whether the worker has crashed is not known.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LapsedRun {
+    task: TaskId,
+    number: u32,
+}
+
+/// Whether lists have shown a run for long enough after its start. An order may be carried out
+/// late, so that the time counts from its confirmation.
+fn is_settled(run: &Run) -> bool {
+    let begin = run.confirmed_at.unwrap_or(run.seen_at);
+    run.seen_at.since(begin) >= SETTLED_MS
+}
+
+impl Dispatcher {
+    /// Cause of the end of a run, by what it rests on.
+    pub(super) fn end_cause(&self, run: &Run, cause: EndCause, evidence: Evidence) -> EndCause {
+        let by_worker = match evidence {
+            Evidence::Restart | Evidence::Replaced => true,
+            Evidence::Listed
+            | Evidence::Missing
+            | Evidence::Lapse
+            | Evidence::Refusal
+            | Evidence::NotOrdered => run.is_crashed,
+        };
+        let is_unexplained = match cause {
+            EndCause::Stopped | EndCause::Lapsed | EndCause::Crashed => true,
+            EndCause::Done | EndCause::Failed | EndCause::Broken | EndCause::Alone => false,
+        };
+        if by_worker && is_unexplained && !self.workers[run.worker].has_drained {
+            EndCause::Crashed
+        } else {
+            cause
+        }
+    }
+
+    /// Draws the conclusions from the end of a run for its task.
+    pub(super) fn judge_end(
+        &mut self,
+        run: &Run,
+        cause: EndCause,
+        evidence: Evidence,
+        now: Monotonic,
+    ) {
+        match cause {
+            EndCause::Crashed if !is_settled(run) => self.count_crash(run, now),
+            // An earlier owner may know more of a run that was never listed to this one.
+            EndCause::Lapsed
+                if evidence == Evidence::Lapse && !is_settled(run) && !run.inherited =>
+            {
+                if self.excused.contains(&run.task) {
+                    self.suspect(run.task);
+                }
+                let lapsed = LapsedRun {
+                    task: run.task,
+                    number: run.number,
+                };
+                self.workers[run.worker].lapsed_runs.push(lapsed);
+            }
+            EndCause::Done => self.acquit(run.task),
+            EndCause::Crashed
+            | EndCause::Lapsed
+            | EndCause::Failed
+            | EndCause::Stopped
+            | EndCause::Broken
+            | EndCause::Alone => {}
+        }
+    }
+
+    fn count_crash(&mut self, run: &Run, now: Monotonic) {
+        self.count_crash_under(run.task, run.number, run.worker, now);
+    }
+
+    /// Counts a crash of a worker under a task, and gives the task up if it is one too many.
+    fn count_crash_under(&mut self, task: TaskId, number: u32, worker: WorkerKey, now: Monotonic) {
+        let name = self.workers[worker].info.name.clone();
+        if self.is_common_loss(worker, task.job) && self.excused.insert(task) {
+            return;
+        }
+        let Some(state) = self.task_mut(task).filter(|state| !state.done) else {
+            return;
+        };
+        state.crashes += 1;
+        let crashes = state.crashes;
+        let is_given_up = crashes >= GIVEN_UP_CRASHES;
+        let kind = if is_given_up {
+            Kind::TaskGivenUp
+        } else {
+            Kind::CrashSuspected
+        };
+        Entry::new(kind)
+            .with_text("task", task)
+            .with("run", number)
+            .with("worker", name)
+            .with("crashes", crashes)
+            .emit();
+        self.suspect(task);
+        if is_given_up {
+            self.fail_job(task.job, now);
+        }
+        self.mark_dirty(task.job);
+    }
+
+    /// Records that a worker has ceased to answer.
+    pub(super) fn note_loss(&mut self, key: WorkerKey, now: Monotonic) {
+        let runs = self.workers[key].runs.iter().map(|run| &self.runs[*run]);
+        let young = runs.filter(|run| !is_settled(run));
+        let mut jobs: Vec<JobId> = young.map(|run| run.task.job).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        self.workers[key].loss = Some(Loss { at: now, jobs });
+    }
+
+    /// Whether a worker was lost together with many others, or with others of its rack, that held
+    /// no young run of the job.
+    fn is_common_loss(&self, key: WorkerKey, job: JobId) -> bool {
+        let worker = &self.workers[key];
+        let Some(at) = worker.loss.as_ref().map(|loss| loss.at) else {
+            return false;
+        };
+        let is_near = |loss: &Loss| {
+            let gap_ms = at.since(loss.at).max(loss.at.since(at));
+            gap_ms <= COMMON_LOSS_MS && !loss.jobs.contains(&job)
+        };
+        let others = self.workers.iter().filter(|(other, _)| *other != key);
+        let lost = others.filter(|(_, other)| other.loss.as_ref().is_some_and(is_near));
+        let (mut all, mut in_rack) = (0, 0);
+        for (_, other) in lost {
+            all += 1;
+            in_rack += usize::from(!worker.rack().is_empty() && other.rack() == worker.rack());
+        }
+        let is_part = all * COMMON_LOSS_DIVISOR >= self.workers.len();
+        in_rack >= RACK_LOSS || (all >= RACK_LOSS && is_part)
+    }
+
+    /// Makes a task a suspect.
+    pub(super) fn suspect(&mut self, task: TaskId) {
+        let is_open = self
+            .jobs
+            .get(&task.job)
+            .is_some_and(|job| !job.state.is_final());
+        if is_open && self.task_mut(task).is_some_and(|state| !state.done) {
+            self.suspects.insert(task);
+        }
+    }
+
+    /// Ends the suspicion of a task of which a run is done or has settled.
+    fn acquit(&mut self, task: TaskId) {
+        self.excused.remove(&task);
+        if !self.suspects.remove(&task) {
+            return;
+        }
+        self.assign_needed = true;
+        if let Some(state) = self.task_mut(task) {
+            state.crashes = 0;
+        }
+        self.mark_dirty(task.job);
+    }
+
+    /// Acquits the task of a run that a list has shown.
+    pub(super) fn judge_listed(&mut self, key: RunKey) {
+        let run = &self.runs[key];
+        if !run.stop_wanted && is_settled(run) {
+            self.acquit(run.task);
+        }
+    }
+
+    /// Blames the crash of an earlier incarnation on its runs of which a start got no answer.
+    pub(super) fn blame_unanswered(&mut self, key: WorkerKey, report: &Report, now: Monotonic) {
+        let runs: Vec<RunKey> = self.workers[key].runs.iter().copied().collect();
+        for at in runs {
+            let run = &mut self.runs[at];
+            let is_listed = report
+                .running
+                .iter()
+                .map(|entry| (entry.task, entry.run))
+                .chain(report.ended.iter().map(|entry| (entry.task, entry.run)))
+                .any(|listed| listed == (run.task, run.number));
+            if !run.unanswered || run.in_flight || run.confirmed_at.is_some() || is_listed {
+                continue;
+            }
+            run.stopped_at = None;
+            run.retry_at = now;
+            self.blame_start(at);
+        }
+    }
+
+    /// Blames a crash of its worker on a run of which a start got no answer. The start may still
+    /// be carried out by the next incarnation; it is stopped there before the task starts again.
+    pub(super) fn blame_start(&mut self, key: RunKey) {
+        self.runs[key].is_crashed = true;
+        self.stop_run(key);
+    }
+
+    /// Counts the crash of a worker under the runs whose leases had lapsed before.
+    pub(super) fn blame_lapsed(&mut self, key: WorkerKey, now: Monotonic) {
+        for run in std::mem::take(&mut self.workers[key].lapsed_runs) {
+            if self.workers[key].has_drained {
+                continue;
+            }
+            self.count_crash_under(run.task, run.number, key, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -0,0 +1,185 @@
+//! Trials of suspects: where they start, and how many workers are risked at once.
+//!
+//! A suspect starts where least is lost if it is deadly. Nothing else starts there until its run
+//! has settled or ended, so that what it does is blamed on no other task. When many workers
+//! are lost at once there are more suspects than trials, nearly all of them sound: those
+//! under which not more than one worker has crashed then share trials.
+
+use super::super::assign::{AssignPass, Waiting};
+use super::super::place::AssignmentRequest;
+use super::super::table::Task;
+use super::super::worker::Worker;
+use super::{Dispatcher, Millis, Monotonic, TaskId, WorkerKey, is_settled};
+use crate::collections::HashMap;
+
+/// Fraction of the usable workers that trials may risk at once, rounded up.
+const RISK_DIVISOR: usize = 8;
+
+/// Wait after which a suspect may share a trial, in milliseconds: standing tasks of lost
+/// workers have to run again within a few seconds.
+const SHARE_WAIT_MS: Millis = 1_500;
+
+/// Number of suspects that share a trial at most.
+const SHARED_MAX: usize = 8;
+
+/// Number of crashes from which on a task is tried alone.
+const ALONE_CRASHES: u32 = 2;
+
+/// Age up to which an incarnation may be lost again soon, in milliseconds: workers that go down
+/// by turns are up for a few seconds.
+const FRESH_MS: Millis = 10_000;
+
+/// Trial on a worker.
+#[derive(Debug, Default)]
+struct Trial {
+    suspects: usize,
+    /// Whether one of its suspects is to be tried alone.
+    is_closed: bool,
+}
+
+impl Trial {
+    fn admits_more(&self) -> bool {
+        !self.is_closed && self.suspects < SHARED_MAX
+    }
+}
+
+/// Trials in progress during an assignment pass.
+#[derive(Debug, Default)]
+pub(in crate::dispatch) struct Trials {
+    by_worker: HashMap<WorkerKey, Trial>,
+    /// Usable workers with a trial, on which nothing else starts.
+    usable: Vec<WorkerKey>,
+    /// Number of workers that may be risked at once.
+    limit: usize,
+}
+
+impl Trials {
+    fn begin(&mut self, worker: WorkerKey, is_alone: bool) {
+        let trial = self.by_worker.entry(worker).or_default();
+        trial.suspects += 1;
+        trial.is_closed |= is_alone;
+    }
+}
+
+/// What a crash of a worker would cost, in the order of weight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Risk {
+    standing: usize,
+    /// Whether the worker was lost lately and may be lost again.
+    is_fresh: bool,
+    runs: usize,
+}
+
+impl Dispatcher {
+    /// Trials in progress, whose workers are taken from the usable ones.
+    pub(in crate::dispatch) fn trials(&self, usable: &mut Vec<WorkerKey>) -> Trials {
+        let mut trials = Trials {
+            limit: usable.len().div_ceil(RISK_DIVISOR),
+            ..Trials::default()
+        };
+        for at in &self.suspects {
+            let Some(task) = self.task(*at) else {
+                continue;
+            };
+            for run in task.runs.iter().filter_map(|key| self.runs.get(*key)) {
+                if !is_settled(run) {
+                    trials.begin(run.worker, task.crashes >= ALONE_CRASHES);
+                }
+            }
+        }
+        let on_trial = |key: &mut WorkerKey| trials.by_worker.contains_key(key);
+        trials.usable = usable.extract_if(.., on_trial).collect();
+        trials
+    }
+
+    /// Separates the waiting suspects of a step from its other waiting tasks. A suspect gets no
+    /// copy.
+    pub(in crate::dispatch) fn split_suspects(
+        &self,
+        step: &Waiting,
+        waiting: Vec<(u32, Option<WorkerKey>)>,
+    ) -> (Vec<TaskId>, Vec<(u32, Option<WorkerKey>)>) {
+        if self.suspects.is_empty() {
+            return (Vec::new(), waiting);
+        }
+        let is_suspect = |(index, _): &(u32, _)| self.suspects.contains(&step.task(*index));
+        let (suspects, others): (Vec<_>, Vec<_>) = waiting.into_iter().partition(is_suspect);
+        let is_idle = |at: &TaskId| self.task(*at).is_some_and(|task| task.runs.is_empty());
+        let suspects = suspects.into_iter().map(|(index, _)| step.task(index));
+        (suspects.filter(is_idle).collect(), others)
+    }
+
+    fn task(&self, at: TaskId) -> Option<&Task> {
+        self.jobs.get(&at.job)?.task(at.round, at.step, at.index)
+    }
+
+    /// Starts a suspect where least is at risk: on a worker of its own if another one may be
+    /// risked, else with other suspects.
+    pub(in crate::dispatch) fn start_trial(
+        &mut self,
+        at: TaskId,
+        pool: &str,
+        request: &AssignmentRequest<'_>,
+        pass: &mut AssignPass,
+    ) {
+        let Some(task) = self.task(at) else {
+            return;
+        };
+        let is_alone = task.crashes >= ALONE_CRASHES;
+        let waited = task.ended_at.map(|ended| pass.now.since(ended));
+        let may_share = !is_alone && waited.is_some_and(|waited| waited >= SHARE_WAIT_MS);
+        let worker = if pass.trials.by_worker.len() < pass.trials.limit {
+            self.least_risk(&pass.usable, pool, request, pass.now)
+        } else if may_share {
+            let mut open = pass.trials.usable.clone();
+            open.retain(|key| {
+                let trial = pass.trials.by_worker.get(key);
+                trial.is_some_and(Trial::admits_more)
+            });
+            self.least_risk(&open, pool, request, pass.now)
+        } else {
+            None
+        };
+        let Some(worker) = worker else {
+            return;
+        };
+        self.assign_task(at, worker, pass.now);
+        pass.trials.begin(worker, is_alone);
+        if let Some(index) = pass.usable.iter().position(|key| *key == worker) {
+            pass.usable.remove(index);
+            pass.trials.usable.push(worker);
+        }
+    }
+
+    /// Worker of a pool where a task fits and a crash would cost least.
+    fn least_risk(
+        &mut self,
+        workers: &[WorkerKey],
+        pool: &str,
+        request: &AssignmentRequest<'_>,
+        now: Monotonic,
+    ) -> Option<WorkerKey> {
+        let mut best: Option<(Risk, WorkerKey)> = None;
+        for key in workers.iter().copied() {
+            let worker = &self.workers[key];
+            if worker.info.pool != pool {
+                continue;
+            }
+            let found = (self.risk_of(worker, now), key);
+            if best.is_none_or(|best| found < best) && self.cost(key, request, 0).is_ok() {
+                best = Some(found);
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn risk_of(&self, worker: &Worker, now: Monotonic) -> Risk {
+        let runs = worker.runs.iter().map(|key| &self.runs[*key]);
+        let session = worker.session.as_ref();
+        Risk {
+            standing: runs.filter(|run| run.standing).count(),
+            is_fresh: session.is_none_or(|session| now.since(session.began_at) < FRESH_MS),
+            runs: worker.runs.len(),
+        }
+    }
+}
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -48,6 +48,7 @@
         }
         let worker = &mut self.workers[key];
         worker.info = info;
+        worker.has_drained |= worker.info.draining;
         if worker.info.draining {
             self.stop_standing(key);
         }
@@ -116,6 +117,8 @@
             Err(CallFailure::Unanswered(cause)) => {
                 run.retry_at = now + RESEND_MS;
                 run.unanswered = true;
+                run.unanswered_at = now;
+                self.workers[worker].next_poll = now;
                 log::debug!(
                     "worker did not answer the start of task {}: {cause}",
                     run.task
@@ -239,6 +242,8 @@
             retry_at: now,
             tries: 0,
             unanswered: false,
+            unanswered_at: Monotonic::default(),
+            is_crashed: false,
             incarnation: self.workers[worker].incarnation(),
             home: self.workers[worker].home(),
             started_at: now,
@@ -283,6 +288,7 @@
         let Some(run) = self.runs.remove(key) else {
             return;
         };
+        let cause = self.end_cause(&run, cause, evidence);
         self.assign_needed = true;
         self.accounts.release(run.claim);
         self.cached_loads.remove(run.worker);
@@ -322,6 +328,7 @@
             .with("answer-age-ms", answer_age)
             .emit();
         self.apply_end(&run, key, cause, checkpoint, now);
+        self.judge_end(&run, cause, evidence, now);
     }
 
     /// Applies the end of a run to its task and job.
@@ -402,7 +409,7 @@
         }
     }
 
-    fn fail_job(&mut self, id: JobId, now: Monotonic) {
+    pub(super) fn fail_job(&mut self, id: JobId, now: Monotonic) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.state.is_final()) else {
             return;
         };
@@ -416,6 +423,8 @@
             return;
         };
         let keys: Vec<RunKey> = job.runs().collect();
+        self.suspects.retain(|task| task.job != id);
+        self.excused.retain(|task| task.job != id);
         for key in keys {
             self.stop_run(key);
             let run = &mut self.runs[key];
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -20,11 +20,13 @@
 //! standing tasks), `place` (choice of a worker), `account` (caps and shares of client
 //! accounts), [`forecast`] (when a new job would end), `headroom` (what fillers take from
 //! standing tasks), `interference` (relief of slowed standing tasks), `health` (quarantine
-//! of workers), `straggler` (runs much slower than their peers).
+//! of workers), `straggler` (runs much slower than their peers), `crash` (tasks that crash their
+//! workers).
 
 mod account;
 mod assign;
 mod commit;
+mod crash;
 mod ends;
 pub mod forecast;
 mod headroom;
@@ -125,6 +127,10 @@
     evacuated: HashSet<String>,
     /// Cancelled jobs that have not been submitted yet.
     early_cancels: HashSet<JobId>,
+    /// Waiting or young tasks under which a worker may have crashed.
+    suspects: HashSet<TaskId>,
+    /// Tasks under which a worker was lost together with others.
+    excused: HashSet<TaskId>,
     headroom: HeadroomModel,
     /// Recent demand of short steps, by pool.
     demands: HashMap<String, room::Demand>,
@@ -183,6 +189,8 @@
             accounts: Accounts::default(),
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
+            suspects: HashSet::default(),
+            excused: HashSet::default(),
             headroom: HeadroomModel::default(),
             demands: HashMap::default(),
             work_means: HashMap::default(),
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -154,8 +154,17 @@
             if !worker.answered_within(now, USABLE_AGE_MS) || *worker.home() != *target.address {
                 return None;
             }
-            if worker.incarnation() != self.runs[key].incarnation {
-                self.record_again(key);
+            let run = &self.runs[key];
+            if worker.incarnation() != run.incarnation {
+                if run.unanswered {
+                    self.blame_start(key);
+                } else {
+                    self.record_again(key);
+                }
+                return None;
+            }
+            // The worker may have crashed at the start, and be back already.
+            if run.unanswered && !worker.has_listed_since(run.unanswered_at) {
                 return None;
             }
             return self.start_order(key, target, now);
@@ -247,12 +256,13 @@
                 self.end_run(run, EndCause::Lapsed, Evidence::Lapse, "", now);
             }
             if !self.workers[key].listed {
-                self.drop_worker(key);
+                self.drop_worker(key, now);
             }
         }
     }
 
-    fn drop_worker(&mut self, key: WorkerKey) {
+    fn drop_worker(&mut self, key: WorkerKey, now: Monotonic) {
+        self.blame_lapsed(key, now);
         if let Some(worker) = self.workers.remove(key) {
             self.worker_keys.remove(&worker.info.name);
             self.unlisted.remove(&key);
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -154,17 +154,19 @@
                 .emit();
         }
         if has_restarted {
+            self.blame_unanswered(key, &report, now);
+            self.blame_lapsed(key, now);
             self.close_late_starts(key, &report, now);
+        } else {
+            self.workers[key].lapsed_runs.clear();
         }
         self.cached_loads.remove(key);
         self.check_takeover(now);
         self.apply_ends(key, &report, now);
-        let evidence = if has_restarted {
-            Evidence::Restart
-        } else {
-            Evidence::Missing
-        };
-        self.apply_running(key, &report, evidence, sent, now);
+        self.apply_running(key, &report, sent, now);
+        if has_restarted {
+            self.workers[key].has_drained = false;
+        }
         self.mitigate(key, now);
     }
 
@@ -180,13 +182,18 @@
         if worker.is_vanished() {
             self.voters.mark_dirty();
         }
+        let is_first = worker.failed_polls == 1;
         if worker.failed_polls == 2 {
             Entry::new(Kind::WorkerUnreachable)
                 .with("worker", &worker.info.name)
                 .with_text("cause", format!("{failure:?}"))
                 .emit();
         }
+        if is_first {
+            self.note_loss(key, now);
+        }
         if *failure == CallFailure::OtherLife {
+            let worker = &mut self.workers[key];
             health::order_refused(worker, now);
             self.end_replaced(key, now);
         }
@@ -200,9 +207,13 @@
             run.incarnation != 0 && *run.home == *worker.poll_address
         };
         let gone: Vec<RunKey> = worker.runs.iter().filter(is_replaced).copied().collect();
+        let is_home = *worker.home() == *worker.poll_address;
         for run in gone {
             self.end_run(run, EndCause::Lapsed, Evidence::Replaced, "", now);
         }
+        if is_home {
+            self.blame_lapsed(key, now);
+        }
     }
 
     fn apply_ends(&mut self, key: WorkerKey, report: &Report, now: Monotonic) {
@@ -232,16 +243,8 @@
         }
     }
 
-    /// Applies the list of runs in progress. A run that should be listed and is not has ended
-    /// on the `evidence` of the list.
-    fn apply_running(
-        &mut self,
-        key: WorkerKey,
-        report: &Report,
-        evidence: Evidence,
-        sent: Monotonic,
-        now: Monotonic,
-    ) {
+    /// Applies the list of runs in progress. A run that should be listed and is not has ended.
+    fn apply_running(&mut self, key: WorkerKey, report: &Report, sent: Monotonic, now: Monotonic) {
         let mut seen = Vec::with_capacity(report.running.len());
         for entry in &report.running {
             match self.find_run(key, entry.task, entry.run) {
@@ -265,12 +268,14 @@
         let runs = &self.workers[key].runs;
         let gone: Vec<RunKey> = runs.iter().filter(missing).copied().collect();
         // How they ended is not known; neither cause counts as a failure.
-        let cause = if evidence == Evidence::Restart {
-            EndCause::Lapsed
-        } else {
-            EndCause::Stopped
-        };
         for run in gone {
+            let meant_for = self.runs[run].incarnation;
+            let is_other = meant_for != 0 && report.incarnation != 0;
+            let (cause, evidence) = if is_other && meant_for != report.incarnation {
+                (EndCause::Lapsed, Evidence::Restart)
+            } else {
+                (EndCause::Stopped, Evidence::Missing)
+            };
             self.end_run(run, cause, evidence, "", now);
         }
     }
@@ -291,6 +296,7 @@
         // Tail latency for standing tasks only; others, which have no target, report CPU in use.
         run.tail_ms = entry.measurement;
         let id = run.task.job;
+        self.judge_listed(key);
         if let Some(task) = self.task_mut(entry.task)
             && !entry.checkpoint.is_empty()
         {
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -58,6 +58,7 @@
         task.done = record.done;
         task.last_run = record.run;
         task.failed = record.failed;
+        task.crashes = record.crashes;
         task.checkpoint = record.checkpoint;
         if record.done
             && let Some(job) = self.jobs.get_mut(&id)
@@ -65,6 +66,9 @@
         {
             step.remaining = step.remaining.saturating_sub(1);
         }
+        if record.crashes > 0 {
+            self.suspect(at);
+        }
         let is_obsolete = record.done || self.is_job_final(id);
         for run in record.runs {
             let is_home = |home: &&HomeRecord| home.0 == run.1 && home.1 == run.2;
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -19,8 +19,10 @@
     Failed,
     /// It was stopped by an order, or the worker no longer lists it.
     Stopped,
-    /// Its lease lapsed, or the worker restarted.
+    /// Its lease lapsed, or its worker left.
     Lapsed,
+    /// Its worker crashed.
+    Crashed,
     /// The worker ended it because another member of its gang ended.
     Broken,
     /// The worker ended it because the rest of its gang did not start in time.
@@ -225,6 +227,9 @@
     /// Number of failed runs.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub failed: u32,
+    /// Number of crashes under it that it is suspected of.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
     /// Runs that may still be running.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub runs: Vec<RunRecord>,
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -14,6 +14,8 @@
     pub done: bool,
     /// Number of failed runs.
     pub failed: u32,
+    /// Number of crashes under it since a run of it last settled.
+    pub crashes: u32,
     /// Highest run number used.
     pub last_run: u32,
     /// Runs that may still be running.
@@ -233,6 +235,13 @@
         self.step_mut(round, step)?.tasks.get_mut(index as usize)
     }
 
+    /// Task, if its round has begun.
+    pub fn task(&self, round: u32, step: u32, index: u32) -> Option<&Task> {
+        let round = self.rounds.iter().find(|other| other.number == round)?;
+        let step = round.steps.get(step as usize)?;
+        step.tasks.get(index as usize)
+    }
+
     /// Runs of all tasks.
     pub fn runs(&self) -> impl Iterator<Item = RunKey> {
         let steps = self.rounds.iter().flat_map(|round| &round.steps);
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -8,6 +8,7 @@
 
 use slotmap::new_key_type;
 
+use super::crash::{LapsedRun, Loss};
 use super::headroom::{ImageId, Level};
 use super::interference::MitigationState;
 use super::job::{Amount, JobId, TaskId};
@@ -201,6 +202,12 @@
     pub failed_at: Option<Monotonic>,
     /// Starts that the next incarnation may still carry out.
     late_starts: Vec<LateStart>,
+    /// Runs whose leases have lapsed since it last answered.
+    pub lapsed_runs: Vec<LapsedRun>,
+    /// When it last ceased to answer.
+    pub loss: Option<Loss>,
+    /// Whether its present incarnation has said that it drains.
+    pub has_drained: bool,
     /// Failures in a row, without repeated ones of the same job.
     pub failures: u32,
     pub failed_job: Option<JobId>,
@@ -218,6 +225,7 @@
 impl Worker {
     pub fn new(info: WorkerInfo) -> Self {
         Self {
+            has_drained: info.draining,
             info,
             listed: true,
             ..Self::default()
@@ -234,6 +242,12 @@
         self.answered_at.is_some_and(|at| now.since(at) <= limit_ms)
     }
 
+    /// Whether a list has arrived after `at`.
+    pub fn has_listed_since(&self, at: Monotonic) -> bool {
+        let session = self.session.as_ref();
+        session.is_some_and(|session| session.clock.at > at)
+    }
+
     /// Records the result of an order.
     pub fn order_answered(&mut self, result: &Result<(), CallFailure>, now: Monotonic) {
         if result.as_ref().is_err_and(CallFailure::allows_restart) {
@@ -386,6 +400,10 @@
     pub tries: u32,
     /// Whether a start order got no answer.
     pub unanswered: bool,
+    /// When a start order last got no answer.
+    pub unanswered_at: Monotonic,
+    /// Whether its worker crashed before a start was answered.
+    pub is_crashed: bool,
     /// Incarnation of the worker that its start was last meant for or that last listed it,
     /// zero if unknown.
     pub incarnation: u64,
