Trials keep to the spread of their step

Cause: a trial was placed without the number of the step's other tasks on the worker. It now counts them, as other placements do. The test fails without the change.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -190,7 +190,7 @@
 }
 
 /// Number of tasks of a step on a worker.
-fn count_on(per_worker: &SecondaryMap<WorkerKey, u32>, worker: WorkerKey) -> u32 {
+pub(super) fn count_on(per_worker: &SecondaryMap<WorkerKey, u32>, worker: WorkerKey) -> u32 {
     per_worker.get(worker).copied().unwrap_or(0)
 }
 
@@ -483,7 +483,7 @@
         let (suspects, waiting) = self.split_suspects(step, waiting);
         for task in suspects {
             if self.has_cap_room(step.job, &spec) {
-                self.start_trial(task, &pool, &request, pass);
+                self.start_trial(task, &pool, &request, &mut per_worker, pass);
             }
         }
         let (mut candidates, mut misfits) = self.candidates(&pool, &request, &per_worker, pass);
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -5,7 +5,9 @@
 //! are lost at once there are more suspects than trials, nearly all of them sound: those
 //! under which not more than one worker has crashed then share trials.
 
-use super::super::assign::{AssignPass, Waiting};
+use slotmap::SecondaryMap;
+
+use super::super::assign::{AssignPass, Waiting, count_on};
 use super::super::place::AssignmentRequest;
 use super::super::table::Task;
 use super::super::worker::Worker;
@@ -120,6 +122,7 @@
         at: TaskId,
         pool: &str,
         request: &AssignmentRequest<'_>,
+        per_worker: &mut SecondaryMap<WorkerKey, u32>,
         pass: &mut AssignPass,
     ) {
         let Some(task) = self.task(at) else {
@@ -129,20 +132,21 @@
         let waited = task.ended_at.map(|ended| pass.now.since(ended));
         let may_share = !is_alone && waited.is_some_and(|waited| waited >= SHARE_WAIT_MS);
         let worker = if pass.trials.by_worker.len() < pass.trials.limit {
-            self.least_risk(&pass.usable, pool, request, pass.now)
+            self.least_risk(&pass.usable, pool, request, per_worker, pass.now)
         } else if may_share {
             let mut open = pass.trials.usable.clone();
             open.retain(|key| {
                 let trial = pass.trials.by_worker.get(key);
                 trial.is_some_and(Trial::admits_more)
             });
-            self.least_risk(&open, pool, request, pass.now)
+            self.least_risk(&open, pool, request, per_worker, pass.now)
         } else {
             None
         };
         let Some(worker) = worker else {
             return;
         };
+        per_worker.insert(worker, count_on(per_worker, worker) + 1);
         self.assign_task(at, worker, pass.now);
         pass.trials.begin(worker, is_alone);
         if let Some(index) = pass.usable.iter().position(|key| *key == worker) {
@@ -157,6 +161,7 @@
         workers: &[WorkerKey],
         pool: &str,
         request: &AssignmentRequest<'_>,
+        per_worker: &SecondaryMap<WorkerKey, u32>,
         now: Monotonic,
     ) -> Option<WorkerKey> {
         let mut best: Option<(Risk, WorkerKey)> = None;
@@ -166,7 +171,8 @@
                 continue;
             }
             let found = (self.risk_of(worker, now), key);
-            if best.is_none_or(|best| found < best) && self.cost(key, request, 0).is_ok() {
+            let same_step = count_on(per_worker, key);
+            if best.is_none_or(|best| found < best) && self.cost(key, request, same_step).is_ok() {
                 best = Some(found);
             }
         }
--- a/testsuite/tests/testsuite/dispatch/crashes.rs
+++ b/testsuite/tests/testsuite/dispatch/crashes.rs
@@ -313,3 +313,24 @@
     assert_eq!(running, 24);
     assert_eq!(world.state(id), Some(JobState::Running));
 }
+
+/// Suspects that share a trial would be more tasks of a step on one worker than it allows.
+#[test]
+fn suspects_keep_to_the_spread_of_their_step() {
+    let mut world = World::new(24);
+    world.run(1_500);
+    let mut spread = standing(24, 1, "s");
+    spread.spread = 1;
+    let id = world.submit(1, "push", job(vec![spread]));
+    world.run(300);
+    for number in 0..20 {
+        world.crash_worker(&format!("w{number:02}"), AT_ONCE);
+    }
+    for _ in 0..1_000 {
+        world.run(10);
+        for worker in world.workers.values() {
+            let count = worker.life.runs.iter().filter(|run| run.task.job == id);
+            assert!(count.count() <= 1, "{}: {}", world.now, worker.info.name);
+        }
+    }
+}
