A run that has settled stays so when its worker restarts

A run of which one start got no answer is stopped on the worker's next incarnation, which reset the time from which its work counts: it was young again, and a standing task of any age became a suspect after the loss of its worker. The run now keeps that it has settled. Crashes under jobs that have ended are not logged any more.

--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -64,6 +64,9 @@
 /// Whether lists have shown a run for long enough after its start. An order may be carried out
 /// late, so that the time counts from its confirmation.
 fn is_settled(run: &Run) -> bool {
+    if run.has_settled {
+        return true;
+    }
     let begin = run.confirmed_at.unwrap_or(run.seen_at);
     run.seen_at.since(begin) >= SETTLED_MS
 }
@@ -129,6 +132,10 @@
 
     /// Counts a crash of a worker under a task, and gives the task up if it is one too many.
     fn count_crash_under(&mut self, task: TaskId, number: u32, worker: WorkerKey, now: Monotonic) {
+        let job = self.jobs.get(&task.job);
+        if job.is_none_or(|job| job.state.is_final()) {
+            return;
+        }
         let name = self.workers[worker].info.name.clone();
         if self.is_common_loss(worker, task.job) && self.excused.insert(task) {
             return;
@@ -215,9 +222,11 @@
 
     /// Acquits the task of a run that a list has shown.
     pub(super) fn judge_listed(&mut self, key: RunKey) {
-        let run = &self.runs[key];
-        if !run.stop_wanted && is_settled(run) {
-            self.acquit(run.task);
+        let run = &mut self.runs[key];
+        run.has_settled = is_settled(run);
+        if run.has_settled && !run.stop_wanted {
+            let task = run.task;
+            self.acquit(task);
         }
     }
 
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -243,6 +243,7 @@
             tries: 0,
             unanswered: false,
             unanswered_at: Monotonic::default(),
+            has_settled: false,
             is_crashed: false,
             incarnation: self.workers[worker].incarnation(),
             home: self.workers[worker].home(),
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -402,6 +402,8 @@
     pub unanswered: bool,
     /// When a start order last got no answer.
     pub unanswered_at: Monotonic,
+    /// Whether lists have shown it for long enough to be sound.
+    pub has_settled: bool,
     /// Whether its worker crashed before a start was answered.
     pub is_crashed: bool,
     /// Incarnation of the worker that its start was last meant for or that last listed it,
--- a/testsuite/tests/testsuite/dispatch/crashes.rs
+++ b/testsuite/tests/testsuite/dispatch/crashes.rs
@@ -334,3 +334,20 @@
         }
     }
 }
+
+/// The first start got no answer, which must not make the run a suspect for good.
+#[test]
+fn a_run_that_has_worked_for_seconds_is_no_suspect() {
+    let mut world = World::new(6);
+    answers_lost(&mut world);
+    world.run(1_500);
+    let id = world.submit(1, "push", job(vec![standing(1, 2, "s")]));
+    world.run(4_000);
+    let worker = world.starts_of(id).last().unwrap().worker.clone();
+    world.crash_worker(&worker, AT_ONCE);
+    for _ in 0..400 {
+        world.run(10);
+        assert_eq!(world.records[&id].record.tasks[0].crashes, 0);
+    }
+    assert_eq!(world.starts_of(id).len(), 2);
+}
