A new owner takes no crashes for a common loss

Cause: a new owner finds all workers that are down at its first polls, at the same moment, and excused the crashes as one loss; each owner did so anew. A worker that has never answered this owner has no known time of loss now, and its crash counts. The test fails without the change.

--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -182,14 +182,15 @@
         if worker.is_vanished() {
             self.voters.mark_dirty();
         }
-        let is_first = worker.failed_polls == 1;
+        // When a worker that never answered was lost is not known.
+        let is_lost = worker.failed_polls == 1 && worker.answered_at.is_some();
         if worker.failed_polls == 2 {
             Entry::new(Kind::WorkerUnreachable)
                 .with("worker", &worker.info.name)
                 .with_text("cause", format!("{failure:?}"))
                 .emit();
         }
-        if is_first {
+        if is_lost {
             self.note_loss(key, now);
         }
         if *failure == CallFailure::OtherLife {
--- a/testsuite/tests/testsuite/dispatch/crashes.rs
+++ b/testsuite/tests/testsuite/dispatch/crashes.rs
@@ -351,3 +351,29 @@
     }
     assert_eq!(world.starts_of(id).len(), 2);
 }
+
+/// A new owner finds all workers that are down at once, whenever each of them crashed.
+#[test]
+fn a_new_owner_takes_no_crashes_for_a_common_loss() {
+    let mut world = World::new(16);
+    world.run(1_500);
+    for number in 1..9 {
+        let id = world.submit(number, "push", tasks(1));
+        world.crashes.deadly.insert(id, SOON);
+    }
+    for _ in 0..8 {
+        let known = world.crashes.past.len();
+        for _ in 0..1_000 {
+            if world.crashes.past.len() == known {
+                world.run(5);
+            }
+        }
+        world.run(700);
+        world.take_over();
+    }
+    world.run(20_000);
+    assert!(world.overspent().is_empty(), "{:?}", world.overspent());
+    for number in 1..9 {
+        assert_eq!(world.state(JobId(number)), Some(JobState::Failed));
+    }
+}
