--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -6,6 +6,7 @@
 
 use slotmap::SecondaryMap;
 
+use super::crash::Trials;
 use super::place::{self, Misfit};
 use super::room::{self, Allowance, Pieces};
 use super::step_order::outlook::{self, Prospect};
@@ -38,7 +39,7 @@
 
 /// A step with tasks to place; of one that is overdue, only the overdue tasks.
 #[derive(Clone)]
-struct Waiting {
+pub(super) struct Waiting {
     rank: StepRank,
     job: JobId,
     round: u32,
@@ -54,6 +55,18 @@
     pool: usize,
 }
 
+impl Waiting {
+    /// Task of the step.
+    pub fn task(&self, index: u32) -> TaskId {
+        TaskId {
+            job: self.job,
+            round: self.round,
+            step: self.step,
+            index,
+        }
+    }
+}
+
 /// Numbers of waiting steps by how their jobs stand to their objectives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StepCounts {
@@ -122,8 +135,8 @@
 }
 
 /// State of one assignment pass.
-struct AssignPass {
-    usable: Vec<WorkerKey>,
+pub(super) struct AssignPass {
+    pub usable: Vec<WorkerKey>,
     pools: Vec<PoolUse>,
     /// Pools and steps for which no worker had the label and the free resources.
     unplaced: Vec<(String, StepSpec)>,
@@ -134,7 +147,9 @@
     held: HashSet<WorkerKey>,
     /// Whether no further worker is held.
     is_hold_over: bool,
-    now: Monotonic,
+    /// Trials of tasks that may crash their workers; these are not usable.
+    pub trials: Trials,
+    pub now: Monotonic,
 }
 
 impl AssignPass {
@@ -194,7 +209,7 @@
 }
 
 /// Number of tasks of a step on a worker.
-fn count_on(per_worker: &SecondaryMap<WorkerKey, u32>, worker: WorkerKey) -> u32 {
+pub(super) fn count_on(per_worker: &SecondaryMap<WorkerKey, u32>, worker: WorkerKey) -> u32 {
     per_worker.get(worker).copied().unwrap_or(0)
 }
 
@@ -420,10 +435,11 @@
             return;
         }
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
-        let usable: Vec<WorkerKey> = keys
+        let mut usable: Vec<WorkerKey> = keys
             .into_iter()
             .filter(|key| self.is_usable(*key, now))
             .collect();
+        let trials = self.trials(&mut usable);
         let mut pools = self.pool_uses(&usable, now);
         let waiting = self.waiting_steps(&mut pools, now);
         self.steps_waiting = StepCounts::new(&waiting);
@@ -445,6 +461,7 @@
             capped: HashSet::default(),
             held: HashSet::default(),
             is_hold_over: false,
+            trials,
             now,
         };
         self.count_late_claims(now);
@@ -499,6 +516,12 @@
         let spares_idle = pool_use.fillers_late && pool_use.pieces.is_some();
         let request =
             place::AssignmentRequest::new(&mut self.headroom, &spec, pool_use.pieces, spares_idle);
+        let (suspects, waiting) = self.split_suspects(step, waiting);
+        for task in suspects {
+            if self.has_cap_room(step.job, &spec) {
+                self.start_trial(task, &pool, &request, &mut per_worker, pass);
+            }
+        }
         let (mut candidates, mut misfits) =
             self.candidates(&pool, &request, &per_worker, step.rank.overdue, pass);
         let mut left = waiting.len();
@@ -535,12 +558,7 @@
             }
             let same_step = count_on(&per_worker, worker) + 1;
             per_worker.insert(worker, same_step);
-            let task = TaskId {
-                job: step.job,
-                round: step.round,
-                step: step.step,
-                index,
-            };
+            let task = step.task(index);
             if spec.filler {
                 self.add_trials(&request, worker);
             }
@@ -617,7 +635,7 @@
     }
 
     /// Cost of one more task on a worker; its load is computed and cached if needed.
-    fn cost(
+    pub(super) fn cost(
         &mut self,
         key: WorkerKey,
         request: &place::AssignmentRequest<'_>,
@@ -729,7 +747,7 @@
             .emit();
     }
 
-    fn assign_task(&mut self, task: TaskId, worker: WorkerKey, now: Monotonic) {
+    pub(super) fn assign_task(&mut self, task: TaskId, worker: WorkerKey, now: Monotonic) {
         let Some(state) = self.task_mut(task) else {
             return;
         };
--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -55,6 +55,7 @@
                             .filter(|run| run.bounded)
                             .map(|run| run.number)
                             .collect(),
+                        crashes: task.crashes,
                         runs: runs
                             .map(|run| {
                                 let worker = &self.workers[run.worker];
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -24,8 +24,8 @@
     let has_begun = run.inherited || run.confirmed_at.is_some();
     match cause {
         EndCause::Stopped if !has_begun => before,
-        EndCause::Lapsed if run.inherited => LastEnd::Earlier,
-        EndCause::Lapsed => LastEnd::At(run.seen_at),
+        EndCause::Lapsed | EndCause::Crashed if run.inherited => LastEnd::Earlier,
+        EndCause::Lapsed | EndCause::Crashed => LastEnd::At(run.seen_at),
         EndCause::Done
         | EndCause::Failed
         | EndCause::Stopped
@@ -85,6 +85,7 @@
             self.assign_needed = true;
         }
         worker.info = info;
+        worker.has_drained |= worker.info.draining;
         if worker.info.draining {
             self.stop_standing(key);
         }
@@ -153,6 +154,8 @@
             Err(CallFailure::Unanswered(cause)) => {
                 run.retry_at = now + RESEND_MS;
                 run.unanswered = true;
+                run.unanswered_at = now;
+                self.workers[worker].next_poll = now;
                 log::debug!(
                     "worker did not answer the start of task {}: {cause}",
                     run.task
@@ -276,6 +279,9 @@
             retry_at: now,
             tries: 0,
             unanswered: false,
+            unanswered_at: Monotonic::default(),
+            has_settled: false,
+            is_crashed: false,
             incarnation: self.workers[worker].incarnation(),
             home: self.workers[worker].home(),
             bounded: false,
@@ -321,6 +327,7 @@
         let Some(run) = self.runs.remove(key) else {
             return;
         };
+        let cause = self.end_cause(&run, cause, evidence);
         self.assign_needed = true;
         self.accounts.release(run.claim);
         self.cached_loads.remove(run.worker);
@@ -354,6 +361,7 @@
             .with("worker", name)
             .with("cause", cause)
             .with("evidence", evidence)
+            .with("listed-ms", run.seen_at.since(run.started_at))
             .with("run-incarnation", run.incarnation)
             .with("incarnation", incarnation)
             .with("answer-age-ms", answer_age)
@@ -362,6 +370,7 @@
             task.last_end = last_end(task.last_end, &run, cause, now);
         }
         self.apply_end(&run, key, cause, checkpoint, now);
+        self.judge_end(&run, cause, evidence, now);
     }
 
     /// Applies the end of a run to its task and job.
@@ -441,7 +450,7 @@
         }
     }
 
-    fn fail_job(&mut self, id: JobId, now: Monotonic) {
+    pub(super) fn fail_job(&mut self, id: JobId, now: Monotonic) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.state.is_final()) else {
             return;
         };
@@ -455,6 +464,8 @@
             return;
         };
         let keys: Vec<RunKey> = job.runs().collect();
+        self.suspects.retain(|task, _| task.job != id);
+        self.excused.retain(|task| task.job != id);
         for key in keys {
             self.stop_run(key);
             let run = &mut self.runs[key];
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod caps;
+mod crashes;
 mod execution;
 mod incarnations;
 mod load;
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -15,6 +15,7 @@
 use verbenahitch::domain::{Millis, Monotonic};
 
 mod accounts;
+mod crashes;
 mod jobs;
 mod once;
 mod owners;
@@ -24,6 +25,8 @@
 
 use accounts::AccountUsage;
 pub use accounts::{account, cores};
+use crashes::Crashes;
+pub use crashes::Deadly;
 pub use jobs::{TARGET_MS, filler, job, queue, standing, step};
 use once::RunLedger;
 use owners::Former;
@@ -123,6 +126,8 @@
     pub usage: AccountUsage,
     /// Runs of each task, checked to run once.
     pub ledger: RunLedger,
+    /// Crashes of workers.
+    pub crashes: Crashes,
     polls: Vec<(Millis, Poll)>,
     events: Vec<(Millis, Event)>,
     /// Starts that brought a worker over its room.
@@ -181,6 +186,7 @@
             finished: BTreeMap::new(),
             usage: AccountUsage::default(),
             ledger: RunLedger::default(),
+            crashes: Crashes::default(),
             polls: Vec::new(),
             events: Vec::new(),
             over_room: Vec::new(),
@@ -206,10 +212,15 @@
     }
 
     pub fn add_worker(&mut self, name: &str, cores: u64) {
+        self.add_worker_at(name, &format!("{name}:1"), cores);
+    }
+
+    /// Adds a worker that takes calls at `address`.
+    fn add_worker_at(&mut self, name: &str, address: &str, cores: u64) {
         let info = WorkerInfo {
             name: name.to_owned(),
             pool: "pool".to_owned(),
-            address: format!("{name}:1"),
+            address: address.to_owned(),
             zone: "zone".to_owned(),
             capacity: Amount {
                 cpu_milli: cores * 1_000,
@@ -317,6 +328,7 @@
     fn tick(&mut self) {
         self.now += TICK_MS;
         self.advance_runs();
+        self.execute_crashes();
         self.execute_late_orders();
         self.step_owner();
         self.swap_owner();
@@ -478,6 +490,9 @@
                 run,
                 worker: start.target.name.clone(),
             });
+            if self.start_deadly(&start.target.name, task.job) {
+                return Err(CallFailure::Unanswered("crashed".to_owned()));
+            }
         }
         if drops_answer {
             return Err(CallFailure::Unanswered("mute".to_owned()));
