A worker that restarts again and again convicts no sound task

Cause: a trial starts where least is at risk, and a worker that has just crashed holds least.

Change: a suspect's next trial avoids the worker that crashed under it last, unless it fits on no other.

Test: a_worker_that_restarts_again_and_again_fails_no_standing_job, failed without the change. Why it works: a crash on another worker is evidence against the task, a further one on the same worker is evidence against that.

--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -144,6 +144,8 @@
             return;
         };
         state.crashes += 1;
+        // Its next start elsewhere tells whether the worker is at fault.
+        state.avoid = Some(worker);
         let crashes = state.crashes;
         let is_given_up = crashes >= GIVEN_UP_CRASHES;
         let kind = if is_given_up {
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -68,6 +68,8 @@
 /// What a crash of a worker would cost, in the order of weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Risk {
+    /// Whether it is the worker that crashed under the task last.
+    is_avoided: bool,
     standing: usize,
     /// Whether the worker was lost lately and may be lost again.
     is_fresh: bool,
@@ -133,12 +135,12 @@
         let Some(task) = self.task(at) else {
             return;
         };
-        let is_alone = task.crashes >= ALONE_CRASHES;
+        let (is_alone, avoid) = (task.crashes >= ALONE_CRASHES, task.avoid);
         let since = self.suspects.get(&at);
         let has_waited = since.is_some_and(|since| pass.now.since(*since) >= SHARE_WAIT_MS);
         let may_share = !is_alone && has_waited;
         let worker = if pass.trials.by_worker.len() < pass.trials.limit {
-            self.least_risk(&pass.usable, pool, request, per_worker, pass.now)
+            self.least_risk(&pass.usable, pool, request, avoid, per_worker, pass.now)
         } else if may_share {
             let mut open = pass.trials.usable.clone();
             // A worker that may have crashed already proves nothing on those that join.
@@ -146,7 +148,7 @@
                 let trial = pass.trials.by_worker.get(key);
                 trial.is_some_and(Trial::admits_more) && !self.workers[*key].may_have_restarted()
             });
-            self.least_risk(&open, pool, request, per_worker, pass.now)
+            self.least_risk(&open, pool, request, avoid, per_worker, pass.now)
         } else {
             None
         };
@@ -168,6 +170,7 @@
         workers: &[WorkerKey],
         pool: &str,
         request: &AssignmentRequest<'_>,
+        avoid: Option<WorkerKey>,
         per_worker: &SecondaryMap<WorkerKey, u32>,
         now: Monotonic,
     ) -> Option<WorkerKey> {
@@ -177,7 +180,7 @@
             if worker.info.pool != pool {
                 continue;
             }
-            let found = (self.risk_of(worker, now), key);
+            let found = (self.risk_of(key, avoid, now), key);
             let same_step = count_on(per_worker, key);
             if best.is_none_or(|best| found < best) && self.cost(key, request, same_step).is_ok() {
                 best = Some(found);
@@ -186,10 +189,12 @@
         best.map(|(_, key)| key)
     }
 
-    fn risk_of(&self, worker: &Worker, now: Monotonic) -> Risk {
+    fn risk_of(&self, key: WorkerKey, avoid: Option<WorkerKey>, now: Monotonic) -> Risk {
+        let worker = &self.workers[key];
         let runs = worker.runs.iter().map(|key| &self.runs[*key]);
         let session = worker.session.as_ref();
         Risk {
+            is_avoided: avoid == Some(key),
             standing: runs.filter(|run| run.standing).count(),
             is_fresh: session.is_none_or(|session| now.since(session.began_at) < FRESH_MS),
             runs: worker.runs.len(),
--- a/testsuite/tests/testsuite/dispatch/crashes.rs
+++ b/testsuite/tests/testsuite/dispatch/crashes.rs
@@ -188,6 +188,30 @@
     assert_eq!(world.state(deadly), Some(JobState::Failed));
 }
 
+/// All workers serve standing tasks but the one that restarts again and again, soon after each
+/// start on it. It has to be the one that is blamed.
+#[test]
+fn a_worker_that_restarts_again_and_again_fails_no_standing_job() {
+    let mut world = World::new(4);
+    world.run(1_500);
+    let served = world.submit(1, "push", job(vec![standing(8, 4, "s")]));
+    world.run(100);
+    let name = world.starts_of(served)[0].worker.clone();
+    let mut restarted = 0;
+    for _ in 0..150 {
+        world.run(100);
+        let starts = world.starts_of(served);
+        let latest = starts.iter().rfind(|start| start.worker == name);
+        let at = latest.map_or(0, |start| start.at);
+        if at > restarted {
+            restarted = world.now;
+            let worker = world.workers.get_mut(&name).unwrap();
+            worker.restart(restarted, 500);
+        }
+    }
+    assert_eq!(world.state(served), Some(JobState::Running));
+}
+
 /// All tasks of the job are deadly; two workers of 16 may be risked at once.
 #[test]
 fn a_job_with_deadly_tasks_risks_few_workers_at_once() {
