--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -12,7 +12,6 @@
 use super::super::assign::{AssignPass, Waiting, count_on};
 use super::super::place::AssignmentRequest;
 use super::super::table::Task;
-use super::super::worker::Worker;
 use super::{Dispatcher, Millis, Monotonic, TaskId, WorkerKey, is_settled};
 use crate::collections::HashMap;
 
