Runs that an earlier owner recorded as bounded are no suspects of a crash

A run that is recorded as bounded was listed before; a task that crashes its workers at the start is not.

--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -86,6 +86,8 @@
             state.incarnation = run.2;
             state.home = Arc::from(home);
             state.bounded = record.bounded.contains(&run.0);
+            // It was listed before; a task that crashes its workers does not get there.
+            state.has_settled = state.bounded;
             if is_obsolete {
                 self.stop_run(key);
             }
