Log failed orders and starts that are recorded again after a restart

After two runs of one task on workers that had restarted under their names, nothing that was collected told how the owner's starts, stops and polls had ended: failures without an answer were logged for debugging only, and a start that was recorded again for another incarnation not at all.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -132,6 +132,8 @@
         run.in_flight = false;
         let (worker, tries, id) = (run.worker, run.tries, run.task.job);
         self.workers[worker].order_answered(&result, now);
+        self.log_order("start", key, &result, now);
+        let run = &mut self.runs[key];
         match result {
             Ok(()) => {
                 run.phase = Phase::Live;
@@ -151,15 +153,11 @@
                 run.retry_at = now + RESEND_MS;
                 self.workers[worker].next_poll = now;
             }
-            Err(CallFailure::Unanswered(cause)) => {
+            Err(CallFailure::Unanswered(_)) => {
                 run.retry_at = now + RESEND_MS;
                 run.unanswered = true;
                 run.unanswered_at = now;
                 self.workers[worker].next_poll = now;
-                log::debug!(
-                    "worker did not answer the start of task {}: {cause}",
-                    run.task
-                );
             }
             Err(failure) => {
                 // This start had no effect; the task is placed again.
@@ -189,6 +187,8 @@
         };
         run.in_flight = false;
         self.workers[run.worker].order_answered(&result, now);
+        self.log_order("stop", key, &result, now);
+        let run = &mut self.runs[key];
         match result {
             Ok(()) => {
                 run.stopped_at = Some(now);
@@ -198,10 +198,7 @@
                 self.workers[worker].next_poll = now;
             }
             Err(CallFailure::Fenced) => self.is_fenced = true,
-            Err(failure) => {
-                run.retry_at = now + STOP_DELAY_MS;
-                log::debug!("stop order for task {} failed: {failure:?}", run.task);
-            }
+            Err(_) => run.retry_at = now + STOP_DELAY_MS,
         }
     }
 
@@ -218,19 +215,44 @@
         };
         run.in_flight = false;
         self.workers[run.worker].order_answered(&result, now);
+        self.log_order("pace", key, &result, now);
+        let run = &mut self.runs[key];
         match result {
             Ok(()) => {
                 run.pace = percent;
                 run.progressed_at = now;
             }
             Err(CallFailure::Fenced) => self.is_fenced = true,
-            Err(failure) => {
-                run.retry_at = now + RESEND_MS;
-                log::debug!("pace order for task {} failed: {failure:?}", run.task);
-            }
+            Err(_) => run.retry_at = now + RESEND_MS,
         }
     }
 
+    /// Logs an order that failed, with what is known of the worker.
+    fn log_order(
+        &self,
+        order: &'static str,
+        key: RunKey,
+        result: &Result<(), CallFailure>,
+        now: Monotonic,
+    ) {
+        let Err(failure) = result else {
+            return;
+        };
+        let run = &self.runs[key];
+        let worker = &self.workers[run.worker];
+        Entry::new(Kind::OrderFailed)
+            .with("order", order)
+            .with_text("task", run.task)
+            .with("run", run.number)
+            .with("worker", &worker.info.name)
+            .with_text("cause", format!("{failure:?}"))
+            .with("tries", run.tries)
+            .with("run-incarnation", run.incarnation)
+            .with("incarnation", worker.incarnation())
+            .with("answer-age-ms", worker.answered_at.map(|at| now.since(at)))
+            .emit();
+    }
+
     /// Adds a run and commits its resources on its worker.
     pub(super) fn insert_run(
         &mut self,
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -221,6 +221,14 @@
         let run = &self.runs[key];
         let (worker, job) = (&self.workers[run.worker], run.task.job);
         let (incarnation, home) = (worker.incarnation(), worker.home());
+        Entry::new(Kind::StartRenewed)
+            .with_text("task", run.task)
+            .with("run", run.number)
+            .with("worker", &worker.info.name)
+            .with("tries", run.tries)
+            .with("run-incarnation", run.incarnation)
+            .with("incarnation", incarnation)
+            .emit();
         self.mark_dirty(job);
         let version = self.jobs.get(&job).map_or(0, |job| job.version);
         let run = &mut self.runs[key];
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -202,6 +202,15 @@
         let worker = &mut self.workers[key];
         worker.next_poll = now + FAILED_PAUSE_MS;
         worker.failed_polls += 1;
+        if worker.failed_polls == 1 {
+            Entry::new(Kind::OrderFailed)
+                .with("order", "poll")
+                .with("worker", &worker.info.name)
+                .with_text("cause", format!("{failure:?}"))
+                .with("incarnation", worker.incarnation())
+                .with("answer-age-ms", worker.answered_at.map(|at| now.since(at)))
+                .emit();
+        }
         worker.failed_at = Some(now);
         if worker.is_vanished() {
             self.voters.mark_dirty();
