Known red: a task starts elsewhere while a run that is not assigned stops

A worker restarts under its name twice; the late start of a run that was closed in between begins in the last incarnation.

--- a/testsuite/tests/testsuite/dispatch/incarnations.rs
+++ b/testsuite/tests/testsuite/dispatch/incarnations.rs
@@ -4,7 +4,7 @@
 use test_case::test_case;
 use verbenahitch::dispatch::{JobId, JobState};
 
-use super::world::{World, job, standing, step};
+use super::world::{World, cores, job, standing, step};
 
 /// Number of workers.
 const WORKERS: usize = 3;
@@ -157,3 +157,25 @@
     assert_eq!(world.workers_of(id).len(), 1);
     world.ledger.assert_once();
 }
+
+/// A late start in the next incarnation of the only worker, which has no room any more for the
+/// task that waits meanwhile.
+#[test]
+fn no_task_starts_elsewhere_while_a_run_that_is_not_assigned_stops() {
+    let mut world = World::new(1);
+    world.workers.get_mut("w00").unwrap().stop_ms = STOP_MS;
+    world.run(SETTLE_MS);
+    submit_with_late_start(&mut world, 5_000);
+    restart_all(&mut world, 10);
+    world.resize_worker("w00", cores(0));
+    world.run(1_900);
+    assert!(world.workers_of(JobId(1)).is_empty());
+    restart_all(&mut world, 0);
+    while world.workers_of(JobId(1)).is_empty() {
+        world.run(5);
+    }
+    world.add_worker("w01", 16);
+    world.run(25_000);
+    world.ledger.assert_once();
+    assert_eq!(world.state(JobId(1)), Some(JobState::Completed));
+}
