A run that is not assigned counts as a run of its task until it has ended

Callers saw one task run twice at the same time after workers had restarted under their names. A worker that restarts may carry out a start that the owner has closed in the earlier incarnation; it lists the run, the owner orders a stop, which takes up to 900 ms, but the task itself was free to start elsewhere at once. The same held for a late start that the owner closes in the next incarnation.

Such a run now counts among the runs of its task until its end is known, also in the record, so that a successor waits for it. A successor stops all but the newest run of a task that allows no copies.

--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -391,12 +391,29 @@
             if listed.contains(&(late.task, late.run)) {
                 continue;
             }
-            let run = self.insert_run(late.task, late.run, key, now);
-            let state = &mut self.runs[run];
-            state.phase = Phase::Live;
-            state.unanswered = true;
-            self.stop_run(run);
+            let run = self.add_unassigned(late.task, late.run, key, now);
+            self.runs[run].unanswered = true;
+        }
+    }
+
+    /// Adds a run without an assignment and marks it to be stopped. It may be at work until its end
+    /// is known, so it counts as a run of its task: the task does not start elsewhere meanwhile, and
+    /// a successor learns of it.
+    fn add_unassigned(
+        &mut self,
+        task: TaskId,
+        number: u32,
+        key: WorkerKey,
+        now: Monotonic,
+    ) -> RunKey {
+        let run = self.insert_run(task, number, key, now);
+        self.runs[run].phase = Phase::Live;
+        self.stop_run(run);
+        if let Some(state) = self.task_mut(task) {
+            state.runs.push(run);
+            self.mark_dirty(task.job);
         }
+        run
     }
 
     /// Adds a run that is listed but not assigned, and marks it to be stopped.
@@ -409,11 +426,7 @@
             .with("incarnation", self.workers[key].incarnation())
             .emit();
         self.unassigned += 1;
-        let run = self.insert_run(entry.task, entry.run, key, now);
-        let state = &mut self.runs[run];
-        state.phase = Phase::Live;
-        self.stop_run(run);
-        run
+        self.add_unassigned(entry.task, entry.run, key, now)
     }
 
     /// Finds the run `number` of `task` on a worker.
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -74,6 +74,9 @@
             self.suspect(at, now);
         }
         let is_obsolete = record.done || self.is_job_final(id);
+        // A late start of an earlier run may be recorded until it has ended.
+        let is_speculative = self.spec_of(at).is_some_and(|spec| spec.speculative);
+        let newest = record.runs.iter().map(|run| run.0).max();
         for run in record.runs {
             let is_home = |home: &&HomeRecord| home.0 == run.1 && home.1 == run.2;
             let home = homes.iter().find(is_home).map_or("", |home| &home.2);
@@ -88,7 +91,8 @@
             state.bounded = record.bounded.contains(&run.0);
             // It was listed before; a task that crashes its workers does not get there.
             state.has_settled = state.bounded;
-            if is_obsolete {
+            let is_superseded = !is_speculative && Some(run.0) != newest;
+            if is_obsolete || is_superseded {
                 self.stop_run(key);
             }
             if let Some(task) = self.task_mut(at) {
--- a/testsuite/tests/testsuite/dispatch/incarnations.rs
+++ b/testsuite/tests/testsuite/dispatch/incarnations.rs
@@ -171,9 +171,11 @@
     world.run(1_900);
     assert!(world.workers_of(JobId(1)).is_empty());
     restart_all(&mut world, 0);
-    while world.workers_of(JobId(1)).is_empty() {
+    // Before a list shows the run, nobody can know of it.
+    while world.dispatcher.take_unassigned() == 0 {
         world.run(5);
     }
+    assert!(!world.workers_of(JobId(1)).is_empty());
     world.add_worker("w01", 16);
     world.run(25_000);
     world.ledger.assert_once();
