--- /dev/null
+++ b/review/standin/scenarios.rs
@@ -0,0 +1,281 @@
+//! The scenarios.
+
+use std::time::{Duration, Instant};
+
+use crate::deployment::{Deployment, Traffic, next_id, one_step, pause};
+use crate::ledger::Start;
+use crate::store::Lost;
+use crate::{Setup, Verdict};
+
+pub fn run(name: &str, setup: &Setup) -> Result<Verdict, String> {
+    match name {
+        "given-up" => given_up(setup),
+        "other-kind" => other_kind(setup),
+        "cancelled" => cancelled(setup),
+        "large" => large(setup),
+        other => Err(format!("no scenario `{other}`")),
+    }
+}
+
+fn start(setup: &Setup, kinds: &[&str]) -> Result<Deployment, String> {
+    let shares = [0.25, 0.25, 0.25];
+    let mut deployment = Deployment::start(
+        &setup.program,
+        &setup.folder,
+        &setup.record,
+        &shares,
+        kinds,
+        16,
+    )?;
+    // Machines are in touch after this long.
+    pause(3_500);
+    if deployment.hosts.iter_mut().any(|host| !host.is_running()) {
+        return Err("a host has ended by itself".to_owned());
+    }
+    Ok(deployment)
+}
+
+/// Waits for a start of a task after `from` starts; none after ten seconds.
+fn wait_start(deployment: &Deployment, task: &str, from: usize) -> Option<Start> {
+    let until = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < until {
+        let starts = deployment.ledger.starts();
+        let mut own = starts.into_iter().filter(|start| start.task == task);
+        if let Some(start) = own.nth(from) {
+            return Some(start);
+        }
+        pause(5);
+    }
+    None
+}
+
+/// A submission that lasts; three times the worker that has just started its first task crashes
+/// for two seconds.
+fn given_up(setup: &Setup) -> Result<Verdict, String> {
+    let deployment = start(setup, &["a"; 8])?;
+    let caller = deployment.caller();
+    let mut traffic = Traffic::start(
+        deployment.caller(),
+        200,
+        "ms=400",
+        "\"count\":4,\"cpu\":1000,\"requestedMemoryMb\":512,\"estimatedMs\":400",
+    );
+    pause(1_000);
+    let id = next_id();
+    let step = "\"count\":4,\"cpu\":2000,\"requestedMemoryMb\":1024,\"estimatedMs\":300,\"longRunning\":true";
+    if !caller.submit(&id, &one_step("lasts", step)) {
+        return Err("the submission was not accepted".to_owned());
+    }
+    let task = format!("{id}.0.0.0");
+    for crash in 0..3 {
+        let Some(start) = wait_start(&deployment, &task, crash) else {
+            return Err(format!("start {} of the task did not come", crash + 1));
+        };
+        if !setup.trouble {
+            break;
+        }
+        pause(100);
+        let worker = deployment
+            .workers
+            .iter()
+            .find(|worker| worker.id() == start.worker);
+        let worker = worker.cloned().ok_or("no such worker")?;
+        worker.crash();
+        let new_id = format!("{}-{}", start.worker, crash + 1);
+        std::thread::spawn(move || {
+            pause(2_000);
+            worker.rise(&new_id, "a", Duration::ZERO);
+        });
+    }
+    // Restarting takes well below six seconds on a calm deployment.
+    pause(9_000);
+    let state = caller.state(&id);
+    let at_work = deployment
+        .workers
+        .iter()
+        .filter(|worker| worker.holds(&id))
+        .count();
+    let small = traffic.stop();
+    pause(2_000);
+    let done = small
+        .iter()
+        .filter(|id| caller.state(id) == "completed")
+        .count();
+    let ends = deployment.ledger.ends();
+    let failed = ends
+        .iter()
+        .filter(|end| end.task.starts_with(&id) && end.how == "failed")
+        .count();
+    let text = format!(
+        "the submission is shown as `{state}`, {failed} of its runs ended `failed`, {at_work} workers \
+         hold its tasks; {done} of {} small submissions completed",
+        small.len()
+    );
+    deployment.ledger.note(&text);
+    if done * 10 < small.len() * 9 {
+        return Err(text);
+    }
+    Ok(match state.as_str() {
+        "failed" | "cancelled" if failed == 0 => Verdict::Broken(text),
+        "running" | "queued" => Verdict::Held(text),
+        _ => return Err(text),
+    })
+}
+
+/// Tasks that need the kind `a`; a worker of that kind crashes, and begins a new life of the kind
+/// `b` under its identifier.
+fn other_kind(setup: &Setup) -> Result<Verdict, String> {
+    let deployment = start(setup, &["a", "a", "a", "a", "a", "a", "b", "b"])?;
+    let mut traffic = Traffic::start(
+        deployment.caller(),
+        150,
+        "ms=600",
+        "\"count\":4,\"cpu\":2000,\"requestedMemoryMb\":512,\"estimatedMs\":600,\"requirements\":\"a\"",
+    );
+    pause(4_000);
+    if setup.trouble {
+        let worker = deployment.workers[2].clone();
+        let id = worker.id();
+        worker.crash();
+        pause(1_000);
+        worker.rise(&id, "b", Duration::from_millis(800));
+    }
+    pause(5_000);
+    let small = traffic.stop();
+    pause(2_000);
+    let caller = deployment.caller();
+    let done = small
+        .iter()
+        .filter(|id| caller.state(id) == "completed")
+        .count();
+    let starts = deployment.ledger.starts();
+    let wrong: Vec<&Start> = starts.iter().filter(|start| start.kind != "a").collect();
+    let text = format!(
+        "{} of {} starts of tasks that need the kind `a` were on a worker of another kind; \
+         {done} of {} submissions completed",
+        wrong.len(),
+        starts.len(),
+        small.len()
+    );
+    deployment.ledger.note(&text);
+    if starts.len() < 100 || done * 10 < small.len() * 9 {
+        return Err(text);
+    }
+    Ok(match wrong.first() {
+        Some(first) => Verdict::Broken(format!("{text}; first {} on {}", first.task, first.worker)),
+        None => Verdict::Held(text),
+    })
+}
+
+/// The store's answers to the write of a submission are lost, and the write is carried out late.
+/// Its client gives up and cancels.
+fn cancelled(setup: &Setup) -> Result<Verdict, String> {
+    let deployment = start(setup, &["a"; 6])?;
+    let caller = deployment.caller();
+    let mut traffic = Traffic::start(
+        deployment.caller(),
+        150,
+        "ms=400",
+        "\"count\":2,\"cpu\":1000,\"requestedMemoryMb\":512,\"estimatedMs\":400",
+    );
+    pause(2_000);
+    let id = next_id();
+    let before = deployment.store.counts();
+    if setup.trouble {
+        deployment.store.set_lost(Some(Lost {
+            key: format!("intake/job/{id}"),
+            late: Duration::from_millis(5_500),
+        }));
+    }
+    let step = "\"count\":2,\"cpu\":1000,\"requestedMemoryMb\":512,\"estimatedMs\":500";
+    let handed_in = caller.call(0, "POST", &id, &one_step("ms=500", step));
+    deployment.store.set_lost(None);
+    let after = deployment.store.counts();
+    let mut acked_ms = None;
+    for host in 1..4 {
+        match caller.call(host, "DELETE", &id, "") {
+            Ok((200..=299 | 410, _)) => {
+                acked_ms = Some(deployment.ledger.now_ms());
+                break;
+            }
+            _ => pause(300),
+        }
+    }
+    let Some(acked_ms) = acked_ms else {
+        return Err("the cancel got no ack".to_owned());
+    };
+    pause(10_000);
+    let small = traffic.stop();
+    pause(2_000);
+    let state = caller.state(&id);
+    let done = small
+        .iter()
+        .filter(|id| caller.state(id) == "completed")
+        .count();
+    let starts = deployment.ledger.starts();
+    let own = starts.iter().filter(|start| start.task.starts_with(&id));
+    let late: Vec<&Start> = own.filter(|start| start.at_ms > acked_ms + 3_000).collect();
+    let text = format!(
+        "handed in: {handed_in:?}; {} starts of the submission more than 3 s after the ack of its \
+         cancel, the last {} ms after it; it is shown as `{state}`; {} of {} writes lost meanwhile; \
+         {done} of {} other submissions completed",
+        late.len(),
+        late.last().map_or(0, |start| start.at_ms - acked_ms),
+        after.1 - before.1,
+        after.0 - before.0,
+        small.len()
+    );
+    deployment.ledger.note(&text);
+    if done * 10 < small.len() * 9 {
+        return Err(text);
+    }
+    Ok(if late.is_empty() {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(text)
+    })
+}
+
+/// One large submission beside small ones.
+fn large(setup: &Setup) -> Result<Verdict, String> {
+    let deployment = start(setup, &["a"; 8])?;
+    let caller = deployment.caller();
+    let mut traffic = Traffic::start(
+        deployment.caller(),
+        200,
+        "ms=300",
+        "\"count\":2,\"cpu\":1000,\"requestedMemoryMb\":512,\"estimatedMs\":300",
+    );
+    pause(3_000);
+    if setup.trouble {
+        let id = next_id();
+        let step = "\"count\":10000,\"cpu\":5,\"requestedMemoryMb\":2,\"estimatedMs\":2000";
+        let body = format!("{{\"specification\":\"ms=2000\",\"steps\":[{{{step}}},{{{step}}}]}}");
+        if !caller.submit(&id, &body) {
+            return Err("the large submission was not accepted".to_owned());
+        }
+    }
+    pause(5_000);
+    let small = traffic.stop();
+    pause(20_000);
+    let done = small
+        .iter()
+        .filter(|id| caller.state(id) == "completed")
+        .count();
+    let starts = deployment.ledger.starts();
+    let unstarted = small
+        .iter()
+        .filter(|id| !starts.iter().any(|start| start.task.starts_with(*id)))
+        .count();
+    let text = format!(
+        "{done} of {} small submissions completed, {unstarted} were never started; {} writes refused for their size",
+        small.len(),
+        deployment.store.counts().2
+    );
+    deployment.ledger.note(&text);
+    Ok(if unstarted > 0 {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    })
+}
