--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -69,7 +69,7 @@
         let workers: Vec<Worker> = workers.collect();
         let manifest = format!(
             "{{\"version\":3,\"routes\":[{{\"name\":\"queue\",\"host\":\"{QUEUE_HOST}\",\"pathPrefix\":\"{PREFIX}\",\
-             \"service\":\"pool\",\"priority\":0,\"maxAttempts\":3,\"stretch\":2,\"targetDurationMs\":1000}}],\
+             \"service\":\"pool\",\"priority\":0,\"maxAttempts\":3,\"stretch\":1.5,\"targetDurationMs\":250}}],\
              \"services\":[{{\"name\":\"pool\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         );
         store.put("op/config", &json::read(manifest.as_bytes()));
--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -13,6 +13,8 @@
         "other-kind" => other_kind(setup),
         "cancelled" => cancelled(setup),
         "large" => large(setup),
+        "starved" => starved(setup),
+        "half-memory" => half_memory(setup),
         other => Err(format!("no scenario `{other}`")),
     }
 }
@@ -279,3 +281,94 @@
         Verdict::Held(text)
     })
 }
+
+/// The one worker of the kind `b` is lost for good. Submissions of fillers that need it wait, and
+/// others of fillers come that any worker can run.
+fn starved(setup: &Setup) -> Result<Verdict, String> {
+    let deployment = start(setup, &["a", "a", "a", "a", "a", "a", "a", "b"])?;
+    let caller = deployment.caller();
+    if setup.trouble {
+        deployment.workers[7].crash();
+    }
+    pause(1_000);
+    let waiting: Vec<String> = (0..10).map(|_| next_id()).collect();
+    for id in &waiting {
+        let step = "\"count\":1,\"cpu\":100,\"requestedMemoryMb\":256,\"estimatedMs\":300,\
+                    \"fills\":true,\"image\":\"report\",\"requirements\":\"b\"";
+        if !caller.submit(id, &one_step("ms=300", step)) {
+            return Err("a submission was not accepted".to_owned());
+        }
+        pause(300);
+    }
+    let chains: Vec<String> = (0..5).map(|_| next_id()).collect();
+    for id in &chains {
+        let step = |after: &str| {
+            format!(
+                "{{\"count\":2,\"cpu\":2000,\"requestedMemoryMb\":1024,\"estimatedMs\":300,\
+                 \"fills\":true,\"image\":\"ledger\"{after}}}"
+            )
+        };
+        let steps = [step(""), step(",\"after\":[0]"), step(",\"after\":[1]")].join(",");
+        let body = format!("{{\"specification\":\"ms=2700\",\"steps\":[{steps}]}}");
+        if !caller.submit(id, &body) {
+            return Err("a submission was not accepted".to_owned());
+        }
+        pause(300);
+    }
+    // Three steps of 2.7 s, and the time until submissions are asked for.
+    pause(9_000);
+    let idle_from = deployment.ledger.now_ms();
+    pause(14_000);
+    let states: Vec<String> = chains.iter().map(|id| caller.state(id)).collect();
+    let done = states.iter().filter(|state| *state == "completed").count();
+    let starts = deployment.ledger.starts();
+    let recent = starts
+        .iter()
+        .filter(|start| start.at_ms > idle_from)
+        .count();
+    let stuck: Vec<&String> = (chains.iter())
+        .filter(|id| !deployment.workers.iter().any(|worker| worker.holds(id)))
+        .filter(|id| {
+            !starts
+                .iter()
+                .any(|start| start.task == format!("{id}.0.2.0"))
+        })
+        .collect();
+    let text = format!(
+        "{done} of 5 submissions that any worker can run completed, {} have a step whose turn has \
+         come and that was not started in 14 s; {recent} starts in that time",
+        stuck.len()
+    );
+    deployment.ledger.note(&text);
+    Ok(if stuck.is_empty() {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(text)
+    })
+}
+
+/// A filler that needs three fifths of a worker's memory, beside small submissions.
+fn half_memory(setup: &Setup) -> Result<Verdict, String> {
+    let deployment = start(setup, &["a"; 8])?;
+    let caller = deployment.caller();
+    let memory = if setup.trouble { 38_400 } else { 28_800 };
+    let id = next_id();
+    let step = format!(
+        "\"count\":1,\"cpu\":2000,\"requestedMemoryMb\":{memory},\"estimatedMs\":1000,\
+         \"fills\":true,\"image\":\"ledger\""
+    );
+    if !caller.submit(&id, &one_step("ms=1000", &step)) {
+        return Err("the submission was not accepted".to_owned());
+    }
+    pause(20_000);
+    let state = caller.state(&id);
+    let text = format!(
+        "a filler of {memory} MB on eight idle workers of 64000 MB is `{state}` after 20 s"
+    );
+    deployment.ledger.note(&text);
+    Ok(if state == "completed" {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(text)
+    })
+}
