--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -201,6 +201,18 @@
         }
     }
 
+    /// Memory of the process in megabytes, zero while there is none.
+    pub fn memory_mb(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+        kilobytes
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or(0)
+            / 1024
+    }
+
     /// Whether the process runs.
     pub fn is_running(&mut self) -> bool {
         (self.child.as_mut()).is_some_and(|child| matches!(child.try_wait(), Ok(None)))
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -215,9 +215,27 @@
     }
 }
 
+const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+/// Reads standard base64 with padding; stops at what is none.
+pub fn bytes(base64: &str) -> Vec<u8> {
+    let (mut out, mut word, mut bits) = (Vec::new(), 0_u32, 0);
+    for letter in base64.bytes() {
+        let Some(value) = LETTERS.iter().position(|known| *known == letter) else {
+            break;
+        };
+        word = word << 6 | value as u32;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            out.push((word >> bits & 255) as u8);
+        }
+    }
+    out
+}
+
 /// Standard base64 with padding.
 pub fn base64(bytes: &[u8]) -> String {
-    const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for part in bytes.chunks(3) {
         let word = u32::from(part[0]) << 16
--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::deployment::{Deployment, Traffic, next_id, one_step, pause};
+use crate::json;
 use crate::ledger::Start;
 use crate::store::Lost;
 use crate::{Setup, Verdict};
@@ -14,6 +15,7 @@
         "cancelled" => cancelled(setup),
         "large" => large(setup),
         "starved" => starved(setup),
+        "history" => history(setup),
         "half-memory" => half_memory(setup),
         other => Err(format!("no scenario `{other}`")),
     }
@@ -372,3 +374,97 @@
         Verdict::Broken(text)
     })
 }
+
+/// Number of submissions that were completed before: 10 hours at the site's 13.3 a second.
+const EARLIER: u64 = 478_800;
+
+/// `memoryMb` of the settings.
+const MEMORY_MB: u64 = 260;
+
+/// The store holds what the system wrote for the submissions of ten hours; then the process that
+/// last wrote under a condition is killed, once. The platform ends a process that is over its
+/// memory, and starts it again after a short delay.
+fn history(setup: &Setup) -> Result<Verdict, String> {
+    let mut deployment = start(setup, &["a"; 8])?;
+    let caller = deployment.caller();
+    let step = "\"count\":2,\"cpu\":1000,\"requestedMemoryMb\":512,\"estimatedMs\":300";
+    let first = next_id();
+    if !caller.submit(&first, &one_step("ms=300", step)) {
+        return Err("the first submission was not accepted".to_owned());
+    }
+    pause(2_000);
+    let key = format!("intake/job/{first}");
+    let value = deployment
+        .store
+        .value(&key)
+        .ok_or("no record of the first submission")?;
+    let ids = (1..=EARLIER).map(|number| number.wrapping_mul(0xd134_2543_de82_ef95));
+    let keys = ids.map(|id| format!("intake/job/{id:016x}"));
+    deployment.store.hold_earlier(keys, &value);
+    let mut traffic = Traffic::start(deployment.caller(), 300, "ms=300", step);
+    pause(3_000);
+    let owner = (deployment.store.value("lead/owner")).ok_or("no owner")?;
+    let owner = String::from_utf8(json::bytes(&owner)).unwrap_or_default();
+    let owner = (deployment.hosts.iter())
+        .position(|host| owner.contains(&format!("\"{}\"", host.name)))
+        .ok_or("the owner is none of the hosts")?;
+    if setup.trouble {
+        deployment
+            .ledger
+            .note(&format!("{} is killed", deployment.hosts[owner].name));
+        deployment.hosts[owner].kill();
+        pause(1_000);
+        deployment.start_host(owner)?;
+    }
+    let mut over = vec![0; deployment.hosts.len()];
+    watch_memory(&mut deployment, &mut over, Duration::from_secs(70))?;
+    let small = traffic.stop();
+    // They are asked for `finish_s` after the end of the traffic.
+    watch_memory(&mut deployment, &mut over, Duration::from_secs(14))?;
+    let starts = deployment.ledger.starts();
+    let is_unstarted = |id: &&String| {
+        !starts
+            .iter()
+            .any(|start| start.task.starts_with(id.as_str()))
+    };
+    let unstarted = small.iter().filter(is_unstarted).count();
+    let text = format!(
+        "{unstarted} of {} accepted submissions were never started; ends of processes for their \
+         memory, by host: {over:?}",
+        small.len()
+    );
+    deployment.ledger.note(&text);
+    let ends: u32 = over.iter().sum();
+    Ok(if unstarted * 2 > small.len() && ends >= 3 {
+        Verdict::Broken(text)
+    } else if unstarted == 0 && ends == 0 {
+        Verdict::Held(text)
+    } else {
+        return Err(text);
+    })
+}
+
+/// Ends processes that are over their memory, and starts them again after a short delay.
+fn watch_memory(
+    deployment: &mut Deployment,
+    over: &mut [u32],
+    time: Duration,
+) -> Result<(), String> {
+    let began = Instant::now();
+    while began.elapsed() < time {
+        for (number, ends) in over.iter_mut().enumerate() {
+            let memory = deployment.hosts[number].memory_mb();
+            if memory > MEMORY_MB {
+                *ends += 1;
+                let name = deployment.hosts[number].name.clone();
+                let note = format!("{name} has {memory} MB and is ended for it");
+                deployment.ledger.note(&note);
+                deployment.hosts[number].kill();
+                pause(500);
+                deployment.start_host(number)?;
+            }
+        }
+        pause(20);
+    }
+    Ok(())
+}
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -186,6 +186,28 @@
         self.state.0.lock().unwrap().lost = lost;
     }
 
+    /// Value of a key, as the system wrote it.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let state = self.state.0.lock().unwrap();
+        state.items.get(key).map(|item| item.value.clone())
+    }
+
+    /// Lets the store hold what the system wrote earlier: this value under each of the keys.
+    pub fn hold_earlier(&self, keys: impl Iterator<Item = String>, value: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        for key in keys {
+            let item = Item {
+                value: value.to_owned(),
+                revision,
+                created: revision,
+                lease: 0,
+            };
+            state.items.insert(key, item);
+        }
+    }
+
     /// Numbers of writes, of those without an answer, and of those refused for a large value.
     pub fn counts(&self) -> (u64, u64, u64) {
         let state = self.state.0.lock().unwrap();
@@ -246,7 +268,8 @@
         let state = self.state.0.lock().unwrap();
         let (prefix, after) = (request.query("pathPrefix"), request.query("after"));
         let (mut items, mut bytes, mut more) = (Vec::new(), 0, false);
-        for key in state.items.range(prefix.clone()..).map(|(key, _)| key) {
+        let from = prefix.clone().max(after.clone());
+        for key in state.items.range(from..).map(|(key, _)| key) {
             if !key.starts_with(&prefix) {
                 break;
             }
