--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -16,6 +16,7 @@
         "large" => large(setup),
         "starved" => starved(setup),
         "history" => history(setup),
+        "long" => long(setup),
         "half-memory" => half_memory(setup),
         other => Err(format!("no scenario `{other}`")),
     }
@@ -468,3 +469,60 @@
     }
     Ok(())
 }
+
+/// A submission whose tasks work for minutes, beside small ones.
+fn long(setup: &Setup) -> Result<Verdict, String> {
+    let deployment = start(setup, &["a"; 8])?;
+    let caller = deployment.caller();
+    let mut traffic = Traffic::start(
+        deployment.caller(),
+        250,
+        "ms=300",
+        "\"count\":2,\"cpu\":1000,\"requestedMemoryMb\":512,\"estimatedMs\":300",
+    );
+    let id = next_id();
+    let millis = if setup.trouble { 240_000 } else { 24_000 };
+    let step =
+        format!("\"count\":8,\"cpu\":9000,\"requestedMemoryMb\":16384,\"estimatedMs\":{millis}");
+    if !caller.submit(&id, &one_step(&format!("ms={millis}"), &step)) {
+        return Err("the submission was not accepted".to_owned());
+    }
+    pause(20_000);
+    let small = traffic.stop();
+    // Submissions are asked for `finish_s` after the end of the traffic.
+    pause(14_000);
+    let is_done = caller.state(&id) == "completed";
+    let began = Instant::now();
+    let (mut idle_since, mut longest) = (None, Duration::ZERO);
+    while began.elapsed() < Duration::from_secs(20) && !is_done {
+        if deployment.workers.iter().any(|worker| worker.holds(&id)) {
+            idle_since = None;
+        } else {
+            let since: Instant = *idle_since.get_or_insert_with(Instant::now);
+            longest = longest.max(since.elapsed());
+        }
+        pause(10);
+    }
+    let state = caller.state(&id);
+    let done = small
+        .iter()
+        .filter(|id| caller.state(id) == "completed")
+        .count();
+    let starts = deployment.ledger.starts();
+    let starts = starts
+        .iter()
+        .filter(|start| start.task.starts_with(&id))
+        .count();
+    let text = format!(
+        "{starts} starts of 8 tasks of {millis} ms, the submission is `{state}`; on idle workers \
+         nothing of it ran for up to {} ms; {done} of {} small submissions completed",
+        longest.as_millis(),
+        small.len()
+    );
+    deployment.ledger.note(&text);
+    Ok(if longest >= Duration::from_secs(3) {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    })
+}
