--- a/review/standin/ledger.rs
+++ b/review/standin/ledger.rs
@@ -21,6 +21,7 @@
 
 struct Notes {
     file: File,
+    noted: Vec<(u64, String, u64)>,
     starts: Vec<Start>,
     ends: Vec<End>,
 }
@@ -37,6 +38,7 @@
             began: Instant::now(),
             notes: Arc::new(Mutex::new(Notes {
                 file: File::create(path)?,
+                noted: Vec::new(),
                 starts: Vec::new(),
                 ends: Vec::new(),
             })),
@@ -85,6 +87,19 @@
         });
     }
 
+    /// An end was taken note of: `ackedUntil` has reached it.
+    pub fn noted(&self, task: &str, run: u64, how: &str) {
+        if how == "done" {
+            let noted = (self.now_ms(), task.to_owned(), run);
+            self.notes.lock().unwrap().noted.push(noted);
+        }
+    }
+
+    /// Ends `done` that were taken note of: time, task and run.
+    pub fn noted_ends(&self) -> Vec<(u64, String, u64)> {
+        self.notes.lock().unwrap().noted.clone()
+    }
+
     pub fn starts(&self) -> Vec<Start> {
         self.notes.lock().unwrap().starts.clone()
     }
--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -17,6 +17,7 @@
         "starved" => starved(setup),
         "history" => history(setup),
         "long" => long(setup),
+        "late-ack" => late_ack(setup),
         "half-memory" => half_memory(setup),
         other => Err(format!("no scenario `{other}`")),
     }
@@ -526,3 +527,74 @@
         Verdict::Held(text)
     })
 }
+
+/// Workers crash one after the other and begin a new life under their identifier; one call that
+/// acknowledges ends, sent shortly before, gets no answer and is carried out late.
+fn late_ack(setup: &Setup) -> Result<Verdict, String> {
+    let deployment = start(setup, &["a"; 8])?;
+    let caller = deployment.caller();
+    let mut traffic = Traffic::start(
+        deployment.caller(),
+        40,
+        "ms=60",
+        "\"count\":10,\"cpu\":500,\"requestedMemoryMb\":256,\"estimatedMs\":60",
+    );
+    pause(3_000);
+    let mut late = 0;
+    for round in 0..30 {
+        let worker = deployment.workers[round % 8].clone();
+        if !setup.trouble {
+            pause(1_900);
+            continue;
+        }
+        let delay = Duration::from_millis(2_000 + 137 * (round as u64 % 8));
+        if worker.hold_late(delay) {
+            late += 1;
+            let id = worker.id();
+            worker.crash();
+            std::thread::spawn(move || {
+                pause(600);
+                worker.rise(&id, "a", Duration::ZERO);
+            });
+        }
+        pause(1_900);
+    }
+    pause(3_000);
+    let small = traffic.stop();
+    pause(4_000);
+    let done = small
+        .iter()
+        .filter(|id| caller.state(id) == "completed")
+        .count();
+    let starts = deployment.ledger.starts();
+    let mut again = Vec::new();
+    for (at_ms, task, run) in deployment.ledger.noted_ends() {
+        let mut later = starts
+            .iter()
+            .filter(|start| start.task == task && start.at_ms > at_ms);
+        if let Some(start) = later.next() {
+            again.push(format!(
+                "{task} after run {run}, on {} {} ms later",
+                start.worker,
+                start.at_ms - at_ms
+            ));
+        }
+    }
+    let text = format!(
+        "{} tasks were started again after an end `done` that was taken note of, with {late} late \
+         calls among {} starts; {done} of {} submissions completed; first: {:?}",
+        again.len(),
+        starts.len(),
+        small.len(),
+        again.first()
+    );
+    deployment.ledger.note(&text);
+    if done * 10 < small.len() * 9 {
+        return Err(text);
+    }
+    Ok(if again.is_empty() {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(text)
+    })
+}
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -56,6 +56,8 @@
     ledger: Ledger,
     rack: String,
     cores: u64,
+    /// Delay with which the next `/hold` that acknowledges ends is carried out, unanswered.
+    late: Arc<Mutex<Option<Duration>>>,
 }
 
 fn wall_ms() -> u64 {
@@ -89,8 +91,31 @@
         };
         let life = Arc::new((Mutex::new(life), Condvar::new()));
         let (answering, notes) = (Arc::clone(&life), ledger.clone());
+        let late: Arc<Mutex<Option<Duration>>> = Arc::default();
+        let armed = Arc::clone(&late);
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::start(address, move |request| answer(&answering, &notes, &request));
+        let server = Server::start(address, move |request| {
+            let is_ack =
+                request.path == "/hold" && json::read(&request.body).get("ackedUntil").number() > 0;
+            let delay = if is_ack {
+                armed.lock().unwrap().take()
+            } else {
+                None
+            };
+            let Some(delay) = delay else {
+                return answer(&answering, &notes, &request);
+            };
+            let (answering, notes) = (Arc::clone(&answering), notes.clone());
+            std::thread::spawn(move || {
+                std::thread::sleep(delay);
+                let acked = json::read(&request.body).get("ackedUntil").number();
+                let text = format!("a /hold with ackedUntil {acked} is carried out late");
+                let id = answering.0.lock().unwrap().id.clone();
+                notes.note(&format!("{id}: {text}"));
+                answer(&answering, &notes, &request);
+            });
+            None
+        });
         let worker = Self {
             life,
             server: Arc::new(server.expect("a free port")),
@@ -98,6 +123,7 @@
             ledger: ledger.clone(),
             rack: rack.to_owned(),
             cores,
+            late,
         };
         let ticking = worker.clone();
         std::thread::spawn(move || {
@@ -113,6 +139,20 @@
         self.life.0.lock().unwrap().id.clone()
     }
 
+    /// Lets the next `/hold` that acknowledges ends get no answer and be carried out late; whether
+    /// one has come already.
+    pub fn hold_late(&self, delay: Duration) -> bool {
+        let until = Instant::now() + Duration::from_secs(2);
+        *self.late.lock().unwrap() = Some(delay);
+        while Instant::now() < until {
+            if self.late.lock().unwrap().is_none() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        self.late.lock().unwrap().take().is_none()
+    }
+
     /// Whether a run of a task whose name begins so is at work.
     pub fn holds(&self, task: &str) -> bool {
         let life = self.life.0.lock().unwrap();
@@ -291,6 +331,9 @@
         "/hold" => {
             life.lease_end = extended;
             let acked = body.get("ackedUntil").number();
+            for end in life.ended.iter().filter(|end| end.0 <= acked) {
+                ledger.noted(&end.1, end.2, end.3);
+            }
             life.ended.retain(|end| end.0 > acked);
             let wait = Duration::from_millis(body.get("waitMs").number().min(2_000));
             let until = Instant::now() + wait;
