--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -1,5 +1,7 @@
 //! The scenarios.
 
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::deployment::{Deployment, Traffic, next_id, one_step, pause};
@@ -528,8 +530,8 @@
     })
 }
 
-/// Workers crash one after the other and begin a new life under their identifier; one call that
-/// acknowledges ends, sent shortly before, gets no answer and is carried out late.
+/// Workers crash one after the other and begin a new life under their identifier; calls that
+/// acknowledge ends, sent shortly before, get no answer and are carried out late.
 fn late_ack(setup: &Setup) -> Result<Verdict, String> {
     let deployment = start(setup, &["a"; 8])?;
     let caller = deployment.caller();
@@ -537,28 +539,45 @@
         deployment.caller(),
         40,
         "ms=60",
-        "\"count\":10,\"cpu\":500,\"requestedMemoryMb\":256,\"estimatedMs\":60",
+        "\"count\":14,\"cpu\":500,\"requestedMemoryMb\":256,\"estimatedMs\":60",
     );
-    pause(3_000);
-    let mut late = 0;
-    for round in 0..30 {
-        let worker = deployment.workers[round % 8].clone();
-        if !setup.trouble {
-            pause(1_900);
-            continue;
-        }
-        let delay = Duration::from_millis(2_000 + 137 * (round as u64 % 8));
-        if worker.hold_late(delay) {
-            late += 1;
-            let id = worker.id();
-            worker.crash();
+    pause(2_000);
+    let until = Instant::now() + Duration::from_secs(56);
+    // One worker at a time is down.
+    let turn: Arc<Mutex<()>> = Arc::default();
+    let late = Arc::new(AtomicU32::new(0));
+    let disturbed = deployment.workers.iter().filter(|_| setup.trouble);
+    let threads: Vec<_> = disturbed
+        .cloned()
+        .map(|worker| {
+            let (turn, late) = (Arc::clone(&turn), Arc::clone(&late));
             std::thread::spawn(move || {
-                pause(600);
-                worker.rise(&id, "a", Duration::ZERO);
-            });
-        }
-        pause(1_900);
+                while Instant::now() < until {
+                    for call in 0..3 {
+                        if worker.hold_late(Duration::from_millis(5_000 + 300 * call)) {
+                            late.fetch_add(1, Ordering::Relaxed);
+                        }
+                    }
+                    let down = turn.lock().unwrap();
+                    let id = worker.id();
+                    worker.crash();
+                    pause(600);
+                    worker.rise(&id, "a", Duration::ZERO);
+                    pause(300);
+                    drop(down);
+                    // The late calls are carried out in this life.
+                    pause(6_000);
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread
+            .join()
+            .map_err(|_| "a thread has failed".to_owned())?;
     }
+    pause(until.saturating_duration_since(Instant::now()).as_millis() as u64);
+    let late = late.load(Ordering::Relaxed);
     pause(3_000);
     let small = traffic.stop();
     pause(4_000);
