--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -37,7 +37,7 @@
     ended: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
     is_up: bool,
-    /// When it writes its entry next.
+    /// When it writes its entry next; while it is down, when its entry is removed.
     beat_at: Instant,
     sequence: u64,
 }
@@ -163,6 +163,7 @@
     pub fn crash(&self) {
         let mut life = self.life.0.lock().unwrap();
         life.is_up = false;
+        life.beat_at = Instant::now() + 3 * BEAT;
         let runs = std::mem::take(&mut life.runs);
         self.ledger.note(&format!("{} crashes", life.id));
         for (task, run) in runs {
@@ -203,6 +204,13 @@
     fn tick(&self) {
         let mut life = self.life.0.lock().unwrap();
         if !life.is_up {
+            if life.beat_at <= Instant::now() {
+                // The platform removes an entry after three intervals of silence.
+                self.store.remove(&format!("servers/{}", life.id));
+                life.beat_at = Instant::now() + Duration::from_secs(600);
+                self.ledger
+                    .note(&format!("the entry of {} is removed", life.id));
+            }
             return;
         }
         if life.beat_at <= Instant::now() {
