--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -18,7 +18,7 @@
 pub const PATIENCE: Duration = Duration::from_millis(3_000);
 
 const QUEUE_HOST: &str = "queue.example";
-const PREFIX: &str = "/work/";
+const PREFIX: &str = "/jobs/";
 
 pub struct Host {
     pub name: String,
