Log what is known of a run's begin, and why a task is given up

Callers saw sound jobs as failed. The log could not tell whether the runs that counted as crashed had begun: task-ended gave the evidence of the end only, and a job that had used up its attempts was failed without a line.

task-ended has begin (not ordered, refused, in flight, unanswered, confirmed, inherited); task-given-up comes for both paths to a failed job, with its cause; crash-suspected and task-given-up have lost-near, the number of other workers that ceased to answer at about the same time. No decision changes.

--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -21,7 +21,7 @@
 
 mod trial;
 
-use super::report::{EndCause, Evidence, Report};
+use super::report::{EndCause, Evidence, GivenUp, Report};
 use super::worker::{Run, WorkerKey};
 use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, RunKey, TaskId};
 
@@ -140,6 +140,7 @@
         if self.is_common_loss(worker, task.job) && self.excused.insert(task) {
             return;
         }
+        let lost_near = self.lost_near(worker);
         let Some(state) = self.task_mut(task).filter(|state| !state.done) else {
             return;
         };
@@ -158,6 +159,8 @@
             .with("run", number)
             .with("worker", name)
             .with("crashes", crashes)
+            .with("cause", is_given_up.then_some(GivenUp::Crashes))
+            .with("lost-near", lost_near)
             .emit();
         self.suspect(task, now);
         if is_given_up {
@@ -198,6 +201,15 @@
         in_rack >= RACK_LOSS || (all >= RACK_LOSS && is_part)
     }
 
+    /// Number of other workers that ceased to answer at about the same time, if it is known.
+    fn lost_near(&self, key: WorkerKey) -> Option<usize> {
+        let at = self.workers[key].loss.as_ref()?.at;
+        let is_near = |loss: &Loss| at.since(loss.at).max(loss.at.since(at)) <= COMMON_LOSS_MS;
+        let others = self.workers.iter().filter(|(other, _)| *other != key);
+        let lost = others.filter(|(_, other)| other.loss.as_ref().is_some_and(is_near));
+        Some(lost.count())
+    }
+
     /// Makes a task a suspect.
     pub(super) fn suspect(&mut self, task: TaskId, now: Monotonic) {
         let is_open = self
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -2,7 +2,7 @@
 
 use super::headroom::Level;
 use super::mitigation::PastFiller;
-use super::report::{CallFailure, EndCause, Evidence};
+use super::report::{CallFailure, EndCause, Evidence, GivenUp};
 use super::table::{LastEnd, Task};
 use super::worker::{Run, WorkerInfo, WorkerKey};
 use super::{
@@ -383,6 +383,7 @@
             .with("worker", name)
             .with("cause", cause)
             .with("evidence", evidence)
+            .with("begin", run.begin())
             .with("listed-ms", run.seen_at.since(run.started_at))
             .with("run-incarnation", run.incarnation)
             .with("incarnation", incarnation)
@@ -431,7 +432,8 @@
         }
         let is_newly_done = task.done && !was_done;
         task.wants_copy = false;
-        let is_exhausted = !is_standing && !task.done && task.failed >= attempts;
+        let failed = task.failed;
+        let is_exhausted = !is_standing && !task.done && failed >= attempts;
         let others = if is_newly_done {
             task.runs.clone()
         } else {
@@ -443,6 +445,13 @@
         if is_newly_done {
             self.on_task_done(run, now);
         } else if is_exhausted {
+            Entry::new(Kind::TaskGivenUp)
+                .with_text("task", run.task)
+                .with("run", run.number)
+                .with("cause", GivenUp::Attempts)
+                .with("failed", failed)
+                .with("attempts", attempts)
+                .emit();
             self.fail_job(id, now);
         }
         self.pending.insert(id);
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -49,6 +49,16 @@
     NotOrdered,
 }
 
+/// Reason for which a task is given up, and its job is failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum GivenUp {
+    /// As many of its runs have failed as its queue allows attempts.
+    Attempts,
+    /// Too many workers have crashed under it.
+    Crashes,
+}
+
 /// A run that a worker lists as running.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunningEntry {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use serde::Serialize;
 use slotmap::new_key_type;
 
 use super::Claim;
@@ -373,6 +374,24 @@
     Live,
 }
 
+/// What is known of the begin of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum Begin {
+    /// Its start was never ordered.
+    NotOrdered,
+    /// Each start order was refused, or never left this host.
+    Refused,
+    /// Its start order has not been answered yet.
+    InFlight,
+    /// A start order got no answer.
+    Unanswered,
+    /// The worker confirmed its start or listed it.
+    Confirmed,
+    /// An earlier owner recorded it, and no list has shown it since.
+    Inherited,
+}
+
 /// State of a run of a task on a worker.
 #[derive(Debug)]
 pub(super) struct Run {
@@ -447,6 +466,19 @@
 }
 
 impl Run {
+    /// What is known of its begin. The confirmation of a stop alone tells nothing of it.
+    pub fn begin(&self) -> Begin {
+        let is_open = self.unanswered && self.confirmed_at.is_none();
+        match self.phase {
+            _ if self.inherited => Begin::Inherited,
+            Phase::Live if !is_open => Begin::Confirmed,
+            _ if self.unanswered => Begin::Unanswered,
+            Phase::Starting if self.in_flight => Begin::InFlight,
+            _ if self.tries == 0 => Begin::NotOrdered,
+            Phase::Recording | Phase::Starting | Phase::Live => Begin::Refused,
+        }
+    }
+
     /// Whether a start order may still be carried out.
     pub fn may_start_late(&self) -> bool {
         self.unanswered || (self.phase == Phase::Starting && self.in_flight)
