--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -300,6 +300,7 @@
             in_flight: false,
             retry_at: now,
             tries: 0,
+            placed_at: now,
             unanswered: false,
             unanswered_at: Monotonic::default(),
             has_settled: false,
@@ -384,6 +385,8 @@
             .with("cause", cause)
             .with("evidence", evidence)
             .with("begin", run.begin())
+            .with("tries", run.tries)
+            .with("placed-ms", now.since(run.placed_at))
             .with("listed-ms", run.seen_at.since(run.started_at))
             .with("run-incarnation", run.incarnation)
             .with("incarnation", incarnation)
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -378,6 +378,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(super) enum Begin {
+    /// The store does not hold its assignment, so that its start was not ordered.
+    Recording,
     /// Its start was never ordered.
     NotOrdered,
     /// Each start order was refused, or never left this host.
@@ -426,6 +428,8 @@
     /// Whether an order for it has not been answered yet.
     pub in_flight: bool,
     pub retry_at: Monotonic,
+    /// When it was placed, or this owner learned of it.
+    pub placed_at: Monotonic,
     /// Number of start orders sent.
     pub tries: u32,
     /// Whether a start order got no answer.
@@ -474,8 +478,9 @@
             Phase::Live if !is_open => Begin::Confirmed,
             _ if self.unanswered => Begin::Unanswered,
             Phase::Starting if self.in_flight => Begin::InFlight,
+            Phase::Recording => Begin::Recording,
             _ if self.tries == 0 => Begin::NotOrdered,
-            Phase::Recording | Phase::Starting | Phase::Live => Begin::Refused,
+            Phase::Starting | Phase::Live => Begin::Refused,
         }
     }
 
