tests: sound tasks under which workers crash, failing on today's count

The dispatcher's tests had losses at most every second, a store that answers at once, and a deadly task or none.

The world can now lose a part of its workers again and again, by rack or at random, back under their names or under new ones at the same address; a worker that is back under a new name keeps the ways in which its predecessor answered. It tells the worker on which a run is just being recorded, and how many workers have crashed in a row under a task by its own record. A worker that is renamed leaves the registry at the owner's time; it was 10 s in the future, by the world's clock.

crash_storms has the tables, crash_mixes random mixes by seed (CRASH_MIXES, CRASH_SEED). A sound job may be failed only from five crashes in a row on, of workers on which a young run of the same task had begun; a run of 3 s ends the row.

--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -2,6 +2,8 @@
 
 mod capacity;
 mod caps;
+mod crash_mixes;
+mod crash_storms;
 mod crashes;
 mod execution;
 mod incarnations;
--- a/testsuite/tests/testsuite/dispatch/world/crashes.rs
+++ b/testsuite/tests/testsuite/dispatch/world/crashes.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use verbenahitch::dispatch::{JobId, TaskId};
-use verbenahitch::domain::{Millis, Monotonic};
+use verbenahitch::domain::Millis;
 
 use super::World;
 
@@ -33,8 +33,8 @@
     pub past: Vec<Crash>,
     /// Time, worker, its incarnation, and how it crashes.
     due: Vec<(Millis, String, u64, Deadly)>,
-    /// Time, new name and address of workers that come back.
-    back: Vec<(Millis, String, String)>,
+    /// Time and earlier name of workers that come back under a new one.
+    back: Vec<(Millis, String)>,
 }
 
 impl World {
@@ -66,13 +66,8 @@
         if how.is_renamed {
             worker.replaced = true;
             worker.unlisted = true;
-            let back = (
-                now + how.down_ms,
-                format!("{name}x"),
-                worker.address.clone(),
-            );
-            self.crashes.back.push(back);
-            self.dispatcher.unlist_worker(name, Monotonic(now));
+            self.crashes.back.push((now + how.down_ms, name.to_owned()));
+            self.dispatcher.unlist_worker(name, self.clock().at);
         }
     }
 
@@ -88,16 +83,33 @@
                 self.crash_worker(&name, how);
             }
         }
-        for (_, name, address) in self
+        for (_, name) in self
             .crashes
             .back
             .extract_if(.., |back| back.0 <= now)
             .collect::<Vec<_>>()
         {
-            self.add_worker_at(&name, &address, 16);
+            self.add_successor(&name);
         }
     }
 
+    /// Adds the worker that takes the address of a crashed one, and answers as that did.
+    fn add_successor(&mut self, name: &str) {
+        let earlier = &self.workers[name];
+        let (address, labels) = (earlier.address.clone(), earlier.info.labels.clone());
+        let (delay, drops_answers) = (earlier.order_delay, earlier.drops_start_answers);
+        let refuses_starts = earlier.refuses_starts;
+        let name = format!("{name}x");
+        self.add_worker_at(&name, &address, 16);
+        let worker = self.workers.get_mut(&name).unwrap();
+        worker.order_delay = delay;
+        worker.drops_start_answers = drops_answers;
+        worker.refuses_starts = refuses_starts;
+        worker.info.labels = labels;
+        let info = worker.info.clone();
+        self.dispatcher.upsert_worker(info, self.clock().at);
+    }
+
     /// Tasks that were started a third time or more after a third crash under them.
     pub fn overspent(&self) -> BTreeSet<TaskId> {
         let tasks: BTreeSet<TaskId> = self.starts.iter().map(|start| start.task).collect();
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -21,6 +21,7 @@
 mod owners;
 mod registry;
 mod room;
+mod storms;
 mod worker;
 
 use accounts::AccountUsage;
@@ -30,6 +31,7 @@
 pub use jobs::{TARGET_MS, filler, job, queue, standing, step};
 use once::RunLedger;
 use owners::Former;
+pub use storms::Storm;
 use worker::Incarnation;
 pub use worker::{FakeRun, FakeWorker};
 
--- a/testsuite/tests/testsuite/dispatch/world/once.rs
+++ b/testsuite/tests/testsuite/dispatch/world/once.rs
@@ -60,6 +60,10 @@
         self.double = double;
     }
 
+    pub fn violations(&self) -> &[String] {
+        &self.violations
+    }
+
     /// # Panics
     ///
     /// When a task has run more often than it should.
--- a/testsuite/tests/testsuite/dispatch/world/worker.rs
+++ b/testsuite/tests/testsuite/dispatch/world/worker.rs
@@ -65,6 +65,8 @@
     pub silent: bool,
     /// Carries out starts without answering them.
     pub drops_start_answers: bool,
+    /// Refuses starts as too late.
+    pub refuses_starts: bool,
     pub failing: bool,
     pub speed: f64,
     /// Longest lease that it grants, in milliseconds.
@@ -126,7 +128,7 @@
     pub fn start(&mut self, start: &Start, fence: u64, now: Millis) -> Result<bool, CallFailure> {
         self.check_reachable(now)?;
         self.check_fence(fence)?;
-        if start.lease_end <= self.clock(now) {
+        if self.refuses_starts || start.lease_end <= self.clock(now) {
             return Err(CallFailure::Late);
         }
         self.extend_leases(start.lease_end, now);
