tests: an end lost with its worker is no end that was noted

Cause: in the check of the simulated workers, not in the dispatcher.

Change: ends are kept by run. The acknowledged end of a run after which the task was started stays a violation, and so does any start after an acknowledged end; a test shows both sides.

--- a/testsuite/tests/testsuite/dispatch/crash_mixes.rs
+++ b/testsuite/tests/testsuite/dispatch/crash_mixes.rs
@@ -5,7 +5,8 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use verbenahitch::dispatch::{JobId, JobSpec};
+use test_case::test_case;
+use verbenahitch::dispatch::{JobId, JobSpec, TaskId};
 use verbenahitch::domain::Millis;
 
 use super::world::{Deadly, FakeWorker, Storm, World, filler, job, standing, step};
@@ -166,6 +167,26 @@
     }])
 }
 
+/// The check of runs has to find an end that is acknowledged although the task was started after
+/// it, and nothing else.
+#[test_case(1, true; "of the run before the last start")]
+#[test_case(2, false; "of the last run")]
+fn an_end_that_is_noted_after_a_further_start_is_found(noted: u32, is_found: bool) {
+    let mut world = World::new(1);
+    let task = TaskId {
+        job: JobId(1),
+        round: 0,
+        step: 0,
+        index: 0,
+    };
+    for run in 1..=2 {
+        world.ledger.run_started(run.into(), task);
+        world.ledger.run_done(task, run);
+    }
+    world.ledger.end_noted(3, task, noted);
+    assert_eq!(!world.ledger.violations().is_empty(), is_found);
+}
+
 /// No sound job is failed, no deadly task is started without end, and nothing runs twice.
 #[test]
 fn no_mix_of_storms_and_deadly_tasks_fails_a_sound_job() {
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -549,7 +549,7 @@
         let lapsed_end = life.lapsed_end;
         let acked = life.ended.extract_if(.., |end| end.sequence <= poll.acked);
         for end in acked.filter(|end| end.cause == EndCause::Done && end.sequence > lapsed_end) {
-            self.ledger.end_noted(now, end.task);
+            self.ledger.end_noted(now, end.task, end.run);
         }
         let specs = &self.specs;
         let running = worker.life.runs.iter().zip(tails).map(|(run, tail)| {
@@ -651,17 +651,17 @@
                 #[expect(clippy::cast_precision_loss, reason = "a few seconds")]
                 let whole = spec.estimate_ms as f64;
                 if run.stops_at.is_some_and(|at| at <= self.now) {
-                    ends.push((run.task, EndCause::Stopped));
+                    ends.push((run.task, run.run, EndCause::Stopped));
                 } else if failing && run.worked_ms > whole / 4.0 {
-                    ends.push((run.task, EndCause::Failed));
+                    ends.push((run.task, run.run, EndCause::Failed));
                 } else if !spec.standing && run.worked_ms >= whole {
-                    ends.push((run.task, EndCause::Done));
+                    ends.push((run.task, run.run, EndCause::Done));
                 }
             }
-            for (task, cause) in ends {
+            for (task, run, cause) in ends {
                 worker.end(task, cause);
                 if cause == EndCause::Done {
-                    self.ledger.run_done(task);
+                    self.ledger.run_done(task, run);
                 }
             }
         }
--- a/testsuite/tests/testsuite/dispatch/world/once.rs
+++ b/testsuite/tests/testsuite/dispatch/world/once.rs
@@ -11,10 +11,11 @@
 /// Starts and acknowledged ends of all tasks.
 #[derive(Default)]
 pub struct RunLedger {
-    done: BTreeSet<TaskId>,
+    /// Runs that are done.
+    done: BTreeSet<(TaskId, u32)>,
     noted: BTreeSet<TaskId>,
-    /// Tasks that were started after a run was done.
-    repeated: BTreeSet<TaskId>,
+    /// Runs after whose end their task was started.
+    repeated: BTreeSet<(TaskId, u32)>,
     /// Tasks that have two runs now.
     double: BTreeSet<TaskId>,
     violations: Vec<String>,
@@ -25,18 +26,21 @@
         if self.noted.contains(&task) {
             let violation = format!("{now}: {task} started after its end was noted");
             self.violations.push(violation);
-        } else if self.done.contains(&task) {
-            self.repeated.insert(task);
+        } else {
+            let done = self.done.range((task, 0)..=(task, u32::MAX));
+            self.repeated.extend(done);
         }
     }
 
-    pub fn run_done(&mut self, task: TaskId) {
-        self.done.insert(task);
+    pub fn run_done(&mut self, task: TaskId, run: u32) {
+        self.done.insert((task, run));
     }
 
-    pub fn end_noted(&mut self, now: Millis, task: TaskId) {
+    /// Records that the end of a run is acknowledged. A run whose end was lost with its worker may
+    /// be followed by another one.
+    pub fn end_noted(&mut self, now: Millis, task: TaskId, run: u32) {
         self.noted.insert(task);
-        if self.repeated.contains(&task) {
+        if self.repeated.contains(&(task, run)) {
             let violation = format!("{now}: {task} started after an end that is noted now");
             self.violations.push(violation);
         }
