A run that never began is no crash of its task, and none counts twice

With a slow store most runs on a lost worker were still waiting for their record or their order; when another worker answered at the address all of them were ended as crashed, and three such counts failed the job. A start without an answer was counted again with every restart of its worker, as the run is added anew to be stopped there.

Cause: the evidence of an end tells of the worker; that the run had begun there was assumed. What is known of its begin decides now: recording, not ordered and refused count nothing, neither at a replacement nor at a lapse of leases. The numbers of counted runs are kept with the task and in its record, so that a start which the next life closes counts once.

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -56,6 +56,7 @@
                             .map(|run| run.number)
                             .collect(),
                         crashes: task.crashes,
+                        blamed: task.blamed.clone(),
                         runs: runs
                             .map(|run| {
                                 let worker = &self.workers[run.worker];
--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -5,6 +5,8 @@
 //! turns or by the rack, and the tasks on them are sound. The crash of a worker tells only that
 //! one of its young runs may be at fault, if any.
 //!
+//! * *Runs that count*: those that may have begun on the incarnation that crashed, each once. A run
+//!   whose start was never ordered, or refused, tells nothing of its task.
 //! * *Evidence* of a crash: the worker answers as another incarnation, another worker answers at
 //!   its address, or it is silent past its leases and gone from the registry. The leases of a
 //!   listed worker may lapse behind a cut: its runs count once another incarnation has answered.
@@ -36,6 +38,10 @@
 /// tasks are suspected. Lists come every 0.7 s at the latest.
 const SETTLED_MS: Millis = 500;
 
+/// Number of runs of a task that are remembered as counted: those of which a start may still be
+/// carried out late.
+const MAX_BLAMED: usize = 8;
+
 /// Number of further workers of a rack that are lost at once with the rack.
 const RACK_LOSS: usize = 3;
 
@@ -86,7 +92,9 @@
             EndCause::Stopped | EndCause::Lapsed | EndCause::Crashed => true,
             EndCause::Done | EndCause::Failed | EndCause::Broken | EndCause::Alone => false,
         };
-        if by_worker && is_unexplained && !self.workers[run.worker].has_drained {
+        let may_have_begun = run.begin().is_possible();
+        let has_drained = self.workers[run.worker].has_drained;
+        if by_worker && is_unexplained && may_have_begun && !has_drained {
             EndCause::Crashed
         } else {
             cause
@@ -105,7 +113,10 @@
             EndCause::Crashed if !is_settled(run) => self.count_crash(run, now),
             // An earlier owner may know more of a run that was never listed to this one.
             EndCause::Lapsed
-                if evidence == Evidence::Lapse && !is_settled(run) && !run.inherited =>
+                if evidence == Evidence::Lapse
+                    && !is_settled(run)
+                    && !run.inherited
+                    && run.begin().is_possible() =>
             {
                 if self.excused.contains(&run.task) {
                     self.suspect(run.task, now);
@@ -144,6 +155,14 @@
         let Some(state) = self.task_mut(task).filter(|state| !state.done) else {
             return;
         };
+        // A start that the next incarnation may carry out late can be lost with that one too.
+        if state.blamed.contains(&number) {
+            return;
+        }
+        if state.blamed.len() >= MAX_BLAMED {
+            state.blamed.remove(0);
+        }
+        state.blamed.push(number);
         state.crashes += 1;
         // Its next start elsewhere tells whether the worker is at fault.
         state.avoid = Some(worker);
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -60,6 +60,7 @@
         task.last_run = record.run;
         task.failed = record.failed;
         task.crashes = record.crashes;
+        task.blamed = record.blamed;
         task.checkpoint = record.checkpoint;
         if record.run > 0 {
             task.last_end = LastEnd::Earlier;
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -275,6 +275,9 @@
     /// Number of crashes under it that it is suspected of.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub crashes: u32,
+    /// Numbers of the runs that were last counted as crashed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub blamed: Vec<u32>,
     /// Runs that may still be running.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub runs: Vec<RunRecord>,
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -38,6 +38,8 @@
     pub failed: u32,
     /// Number of crashes under it since a run of it last settled.
     pub crashes: u32,
+    /// Numbers of the runs that were last counted as crashed.
+    pub blamed: Vec<u32>,
     /// Highest run number used.
     pub last_run: u32,
     /// Runs that may still be running.
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -394,6 +394,16 @@
     Inherited,
 }
 
+impl Begin {
+    /// Whether the run may have begun.
+    pub fn is_possible(self) -> bool {
+        match self {
+            Self::Recording | Self::NotOrdered | Self::Refused => false,
+            Self::InFlight | Self::Unanswered | Self::Confirmed | Self::Inherited => true,
+        }
+    }
+}
+
 /// State of a run of a task on a worker.
 #[derive(Debug)]
 pub(super) struct Run {
