Runs that lapsed are recorded until it is known whether their worker crashed

A crash of a worker that was away past its leases was known only by the owner that had seen them lapse: the run had left the record with the lapse, and the list of such runs was kept in memory.

Such runs stay in the record of their task, with worker and incarnation, until that worker answers: the same incarnation clears them, another one or a worker that is dropped counts them. A successor restores them.

Failed before: a_crash_past_the_leases_is_counted_by_the_next_owner (no crash counted by the successor).

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -68,6 +68,14 @@
                                 RunRecord(run.number, name, incarnation)
                             })
                             .collect(),
+                        lapsed: task
+                            .lapsed
+                            .iter()
+                            .filter_map(|run| {
+                                let name = self.workers.get(run.worker)?.info.name.clone();
+                                Some(RunRecord(run.number, name, run.incarnation))
+                            })
+                            .collect(),
                         checkpoint: task.checkpoint.clone(),
                     });
                 }
--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -60,11 +60,12 @@
     jobs: Vec<JobId>,
 }
 
-/// Run on a worker whose leases have lapsed; whether the worker has crashed is not known.
+/// Run that ended as the leases of its worker lapsed; whether the worker has crashed is not known.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LapsedRun {
-    task: TaskId,
-    number: u32,
+    pub number: u32,
+    pub worker: WorkerKey,
+    pub incarnation: u64,
 }
 
 /// Whether lists have shown a run for long enough after its start. An order may be carried out
@@ -122,10 +123,11 @@
                     self.suspect(run.task, now);
                 }
                 let lapsed = LapsedRun {
-                    task: run.task,
                     number: run.number,
+                    worker: run.worker,
+                    incarnation: run.incarnation,
                 };
-                self.workers[run.worker].lapsed_runs.push(lapsed);
+                self.add_lapsed(run.task, lapsed);
             }
             EndCause::Done => self.acquit(run.task),
             EndCause::Crashed
@@ -249,6 +251,7 @@
         self.assign_needed = true;
         if let Some(state) = self.task_mut(task) {
             state.crashes = 0;
+            state.lapsed.clear();
         }
         self.mark_dirty(task.job);
     }
@@ -290,13 +293,53 @@
         self.stop_run(key);
     }
 
-    /// Counts the crash of a worker under the runs whose leases had lapsed before.
+    /// Records that a run ended as the leases of its worker lapsed.
+    pub(super) fn add_lapsed(&mut self, task: TaskId, run: LapsedRun) {
+        let is_open = self
+            .jobs
+            .get(&task.job)
+            .is_some_and(|job| !job.state.is_final());
+        let Some(state) = self.task_mut(task).filter(|state| is_open && !state.done) else {
+            return;
+        };
+        state.lapsed.push(run);
+        self.workers[run.worker].lapsed_tasks.push(task);
+    }
+
+    /// Judges the runs that had lapsed on a worker before it answered: an incarnation that runs on
+    /// has not crashed under them.
+    pub(super) fn judge_lapsed(&mut self, key: WorkerKey, incarnation: u64, now: Monotonic) {
+        self.close_lapsed(key, now, |run| {
+            run.incarnation != 0 && incarnation != 0 && run.incarnation != incarnation
+        });
+    }
+
+    /// Counts the crash of a worker under the runs that had lapsed on it before.
     pub(super) fn blame_lapsed(&mut self, key: WorkerKey, now: Monotonic) {
-        for run in std::mem::take(&mut self.workers[key].lapsed_runs) {
-            if self.workers[key].has_drained {
+        self.close_lapsed(key, now, |_| true);
+    }
+
+    fn close_lapsed(
+        &mut self,
+        key: WorkerKey,
+        now: Monotonic,
+        has_crashed: impl Fn(&LapsedRun) -> bool,
+    ) {
+        let has_drained = self.workers[key].has_drained;
+        for task in std::mem::take(&mut self.workers[key].lapsed_tasks) {
+            let Some(state) = self.task_mut(task) else {
                 continue;
+            };
+            let is_own = |run: &mut LapsedRun| run.worker == key;
+            let lapsed: Vec<LapsedRun> = state.lapsed.extract_if(.., is_own).collect();
+            if !lapsed.is_empty() {
+                self.mark_dirty(task.job);
+            }
+            for run in lapsed {
+                if !has_drained && has_crashed(&run) {
+                    self.count_crash_under(task, run.number, key, now);
+                }
             }
-            self.count_crash_under(run.task, run.number, key, now);
         }
     }
 }
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -162,11 +162,9 @@
         }
         if has_restarted {
             self.blame_unanswered(key, &report, now);
-            self.blame_lapsed(key, now);
             self.close_late_starts(key, &report, now);
-        } else {
-            self.workers[key].lapsed_runs.clear();
         }
+        self.judge_lapsed(key, report.incarnation, now);
         self.cached_loads.remove(key);
         self.check_takeover(now);
         self.apply_ends(key, &report, now);
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::crash::LapsedRun;
 use super::report::{HomeRecord, ProgressRecord, TaskRecord};
 use super::table::LastEnd;
 use super::worker::{WorkerInfo, WorkerKey};
@@ -74,6 +75,15 @@
         if record.crashes > 0 {
             self.suspect(at, now);
         }
+        for run in record.lapsed {
+            let worker = self.worker_named(&run.1, "");
+            let lapsed = LapsedRun {
+                number: run.0,
+                worker,
+                incarnation: run.2,
+            };
+            self.add_lapsed(at, lapsed);
+        }
         let is_obsolete = record.done || self.is_job_final(id);
         // A late start of an earlier run may be recorded until it has ended.
         let is_speculative = self.spec_of(at).is_some_and(|spec| spec.speculative);
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -281,6 +281,9 @@
     /// Runs that may still be running.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub runs: Vec<RunRecord>,
+    /// Runs that ended as the leases of their workers lapsed, which may have crashed under them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lapsed: Vec<RunRecord>,
     /// Numbers of the runs whose incarnations hold no longer leases than [`VoterRecord`] tells.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub bounded: Vec<u32>,
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::crash::LapsedRun;
 use super::job::{JobRecord, JobSpec, JobState, Queue, StepSpec};
 use super::worker::{RunKey, WorkerKey};
 use super::{AccountKey, Now};
@@ -40,6 +41,8 @@
     pub crashes: u32,
     /// Numbers of the runs that were last counted as crashed.
     pub blamed: Vec<u32>,
+    /// Runs that ended as the leases of their workers lapsed, which may have crashed.
+    pub lapsed: Vec<LapsedRun>,
     /// Highest run number used.
     pub last_run: u32,
     /// Runs that may still be running.
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -10,7 +10,7 @@
 use slotmap::new_key_type;
 
 use super::Claim;
-use super::crash::{LapsedRun, Loss};
+use super::crash::Loss;
 use super::headroom::{ImageId, Level};
 use super::interference::MitigationState;
 use super::job::{Amount, JobId, TaskId};
@@ -214,8 +214,8 @@
     pub failed_at: Option<Monotonic>,
     /// Starts that the next incarnation may still carry out.
     late_starts: Vec<LateStart>,
-    /// Runs whose leases have lapsed since it last answered.
-    pub lapsed_runs: Vec<LapsedRun>,
+    /// Tasks of runs whose leases have lapsed since it last answered.
+    pub lapsed_tasks: Vec<TaskId>,
     /// When it last ceased to answer.
     pub loss: Option<Loss>,
     /// Whether its present incarnation has said that it drains.
--- a/testsuite/tests/testsuite/dispatch/crashes.rs
+++ b/testsuite/tests/testsuite/dispatch/crashes.rs
@@ -4,7 +4,7 @@
 use verbenahitch::dispatch::{JobId, JobSpec, JobState};
 use verbenahitch::domain::Millis;
 
-use super::world::{Deadly, World, filler, job, standing, step};
+use super::world::{BOUNDS, Deadly, World, filler, job, standing, step};
 
 /// Crash before the start is answered, with the worker back before its leases have lapsed.
 const AT_ONCE: Deadly = Deadly {
@@ -112,6 +112,7 @@
 #[test_case(Case::new(SOON).of(copies); "copies")]
 #[test_case(Case::new(SOON).with_terms(4_000); "changes of owner")]
 #[test_case(Case::new(AT_ONCE).with_terms(2_500); "more changes of owner")]
+#[test_case(Case::new(LONG_AWAY).with_terms(6_000); "away past the leases, with changes of owner")]
 #[test_case(Case::new(SOON).beside(answers_lost); "answers lost")]
 #[test_case(Case::new(SOON).beside(late_orders); "late orders")]
 fn a_task_that_crashes_its_workers_is_given_up(case: Case) {
@@ -257,6 +258,34 @@
     world.ledger.assert_once();
 }
 
+/// The owner is replaced after the leases have lapsed, and the worker is back before the next run
+/// has settled.
+#[test]
+fn a_crash_past_the_leases_is_counted_by_the_next_owner() {
+    let mut world = World::new(6);
+    world.run(1_500);
+    let id = world.submit(1, "push", job(vec![step(1, 2, 60_000)]));
+    while world.starts_of(id).is_empty() {
+        world.run(5);
+    }
+    world.run(300);
+    let worker = world.starts_of(id)[0].worker.clone();
+    let down_ms = BOUNDS.lease_ms + 600;
+    world.crash_worker(&worker, Deadly { down_ms, ..SOON });
+    while world.starts_of(id).len() == 1 {
+        world.run(5);
+    }
+    world.take_over();
+    let mut most = 0;
+    for _ in 0..1_500 {
+        world.run(5);
+        most = most.max(world.records[&id].record.tasks[0].crashes);
+    }
+    assert_eq!(most, 1);
+    assert_eq!(world.starts_of(id).len(), 2);
+    world.ledger.assert_once();
+}
+
 /// The leases lapse, but the worker goes on: it has crashed under nothing.
 #[test]
 fn silence_behind_a_cut_is_no_crash() {
