Give a task up by crashes that no wider loss of workers explains

With runs that never began left out, the number alone still meant too little: in a fleet that loses a seventh of its workers four times a second three losses in a row are common, and a worker that crashes three times soon after the starts of one task is no proof either.

Cause: a fixed number of crashes, whatever else is lost. Now a crash is unexplained if next to no other workers were lost within 2 s; a task is given up at the fourth of these, or at the fifth crash of any kind, which is the last that the users' rule on deadly tasks leaves. From the third crash on a task waits until losses have ceased, 10 s and then 20 s at the longest. The excuse of one common loss, which no successor knew of, goes: a crash in a wider loss counts, and makes no suspect.

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -57,6 +57,7 @@
                             .collect(),
                         crashes: task.crashes,
                         blamed: task.blamed.clone(),
+                        unexplained: task.unexplained,
                         runs: runs
                             .map(|run| {
                                 let worker = &self.workers[run.worker];
--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -1,37 +1,54 @@
 //! Crashes of workers under tasks: which tasks are suspected, and when one is given up.
 //!
 //! Load pattern: some tasks crash each worker that starts them, with all that runs there; the worker
-//! is back after some seconds. Beside them workers are lost for other reasons, one by one, by
-//! turns or by the rack, and the tasks on them are sound. The crash of a worker tells only that
-//! one of its young runs may be at fault, if any.
+//! is back after some seconds. Beside them workers are lost for other reasons, one by one, in
+//! series, by turns or by the rack, and the tasks on them are sound. The crash of a worker tells only
+//! that one of its young runs may be at fault, if any.
 //!
-//! * *Runs that count*: those that may have begun on the incarnation that crashed, each once. A run
-//!   whose start was never ordered, or refused, tells nothing of its task.
 //! * *Evidence* of a crash: the worker answers as another incarnation, another worker answers at
 //!   its address, or it is silent past its leases and gone from the registry. The leases of a
 //!   listed worker may lapse behind a cut: its runs count once another incarnation has answered.
 //!   A worker that drained before has left and not crashed.
-//! * *Suspects*: tasks of runs that no list has shown [`SETTLED_MS`] after the start, also those
-//!   of which a start got no answer. A run that has settled or is done acquits its task.
-//! * *Common losses*: a crash together with many other workers, or with others of the rack, that
-//!   held no young run of the job is no evidence, once until an acquittal.
-//! * *Trial*: see [`trial`].
-//! * *Giving up*: at the crash number [`GIVEN_UP_CRASHES`] without an acquittal in between.
+//! * *Runs that count*: those that may have begun on the incarnation that crashed and that no list
+//!   has shown [`SETTLED_MS`] after the start, each once. A run whose start was never ordered, or
+//!   refused, tells nothing of its task. A run that has settled or is done acquits its task.
+//! * *Unexplained* crashes: those in a fleet that lost next to no other workers at the time, see
+//!   [`loss`].
+//! * *Suspects*: tasks with an unexplained crash, or with [`WAIT_CRASHES`] of any kind. They are
+//!   tried apart, see [`trial`].
+//! * *Waiting*: from crash number [`WAIT_CRASHES`] on, runs that lapsed included, a task starts again
+//!   only once losses have ceased, or after a wait that doubles with each crash.
+//! * *Giving up*: at unexplained crash number [`GIVEN_UP_UNEXPLAINED`], or at crash number
+//!   [`GIVEN_UP_CRASHES`], without an acquittal in between.
 //!
-//! The count is part of the job's record. The write that removes the run holds it, so that a
+//! Both counts are part of the job's record. The write that removes the run holds them, so that a
 //! successor counts each crash once, and the next start waits for that write.
 
+mod loss;
 mod trial;
 
 use super::report::{EndCause, Evidence, GivenUp, Report};
+use super::table::Task;
 use super::worker::{Run, WorkerKey};
 use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, RunKey, TaskId};
 
+pub(super) use loss::Losses;
 pub(super) use trial::Trials;
 
-/// Number of crashes under a task at which it is given up. The users' rule allows it from the
-/// second on; a sound task that two lost workers have met is not to be failed.
-const GIVEN_UP_CRASHES: u32 = 3;
+/// Number of unexplained crashes under a task at which it is given up. A sound task meets each with
+/// a probability of 1 in 50 at the most, see [`loss`].
+const GIVEN_UP_UNEXPLAINED: u32 = 4;
+
+/// Number of crashes under a task at which it is given up, whatever else was lost. The users' rule
+/// is broken by the third start after the third crash.
+const GIVEN_UP_CRASHES: u32 = 5;
+
+/// Number of crashes from which on a task waits until losses have ceased.
+const WAIT_CRASHES: u32 = 3;
+
+/// Longest wait after crash number [`WAIT_CRASHES`], in milliseconds. A fleet may lose workers for
+/// hours.
+const WAIT_MS: Millis = 10_000;
 
 /// Time after its start for which lists have to show a run until it is no suspect, in
 /// milliseconds. Deadly tasks crash their workers at the start; the longer this is, the more sound
@@ -42,24 +59,6 @@
 /// carried out late.
 const MAX_BLAMED: usize = 8;
 
-/// Number of further workers of a rack that are lost at once with the rack.
-const RACK_LOSS: usize = 3;
-
-/// Fraction of all workers that are lost at once only for a common reason.
-const COMMON_LOSS_DIVISOR: usize = 8;
-
-/// Time within which workers that are lost for a common reason cease to answer, in
-/// milliseconds: a poll fails at once, or by its time limit beyond the wait.
-const COMMON_LOSS_MS: Millis = 500;
-
-/// When a worker ceased to answer.
-#[derive(Clone, Debug)]
-pub(super) struct Loss {
-    at: Monotonic,
-    /// Jobs with young runs there.
-    jobs: Vec<JobId>,
-}
-
 /// Run that ended as the leases of its worker lapsed; whether the worker has crashed is not known.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LapsedRun {
@@ -78,6 +77,21 @@
     run.seen_at.since(begin) >= SETTLED_MS
 }
 
+/// Whether a task is a suspect after a number of crashes.
+pub(super) fn is_suspect(crashes: u32, unexplained: u32) -> bool {
+    unexplained > 0 || crashes >= WAIT_CRASHES
+}
+
+/// Longest wait of a task until it starts again after a number of crashes, in milliseconds.
+fn longest_wait_ms(crashes: u32) -> Millis {
+    match crashes.checked_sub(WAIT_CRASHES) {
+        None => 0,
+        // Nothing starts before it is known how many workers have crashed.
+        Some(_) if crashes >= GIVEN_UP_CRASHES => Millis::MAX,
+        Some(more) => WAIT_MS << more,
+    }
+}
+
 impl Dispatcher {
     /// Cause of the end of a run, by what it rests on.
     pub(super) fn end_cause(&self, run: &Run, cause: EndCause, evidence: Evidence) -> EndCause {
@@ -119,15 +133,12 @@
                     && !run.inherited
                     && run.begin().is_possible() =>
             {
-                if self.excused.contains(&run.task) {
-                    self.suspect(run.task, now);
-                }
                 let lapsed = LapsedRun {
                     number: run.number,
                     worker: run.worker,
                     incarnation: run.incarnation,
                 };
-                self.add_lapsed(run.task, lapsed);
+                self.add_lapsed(run.task, lapsed, now);
             }
             EndCause::Done => self.acquit(run.task),
             EndCause::Crashed
@@ -150,10 +161,8 @@
             return;
         }
         let name = self.workers[worker].info.name.clone();
-        if self.is_common_loss(worker, task.job) && self.excused.insert(task) {
-            return;
-        }
-        let lost_near = self.lost_near(worker);
+        let lost_at = self.workers[worker].lost_at;
+        let is_unexplained = lost_at.is_some_and(|at| self.is_calm(at, task.job));
         let Some(state) = self.task_mut(task).filter(|state| !state.done) else {
             return;
         };
@@ -166,10 +175,12 @@
         }
         state.blamed.push(number);
         state.crashes += 1;
+        state.unexplained += u32::from(is_unexplained);
+        state.crashed_at = Some(now);
         // Its next start elsewhere tells whether the worker is at fault.
         state.avoid = Some(worker);
-        let crashes = state.crashes;
-        let is_given_up = crashes >= GIVEN_UP_CRASHES;
+        let (crashes, unexplained) = (state.crashes, state.unexplained);
+        let is_given_up = crashes >= GIVEN_UP_CRASHES || unexplained >= GIVEN_UP_UNEXPLAINED;
         let kind = if is_given_up {
             Kind::TaskGivenUp
         } else {
@@ -180,55 +191,58 @@
             .with("run", number)
             .with("worker", name)
             .with("crashes", crashes)
+            .with("unexplained", unexplained)
             .with("cause", is_given_up.then_some(GivenUp::Crashes))
-            .with("lost-near", lost_near)
+            .with("lost-ago-ms", lost_at.map(|at| now.since(at)))
+            .with("longest-wait-ms", longest_wait_ms(crashes))
             .emit();
-        self.suspect(task, now);
+        if is_suspect(crashes, unexplained) {
+            self.suspect(task, now);
+        }
         if is_given_up {
             self.fail_job(task.job, now);
         }
         self.mark_dirty(task.job);
     }
 
-    /// Records that a worker has ceased to answer.
+    /// Records that a worker has ceased to answer, or has restarted.
     pub(super) fn note_loss(&mut self, key: WorkerKey, now: Monotonic) {
-        let runs = self.workers[key].runs.iter().map(|run| &self.runs[*run]);
+        let worker = &self.workers[key];
+        let before = worker.lost_at;
+        let runs = worker.runs.iter().map(|run| &self.runs[*run]);
         let young = runs.filter(|run| !is_settled(run));
+        let is_on_trial = young
+            .clone()
+            .any(|run| self.suspects.contains_key(&run.task));
         let mut jobs: Vec<JobId> = young.map(|run| run.task.job).collect();
         jobs.sort_unstable();
         jobs.dedup();
-        self.workers[key].loss = Some(Loss { at: now, jobs });
+        let is_leaving = worker.has_drained;
+        // A worker that does not answer every other poll is one loss.
+        let is_again = before.is_some_and(|at| now.since(at) <= loss::WINDOW_MS);
+        self.workers[key].lost_at = Some(now);
+        if !is_on_trial && !is_leaving && !is_again {
+            self.losses.add(now, jobs);
+        }
     }
 
-    /// Whether a worker was lost together with many others, or with others of its rack, that held
-    /// no young run of the job.
-    fn is_common_loss(&self, key: WorkerKey, job: JobId) -> bool {
-        let worker = &self.workers[key];
-        let Some(at) = worker.loss.as_ref().map(|loss| loss.at) else {
-            return false;
-        };
-        let is_near = |loss: &Loss| {
-            let gap_ms = at.since(loss.at).max(loss.at.since(at));
-            gap_ms <= COMMON_LOSS_MS && !loss.jobs.contains(&job)
-        };
-        let others = self.workers.iter().filter(|(other, _)| *other != key);
-        let lost = others.filter(|(_, other)| other.loss.as_ref().is_some_and(is_near));
-        let (mut all, mut in_rack) = (0, 0);
-        for (_, other) in lost {
-            all += 1;
-            in_rack += usize::from(!worker.rack().is_empty() && other.rack() == worker.rack());
-        }
-        let is_part = all * COMMON_LOSS_DIVISOR >= self.workers.len();
-        in_rack >= RACK_LOSS || (all >= RACK_LOSS && is_part)
+    /// Whether next to no workers were lost around a moment but those with young runs of the job.
+    fn is_calm(&self, around: Monotonic, job: JobId) -> bool {
+        let fleet = self.workers.len().saturating_sub(self.unlisted.len());
+        self.losses.is_calm(around, job, fleet)
     }
 
-    /// Number of other workers that ceased to answer at about the same time, if it is known.
-    fn lost_near(&self, key: WorkerKey) -> Option<usize> {
-        let at = self.workers[key].loss.as_ref()?.at;
-        let is_near = |loss: &Loss| at.since(loss.at).max(loss.at.since(at)) <= COMMON_LOSS_MS;
-        let others = self.workers.iter().filter(|(other, _)| *other != key);
-        let lost = others.filter(|(_, other)| other.loss.as_ref().is_some_and(is_near));
-        Some(lost.count())
+    /// Whether a task under which workers have crashed waits: until losses have ceased, and until it
+    /// is known of runs that lapsed whether their workers have crashed.
+    pub(super) fn must_wait(&self, task: &Task, job: JobId, now: Monotonic) -> bool {
+        let crashes = task.crashes + u32::try_from(task.lapsed.len()).unwrap_or(u32::MAX);
+        let Some(at) = task.crashed_at.filter(|_| crashes >= WAIT_CRASHES) else {
+            return false;
+        };
+        // What was lost before is not known to a new owner.
+        let is_known = task.lapsed.is_empty() && now.since(self.began_at) > loss::WINDOW_MS;
+        let is_calm = is_known && self.is_calm(now, job);
+        !is_calm && now.since(at) < longest_wait_ms(crashes)
     }
 
     /// Makes a task a suspect.
@@ -244,15 +258,15 @@
 
     /// Ends the suspicion of a task of which a run is done or has settled.
     fn acquit(&mut self, task: TaskId) {
-        self.excused.remove(&task);
-        if self.suspects.remove(&task).is_none() {
+        self.assign_needed |= self.suspects.remove(&task).is_some();
+        let Some(state) = self
+            .task_mut(task)
+            .filter(|state| state.crashes > 0 || !state.lapsed.is_empty())
+        else {
             return;
-        }
-        self.assign_needed = true;
-        if let Some(state) = self.task_mut(task) {
-            state.crashes = 0;
-            state.lapsed.clear();
-        }
+        };
+        (state.crashes, state.unexplained) = (0, 0);
+        state.lapsed.clear();
         self.mark_dirty(task.job);
     }
 
@@ -294,7 +308,7 @@
     }
 
     /// Records that a run ended as the leases of its worker lapsed.
-    pub(super) fn add_lapsed(&mut self, task: TaskId, run: LapsedRun) {
+    pub(super) fn add_lapsed(&mut self, task: TaskId, run: LapsedRun, now: Monotonic) {
         let is_open = self
             .jobs
             .get(&task.job)
@@ -303,6 +317,7 @@
             return;
         };
         state.lapsed.push(run);
+        state.crashed_at = Some(now);
         self.workers[run.worker].lapsed_tasks.push(task);
     }
 
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -499,7 +499,6 @@
         };
         let keys: Vec<RunKey> = job.runs().collect();
         self.suspects.retain(|task, _| task.job != id);
-        self.excused.retain(|task| task.job != id);
         for key in keys {
             self.stop_run(key);
             let run = &mut self.runs[key];
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -129,8 +129,8 @@
     early_cancels: HashSet<JobId>,
     /// Waiting or young tasks under which a worker may have crashed.
     suspects: HashMap<TaskId, Monotonic>,
-    /// Tasks under which a worker was lost together with others.
-    excused: HashSet<TaskId>,
+    /// Recent losses of workers.
+    losses: crash::Losses,
     headroom: HeadroomModel,
     /// Recent demand of short steps, by pool.
     demands: HashMap<String, room::Demand>,
@@ -190,7 +190,7 @@
             evacuated: HashSet::default(),
             early_cancels: HashSet::default(),
             suspects: HashMap::default(),
-            excused: HashSet::default(),
+            losses: crash::Losses::default(),
             headroom: HeadroomModel::default(),
             demands: HashMap::default(),
             work_means: HashMap::default(),
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -143,6 +143,7 @@
         if worker.is_vanished() {
             self.voters.mark_dirty();
         }
+        let has_failed = worker.failed_polls > 0;
         worker.failed_polls = 0;
         worker.logged_bound = None;
         worker.answered_at = Some(sent);
@@ -153,6 +154,11 @@
             at: now,
         };
         worker.update_session(report.incarnation, clock, earlier_ms);
+        // Without a failed poll its loss was not noticed.
+        if has_restarted && !has_failed {
+            self.note_loss(key, now);
+        }
+        let worker = &self.workers[key];
         if has_restarted {
             Entry::new(Kind::WorkerAnswering)
                 .with("worker", &worker.info.name)
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::crash::LapsedRun;
+use super::crash::{self, LapsedRun};
 use super::report::{HomeRecord, ProgressRecord, TaskRecord};
 use super::table::LastEnd;
 use super::worker::{WorkerInfo, WorkerKey};
@@ -62,6 +62,8 @@
         task.failed = record.failed;
         task.crashes = record.crashes;
         task.blamed = record.blamed;
+        task.unexplained = record.unexplained;
+        task.crashed_at = (record.crashes > 0).then_some(now);
         task.checkpoint = record.checkpoint;
         if record.run > 0 {
             task.last_end = LastEnd::Earlier;
@@ -72,7 +74,7 @@
         {
             step.remaining = step.remaining.saturating_sub(1);
         }
-        if record.crashes > 0 {
+        if crash::is_suspect(record.crashes, record.unexplained) {
             self.suspect(at, now);
         }
         for run in record.lapsed {
@@ -82,7 +84,7 @@
                 worker,
                 incarnation: run.2,
             };
-            self.add_lapsed(at, lapsed);
+            self.add_lapsed(at, lapsed, now);
         }
         let is_obsolete = record.done || self.is_job_final(id);
         // A late start of an earlier run may be recorded until it has ended.
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -272,9 +272,12 @@
     /// Number of failed runs.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub failed: u32,
-    /// Number of crashes under it that it is suspected of.
+    /// Number of crashes under it since a run of it last settled.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub crashes: u32,
+    /// Number of those that no wider loss of workers explains.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unexplained: u32,
     /// Numbers of the runs that were last counted as crashed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub blamed: Vec<u32>,
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -39,8 +39,12 @@
     pub failed: u32,
     /// Number of crashes under it since a run of it last settled.
     pub crashes: u32,
+    /// Number of those that no wider loss of workers explains.
+    pub unexplained: u32,
     /// Numbers of the runs that were last counted as crashed.
     pub blamed: Vec<u32>,
+    /// When this owner last counted one, or learned of them.
+    pub crashed_at: Option<Monotonic>,
     /// Runs that ended as the leases of their workers lapsed, which may have crashed.
     pub lapsed: Vec<LapsedRun>,
     /// Highest run number used.
@@ -280,11 +284,16 @@
         self.step_mut(round, step)?.tasks.get_mut(index as usize)
     }
 
-    /// Task, if its round has begun.
-    pub fn task(&self, round: u32, step: u32, index: u32) -> Option<&Task> {
+    /// Tasks of a step, if its round has begun.
+    pub fn tasks(&self, round: u32, step: u32) -> Option<&[Task]> {
         let round = self.rounds.iter().find(|other| other.number == round)?;
         let step = round.steps.get(step as usize)?;
-        step.tasks.get(index as usize)
+        Some(&step.tasks)
+    }
+
+    /// Task, if its round has begun.
+    pub fn task(&self, round: u32, step: u32, index: u32) -> Option<&Task> {
+        self.tasks(round, step)?.get(index as usize)
     }
 
     /// Runs of all tasks.
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -10,7 +10,6 @@
 use slotmap::new_key_type;
 
 use super::Claim;
-use super::crash::Loss;
 use super::headroom::{ImageId, Level};
 use super::interference::MitigationState;
 use super::job::{Amount, JobId, TaskId};
@@ -216,8 +215,8 @@
     late_starts: Vec<LateStart>,
     /// Tasks of runs whose leases have lapsed since it last answered.
     pub lapsed_tasks: Vec<TaskId>,
-    /// When it last ceased to answer.
-    pub loss: Option<Loss>,
+    /// When it last ceased to answer, or was found restarted.
+    pub lost_at: Option<Monotonic>,
     /// Whether its present incarnation has said that it drains.
     pub has_drained: bool,
     /// Failures in a row, without repeated ones of the same job.
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -71,7 +71,7 @@
     AccountWaiting = 224, "account-waiting", Info, "The work of a client account waits, with the reason.";
     Overload = 225, "overload", Info, "Standing tasks wait, or jobs that cannot all be in time; at most once a second.";
     LeaseAwaited = 226, "lease-awaited", Info, "Runs of a worker that does not answer may go on until its leases have lapsed.";
-    CrashSuspected = 227, "crash-suspected", Warn, "A worker crashed soon after the start of a task, which is tried apart from others.";
+    CrashSuspected = 227, "crash-suspected", Warn, "A worker crashed soon after the start of a task, which may be at fault.";
     TaskGivenUp = 228, "task-given-up", Warn, "A task has failed as often as its queue allows, or workers crashed under it once too often; its job has failed.";
     RoomChanged = 229, "room-changed", Info, "A worker says of itself that it has more or less room.";
     WorkerQuarantined = 230, "worker-quarantined", Warn, "A worker whose tasks keep failing is quarantined: it gets no tasks, or only probes.";
