--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -56,6 +56,8 @@
                             .map(|run| run.number)
                             .collect(),
                         crashes: task.crashes,
+                        blamed: task.blamed.clone(),
+                        unexplained: task.unexplained,
                         runs: runs
                             .map(|run| {
                                 let worker = &self.workers[run.worker];
@@ -67,6 +69,14 @@
                                 RunRecord(run.number, name, incarnation)
                             })
                             .collect(),
+                        lapsed: task
+                            .lapsed
+                            .iter()
+                            .filter_map(|run| {
+                                let name = self.workers.get(run.worker)?.info.name.clone();
+                                Some(RunRecord(run.number, name, run.incarnation))
+                            })
+                            .collect(),
                         checkpoint: task.checkpoint.clone(),
                     });
                 }
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -2,7 +2,7 @@
 
 use super::headroom::Level;
 use super::mitigation::PastFiller;
-use super::report::{CallFailure, EndCause, Evidence};
+use super::report::{CallFailure, EndCause, Evidence, GivenUp};
 use super::table::{LastEnd, Task};
 use super::worker::{Run, WorkerInfo, WorkerKey};
 use super::{
@@ -300,6 +300,7 @@
             in_flight: false,
             retry_at: now,
             tries: 0,
+            placed_at: now,
             unanswered: false,
             unanswered_at: Monotonic::default(),
             has_settled: false,
@@ -383,6 +384,9 @@
             .with("worker", name)
             .with("cause", cause)
             .with("evidence", evidence)
+            .with("begin", run.begin())
+            .with("tries", run.tries)
+            .with("placed-ms", now.since(run.placed_at))
             .with("listed-ms", run.seen_at.since(run.started_at))
             .with("run-incarnation", run.incarnation)
             .with("incarnation", incarnation)
@@ -431,7 +435,8 @@
         }
         let is_newly_done = task.done && !was_done;
         task.wants_copy = false;
-        let is_exhausted = !is_standing && !task.done && task.failed >= attempts;
+        let failed = task.failed;
+        let is_exhausted = !is_standing && !task.done && failed >= attempts;
         let others = if is_newly_done {
             task.runs.clone()
         } else {
@@ -443,6 +448,13 @@
         if is_newly_done {
             self.on_task_done(run, now);
         } else if is_exhausted {
+            Entry::new(Kind::TaskGivenUp)
+                .with_text("task", run.task)
+                .with("run", run.number)
+                .with("cause", GivenUp::Attempts)
+                .with("failed", failed)
+                .with("attempts", attempts)
+                .emit();
             self.fail_job(id, now);
         }
         self.pending.insert(id);
@@ -487,7 +499,6 @@
         };
         let keys: Vec<RunKey> = job.runs().collect();
         self.suspects.retain(|task, _| task.job != id);
-        self.excused.retain(|task| task.job != id);
         for key in keys {
             self.stop_run(key);
             let run = &mut self.runs[key];
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -49,6 +49,16 @@
     NotOrdered,
 }
 
+/// Reason for which a task is given up, and its job is failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum GivenUp {
+    /// As many of its runs have failed as its queue allows attempts.
+    Attempts,
+    /// Too many workers have crashed under it.
+    Crashes,
+}
+
 /// A run that a worker lists as running.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunningEntry {
@@ -262,12 +272,21 @@
     /// Number of failed runs.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub failed: u32,
-    /// Number of crashes under it that it is suspected of.
+    /// Number of crashes under it since a run of it last settled.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub crashes: u32,
+    /// Number of those that no wider loss of workers explains.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unexplained: u32,
+    /// Numbers of the runs that were last counted as crashed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub blamed: Vec<u32>,
     /// Runs that may still be running.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub runs: Vec<RunRecord>,
+    /// Runs that ended as the leases of their workers lapsed, which may have crashed under them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lapsed: Vec<RunRecord>,
     /// Numbers of the runs whose incarnations hold no longer leases than [`VoterRecord`] tells.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub bounded: Vec<u32>,
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -6,10 +6,10 @@
 
 use std::sync::Arc;
 
+use serde::Serialize;
 use slotmap::new_key_type;
 
 use super::Claim;
-use super::crash::{LapsedRun, Loss};
 use super::headroom::{ImageId, Level};
 use super::interference::MitigationState;
 use super::job::{Amount, JobId, TaskId};
@@ -213,10 +213,10 @@
     pub failed_at: Option<Monotonic>,
     /// Starts that the next incarnation may still carry out.
     late_starts: Vec<LateStart>,
-    /// Runs whose leases have lapsed since it last answered.
-    pub lapsed_runs: Vec<LapsedRun>,
-    /// When it last ceased to answer.
-    pub loss: Option<Loss>,
+    /// Tasks of runs whose leases have lapsed since it last answered.
+    pub lapsed_tasks: Vec<TaskId>,
+    /// When it last ceased to answer, or was found restarted.
+    pub lost_at: Option<Monotonic>,
     /// Whether its present incarnation has said that it drains.
     pub has_drained: bool,
     /// Failures in a row, without repeated ones of the same job.
@@ -373,6 +373,36 @@
     Live,
 }
 
+/// What is known of the begin of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum Begin {
+    /// The store does not hold its assignment, so that its start was not ordered.
+    Recording,
+    /// Its start was never ordered.
+    NotOrdered,
+    /// Each start order was refused, or never left this host.
+    Refused,
+    /// Its start order has not been answered yet.
+    InFlight,
+    /// A start order got no answer.
+    Unanswered,
+    /// The worker confirmed its start or listed it.
+    Confirmed,
+    /// An earlier owner recorded it, and no list has shown it since.
+    Inherited,
+}
+
+impl Begin {
+    /// Whether the run may have begun.
+    pub fn is_possible(self) -> bool {
+        match self {
+            Self::Recording | Self::NotOrdered | Self::Refused => false,
+            Self::InFlight | Self::Unanswered | Self::Confirmed | Self::Inherited => true,
+        }
+    }
+}
+
 /// State of a run of a task on a worker.
 #[derive(Debug)]
 pub(super) struct Run {
@@ -407,6 +437,8 @@
     /// Whether an order for it has not been answered yet.
     pub in_flight: bool,
     pub retry_at: Monotonic,
+    /// When it was placed, or this owner learned of it.
+    pub placed_at: Monotonic,
     /// Number of start orders sent.
     pub tries: u32,
     /// Whether a start order got no answer.
@@ -447,6 +479,20 @@
 }
 
 impl Run {
+    /// What is known of its begin. The confirmation of a stop alone tells nothing of it.
+    pub fn begin(&self) -> Begin {
+        let is_open = self.unanswered && self.confirmed_at.is_none();
+        match self.phase {
+            _ if self.inherited => Begin::Inherited,
+            Phase::Live if !is_open => Begin::Confirmed,
+            _ if self.unanswered => Begin::Unanswered,
+            Phase::Starting if self.in_flight => Begin::InFlight,
+            Phase::Recording => Begin::Recording,
+            _ if self.tries == 0 => Begin::NotOrdered,
+            Phase::Starting | Phase::Live => Begin::Refused,
+        }
+    }
+
     /// Whether a start order may still be carried out.
     pub fn may_start_late(&self) -> bool {
         self.unanswered || (self.phase == Phase::Starting && self.in_flight)
