A job's attempts are judged only at an end that is a failure

What callers may see: a job shown as failed when its worker restarts, if its queue was declared anew with no more attempts than have failed, or with none (LOST: only ends failed count).

Cause: the check of the attempts ran at every end of a run. It runs at ends that are failures now; a lowered number takes effect at the next one.

Failed before: dispatch::attempts, both cases.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -436,7 +436,9 @@
         let is_newly_done = task.done && !was_done;
         task.wants_copy = false;
         let failed = task.failed;
-        let is_exhausted = !is_standing && !task.done && failed >= attempts;
+        // Attempts may have been lowered since the last failure.
+        let has_failed = cause == EndCause::Failed && !task.done;
+        let is_exhausted = has_failed && !is_standing && failed >= attempts;
         let others = if is_newly_done {
             task.runs.clone()
         } else {
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher with simulated workers and a simulated store.
 
+mod attempts;
 mod capacity;
 mod caps;
 mod crash_mixes;
