No task is placed on a worker that has ceased to answer

What callers saw: tasks that wait for seconds while workers idle, and crashes counted under runs that never began.

Cause: a worker was usable for 1.8 s after its last answer, whatever has failed since. No start is sent to it before its next list, so that the task only waits, for a worker that may be gone. A worker is usable now only if no call has failed since its last answered poll was sent.

Failed before: no_task_is_placed_on_a_worker_that_has_ceased_to_answer.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -77,6 +77,7 @@
             && !self.is_leaving(key)
             && worker.session.is_some()
             && worker.answered_within(now, USABLE_AGE_MS)
+            && !worker.may_have_restarted()
             && worker.quarantined_until <= now
             && worker.unsized_runs == 0
     }
--- a/testsuite/tests/testsuite/dispatch/execution.rs
+++ b/testsuite/tests/testsuite/dispatch/execution.rs
@@ -161,3 +161,21 @@
     assert_eq!(world.state(id), Some(JobState::Failed));
     assert_eq!(world.starts_of(id).len(), 3);
 }
+
+/// A worker that has just refused a poll is down, or another one by now: a start there waits.
+#[test]
+fn no_task_is_placed_on_a_worker_that_has_ceased_to_answer() {
+    let mut world = World::new(4);
+    world.run(1_500);
+    let now = world.now;
+    for name in ["w00", "w01", "w02"] {
+        world.workers.get_mut(name).unwrap().restart(now, 1_600);
+    }
+    // Idle workers are polled every 0.9 s.
+    world.run(1_000);
+    let id = world.submit(1, "push", job(vec![step(3, 2, 1_000)]));
+    world.run(300);
+    let starts = world.starts_of(id);
+    assert_eq!(starts.len(), 3);
+    assert!(starts.iter().all(|start| start.worker == "w03"));
+}
