platform: an odd item of the store costs itself alone

Callers saw: one item whose value was not base64 cost the whole page, answer of a watch or conflict.

Cause: the list was parsed as one value, with an error of one for all.

Change: each row of a list is parsed by itself. An item keeps its key and revision, and holds its bytes or the cause for which they cannot be read; the readers of the state go on without it. Causes are cut to 200 bytes, as a parser's error may quote the value.

--- a/crates/verbenahitch/src/entry/election.rs
+++ b/crates/verbenahitch/src/entry/election.rs
@@ -258,7 +258,7 @@
             // The store may have created the key all the same; the nonce identifies it.
             let held = kv.get(keys::OWNER).await?;
             let own_key = held.filter(|item| {
-                serde_json::from_slice::<OwnerRecord>(&item.value)
+                item.decode::<OwnerRecord>()
                     .is_ok_and(|held| held.nonce == record.nonce)
             });
             if own_key.is_none() {
--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -198,7 +198,7 @@
 
     /// Applies the key that exists while the owner is slow.
     fn set_slow(&self, item: Option<&Item>) {
-        let fence = item.and_then(|item| serde_json::from_slice::<u64>(&item.value).ok());
+        let fence = item.and_then(|item| item.decode::<u64>().ok());
         self.owner.send_if_modified(|owner| {
             let Some(owner) = owner else {
                 return false;
@@ -211,7 +211,7 @@
     /// Passes the request of another host to the owner's loop, if it runs here, and to an
     /// owner that still reads the state.
     fn offer_successor(&self, item: &Item) {
-        match serde_json::from_slice::<SuccessorRecord>(&item.value) {
+        match item.decode::<SuccessorRecord>() {
             Ok(record) => {
                 self.offered.send_replace(Some(record.clone()));
                 self.inbox.send(OwnerEvent::Offered(Box::new(record)));
@@ -515,7 +515,7 @@
 /// Reads the owner's key. A record that cannot be parsed counts as that of the smallest
 /// host, so that others can ask for the ownership.
 fn read_owner(item: &Item) -> KnownOwner {
-    let record = serde_json::from_slice(&item.value).unwrap_or_else(|error| {
+    let record = item.decode().unwrap_or_else(|error| {
         log::error!("the owner's record cannot be parsed: {error}");
         OwnerRecord::default()
     });
--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -341,19 +341,20 @@
         let Some(item) = kv.get(&keys::job(id)).await? else {
             return Ok(None);
         };
-        let unreadable = |error: serde_json::Error| KvError::Refused {
-            cause: format!("{}: {error}", item.key),
+        let unreadable = |item: &Item, cause: String| KvError::Refused {
+            cause: format!("{}: {cause}", item.key),
         };
-        let entry: JobEntry = serde_json::from_slice(&item.value).map_err(unreadable)?;
+        let entry: JobEntry = item.decode().map_err(|cause| unreadable(&item, cause))?;
         if let JobEntry::Ended(state) = entry {
             return Ok(Some(state));
         }
         let Some(progress) = kv.get(&keys::progress(id)).await? else {
             return Ok(Some(JobState::Queued));
         };
-        let progress: ProgressRecord =
-            serde_json::from_slice(&progress.value).map_err(unreadable)?;
-        Ok(Some(progress.state))
+        let record: ProgressRecord = progress
+            .decode()
+            .map_err(|cause| unreadable(&progress, cause))?;
+        Ok(Some(record.state))
     }
 
     async fn waiting(&self, queue: &str) -> Option<usize> {
@@ -386,7 +387,7 @@
 /// Whether a job's entry names another account than the caller's. Either may be without
 /// one: the caller on a public route, and a job that was accepted there.
 fn is_foreign(item: &Item, caller: Option<&str>) -> bool {
-    match serde_json::from_slice(&item.value) {
+    match item.decode() {
         Ok(JobEntry::Open(JobRecord {
             account: Some(account),
             ..
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -118,7 +118,7 @@
                 let owner = items.iter().find(|item| item.key == keys::OWNER);
                 let last = items.iter().find(|item| item.key == keys::COMMIT);
                 let is_owner = owner.is_some_and(|item| item.revision == self.term.fence);
-                let applied = last.filter(|item| Some(&item.value) == own_id.as_ref());
+                let applied = last.filter(|item| item.bytes().ok() == own_id.as_deref());
                 let Some(applied) = applied.filter(|_| is_owner) else {
                     return Some(if owner.is_none() {
                         Outcome::LeaseEnded
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -144,7 +144,7 @@
         }
         let intake = intake?.0;
         let stored = progress.iter().chain(&intake);
-        let bytes: usize = stored.map(|item| item.value.len()).sum();
+        let bytes: usize = stored.map(|item| item.bytes().map_or(0, <[u8]>::len)).sum();
         for item in &intake {
             driver.recover(item, &mut records);
         }
@@ -362,7 +362,7 @@
 
 /// Decodes the value of an item; logs one that cannot be decoded.
 pub(super) fn decode<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
-    match serde_json::from_slice(&item.value) {
+    match item.decode() {
         Ok(value) => Some(value),
         Err(error) => {
             log::error!("the value of {} cannot be parsed: {error}", item.key);
--- a/crates/verbenahitch/src/entry/refusals.rs
+++ b/crates/verbenahitch/src/entry/refusals.rs
@@ -117,7 +117,7 @@
                         return Exclusion::Unconfirmed;
                     };
                     revision = item.revision;
-                    first_ms = serde_json::from_slice(&item.value).unwrap_or_else(|error| {
+                    first_ms = item.decode().unwrap_or_else(|error| {
                         log::warn!("{key} cannot be parsed, its time counts as now: {error}");
                         wall_ms
                     });
--- a/crates/verbenahitch/src/port/kv.rs
+++ b/crates/verbenahitch/src/port/kv.rs
@@ -1,22 +1,60 @@
 //! The platform's key-value service.
 
+use std::fmt::Display;
+
+use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
 use crate::domain::Millis;
 
+/// Longest cause for which a value cannot be read, in bytes. Errors may quote the value, which
+/// can have the largest size that the service takes.
+const CAUSE_MAX_BYTES: usize = 200;
+
 /// One key with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
     /// Key.
     pub key: String,
-    /// Value.
-    pub value: Vec<u8>,
-    /// Revision of the last change.
+    /// Value, or why it cannot be read. The key exists all the same.
+    pub value: Result<Vec<u8>, String>,
+    /// Revision of the last change, zero if it cannot be read.
     pub revision: u64,
-    /// Revision of the creation.
+    /// Revision of the creation, zero if it cannot be read.
     pub created: u64,
 }
 
+impl Item {
+    /// Bytes of the value.
+    ///
+    /// # Errors
+    ///
+    /// Why it cannot be read.
+    pub fn bytes(&self) -> Result<&[u8], String> {
+        self.value.as_deref().map_err(Clone::clone)
+    }
+
+    /// Decodes a value in JSON.
+    ///
+    /// # Errors
+    ///
+    /// Why it cannot be read, in short.
+    pub fn decode<T: DeserializeOwned>(&self) -> Result<T, String> {
+        serde_json::from_slice(self.bytes()?).map_err(short_cause)
+    }
+}
+
+/// Text of an error, cut to the length of a log line.
+pub fn short_cause(error: impl Display) -> String {
+    let mut text = error.to_string();
+    if text.len() > CAUSE_MAX_BYTES {
+        let mut ends = (0..=CAUSE_MAX_BYTES).rev();
+        text.truncate(ends.find(|end| text.is_char_boundary(*end)).unwrap_or(0));
+        text.push_str(" ...");
+    }
+    text
+}
+
 /// One change that a watch reports.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -101,7 +139,8 @@
     /// When the service does not answer.
     async fn get(&self, key: &str) -> Result<Option<Item>, KvError>;
 
-    /// Reads all keys that start with `prefix`, and the revision to watch from.
+    /// Reads all keys that start with `prefix`, and the revision to watch from. An item that cannot
+    /// be read costs itself alone.
     ///
     /// # Errors
     ///
@@ -109,6 +148,7 @@
     async fn range(&self, prefix: &str) -> Result<(Vec<Item>, u64), KvError>;
 
     /// Waits up to `wait_ms` for changes after a revision; returns the revision for the next watch.
+    /// A change that cannot be read costs itself alone.
     ///
     /// # Errors
     ///
--- a/testsuite/tests/testsuite/entry/refusals.rs
+++ b/testsuite/tests/testsuite/entry/refusals.rs
@@ -64,7 +64,7 @@
         for put in &transaction.puts {
             let item = Item {
                 key: put.key.clone(),
-                value: put.value.clone(),
+                value: Ok(put.value.clone()),
                 revision,
                 created: revision,
             };
