worker: an odd row costs itself, not the list

Callers saw: one row of a worker's answer with a number out of range, a missing field or another type made the whole answer unreadable: the worker counted as silent, its leases lapsed, and its tasks started elsewhere.

The report says if one could not be read; such a list ends no run by leaving it out and stalls none, as it may be the unread row, and the log says so once until all rows can be read.

--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -167,6 +167,7 @@
         } else {
             self.workers[key].lapsed_runs.clear();
         }
+        self.log_unread(key, &report);
         self.cached_loads.remove(key);
         self.check_takeover(now);
         self.apply_ends(key, &report, now);
@@ -177,6 +178,19 @@
         self.mitigate(key, now);
     }
 
+    /// Logs that a worker's lists have rows that cannot be read, once until all can be.
+    fn log_unread(&mut self, key: WorkerKey, report: &Report) {
+        let worker = &mut self.workers[key];
+        let was_unread = std::mem::replace(&mut worker.lists_unread, report.unread.is_some());
+        if let Some(cause) = report.unread.as_ref().filter(|_| !was_unread) {
+            Entry::new(Kind::DeclarationUnreadable)
+                .with("worker", &worker.info.name)
+                .with("incarnation", report.incarnation)
+                .with("cause", cause)
+                .emit();
+        }
+    }
+
     /// Longest lease that an incarnation may have been given before its first list. One that an
     /// owner did not know of may have taken any lease for the longest that it allows.
     fn earlier_lease_ms(&self, key: WorkerKey, incarnation: u64) -> Millis {
@@ -289,8 +303,8 @@
                 None => seen.push(self.stop_unassigned(key, entry, now)),
             }
         }
-        // A full list may omit ends, so an unlisted run need not be gone.
-        if report.ended.len() >= MAX_LISTED_ENDS {
+        // A full list may omit ends, and a row may be unread, so an unlisted run need not be gone.
+        if report.ended.len() >= MAX_LISTED_ENDS || report.unread.is_some() {
             return;
         }
         let missing = |run: &&RunKey| {
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -93,6 +93,9 @@
     pub running: Vec<RunningEntry>,
     /// Ended runs that are not yet acknowledged.
     pub ended: Vec<EndedEntry>,
+    /// Why a row of either list could not be read, none if all could. A run that is not listed
+    /// may be such a row.
+    pub unread: Option<String>,
 }
 
 /// Reason for which a call to a worker failed.
--- a/crates/verbenahitch/src/dispatch/straggler.rs
+++ b/crates/verbenahitch/src/dispatch/straggler.rs
@@ -129,11 +129,13 @@
             .runs
             .iter()
             .filter(|(_, run)| {
+                let worker = &self.workers[run.worker];
                 run.phase == Phase::Live
                     && !run.stop_wanted
                     && run.pace >= 100
                     && now.since(run.progressed_at) > health::STALL_MS
-                    && self.workers[run.worker].answered_within(now, STALL_ANSWER_MS)
+                    && worker.answered_within(now, STALL_ANSWER_MS)
+                    && !worker.lists_unread
             })
             .map(|(key, _)| key)
             .collect();
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -207,6 +207,8 @@
     pub next_poll: Monotonic,
     /// Failed polls in a row.
     pub failed_polls: u32,
+    /// Whether its last lists had rows that cannot be read.
+    pub lists_unread: bool,
     /// What bounded its leases when that was last logged, while it is silent.
     pub logged_bound: Option<LapseBound>,
     /// When a call last failed in a way that a restart would explain.
--- a/testsuite/tests/testsuite/dispatch/odd_values.rs
+++ b/testsuite/tests/testsuite/dispatch/odd_values.rs
@@ -126,6 +126,32 @@
     assert_eq!(world.starts_of(id).len(), 1);
 }
 
+/// Rows that cannot be read may be those of runs that would be taken for ended.
+#[test]
+fn a_run_whose_row_cannot_be_read_does_not_start_again() {
+    let mut world = World::new(3);
+    world.run(SETTLE_MS);
+    let id = world.submit(1, "batch", job(vec![step(1, 1, 6_000)]));
+    world.run(1_000);
+    for take_over in [false, true] {
+        for worker in world.workers.values_mut() {
+            worker.has_odd_rows = true;
+        }
+        if take_over {
+            world.take_over();
+        }
+        world.run(2_000);
+        for worker in world.workers.values_mut() {
+            worker.has_odd_rows = false;
+        }
+        world.run(500);
+    }
+    world.run(3_000);
+    world.ledger.assert_once();
+    assert_eq!(world.starts_of(id).len(), 1);
+    assert_eq!(world.state(id), Some(JobState::Completed));
+}
+
 /// The record says that leases last for ever. Workers shorten them, so a task of a lost worker
 /// starts elsewhere once the longest lease that they allow has lapsed.
 #[test]
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -574,8 +574,13 @@
         Ok(Report {
             incarnation: worker.life.number,
             clock_ms: worker.clock(now) + worker.clock_offset,
-            running: running.collect(),
+            running: if worker.has_odd_rows {
+                Vec::new()
+            } else {
+                running.collect()
+            },
             ended: worker.life.ended.clone(),
+            unread: worker.has_odd_rows.then(|| "odd".to_owned()),
         })
     }
 
--- a/testsuite/tests/testsuite/dispatch/world/worker.rs
+++ b/testsuite/tests/testsuite/dispatch/world/worker.rs
@@ -59,6 +59,8 @@
     pub slow_clock: bool,
     /// What it adds to its clock in its lists.
     pub clock_offset: Millis,
+    /// Lists its runs in rows that cannot be read.
+    pub has_odd_rows: bool,
     /// Delay after which it carries out orders, which it then does not answer.
     pub order_delay: Option<Millis>,
     /// Answers no calls; its runs continue.
