dispatch: no input overflows a sum

Callers saw: an owner that ends, in a debug build, or sums that wrap, in a release build: a caller's step of 2^64 - 1 thousandths of a core (share of its account), two workers near 2^64, a cap near 2^64, a clock within a lease of 2^64, a recorded lease of 2^64 - 1 ms. Weights near the largest number gave NaN, on which clamp panics in each build, and a recorded step that waits for an unknown one an index out of bounds. Each successor reads the same, so the owners would end one after another.

Change: sums of amounts saturate at 2^44 of a resource, so that sums over a million workers stay below 2^64; a worker's capacity is cut to that. Times on a worker's clock saturate. A recorded lease counts up to the longest that workers allow. A weight's part of all is formed before it is multiplied.

--- a/crates/verbenahitch/src/dispatch/account/cap.rs
+++ b/crates/verbenahitch/src/dispatch/account/cap.rs
@@ -45,10 +45,11 @@
             reason = "resources of a fleet are far below 2^52"
         )]
         let tolerance = (cap as f64 * overshoot.max(0.0)) as u64;
-        let limit = cap + tolerance;
-        let fits = held + task <= cap && held + late + task <= limit;
+        let limit = cap.saturating_add(tolerance);
+        let used = held.saturating_add(late);
+        let fits = held.saturating_add(task) <= cap && used.saturating_add(task) <= limit;
         // The bound is the limit and one task more, so a large task finds room, too.
-        let is_little_used = held.saturating_mul(2) < cap && held + late <= limit;
+        let is_little_used = held.saturating_mul(2) < cap && used <= limit;
         fits || is_little_used
     }
 }
--- a/crates/verbenahitch/src/dispatch/account/share.rs
+++ b/crates/verbenahitch/src/dispatch/account/share.rs
@@ -105,8 +105,9 @@
             let is_at_cap = state.is_at_cap;
             let standing = &mut state.standing;
             // The CPU of fillers may exceed that of the workers.
-            standing.entitled =
-                shares.max(1.0) * state.limits.weight / weights.max(f64::MIN_POSITIVE);
+            let part = state.limits.weight / weights.max(f64::MIN_POSITIVE);
+            // The sum of weights near the largest number is infinite, a quotient of least ones, too.
+            standing.entitled = shares.max(1.0) * part.min(1.0);
             let lacking = standing.entitled - standing.share;
             let counts = is_full && (lacking < 0.0 || (standing.waiting > 0 && !is_at_cap));
             if counts {
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -1,6 +1,7 @@
 //! Registry changes, answers to orders, and ends of runs.
 
 use super::headroom::Level;
+use super::job::add_amount;
 use super::mitigation::PastFiller;
 use super::report::{CallFailure, EndCause, Evidence};
 use super::table::{LastEnd, Task};
@@ -51,7 +52,8 @@
 
 impl Dispatcher {
     /// Applies a new or changed registry entry; a worker is `listed` while it has one.
-    pub fn upsert_worker(&mut self, info: WorkerInfo, now: Monotonic) {
+    pub fn upsert_worker(&mut self, mut info: WorkerInfo, now: Monotonic) {
+        info.capacity = info.capacity.bounded();
         self.forecaster.worker_listed(&info.pool, info.capacity);
         let Some(&key) = self.worker_keys.get(&info.name) else {
             let name = info.name.clone();
@@ -322,8 +324,8 @@
         let state = &mut self.workers[worker];
         state.committed.add(amount);
         state.unsized_runs += u32::from(is_unsized);
-        state.filler_milli += filler_milli;
-        state.short_milli += short_milli;
+        state.filler_milli = add_amount(state.filler_milli, filler_milli);
+        state.short_milli = add_amount(state.short_milli, short_milli);
         if state.runs.is_empty() {
             state.next_poll = state.next_poll.min(now);
         }
--- a/crates/verbenahitch/src/dispatch/job.rs
+++ b/crates/verbenahitch/src/dispatch/job.rs
@@ -92,7 +92,12 @@
     }
 }
 
-/// Resources of a task or a worker.
+/// Largest amount of a resource in a sum, and of one worker. Sums over a million workers do not
+/// overflow.
+const SUM_MAX: u64 = 1 << 44;
+
+/// Resources of a task or a worker. Callers may ask for any amount, so sums and products saturate,
+/// far above all that a fleet has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, rename_all = "kebab-case")]
 pub struct Amount {
@@ -104,6 +109,11 @@
     pub gpus: u64,
 }
 
+/// Sum of two amounts of a resource, at most [`SUM_MAX`].
+pub(super) fn add_amount(left: u64, right: u64) -> u64 {
+    left.saturating_add(right).min(SUM_MAX)
+}
+
 impl Amount {
     /// Greater of each resource.
     pub fn max(self, other: Self) -> Self {
@@ -123,9 +133,16 @@
 
     /// Adds `other`.
     pub fn add(&mut self, other: Self) {
-        self.cpu_milli += other.cpu_milli;
-        self.memory_mb += other.memory_mb;
-        self.gpus += other.gpus;
+        self.cpu_milli = add_amount(self.cpu_milli, other.cpu_milli);
+        self.memory_mb = add_amount(self.memory_mb, other.memory_mb);
+        self.gpus = add_amount(self.gpus, other.gpus);
+    }
+
+    /// As much of each resource as a worker can have.
+    pub(super) fn bounded(self) -> Self {
+        let mut sum = Self::default();
+        sum.add(self);
+        sum
     }
 
     /// Subtracts `other`, not below zero.
@@ -136,9 +153,9 @@
     /// `count` times as much.
     pub fn times(self, count: u64) -> Self {
         Self {
-            cpu_milli: self.cpu_milli * count,
-            memory_mb: self.memory_mb * count,
-            gpus: self.gpus * count,
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
         }
     }
 
--- a/crates/verbenahitch/src/dispatch/mitigation.rs
+++ b/crates/verbenahitch/src/dispatch/mitigation.rs
@@ -3,6 +3,7 @@
 
 use super::headroom::{Exposure, ImageId, Reading};
 use super::interference::{self, Action, Filler, ServingTask};
+use super::job::add_amount;
 use super::polls::SERVING_PERCENT;
 use super::worker::{Run, Worker, WorkerKey};
 use super::{Dispatcher, Entry, Kind, Millis, Monotonic, Phase, RunKey, place};
@@ -213,7 +214,7 @@
         let capacity = worker.info.capacity.cpu_milli;
         for run in worker.runs.iter().map(|run| &self.runs[*run]) {
             if run.standing {
-                load.standing_milli += run.amount.cpu_milli;
+                load.standing_milli = add_amount(load.standing_milli, run.amount.cpu_milli);
             }
             if run.filler_milli > 0 {
                 let share = place::share_of(run.filler_milli, capacity);
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -380,7 +380,9 @@
 
 /// Memory that fillers leave for tasks on the uncommitted CPU, in MB.
 fn reserve_mb(capacity: Amount, free: Amount) -> u64 {
-    free.cpu_milli * capacity.memory_mb / capacity.cpu_milli.max(1) / RESERVE_DIVISOR
+    let product = u128::from(free.cpu_milli) * u128::from(capacity.memory_mb);
+    let reserve = product / u128::from(capacity.cpu_milli.max(1)) / u128::from(RESERVE_DIVISOR);
+    u64::try_from(reserve).unwrap_or(u64::MAX)
 }
 
 /// Cost from the images of the standing tasks with a target on the worker. Tasks of
--- a/crates/verbenahitch/src/dispatch/quorum.rs
+++ b/crates/verbenahitch/src/dispatch/quorum.rs
@@ -135,7 +135,7 @@
     fn lease_to_record(&self, now: Monotonic) -> Millis {
         let own = self.bounds.lease_ms;
         match self.voters.inherited_lease {
-            Some(earlier) if now < self.bounded_lapse() => own.max(earlier),
+            Some(_) if now < self.bounded_lapse() => own.max(self.inherited_lease_ms()),
             Some(_) | None => own,
         }
     }
@@ -146,10 +146,12 @@
         self.voters.stored_lease.map_or(own, |ms| ms.min(own))
     }
 
-    /// Longest lease that earlier owners may have given to bounded runs.
+    /// Longest lease that earlier owners may have given to bounded runs. Workers shorten longer ones,
+    /// whatever the record says.
     pub(super) fn inherited_lease_ms(&self) -> Millis {
+        let longest = self.bounds.lease_max_ms;
         let recorded = self.voters.inherited_lease;
-        recorded.unwrap_or(self.bounds.lease_max_ms)
+        recorded.map_or(longest, |lease_ms| lease_ms.min(longest))
     }
 
     /// Applies the commit of the voters last taken.
--- a/crates/verbenahitch/src/dispatch/step_order/mod.rs
+++ b/crates/verbenahitch/src/dispatch/step_order/mod.rs
@@ -130,13 +130,16 @@
 }
 
 /// Critical path from the start of each step to the end of the job, by declared run
-/// times, in milliseconds.
+/// times, in milliseconds. A step that waits for an unknown one never starts.
 pub fn critical_paths(spec: &JobSpec) -> Vec<Millis> {
     let mut longest: Vec<Millis> = spec.steps.iter().map(|step| step.estimate_ms).collect();
     for step in (0..spec.steps.len()).rev() {
         for &on in &spec.steps[step].after {
             let on = on as usize;
-            let through = spec.steps[on].estimate_ms.saturating_add(longest[step]);
+            let Some(earlier) = spec.steps.get(on) else {
+                continue;
+            };
+            let through = earlier.estimate_ms.saturating_add(longest[step]);
             longest[on] = longest[on].max(through);
         }
     }
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -127,7 +127,7 @@
             began_at: clock.at,
             address: Arc::from(""),
             clock,
-            lease_end: clock.clock_ms + lease_ms,
+            lease_end: clock.clock_ms.saturating_add(lease_ms),
             lists_ends: false,
             unacked_ends: Vec::new(),
             last_end: 0,
@@ -138,20 +138,25 @@
     /// Gives a lease that begins now; returns its end on the worker's clock. An incarnation that is
     /// not known may take it for `longest_ms`.
     pub fn give_lease(&mut self, now: Monotonic, lease_ms: Millis, longest_ms: Millis) -> Millis {
-        let begin = self.clock.clock_ms + now.since(self.clock.at);
-        self.lease_end = self.lease_end.max(begin + longest_ms);
-        begin + lease_ms
+        let begin = self.clock_ms(now);
+        self.lease_end = self.lease_end.max(begin.saturating_add(longest_ms));
+        begin.saturating_add(lease_ms)
     }
 
     /// Rest of the longest lease given, in milliseconds.
     pub fn lease_left(&self, now: Monotonic) -> Millis {
-        let clock_ms = self.clock.clock_ms + now.since(self.clock.at);
-        self.lease_end.saturating_sub(clock_ms)
+        self.lease_end.saturating_sub(self.clock_ms(now))
+    }
+
+    /// The worker's clock, by its last reading.
+    fn clock_ms(&self, now: Monotonic) -> Millis {
+        let elapsed = now.since(self.clock.at);
+        self.clock.clock_ms.saturating_add(elapsed)
     }
 
     /// Whether it was given no lease longer than one of `lease_ms` from its last list on.
     pub fn is_bounded(&self, lease_ms: Millis) -> bool {
-        self.lease_end <= self.clock.clock_ms + lease_ms
+        self.lease_end <= self.clock.clock_ms.saturating_add(lease_ms)
     }
 
     /// When all leases that it may have been given have lapsed, even on the slowest clock
@@ -166,7 +171,7 @@
 /// the worker's clock that was up to [`USABLE_AGE_MS`] old.
 pub(super) fn lapse_ms(lease_ms: Millis) -> Millis {
     let drift_ms = on_slowest_clock(USABLE_AGE_MS) - USABLE_AGE_MS;
-    on_slowest_clock(lease_ms + drift_ms) + LAPSE_MARGIN_MS
+    on_slowest_clock(lease_ms.saturating_add(drift_ms)).saturating_add(LAPSE_MARGIN_MS)
 }
 
 /// Longest real time in which a clock advances by `millis`.
