dispatch: a worker whose entry cannot be read keeps its runs, gets no new ones

The log said that it was not in the registry. Each rewrite and each listing of an odd entry gave a line, with the whole value if the parser quoted it.

Cause: the registry had two states, listed and missing; an entry that cannot be read is neither.

Change: the listing of a worker is one of listed, unreadable, missing since, unknown. An unreadable one gets nothing at once, also no start that was recorded before; it is polled at its last good address, so that its leases and runs go on, and its runs wait for their leases if it is lost. Good again, it is a worker as before.

--- a/crates/verbenahitch/src/dispatch/account/share.rs
+++ b/crates/verbenahitch/src/dispatch/account/share.rs
@@ -146,7 +146,7 @@
     ) {
         self.rate_jobs();
         let mut total = Amount::default();
-        for worker in self.workers.values().filter(|worker| worker.listed) {
+        for worker in self.listed_workers() {
             total.add(worker.info.capacity);
         }
         for state in &mut self.accounts.states {
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -5,7 +5,7 @@
 use super::mitigation::PastFiller;
 use super::report::{CallFailure, EndCause, Evidence};
 use super::table::{LastEnd, Task};
-use super::worker::{Run, WorkerInfo, WorkerKey};
+use super::worker::{Listing, Run, WorkerInfo, WorkerKey};
 use super::{
     Amount, Dispatcher, Entry, JobId, JobState, Kind, Millis, Monotonic, Phase, RunKey, StepSpec,
     TaskId, Worker, health, place, room,
@@ -62,9 +62,8 @@
             self.voters.mark_dirty();
             return;
         };
-        self.unlisted.remove(&key);
         let worker = &mut self.workers[key];
-        worker.listed = true;
+        worker.listing = Listing::Listed;
         if info.draining && !worker.info.draining {
             Entry::new(Kind::UpstreamLeaving)
                 .with("worker", &info.name)
@@ -104,20 +103,38 @@
         }
     }
 
+    /// Workers with a registry entry.
+    pub(super) fn listed_workers(&self) -> impl Iterator<Item = &Worker> {
+        let workers = self.workers.values();
+        workers.filter(|worker| worker.listing == Listing::Listed)
+    }
+
     /// Applies the removal of a registry entry.
     pub fn unlist_worker(&mut self, name: &str, now: Monotonic) {
+        self.set_unlisted(name, Listing::Missing(now), "not in the registry");
+    }
+
+    /// Applies a registry entry that cannot be read. The worker is polled as before, so that its
+    /// runs go on, and gets no new ones.
+    pub fn entry_unreadable(&mut self, name: &str) {
+        self.set_unlisted(name, Listing::Unreadable, "its entry cannot be read");
+    }
+
+    fn set_unlisted(&mut self, name: &str, listing: Listing, cause: &'static str) {
         let Some(&key) = self.worker_keys.get(name) else {
             return;
         };
         let worker = &mut self.workers[key];
-        worker.listed = false;
+        let is_known = std::mem::replace(&mut worker.listing, listing) == listing;
+        if is_known {
+            return;
+        }
         if worker.is_vanished() {
             self.voters.mark_dirty();
         }
-        self.unlisted.insert(key, now);
         Entry::new(Kind::WorkerUnreachable)
             .with("worker", name)
-            .with("cause", "not in the registry")
+            .with("cause", cause)
             .emit();
     }
 
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -111,8 +111,6 @@
     open_jobs: HashSet<JobId>,
     workers: SlotMap<WorkerKey, Worker>,
     worker_keys: HashMap<String, WorkerKey>,
-    /// Workers that the registry no longer lists, by the time their entry vanished.
-    unlisted: HashMap<WorkerKey, Monotonic>,
     runs: SlotMap<RunKey, Run>,
     /// Cached loads of workers; an entry is removed when the worker's load changes.
     cached_loads: SecondaryMap<WorkerKey, place::Load>,
@@ -179,7 +177,6 @@
             open_jobs: HashSet::default(),
             workers: SlotMap::with_key(),
             worker_keys: HashMap::default(),
-            unlisted: HashMap::default(),
             runs: SlotMap::with_key(),
             cached_loads: SecondaryMap::new(),
             due_runs: HashSet::default(),
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use super::report::{EndCause, Evidence, Order, Start, Target};
-use super::worker::{Run, WorkerKey};
+use super::worker::{Listing, Run, WorkerKey};
 use super::{Dispatcher, Entry, Kind, Millis, Monotonic, Now, Phase, RunKey, Worker, health};
 
 /// Maximum age of a worker's last answer for it to be given tasks, in milliseconds.
@@ -24,6 +24,8 @@
 enum Withdrawal {
     /// The worker drains or its zone is evacuated.
     Leaving,
+    /// The worker's registry entry cannot be read.
+    Unreadable,
     /// The worker's runs need more than it has.
     NoRoom,
 }
@@ -68,11 +70,11 @@
     /// Whether a worker may be given tasks.
     pub(super) fn is_usable(&self, key: WorkerKey, now: Monotonic) -> bool {
         let worker = &self.workers[key];
-        let is_listed = worker.listed
-            || self
-                .unlisted
-                .get(&key)
-                .is_some_and(|at| now.since(*at) <= self.bounds.relist_ms);
+        let is_listed = match worker.listing {
+            Listing::Listed => true,
+            Listing::Missing(at) => now.since(at) <= self.bounds.relist_ms,
+            Listing::Unreadable | Listing::Unknown => false,
+        };
         is_listed
             && !self.is_leaving(key)
             && worker.session.is_some()
@@ -114,6 +116,8 @@
             };
             if self.is_leaving(run.worker) {
                 self.withdraw_start(key, Withdrawal::Leaving, now);
+            } else if self.workers[run.worker].listing == Listing::Unreadable {
+                self.withdraw_start(key, Withdrawal::Unreadable, now);
             } else if !self.check_room(key, now) || !self.check_cap(key, now) {
                 continue;
             }
@@ -285,7 +289,7 @@
             let runs = worker.runs.iter().map(|run| &self.runs[*run]);
             Entry::new(Kind::LeaseAwaited)
                 .with("worker", &worker.info.name)
-                .with("listed", worker.listed)
+                .with("listed", worker.listing == Listing::Listed)
                 .with("runs", worker.runs.len())
                 .with("standing", runs.filter(|run| run.standing).count())
                 .with("answer-age-ms", worker.answered_at.map(|at| now.since(at)))
@@ -312,7 +316,8 @@
             for run in lapsed {
                 self.end_run(run, EndCause::Lapsed, Evidence::Lapse, "", now);
             }
-            if self.lapsed_at(key) <= now && !self.workers[key].listed {
+            let is_listed = self.workers[key].listing == Listing::Listed;
+            if self.lapsed_at(key) <= now && !is_listed {
                 self.drop_worker(key, now);
             }
         }
@@ -322,7 +327,6 @@
         self.blame_lapsed(key, now);
         if let Some(worker) = self.workers.remove(key) {
             self.worker_keys.remove(&worker.info.name);
-            self.unlisted.remove(&key);
             self.voters.mark_dirty();
         }
     }
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -4,7 +4,7 @@
 
 use super::report::{HomeRecord, ProgressRecord, TaskRecord};
 use super::table::LastEnd;
-use super::worker::{WorkerInfo, WorkerKey};
+use super::worker::{Listing, WorkerInfo, WorkerKey};
 use super::{Dispatcher, JobId, JobRecord, JobState, Now, Phase, TaskId, Worker};
 use crate::domain::Monotonic;
 
@@ -122,7 +122,7 @@
     pub(super) fn add_unlisted(&mut self, info: WorkerInfo) -> WorkerKey {
         let name = info.name.clone();
         let mut worker = Worker::new(info);
-        worker.listed = false;
+        worker.listing = Listing::Unknown;
         let key = self.workers.insert(worker);
         self.worker_keys.insert(name, key);
         key
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -66,6 +66,20 @@
     pub incarnation: u64,
 }
 
+/// What the registry says of a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Listing {
+    /// Nothing yet; records name the worker.
+    #[default]
+    Unknown,
+    /// It has an entry.
+    Listed,
+    /// It has an entry that cannot be read. The last one that could holds for its runs.
+    Unreadable,
+    /// Its entry vanished at this time.
+    Missing(Monotonic),
+}
+
 /// Reading of a worker's clock, from its last answer.
 #[derive(Clone, Copy, Debug)]
 pub struct ClockReading {
@@ -192,8 +206,7 @@
     pub info: WorkerInfo,
     /// Its present incarnation, none before its first list.
     pub session: Option<Session>,
-    /// Whether the registry lists it.
-    pub listed: bool,
+    pub listing: Listing,
     /// Resources of its runs, without the CPU of fillers.
     pub committed: Amount,
     /// CPU of its fillers in thousandths of a core.
@@ -245,7 +258,7 @@
         Self {
             has_drained: info.draining,
             info,
-            listed: true,
+            listing: Listing::Listed,
             ..Self::default()
         }
     }
@@ -306,9 +319,9 @@
         starts
     }
 
-    /// Whether it has no entry in the registry and does not answer either.
+    /// Whether it has no entry in the registry that can be read and does not answer either.
     pub fn is_vanished(&self) -> bool {
-        !self.listed && self.failed_polls >= VANISHED_POLLS
+        self.listing != Listing::Listed && self.failed_polls >= VANISHED_POLLS
     }
 
     /// Address at which its present incarnation takes calls, empty if unknown.
--- a/crates/verbenahitch/src/entry/host.rs
+++ b/crates/verbenahitch/src/entry/host.rs
@@ -17,6 +17,7 @@
 use super::link::{self, Inbox};
 use super::owner::OwnerEvent;
 use super::succession::Capability;
+use super::unreadable::UnreadableLog;
 use super::watcher::{Coverage, WatchTiming, WatchUpdate, watch_prefix};
 use super::{election, observe, owner};
 use crate::collections::{HashMap, HashSet};
@@ -97,6 +98,8 @@
     /// Whether the last read or watch of the operators' keys succeeded.
     pub store_up: Arc<AtomicBool>,
     pub inbox: Inbox,
+    /// Entries of the store that were logged as unreadable.
+    unreadable: RefCell<UnreadableLog>,
     /// Last request of another host for the ownership.
     pub offered: watch::Sender<Option<SuccessorRecord>>,
     pub stopping: watch::Receiver<bool>,
@@ -122,6 +125,23 @@
         (queues, accounts, self.evacuated_zones.borrow().clone())
     }
 
+    /// Logs an entry that cannot be read, once for its key.
+    pub fn report_unreadable(&self, item: &Item, cause: &str) {
+        let now = boot_now().unwrap_or_default();
+        self.unreadable.borrow_mut().report(item, cause, now);
+    }
+
+    /// Reads an entry; one that cannot be read is logged.
+    pub fn read<T>(&self, item: &Item, read: impl FnOnce(&Item) -> Result<T, String>) -> Option<T> {
+        match read(item) {
+            Ok(value) => Some(value),
+            Err(cause) => {
+                self.report_unreadable(item, &cause);
+                None
+            }
+        }
+    }
+
     /// Capability of this host while its event loop is on time.
     pub fn capability(&self) -> Capability {
         Capability {
@@ -171,7 +191,9 @@
 
     fn apply_owner_change(&self, change: &Change) {
         match change {
-            Change::Put(item) if item.key == keys::OWNER => self.set_owner(Some(read_owner(item))),
+            Change::Put(item) if item.key == keys::OWNER => {
+                self.set_owner(Some(self.read_owner(item)));
+            }
             Change::Put(item) if item.key == keys::SLOW => self.set_slow(Some(item)),
             Change::Put(item) if item.key == keys::SUCCESSOR => self.offer_successor(item),
             Change::Removed(key) if key == keys::OWNER => self.set_owner(None),
@@ -198,7 +220,7 @@
 
     /// Applies the key that exists while the owner is slow.
     fn set_slow(&self, item: Option<&Item>) {
-        let fence = item.and_then(|item| item.decode::<u64>().ok());
+        let fence = item.and_then(|item| self.read::<u64>(item, Item::decode));
         self.owner.send_if_modified(|owner| {
             let Some(owner) = owner else {
                 return false;
@@ -211,12 +233,19 @@
     /// Passes the request of another host to the owner's loop, if it runs here, and to an
     /// owner that still reads the state.
     fn offer_successor(&self, item: &Item) {
-        match item.decode::<SuccessorRecord>() {
-            Ok(record) => {
-                self.offered.send_replace(Some(record.clone()));
-                self.inbox.send(OwnerEvent::Offered(Box::new(record)));
-            }
-            Err(error) => log::error!("the successor's record cannot be parsed: {error}"),
+        if let Some(record) = self.read::<SuccessorRecord>(item, Item::decode) {
+            self.offered.send_replace(Some(record.clone()));
+            self.inbox.send(OwnerEvent::Offered(Box::new(record)));
+        }
+    }
+
+    /// Reads the owner's key. A record that cannot be read counts as that of the smallest
+    /// host, so that others can ask for the ownership.
+    fn read_owner(&self, item: &Item) -> KnownOwner {
+        KnownOwner {
+            record: self.read(item, Item::decode).unwrap_or_default(),
+            fence: item.revision,
+            slow: false,
         }
     }
 
@@ -257,6 +286,7 @@
             knows_owner: Cell::new(false),
             store_up: Arc::clone(&store_up),
             inbox: Inbox::default(),
+            unreadable: RefCell::default(),
             offered: watch::channel(None).0,
             stopping,
         };
@@ -446,7 +476,7 @@
                 shared.update(|in_force| {
                     in_force.offer_unreadable(item.revision, listed.as_ref());
                 });
-                report_unusable(item, cause);
+                report_unusable(shared, item, &cause);
                 true
             }
         }
@@ -464,20 +494,21 @@
             .emit(),
         Offer::Held => {}
         Offer::Superseded => report_unusable(
+            shared,
             item,
-            format!("version {version} is no newer than the one in force and differs from it"),
+            &format!("version {version} is no newer than the one in force and differs from it"),
         ),
-        Offer::Faulty(fault) => report_unusable(item, format!("version {version}: {fault}")),
+        Offer::Faulty(fault) => {
+            report_unusable(shared, item, &format!("version {version}: {fault}"));
+        }
     }
 }
 
 /// Reports a document that does not come into force.
-fn report_unusable(item: &Item, cause: String) {
-    Entry::new(Kind::DeclarationUnreadable)
-        .with("key", &item.key)
-        .with("revision", item.revision)
-        .with("cause", cause)
-        .emit();
+fn report_unusable<P: Platform>(shared: &Shared<P>, item: &Item, cause: &str) {
+    let now = boot_now().unwrap_or_default();
+    let mut log = shared.unreadable.borrow_mut();
+    log.report_document(item, cause, now);
 }
 
 async fn watch_owner<P: Platform>(shared: &Shared<P>) {
@@ -490,7 +521,7 @@
             WatchUpdate::Listed(items) => {
                 shared.knows_owner.set(true);
                 let find = |key: &str| items.iter().find(|item| item.key == key);
-                shared.set_owner(find(keys::OWNER).map(read_owner));
+                shared.set_owner(find(keys::OWNER).map(|item| shared.read_owner(item)));
                 shared.set_slow(find(keys::SLOW));
                 if let Some(item) = find(keys::SUCCESSOR) {
                     shared.offer_successor(item);
@@ -512,20 +543,6 @@
     .await;
 }
 
-/// Reads the owner's key. A record that cannot be parsed counts as that of the smallest
-/// host, so that others can ask for the ownership.
-fn read_owner(item: &Item) -> KnownOwner {
-    let record = item.decode().unwrap_or_else(|error| {
-        log::error!("the owner's record cannot be parsed: {error}");
-        OwnerRecord::default()
-    });
-    KnownOwner {
-        record,
-        fence: item.revision,
-        slow: false,
-    }
-}
-
 /// Runs the owner's loop for the length of `term`.
 pub(super) async fn run_owner<P: Platform>(
     shared: &Rc<Shared<P>>,
--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::{JobId, JobRecord, JobState, Retirement};
+use crate::dispatch::{JobId, JobRecord, JobState, ProgressRecord, Retirement};
+use crate::port::Item;
 
 /// Prefix of the keys that hosts write for callers.
 pub(super) const INTAKE_PREFIX: &str = "intake/";
@@ -100,6 +101,24 @@
     serde_json::to_vec(record).expect("records have only string keys")
 }
 
+/// Reads the record of a job.
+///
+/// # Errors
+///
+/// When it cannot be read.
+pub(super) fn read_job(item: &Item) -> Result<JobEntry, String> {
+    item.decode()
+}
+
+/// Reads the progress of a job.
+///
+/// # Errors
+///
+/// When it cannot be read.
+pub(super) fn read_progress(item: &Item) -> Result<ProgressRecord, String> {
+    item.decode()
+}
+
 pub(super) fn job(id: JobId) -> String {
     format!("{JOB_PREFIX}{id}")
 }
--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -9,7 +9,8 @@
 //! [`intake`] serves callers, [`accounts`] decides who a caller is, [`admission`] decides
 //! which jobs are refused and [`refusals`] makes that final in the store, `election` elects
 //! the owner by the rules in [`succession`], `owner` runs the
-//! [`Dispatcher`](crate::dispatch::Dispatcher), `link` carries calls to the owner.
+//! [`Dispatcher`](crate::dispatch::Dispatcher), `link` carries calls to the owner. Of entries that
+//! cannot be read, [`unreadable`] bounds the log lines.
 
 pub mod accounts;
 pub mod admission;
@@ -23,6 +24,7 @@
 pub mod refusals;
 pub mod routes;
 pub mod succession;
+pub mod unreadable;
 mod watcher;
 
 pub use host::{EntryHost, EntrySettings};
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -97,7 +97,7 @@
             read("commit", kv.get(keys::COMMIT)),
             read("pressures", kv.get(keys::PRESSURES)),
             read("voters", kv.get(keys::VOTERS)),
-            read("retired", retirement::read(kv, term.fence)),
+            read("retired", retirement::read(shared, term.fence)),
         );
         let (registry, progress, intake) = tokio::join!(
             read("registry", kv.range(shared.platform.registry_prefix())),
@@ -125,12 +125,13 @@
         };
         // The reading may have taken longer than the lease; only renewals tell.
         driver.dispatcher.confirm_ownership(began);
-        if let Some(learned) = learned?.as_ref().and_then(decode::<Vec<Pressure>>) {
+        let learned = learned?.and_then(|item| shared.read::<Vec<Pressure>>(&item, Item::decode));
+        if let Some(learned) = learned {
             driver.dispatcher.restore_pressures(&learned);
         }
         driver.declare();
         driver.apply_registry(WatchUpdate::Listed(registry?.0));
-        let voters = voters?.as_ref().and_then(decode);
+        let voters = voters?.and_then(|item| shared.read(&item, Item::decode));
         driver.dispatcher.restore_voters(voters);
         let mut records: HashMap<JobId, ProgressRecord> = HashMap::default();
         let progress = progress?.0;
@@ -138,7 +139,7 @@
             let Some(id) = keys::parse_progress(&item.key) else {
                 continue;
             };
-            if let Some(record) = decode(item) {
+            if let Some(record) = shared.read(item, keys::read_progress) {
                 records.insert(id, record);
             }
         }
@@ -170,7 +171,7 @@
             return;
         };
         let now = self.now();
-        match decode::<JobEntry>(item) {
+        match self.shared.read(item, keys::read_job) {
             Some(JobEntry::Open(record)) => {
                 self.dispatcher
                     .recover(id, record, records.remove(&id), now);
@@ -359,14 +360,3 @@
     }
     result
 }
-
-/// Decodes the value of an item; logs one that cannot be decoded.
-pub(super) fn decode<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
-    match item.decode() {
-        Ok(value) => Some(value),
-        Err(error) => {
-            log::error!("the value of {} cannot be parsed: {error}", item.key);
-            None
-        }
-    }
-}
--- a/crates/verbenahitch/src/entry/owner/retirement.rs
+++ b/crates/verbenahitch/src/entry/owner/retirement.rs
@@ -5,9 +5,10 @@
 
 use std::time::Duration;
 
-use super::driver::{Driver, decode};
+use super::driver::Driver;
 use crate::dispatch::Retirement;
 use crate::domain::Millis;
+use crate::entry::host::Shared;
 use crate::entry::keys::{self, RetiredRecord};
 use crate::entry::succession::PlannedEnd;
 use crate::event::{Entry, Kind};
@@ -57,11 +58,15 @@
 
 /// Reads the record of the owner before the one with the token `fence`; none if that owner
 /// left none, or may not have been the last.
-pub(super) async fn read<K: KeyValue>(kv: &K, fence: u64) -> Result<Option<Retirement>, KvError> {
+pub(super) async fn read<P: Platform>(
+    shared: &Shared<P>,
+    fence: u64,
+) -> Result<Option<Retirement>, KvError> {
+    let kv = shared.platform.kv();
     let Some(item) = kv.get(keys::RETIRED).await? else {
         return Ok(None);
     };
-    let Some(RetiredRecord { handed_over, left }) = decode(&item) else {
+    let Some(RetiredRecord { handed_over, left }) = shared.read(&item, Item::decode) else {
         return Ok(None);
     };
     let mut end = PlannedEnd {
--- a/crates/verbenahitch/src/entry/owner/updates.rs
+++ b/crates/verbenahitch/src/entry/owner/updates.rs
@@ -1,10 +1,9 @@
 //! Updates from the watches on the registry of workers and on the accepted jobs and
 //! cancels (the intake).
 
-use super::driver::{Driver, decode};
+use super::driver::Driver;
 use crate::entry::keys::{self, IntakeKey, JobEntry};
 use crate::entry::watcher::WatchUpdate;
-use crate::event::{Entry, Kind};
 use crate::port::{Change, Clock, Item, Platform};
 
 impl<P: Platform> Driver<P> {
@@ -44,13 +43,10 @@
                 self.dispatcher.upsert_worker(info, self.clock.now());
             }
             Err(cause) => {
-                // This event covers the records of workers, too.
-                Entry::new(Kind::DeclarationUnreadable)
-                    .with("key", &item.key)
-                    .with("revision", item.revision)
-                    .with("cause", cause)
-                    .emit();
-                self.unlist_worker(&item.key);
+                self.shared.report_unreadable(item, &cause);
+                if let Some(name) = self.worker_names.get(&item.key) {
+                    self.dispatcher.entry_unreadable(name);
+                }
             }
         }
     }
@@ -79,9 +75,8 @@
         for item in &items {
             match keys::parse_intake(&item.key) {
                 Some(IntakeKey::Job(id)) => {
-                    // `decode` logs a record that cannot be parsed.
                     if self.dispatcher.state(id).is_none()
-                        && let Some(JobEntry::Open(record)) = decode(item)
+                        && let Some(JobEntry::Open(record)) = self.shared.read(item, keys::read_job)
                     {
                         self.dispatcher.submit(id, record, now);
                     }
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod execution;
 mod incarnations;
 mod load;
+mod odd_entries;
 mod odd_values;
 mod order;
 mod overload;
--- a/testsuite/tests/testsuite/dispatch/world/registry.rs
+++ b/testsuite/tests/testsuite/dispatch/world/registry.rs
@@ -25,6 +25,18 @@
         self.dispatcher.unlist_worker(name, self.clock().at);
     }
 
+    /// Another writer leaves a worker's entry unreadable.
+    pub fn spoil_entry(&mut self, name: &str) {
+        self.workers.get_mut(name).unwrap().unlisted = true;
+        self.dispatcher.entry_unreadable(name);
+    }
+
+    /// Makes a worker's entry good again.
+    pub fn mend_entry(&mut self, name: &str) {
+        self.workers.get_mut(name).unwrap().unlisted = false;
+        self.send_registry();
+    }
+
     /// Ends a worker; another one, which the registry does not list yet, takes its address.
     pub fn replace_worker(&mut self, name: &str) {
         let worker = self.workers.get_mut(name).unwrap();
--- a/testsuite/tests/testsuite/entry/mod.rs
+++ b/testsuite/tests/testsuite/entry/mod.rs
@@ -5,3 +5,4 @@
 mod refusals;
 mod routes;
 mod succession;
+mod unreadable;
