entry: a record of a job that would not be accepted counts as unreadable

Callers saw: a record below intake/job/ with a step of 4,294,967,295 tasks, or one that waits for a step which does not exist, ended the owner's loop at its load, and that of each successor: no accepted job went on.

Cause: the checks of a submission are made at its acceptance only; records of the store and of other hosts were taken as they are.

Change: the same checks when a record is read, from the store or from another host. Numbers of runs in a progress record that no owner gives are refused, so that the next one does not overflow.

odd::odd_entries_end_no_host_and_cost_nothing_else (records): failed before with no job accepted; passes.

--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -2,8 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::{JobId, JobRecord, JobState, ProgressRecord, Retirement};
-use crate::port::Item;
+use crate::dispatch::{JobId, JobRecord, JobState, ProgressRecord, Retirement, TaskRecord};
+use crate::port::{Item, short_cause};
+
+/// Largest number of a run that a record may name: each further start needs a higher one, and no
+/// task is started once a millisecond for weeks.
+const RUN_MAX: u32 = 1 << 31;
 
 /// Prefix of the keys that hosts write for callers.
 pub(super) const INTAKE_PREFIX: &str = "intake/";
@@ -105,18 +109,39 @@
 ///
 /// # Errors
 ///
-/// When it cannot be read.
+/// When it cannot be read, or is of a job that would not be accepted.
 pub(super) fn read_job(item: &Item) -> Result<JobEntry, String> {
-    item.decode()
+    check_job(item.decode()?)
+}
+
+/// Checks the record of a job.
+///
+/// # Errors
+///
+/// When it is of a job that would not be accepted.
+pub(super) fn check_job(entry: JobEntry) -> Result<JobEntry, String> {
+    if let JobEntry::Open(record) = &entry {
+        record.spec.check().map_err(short_cause)?;
+    }
+    Ok(entry)
 }
 
 /// Reads the progress of a job.
 ///
 /// # Errors
 ///
-/// When it cannot be read.
+/// When it cannot be read, or a run has a number that no owner gives.
 pub(super) fn read_progress(item: &Item) -> Result<ProgressRecord, String> {
-    item.decode()
+    let record: ProgressRecord = item.decode()?;
+    let is_beyond = |task: &TaskRecord| {
+        let runs = task.runs.iter().map(|run| run.0);
+        runs.chain([task.run, task.failed, task.crashes])
+            .any(|number| number > RUN_MAX)
+    };
+    if record.tasks.iter().any(is_beyond) {
+        return Err(format!("a run has a number beyond {RUN_MAX}"));
+    }
+    Ok(record)
 }
 
 pub(super) fn job(id: JobId) -> String {
--- a/crates/verbenahitch/src/entry/link.rs
+++ b/crates/verbenahitch/src/entry/link.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
-use super::keys::JobEntry;
+use super::keys::{self, JobEntry};
 use super::owner::OwnerEvent;
 use crate::dispatch::{Amount, Digest, JobId, JobState, PoolLimit, QueueForecast};
 use crate::domain::Millis;
@@ -292,7 +292,7 @@
         let id = parse(params.get_job()?)?;
         let entry: JobEntry = serde_json::from_slice(params.get_record()?)
             .map_err(|error| capnp::Error::failed(error.to_string()))?;
-        match entry {
+        match keys::check_job(entry).map_err(capnp::Error::failed)? {
             JobEntry::Open(record) => self.send(OwnerEvent::Submitted(id, Box::new(record)))?,
             JobEntry::Ended(_) => {
                 return Err(capnp::Error::failed("the job has ended".to_owned()));
