entry: an odd request for the ownership is replaced

Callers saw: with an entry of another writer at lead/successor that cannot be read, and that no lease ends, the ownership stayed with the first host, however small or slow. A request was made only where there was none.

Change: a request that cannot be read is replaced under the condition of its revision.

odd::an_odd_request_for_the_ownership_is_replaced (platform's soak): 2 of 2 failed before (no larger host is owner after 8 s), pass; the_ownership_moves_to_the_largest_host passes.

--- a/crates/verbenahitch/src/entry/election.rs
+++ b/crates/verbenahitch/src/entry/election.rs
@@ -22,7 +22,7 @@
 use super::watcher;
 use crate::domain::Millis;
 use crate::event::{Entry, Kind};
-use crate::port::{KeyValue, KvError, Platform, Put, Transaction};
+use crate::port::{Item, KeyValue, KvError, Platform, Put, Transaction};
 
 /// Length of the owner's lease in milliseconds. It makes up most of the time without
 /// an owner after a crash, and allows three renewals at sixty times the usual
@@ -182,7 +182,7 @@
         owner: record,
         lease,
     };
-    let transaction = Transaction {
+    let mut transaction = Transaction {
         expected: vec![
             (keys::OWNER.to_owned(), fence),
             (keys::SUCCESSOR.to_owned(), 0),
@@ -194,7 +194,15 @@
         }],
         removes: Vec::new(),
     };
-    match kv.commit(&transaction).await {
+    let mut result = kv.commit(&transaction).await;
+    if let Err(KvError::Conflict { items }) = &result
+        && let Some(revision) = odd_request(items)
+    {
+        // No owner can grant it, and perhaps no lease ends it.
+        transaction.expected[1].1 = revision;
+        result = kv.commit(&transaction).await;
+    }
+    match result {
         Ok(_) | Err(KvError::Unanswered { .. }) => {}
         Err(error) => {
             revoke_lease(kv, lease).await;
@@ -224,6 +232,14 @@
     Ok(None)
 }
 
+/// Revision of a request for the ownership that cannot be read, as a conflict shows it.
+fn odd_request(items: &[Item]) -> Option<u64> {
+    let mut items = items.iter();
+    let request = items.find(|item| item.key == keys::SUCCESSOR && item.revision > 0)?;
+    let is_odd = request.decode::<SuccessorRecord>().is_err();
+    is_odd.then_some(request.revision)
+}
+
 fn own_record<P: Platform>(shared: &Shared<P>) -> OwnerRecord {
     OwnerRecord {
         name: shared.settings.name.clone(),
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -76,7 +76,7 @@
     RoomChanged = 229, "room-changed", Info, "A worker says of itself that it has more or less room.";
     WorkerQuarantined = 230, "worker-quarantined", Warn, "A worker whose tasks keep failing is quarantined: it gets no tasks, or only probes.";
     WorkerRestored = 231, "worker-restored", Info, "A quarantined worker passed its probe.";
-    WorkerUnreachable = 232, "worker-unreachable", Warn, "A worker does not answer or is no longer listed.";
+    WorkerUnreachable = 232, "worker-unreachable", Warn, "A worker does not answer, is no longer listed, or has an entry that cannot be read.";
     WorkerAnswering = 233, "worker-answering", Info, "A worker answers for the first time, again or after a restart.";
     ShardAcquired = 300, "shard-acquired", Info, "This process acquired a shard.";
     ShardRecovered = 301, "shard-recovered", Info, "The recovery of a shard or of the dispatcher after a change of owner is complete.";
@@ -100,7 +100,7 @@
     PeerRejected = 404, "peer-rejected", Warn, "A call from another process had no valid token.";
     PeerLost = 405, "peer-lost", Warn, "Another process is no longer live.";
     PeerHeard = 406, "peer-heard", Info, "Another process is live, for the first time or again.";
-    DeclarationUnreadable = 407, "declaration-unreadable", Warn, "A record that operators or workers wrote cannot be parsed and is ignored.";
+    DeclarationUnreadable = 407, "declaration-unreadable", Warn, "An entry of the store, or a row of a worker's list, cannot be read and is ignored; once for a key or worker, again after a minute at the earliest, of the operators' document once for each revision.";
     KeyRefused = 408, "key-refused", Info, "A call was refused: its key is missing, unknown or withdrawn, or what this host knows of keys is too old.";
     DeclarationsOutdated = 409, "declarations-outdated", Warn, "The store has not confirmed the declarations in time; calls with keys are refused.";
     DeclarationsConfirmed = 410, "declarations-confirmed", Info, "The store has confirmed the declarations, for the first time or again; calls with keys are served.";
