--- a/testsuite/tests/testsuite/dispatch/odd_values.rs
+++ b/testsuite/tests/testsuite/dispatch/odd_values.rs
@@ -2,7 +2,7 @@
 //! overflows, and the other workers and jobs get what they would get without them.
 
 use test_case::test_case;
-use verbenahitch::dispatch::{Amount, JobRecord, JobState, StepSpec, Voter, VoterRecord};
+use verbenahitch::dispatch::{Amount, JobId, JobRecord, JobState, StepSpec, Voter, VoterRecord};
 use verbenahitch::domain::Millis;
 
 use super::world::{World, account, cores, filler, job, standing, step};
@@ -17,7 +17,7 @@
 };
 
 /// Work of each kind, of accounts, more than the workers can do at once.
-fn submit_work(world: &mut World) -> Vec<verbenahitch::dispatch::JobId> {
+fn submit_work(world: &mut World) -> Vec<JobId> {
     let steps = [
         ("push", vec![step(4, 2, 300)]),
         ("push", vec![standing(2, 4, "web")]),
@@ -29,15 +29,22 @@
         .map(|(id, (queue, steps))| {
             let owner = if id % 2 == 0 { "a" } else { "b" };
             let owner = owner.to_owned();
-            world
-                .usage
-                .owners
-                .insert(verbenahitch::dispatch::JobId(id), owner);
+            world.usage.owners.insert(JobId(id), owner);
             world.submit(id, queue, job(steps))
         })
         .collect()
 }
 
+/// A world with one run of `spec`, and its worker.
+fn with_run(workers: usize, queue: &str, spec: StepSpec) -> (World, JobId, String) {
+    let mut world = World::new(workers);
+    world.run(SETTLE_MS);
+    let id = world.submit(1, queue, job(vec![spec]));
+    world.run(1_000);
+    let worker = world.starts_of(id)[0].worker.clone();
+    (world, id, worker)
+}
+
 fn declare(world: &mut World, weight: f64, cap: Amount) {
     world.declare_accounts(vec![account("a", weight, cap), account("b", weight, cap)]);
 }
@@ -78,7 +85,7 @@
         ..spec.clone()
     };
     for (id, estimate_ms) in [(90, 500), (91, Millis::MAX), (92, 1)] {
-        let id = verbenahitch::dispatch::JobId(id);
+        let id = JobId(id);
         world.usage.owners.insert(id, "a".to_owned());
         world.submit(id.0, "push", job(vec![absurd(estimate_ms)]));
     }
@@ -111,11 +118,7 @@
 #[test_case(2_000; "within a lease")]
 #[test_case(100_000; "soon")]
 fn a_clock_at_its_end_ends_no_run_early(left_ms: Millis) {
-    let mut world = World::new(2);
-    world.run(SETTLE_MS);
-    let id = world.submit(1, "batch", job(vec![step(1, 1, 20_000)]));
-    world.run(1_000);
-    let worker = world.starts_of(id)[0].worker.clone();
+    let (mut world, id, worker) = with_run(2, "batch", step(1, 1, 20_000));
     let now = world.now;
     let state = world.workers.get_mut(&worker).unwrap();
     state.clock_offset = Millis::MAX - state.clock(now) - 20_000 - left_ms;
@@ -129,10 +132,7 @@
 /// Rows that cannot be read may be those of runs that would be taken for ended.
 #[test]
 fn a_run_whose_row_cannot_be_read_does_not_start_again() {
-    let mut world = World::new(3);
-    world.run(SETTLE_MS);
-    let id = world.submit(1, "batch", job(vec![step(1, 1, 6_000)]));
-    world.run(1_000);
+    let (mut world, id, _) = with_run(3, "batch", step(1, 1, 6_000));
     for take_over in [false, true] {
         for worker in world.workers.values_mut() {
             worker.has_odd_rows = true;
@@ -156,11 +156,8 @@
 /// starts elsewhere once the longest lease that they allow has lapsed.
 #[test]
 fn a_recorded_lease_of_absurd_length_is_waited_for_no_longer_than_workers_allow() {
-    let mut world = World::new(3);
-    world.run(SETTLE_MS);
-    let id = world.submit(1, "push", job(vec![step(1, 1, 60_000)]));
-    world.run(2_000);
-    let worker = world.starts_of(id)[0].worker.clone();
+    let (mut world, id, worker) = with_run(3, "push", step(1, 1, 60_000));
+    world.run(1_000);
     world.take_over();
     let voters = world.workers.values();
     let voters = voters.map(|worker| Voter(worker.info.name.clone(), worker.info.address.clone()));
@@ -186,9 +183,7 @@
     };
     let record: JobRecord = world.record("push", &job(vec![odd]));
     let now = world.clock();
-    world
-        .dispatcher
-        .recover(verbenahitch::dispatch::JobId(66), record, None, now);
+    world.dispatcher.recover(JobId(66), record, None, now);
     let id = world.submit(1, "push", job(vec![step(1, 1, 100)]));
     world.run(2_000);
     assert_eq!(world.state(id), Some(JobState::Completed));
