--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -228,8 +228,7 @@
 
     /// Whether next to no workers were lost around a moment but those with young runs of the job.
     fn is_calm(&self, around: Monotonic, job: JobId) -> bool {
-        let fleet = self.workers.len().saturating_sub(self.unlisted.len());
-        self.losses.is_calm(around, job, fleet)
+        self.losses.is_calm(around, job, self.listed_count)
     }
 
     /// Whether a task under which workers have crashed waits: until losses have ceased, and until it
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -111,8 +111,6 @@
     open_jobs: HashSet<JobId>,
     workers: SlotMap<WorkerKey, Worker>,
     worker_keys: HashMap<String, WorkerKey>,
-    /// Workers that the registry no longer lists, by the time their entry vanished.
-    unlisted: HashMap<WorkerKey, Monotonic>,
     runs: SlotMap<RunKey, Run>,
     /// Cached loads of workers; an entry is removed when the worker's load changes.
     cached_loads: SecondaryMap<WorkerKey, place::Load>,
@@ -131,6 +129,8 @@
     suspects: HashMap<TaskId, Monotonic>,
     /// Recent losses of workers.
     losses: crash::Losses,
+    /// Number of workers with a registry entry at the last pass.
+    listed_count: usize,
     headroom: HeadroomModel,
     /// Recent demand of short steps, by pool.
     demands: HashMap<String, room::Demand>,
@@ -179,7 +179,6 @@
             open_jobs: HashSet::default(),
             workers: SlotMap::with_key(),
             worker_keys: HashMap::default(),
-            unlisted: HashMap::default(),
             runs: SlotMap::with_key(),
             cached_loads: SecondaryMap::new(),
             due_runs: HashSet::default(),
@@ -191,6 +190,7 @@
             early_cancels: HashSet::default(),
             suspects: HashMap::default(),
             losses: crash::Losses::default(),
+            listed_count: 0,
             headroom: HeadroomModel::default(),
             demands: HashMap::default(),
             work_means: HashMap::default(),
