--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -258,14 +258,14 @@
     /// Ends the suspicion of a task of which a run is done or has settled.
     fn acquit(&mut self, task: TaskId) {
         self.assign_needed |= self.suspects.remove(&task).is_some();
-        let Some(state) = self
-            .task_mut(task)
-            .filter(|state| state.crashes > 0 || !state.lapsed.is_empty())
-        else {
+        let is_counted = |state: &Task| state.crashes > 0 || !state.lapsed.is_empty();
+        if !self.task(task).is_some_and(is_counted) {
             return;
-        };
-        (state.crashes, state.unexplained) = (0, 0);
-        state.lapsed.clear();
+        }
+        if let Some(state) = self.task_mut(task) {
+            (state.crashes, state.unexplained) = (0, 0);
+            state.lapsed.clear();
+        }
         self.mark_dirty(task.job);
     }
 
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -172,7 +172,7 @@
         })
     }
 
-    fn task(&self, at: TaskId) -> Option<&Task> {
+    pub(super) fn task(&self, at: TaskId) -> Option<&Task> {
         self.jobs.get(&at.job)?.task(at.round, at.step, at.index)
     }
 
