dispatch: a step looks at the rooms of its pool's workers only

For each waiting step a pass read the whole state of every usable worker: its pool by name, its labels, its commitments; most have no room, and the step is placed nowhere. A pass now keeps the usable workers by pool and their room in one table, and reads a worker's state only where the task fits. Steps without a place are remembered by pool and amount, not by names. Held workers and trials use the same lists.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -7,13 +7,14 @@
 use slotmap::SecondaryMap;
 
 use super::crash::Trials;
-use super::place::{self, Misfit};
+use super::place::{self, Misfit, Room};
 use super::room::{self, Allowance, Pieces};
 use super::step_order::outlook::{self, Prospect};
 use super::step_order::{self, DeadlineClass, StepRank};
 use super::worker::{Worker, WorkerKey};
 use super::{
-    AccountKey, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, ShareRank, StepSpec, TaskId,
+    AccountKey, Amount, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, ShareRank, StepSpec,
+    TaskId,
 };
 use crate::collections::HashSet;
 
@@ -111,6 +112,8 @@
 #[derive(Debug, Default)]
 struct PoolUse {
     name: String,
+    /// Its usable workers without a trial, in the order of the arena.
+    workers: Vec<WorkerKey>,
     capacity_milli: u64,
     short_milli: u64,
     filler_milli: u64,
@@ -138,8 +141,10 @@
 pub(super) struct AssignPass {
     pub usable: Vec<WorkerKey>,
     pools: Vec<PoolUse>,
-    /// Pools and steps for which no worker had the label and the free resources.
-    unplaced: Vec<(String, StepSpec)>,
+    /// What the usable workers have for further tasks.
+    rooms: SecondaryMap<WorkerKey, Room>,
+    /// Steps for which no worker had the label and the free resources.
+    unplaced: Vec<Unplaced>,
     /// Accounts that met their cap; their later steps must not take what a step waits for.
     capped: HashSet<AccountKey>,
     /// Workers whose short runs make room for an overdue standing task: other steps would take it
@@ -157,13 +162,42 @@
 impl AssignPass {
     /// Whether this pass failed to place a step of the pool that has the same label and
     /// needs as much or less.
-    fn is_unplaceable(&self, pool: &str, step: &StepSpec) -> bool {
-        self.unplaced.iter().any(|(tried, other)| {
-            tried == pool
-                && other.label == step.label
-                && place::committed(other).fits(place::committed(step))
+    fn is_unplaceable(&self, pool: usize, step: &StepSpec) -> bool {
+        let amount = place::committed(step);
+        self.unplaced.iter().any(|tried| {
+            tried.pool == pool && tried.amount.fits(amount) && tried.label == step.label
         })
     }
+
+    /// Takes a worker from the usable ones for a trial in its pool.
+    pub fn take_usable(&mut self, pool: usize, worker: WorkerKey) {
+        let at = self.usable.iter().position(|key| *key == worker);
+        if let Some(at) = at {
+            self.usable.remove(at);
+            self.pools[pool].workers.retain(|key| *key != worker);
+            self.trials.usable.push(worker);
+        }
+    }
+
+    /// Name of a pool.
+    pub fn pool_name(&self, pool: usize) -> &str {
+        &self.pools[pool].name
+    }
+
+    /// Usable workers of a pool.
+    pub fn in_pool(&self, pool: usize) -> &[WorkerKey] {
+        &self.pools[pool].workers
+    }
+}
+
+/// Step that found no place.
+#[derive(Debug)]
+struct Unplaced {
+    /// Index of its pool.
+    pool: usize,
+    label: String,
+    /// What each of its tasks commits.
+    amount: Amount,
 }
 
 /// Worker on which a task can be placed.
@@ -435,9 +469,11 @@
     /// Use of the pools by their usable workers.
     fn pool_uses(&self, usable: &[WorkerKey], now: Monotonic) -> Vec<PoolUse> {
         let mut pools = Vec::new();
-        for worker in usable.iter().map(|key| &self.workers[*key]) {
+        for key in usable {
+            let worker = &self.workers[*key];
             let index = pool_index(&mut pools, &worker.info.pool);
             let pool = &mut pools[index];
+            pool.workers.push(*key);
             pool.capacity_milli += worker.info.capacity.cpu_milli;
             pool.short_milli += worker.short_milli;
             pool.filler_milli += worker.filler_milli;
@@ -447,11 +483,8 @@
                 continue;
             };
             let pieces = demand.pieces(now);
-            let in_pool = usable.iter().map(|key| &self.workers[*key]);
-            pool.pieces_left = in_pool
-                .filter(|worker| worker.info.pool == pool.name)
-                .map(|worker| pieces.count(worker.free()))
-                .sum();
+            let in_pool = pool.workers.iter().map(|key| &self.workers[*key]);
+            pool.pieces_left = in_pool.map(|worker| pieces.count(worker.free())).sum();
             pool.pieces = pieces.are_scarce(pool.pieces_left).then_some(pieces);
         }
         pools
@@ -483,7 +516,11 @@
             pools[step.pool].fillers_late |= is_late;
         }
         self.log_overload(&usable, &pools, now);
+        let rooms = usable
+            .iter()
+            .map(|key| (*key, Room::of(&self.workers[*key])));
         let mut pass = AssignPass {
+            rooms: rooms.collect(),
             usable,
             pools,
             unplaced: Vec::new(),
@@ -519,7 +556,7 @@
         }
         let spec = &job.record.spec.steps[step.step as usize];
         let may_hold = step.rank.overdue && !pass.is_hold_over;
-        if !spec.filler && !may_hold && pass.is_unplaceable(&self.queue_of(job).pool, spec) {
+        if !spec.filler && !may_hold && pass.is_unplaceable(step.pool, spec) {
             return false;
         }
         let round = job.rounds.iter().find(|round| round.number == step.round);
@@ -539,7 +576,6 @@
         for run in tasks.iter().flat_map(|task| &task.runs) {
             pass.per_worker.add(self.runs[*run].worker);
         }
-        let pool = self.queue_of(job).pool.clone();
         let spec = spec.clone();
         let pool_use = &pass.pools[step.pool];
         let spares_idle = pool_use.fillers_late && pool_use.pieces.is_some();
@@ -548,11 +584,10 @@
         let (suspects, waiting) = self.split_suspects(step, waiting);
         for task in suspects {
             if self.has_cap_room(step.job, &spec) {
-                self.start_trial(task, &pool, &request, pass);
+                self.start_trial(task, step.pool, &request, pass);
             }
         }
-        let (mut candidates, mut misfits) =
-            self.candidates(&pool, &request, step.rank.overdue, pass);
+        let (mut candidates, mut misfits) = self.candidates(step, &request, pass);
         let mut left = waiting.len();
         for (index, avoid) in waiting {
             let worker = loop {
@@ -568,10 +603,14 @@
             };
             let Some(worker) = worker else {
                 if step.rank.overdue && self.has_cap_room(step.job, &spec) {
-                    self.hold_workers(left, &pool, &spec, pass);
+                    self.hold_workers(left, step.pool, &spec, pass);
                 }
-                if !spec.filler && misfits.spread == 0 && !pass.is_unplaceable(&pool, &spec) {
-                    pass.unplaced.push((pool, spec));
+                if !spec.filler && misfits.spread == 0 && !pass.is_unplaceable(step.pool, &spec) {
+                    pass.unplaced.push(Unplaced {
+                        pool: step.pool,
+                        amount: place::committed(&spec),
+                        label: spec.label,
+                    });
                 }
                 self.log_waiting(step, pass, misfits);
                 return false;
@@ -591,6 +630,7 @@
                 self.add_trials(&request, worker);
             }
             self.assign_task(task, worker, pass.now);
+            pass.rooms.insert(worker, Room::of(&self.workers[worker]));
             left -= 1;
             match self.cost(worker, &request, same_step) {
                 Ok(cost) => candidates.push(Candidate { cost, worker }),
@@ -602,21 +642,21 @@
 
     /// Holds workers for overdue tasks that fit nowhere: those on which the short runs leave enough
     /// room, the least of which is missing first.
-    fn hold_workers(&self, tasks: usize, pool: &str, spec: &StepSpec, pass: &mut AssignPass) {
+    fn hold_workers(&self, tasks: usize, pool: usize, spec: &StepSpec, pass: &mut AssignPass) {
         let amount = place::committed(spec);
         let makes_room = |key: &WorkerKey| {
             let worker = &self.workers[*key];
             let mut free = worker.free();
             let missing = amount.cpu_milli.saturating_sub(free.cpu_milli);
             free.cpu_milli += worker.short_milli;
-            let is_fit = worker.info.pool == *pool
-                && !worker.is_over()
+            let is_fit = !worker.is_over()
                 && missing > 0
                 && amount.fits(free)
                 && place::allows(worker, spec, pass.per_worker.on(*key)).is_ok();
             (is_fit && !pass.held.contains(key)).then_some((missing, *key))
         };
-        let mut found: Vec<(u64, WorkerKey)> = pass.usable.iter().filter_map(makes_room).collect();
+        let in_pool = pass.in_pool(pool).iter();
+        let mut found: Vec<(u64, WorkerKey)> = in_pool.filter_map(makes_room).collect();
         found.sort_unstable();
         let limit = MAX_HELD.min(pass.usable.len().div_ceil(HELD_DIVISOR));
         let left = limit.saturating_sub(pass.held.len()).min(tasks);
@@ -629,24 +669,30 @@
     /// Workers on which a step can be placed, and the reasons against the others.
     fn candidates(
         &mut self,
-        pool: &str,
+        step: &Waiting,
         request: &place::AssignmentRequest<'_>,
-        is_overdue: bool,
         pass: &AssignPass,
     ) -> (BinaryHeap<Candidate>, MisfitCounts) {
         let mut misfits = MisfitCounts::default();
-        let mut candidates = Vec::with_capacity(pass.usable.len());
-        for at in 0..pass.usable.len() {
-            let worker = pass.usable[at];
-            if self.workers[worker].info.pool != pool {
-                continue;
-            }
-            // Fillers take no committed CPU.
-            if !request.step.filler && !is_overdue && pass.held.contains(&worker) {
+        let spec = request.step;
+        // Fillers take no committed CPU.
+        let minds_held = !spec.filler && !step.rank.overdue && !pass.held.is_empty();
+        let is_limited = !spec.label.is_empty() || spec.spread > 0;
+        let mut candidates = Vec::new();
+        for worker in pass.in_pool(step.pool).iter().copied() {
+            if minds_held && pass.held.contains(&worker) {
                 misfits.count(Misfit::Held);
                 continue;
             }
-            match self.cost(worker, request, pass.per_worker.on(worker)) {
+            let same_step = pass.per_worker.on(worker);
+            let allowed = if is_limited {
+                place::allows(&self.workers[worker], spec, same_step)
+            } else {
+                Ok(())
+            };
+            // Most workers have no room; their states are not looked at.
+            let fit = allowed.and_then(|()| pass.rooms[worker].fit(spec));
+            match fit.and_then(|()| self.cost_of_fit(worker, request, same_step)) {
                 Ok(cost) => candidates.push(Candidate { cost, worker }),
                 Err(misfit) => misfits.count(misfit),
             }
@@ -654,7 +700,7 @@
         (BinaryHeap::from(candidates), misfits)
     }
 
-    /// Cost of one more task on a worker; its load is computed and cached if needed.
+    /// Cost of one more task on a worker.
     pub(super) fn cost(
         &mut self,
         key: WorkerKey,
@@ -662,9 +708,20 @@
         same_step: u32,
     ) -> Result<f64, Misfit> {
         let worker = &self.workers[key];
-        place::fit(worker, request.step, same_step)?;
+        place::allows(worker, request.step, same_step)?;
+        Room::of(worker).fit(request.step)?;
+        self.cost_of_fit(key, request, same_step)
+    }
+
+    /// [`Self::cost`] on a worker where it fits; its load is computed and cached if needed.
+    fn cost_of_fit(
+        &mut self,
+        key: WorkerKey,
+        request: &place::AssignmentRequest<'_>,
+        same_step: u32,
+    ) -> Result<f64, Misfit> {
         if !request.needs_load() {
-            return Ok(place::plain_cost(worker, request, same_step));
+            return Ok(place::plain_cost(&self.workers[key], request, same_step));
         }
         if !self.cached_loads.contains_key(key) {
             self.cached_loads.insert(key, self.load(key));
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -7,7 +7,7 @@
 
 use std::cmp::Reverse;
 
-use super::super::assign::{AssignPass, StepCount, Waiting};
+use super::super::assign::{AssignPass, Waiting};
 use super::super::place::AssignmentRequest;
 use super::super::table::Task;
 use super::{Dispatcher, Millis, Monotonic, TaskId, WorkerKey, is_settled};
@@ -49,7 +49,7 @@
 pub(in crate::dispatch) struct Trials {
     by_worker: HashMap<WorkerKey, Trial>,
     /// Usable workers with a trial, on which nothing else starts.
-    usable: Vec<WorkerKey>,
+    pub usable: Vec<WorkerKey>,
     /// Number of workers that may be risked at once.
     limit: usize,
 }
@@ -124,7 +124,7 @@
     pub(in crate::dispatch) fn start_trial(
         &mut self,
         at: TaskId,
-        pool: &str,
+        pool: usize,
         request: &AssignmentRequest<'_>,
         pass: &mut AssignPass,
     ) {
@@ -136,22 +136,19 @@
         let has_waited = since.is_some_and(|since| pass.now.since(*since) >= SHARE_WAIT_MS);
         let may_share = !is_alone && has_waited;
         let worker = if pass.trials.by_worker.len() < pass.trials.limit {
-            self.least_risk(
-                &pass.usable,
-                pool,
-                request,
-                avoid,
-                &pass.per_worker,
-                pass.now,
-            )
+            self.least_risk(pass.in_pool(pool), request, avoid, pass)
         } else if may_share {
-            let mut open = pass.trials.usable.clone();
             // A worker that may have crashed already proves nothing on those that join.
-            open.retain(|key| {
-                let trial = pass.trials.by_worker.get(key);
-                trial.is_some_and(Trial::admits_more) && !self.workers[*key].may_have_restarted()
-            });
-            self.least_risk(&open, pool, request, avoid, &pass.per_worker, pass.now)
+            let is_open = |key: &&WorkerKey| {
+                let trial = pass.trials.by_worker.get(*key);
+                let worker = &self.workers[**key];
+                trial.is_some_and(Trial::admits_more)
+                    && !worker.may_have_restarted()
+                    && worker.info.pool == pass.pool_name(pool)
+            };
+            let open = pass.trials.usable.iter().filter(is_open);
+            let open: Vec<WorkerKey> = open.copied().collect();
+            self.least_risk(&open, request, avoid, pass)
         } else {
             None
         };
@@ -161,30 +158,21 @@
         pass.per_worker.add(worker);
         self.assign_task(at, worker, pass.now);
         pass.trials.begin(worker, is_alone);
-        if let Some(index) = pass.usable.iter().position(|key| *key == worker) {
-            pass.usable.remove(index);
-            pass.trials.usable.push(worker);
-        }
+        pass.take_usable(pool, worker);
     }
 
-    /// Worker of a pool where a task fits and a crash would cost least.
+    /// Worker where a task fits and a crash would cost least.
     fn least_risk(
         &mut self,
         workers: &[WorkerKey],
-        pool: &str,
         request: &AssignmentRequest<'_>,
         avoid: Option<WorkerKey>,
-        per_worker: &StepCount,
-        now: Monotonic,
+        pass: &AssignPass,
     ) -> Option<WorkerKey> {
         let mut best: Option<(Risk, WorkerKey)> = None;
         for key in workers.iter().copied() {
-            let worker = &self.workers[key];
-            if worker.info.pool != pool {
-                continue;
-            }
-            let found = (self.risk_of(key, avoid, now), key);
-            let same_step = per_worker.on(key);
+            let found = (self.risk_of(key, avoid, pass.now), key);
+            let same_step = pass.per_worker.on(key);
             if best.is_none_or(|best| found < best) && self.cost(key, request, same_step).is_ok() {
                 best = Some(found);
             }
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -279,38 +279,54 @@
     Ok(())
 }
 
-/// Checks the label, the spread and the free resources of a worker for one more task
-/// of `step`.
-///
-/// # Errors
-///
-/// The first requirement that the worker does not meet.
-pub(super) fn fit(worker: &Worker, step: &StepSpec, same_step: u32) -> Result<(), Misfit> {
-    allows(worker, step, same_step)?;
-    let info = &worker.info;
-    // What needs nothing of a resource fits into none of it, but not beside too much.
-    if worker.is_over() {
-        let has_memory = worker.committed.memory_mb <= info.capacity.memory_mb;
-        return Err(if has_memory {
-            Misfit::Cpu
-        } else {
-            Misfit::Memory
+/// What a worker has for further tasks.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Room {
+    free: Amount,
+    /// Memory that fillers leave for other tasks, in MB.
+    reserve_mb: u64,
+    /// Resource of which its runs need more than it has.
+    over: Option<Misfit>,
+}
+
+impl Room {
+    pub fn of(worker: &Worker) -> Self {
+        let capacity = worker.info.capacity;
+        let free = worker.free();
+        let over = worker.is_over().then(|| {
+            if worker.committed.memory_mb <= capacity.memory_mb {
+                Misfit::Cpu
+            } else {
+                Misfit::Memory
+            }
         });
+        Self {
+            free,
+            reserve_mb: reserve_mb(capacity, free),
+            over,
+        }
     }
-    let amount = committed(step);
-    let free = worker.free();
-    let reserve = if step.filler {
-        reserve_mb(info.capacity, free)
-    } else {
-        0
-    };
-    if amount.cpu_milli > free.cpu_milli || amount.gpus > free.gpus {
-        return Err(Misfit::Cpu);
-    }
-    if amount.memory_mb.saturating_add(reserve) > free.memory_mb {
-        return Err(Misfit::Memory);
+
+    /// Checks the free resources for one more task of `step`.
+    ///
+    /// # Errors
+    ///
+    /// The first resource that does not suffice.
+    pub fn fit(&self, step: &StepSpec) -> Result<(), Misfit> {
+        // What needs nothing of a resource fits into none of it, but not beside too much.
+        if let Some(misfit) = self.over {
+            return Err(misfit);
+        }
+        let amount = committed(step);
+        if amount.cpu_milli > self.free.cpu_milli || amount.gpus > self.free.gpus {
+            return Err(Misfit::Cpu);
+        }
+        let reserve = if step.filler { self.reserve_mb } else { 0 };
+        if amount.memory_mb.saturating_add(reserve) > self.free.memory_mb {
+            return Err(Misfit::Memory);
+        }
+        Ok(())
     }
-    Ok(())
 }
 
 /// Cost of one more task of a step without a target on a worker where it fits: the emptiest
