dispatch: the cost of a placement by a worker's room

The cost of one more task read each worker's whole state and went through its runs: standing runs for the risk of a trial and for the idle CPU; and what a filler takes from standing tasks was worked out also where too little CPU is idle for it. The pass's table of rooms now holds what the costs need; standing runs are counted as they come and go; idle CPU is checked first. A worker that is both too busy and too harmful for a filler counts as busy in the log line.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -691,8 +691,9 @@
                 Ok(())
             };
             // Most workers have no room; their states are not looked at.
-            let fit = allowed.and_then(|()| pass.rooms[worker].fit(spec));
-            match fit.and_then(|()| self.cost_of_fit(worker, request, same_step)) {
+            let room = &pass.rooms[worker];
+            let fit = allowed.and_then(|()| room.fit(spec));
+            match fit.and_then(|()| self.cost_of_fit(worker, room, request, same_step)) {
                 Ok(cost) => candidates.push(Candidate { cost, worker }),
                 Err(misfit) => misfits.count(misfit),
             }
@@ -709,25 +710,32 @@
     ) -> Result<f64, Misfit> {
         let worker = &self.workers[key];
         place::allows(worker, request.step, same_step)?;
-        Room::of(worker).fit(request.step)?;
-        self.cost_of_fit(key, request, same_step)
+        let room = Room::of(worker);
+        room.fit(request.step)?;
+        self.cost_of_fit(key, &room, request, same_step)
     }
 
     /// [`Self::cost`] on a worker where it fits; its load is computed and cached if needed.
     fn cost_of_fit(
         &mut self,
         key: WorkerKey,
+        room: &Room,
         request: &place::AssignmentRequest<'_>,
         same_step: u32,
     ) -> Result<f64, Misfit> {
+        let rack_cost = if request.step.rack.is_empty() {
+            0.0
+        } else {
+            place::rack_cost(&self.workers[key], request.step)
+        };
         if !request.needs_load() {
-            return Ok(place::plain_cost(&self.workers[key], request, same_step));
+            return Ok(place::plain_cost(room, rack_cost, request, same_step));
         }
         if !self.cached_loads.contains_key(key) {
             self.cached_loads.insert(key, self.load(key));
         }
         let load = &self.cached_loads[key];
-        place::load_cost(&self.workers[key], load, request, same_step, &self.headroom)
+        place::load_cost(room, rack_cost, load, request, same_step, &self.headroom)
     }
 
     /// Records the placement of a filler beside the standing tasks of a worker.
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -182,11 +182,10 @@
 
     fn risk_of(&self, key: WorkerKey, avoid: Option<WorkerKey>, now: Monotonic) -> Risk {
         let worker = &self.workers[key];
-        let runs = worker.runs.iter().map(|key| &self.runs[*key]);
         let session = worker.session.as_ref();
         Risk {
             is_avoided: avoid == Some(key),
-            standing: runs.filter(|run| run.standing).count(),
+            standing: worker.standing,
             is_fresh: session.is_none_or(|session| now.since(session.began_at) < FRESH_MS),
             runs: worker.runs.len(),
         }
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -324,6 +324,10 @@
         state.unsized_runs += u32::from(is_unsized);
         state.filler_milli += filler_milli;
         state.short_milli += short_milli;
+        if spec.standing {
+            state.standing += 1;
+            state.standing_milli += amount.cpu_milli;
+        }
         if state.runs.is_empty() {
             state.next_poll = state.next_poll.min(now);
         }
@@ -360,6 +364,10 @@
         worker.unsized_runs -= u32::from(run.is_unsized);
         worker.filler_milli = worker.filler_milli.saturating_sub(run.filler_milli);
         worker.short_milli = worker.short_milli.saturating_sub(run.short_milli);
+        if run.standing {
+            worker.standing -= 1;
+            worker.standing_milli -= run.amount.cpu_milli;
+        }
         if run.filler_milli > 0 && run.phase == Phase::Live {
             let past = PastFiller::new(&run, worker.info.capacity.cpu_milli, now);
             worker.past_fillers.push(past);
--- a/crates/verbenahitch/src/dispatch/mitigation.rs
+++ b/crates/verbenahitch/src/dispatch/mitigation.rs
@@ -212,9 +212,6 @@
         let worker = &self.workers[key];
         let capacity = worker.info.capacity.cpu_milli;
         for run in worker.runs.iter().map(|run| &self.runs[*run]) {
-            if run.standing {
-                load.standing_milli += run.amount.cpu_milli;
-            }
             if run.filler_milli > 0 {
                 let share = place::share_of(run.filler_milli, capacity);
                 add_exposure(&mut load.fillers, run.image, share);
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -282,12 +282,11 @@
                 continue;
             }
             let worker = &self.workers[key];
-            let runs = worker.runs.iter().map(|run| &self.runs[*run]);
             Entry::new(Kind::LeaseAwaited)
                 .with("worker", &worker.info.name)
                 .with("listed", worker.listed)
                 .with("runs", worker.runs.len())
-                .with("standing", runs.filter(|run| run.standing).count())
+                .with("standing", worker.standing)
                 .with("answer-age-ms", worker.answered_at.map(|at| now.since(at)))
                 .with("bound", bound)
                 .with("left-ms", lapse.since(now))
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -87,8 +87,6 @@
 /// Load of a worker, as far as placement depends on it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Load {
-    /// Committed CPU of standing tasks in thousandths of a core.
-    pub standing_milli: u64,
     /// Standing tasks with a target, by image.
     pub tails: Vec<Tail>,
     /// Fillers, with their shares of the worker's CPU.
@@ -177,9 +175,9 @@
     }
 
     /// Cost of the pieces for short steps that the task destroys.
-    fn piece_cost(&self, worker: &Worker, weight: f64) -> f64 {
+    fn piece_cost(&self, room: &Room, weight: f64) -> f64 {
         self.pieces.map_or(0.0, |pieces| {
-            let count = pieces.destroyed(worker.free(), committed(self.step));
+            let count = pieces.destroyed(room.free, committed(self.step));
             as_float(count) * weight
         })
     }
@@ -236,9 +234,9 @@
 }
 
 /// Idle CPU of a worker in thousandths of a core, negative if it is overcommitted.
-pub(super) fn idle_milli(worker: &Worker, load: &Load) -> f64 {
+fn idle_milli(worker: &Worker) -> f64 {
     let capacity = as_float(worker.info.capacity.cpu_milli);
-    let standing = as_float(load.standing_milli);
+    let standing = as_float(worker.standing_milli);
     let others = as_float(worker.committed.cpu_milli) - standing;
     capacity - standing * STANDING_USE - others - as_float(worker.filler_milli)
 }
@@ -283,6 +281,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Room {
     free: Amount,
+    capacity_milli: u64,
+    committed_milli: u64,
+    /// Idle CPU in thousandths of a core, see [`idle_milli`].
+    idle_milli: f64,
     /// Memory that fillers leave for other tasks, in MB.
     reserve_mb: u64,
     /// Resource of which its runs need more than it has.
@@ -302,11 +304,19 @@
         });
         Self {
             free,
+            capacity_milli: capacity.cpu_milli,
+            committed_milli: worker.committed.cpu_milli,
+            idle_milli: idle_milli(worker),
             reserve_mb: reserve_mb(capacity, free),
             over,
         }
     }
 
+    /// Share of the CPU that is committed.
+    fn committed_share(&self) -> f64 {
+        as_float(self.committed_milli) / as_float(self.capacity_milli.max(1))
+    }
+
     /// Checks the free resources for one more task of `step`.
     ///
     /// # Errors
@@ -332,68 +342,68 @@
 /// Cost of one more task of a step without a target on a worker where it fits: the emptiest
 /// worker, or where it destroys the fewest pieces and fits best while fillers are late.
 /// Harmful fillers can only use workers with few standing tasks, which are the emptiest.
-pub(super) fn plain_cost(worker: &Worker, request: &AssignmentRequest<'_>, same_step: u32) -> f64 {
-    let committed = committed_share(worker);
+pub(super) fn plain_cost(
+    room: &Room,
+    rack_cost: f64,
+    request: &AssignmentRequest<'_>,
+    same_step: u32,
+) -> f64 {
+    let committed = room.committed_share();
     let load = if request.spares_idle {
-        1.0 - committed + request.piece_cost(worker, SHORT_PIECE_COST)
+        1.0 - committed + request.piece_cost(room, SHORT_PIECE_COST)
     } else {
         committed
     };
-    rack_cost(worker, request.step) + load + f64::from(same_step) * SAME_STEP_COST
+    rack_cost + load + f64::from(same_step) * SAME_STEP_COST
 }
 
 /// Cost of one more filler, or task with a target, on a worker where it fits.
 ///
 /// # Errors
 ///
-/// When a filler would slow a standing task too much, or too little CPU is idle.
+/// When too little CPU is idle for a filler, or it would slow a standing task too much.
 pub(super) fn load_cost(
-    worker: &Worker,
+    room: &Room,
+    rack_cost: f64,
     load: &Load,
     request: &AssignmentRequest<'_>,
     same_step: u32,
     model: &HeadroomModel,
 ) -> Result<f64, Misfit> {
     let step = request.step;
-    let capacity_milli = worker.info.capacity.cpu_milli;
+    let capacity_milli = room.capacity_milli;
+    if step.filler && room.idle_milli < as_float(step.amount.cpu_milli) * FILLER_IDLE_SHARE {
+        return Err(Misfit::Busy);
+    }
     let impact = request.tail_impact(model, load, capacity_milli);
     if !step.filler {
         let packing = image_cost(load, request.image) + f64::from(same_step) * SAME_STEP_COST;
-        return Ok(rack_cost(worker, step)
-            + committed_share(worker) * COMMITTED_WEIGHT
-            + request.piece_cost(worker, STANDING_PIECE_COST)
+        return Ok(rack_cost
+            + room.committed_share() * COMMITTED_WEIGHT
+            + request.piece_cost(room, STANDING_PIECE_COST)
             + packing
             + impact.cost());
     }
     if impact.is_excessive {
         return Err(Misfit::Harm);
     }
-    let idle = idle_milli(worker, load);
-    if idle < as_float(step.amount.cpu_milli) * FILLER_IDLE_SHARE {
-        return Err(Misfit::Busy);
-    }
     let reserved = if load.tails.is_empty() {
         NO_TARGET_WORKER_COST * (1.0 - request.harmfulness)
     } else {
         0.0
     };
-    let idle = idle / as_float(capacity_milli.max(1));
-    Ok(rack_cost(worker, step) + reserved + impact.cost() - idle)
+    let idle = room.idle_milli / as_float(capacity_milli.max(1));
+    Ok(rack_cost + reserved + impact.cost() - idle)
 }
 
-/// Cost of a worker by the rack of the step's data.
-fn rack_cost(worker: &Worker, step: &StepSpec) -> f64 {
-    if step.rack.is_empty() || step.rack == worker.rack() {
+/// Cost of a worker by the rack of the step's data, which is not empty.
+pub(super) fn rack_cost(worker: &Worker, step: &StepSpec) -> f64 {
+    if step.rack == worker.rack() {
         return 0.0;
     }
     OTHER_RACK_COST
 }
 
-/// Share of a worker's CPU that is committed.
-fn committed_share(worker: &Worker) -> f64 {
-    as_float(worker.committed.cpu_milli) / as_float(worker.info.capacity.cpu_milli.max(1))
-}
-
 /// Memory that fillers leave for tasks on the uncommitted CPU, in MB.
 fn reserve_mb(capacity: Amount, free: Amount) -> u64 {
     free.cpu_milli * capacity.memory_mb / capacity.cpu_milli.max(1) / RESERVE_DIVISOR
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -195,6 +195,9 @@
     pub filler_milli: u64,
     /// CPU of its short runs in thousandths of a core.
     pub short_milli: u64,
+    /// Number of its standing runs, and the CPU that these commit.
+    pub standing: usize,
+    pub standing_milli: u64,
     pub runs: HashSet<RunKey>,
     /// Number of its runs whose resources are not known, as of jobs that have ended.
     pub unsized_runs: u32,
