dispatch: what a filler takes from each image, once a step

For each worker and image on it, a filler's placement looked up the pair's pressure, its trials and the image's floor in three tables. They are the same for all workers; a step now reads them once, and again for the images beside which it was placed.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -579,7 +579,7 @@
         let spec = spec.clone();
         let pool_use = &pass.pools[step.pool];
         let spares_idle = pool_use.fillers_late && pool_use.pieces.is_some();
-        let request =
+        let mut request =
             place::AssignmentRequest::new(&mut self.headroom, &spec, pool_use.pieces, spares_idle);
         let (suspects, waiting) = self.split_suspects(step, waiting);
         for task in suspects {
@@ -627,7 +627,7 @@
             let same_step = pass.per_worker.add(worker);
             let task = step.task(index);
             if spec.filler {
-                self.add_trials(&request, worker);
+                self.add_trials(&mut request, worker);
             }
             self.assign_task(task, worker, pass.now);
             pass.rooms.insert(worker, Room::of(&self.workers[worker]));
@@ -739,12 +739,12 @@
     }
 
     /// Records the placement of a filler beside the standing tasks of a worker.
-    fn add_trials(&mut self, request: &place::AssignmentRequest<'_>, worker: WorkerKey) {
+    fn add_trials(&mut self, request: &mut place::AssignmentRequest<'_>, worker: WorkerKey) {
         let Some(load) = self.cached_loads.get(worker) else {
             return;
         };
         for standing in load.tails.iter().map(|tail| tail.image) {
-            self.headroom.add_trial(request.image, standing);
+            request.add_trial(&mut self.headroom, standing);
         }
     }
 
--- a/crates/verbenahitch/src/dispatch/headroom.rs
+++ b/crates/verbenahitch/src/dispatch/headroom.rs
@@ -105,6 +105,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct ImageId(u32);
 
+impl ImageId {
+    /// Its place in a table of all images.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
 /// Estimate with its variance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Estimate {
@@ -151,6 +158,14 @@
 /// Share of a worker's CPU that fillers of one image used while a tail was measured.
 pub(super) type Exposure = (ImageId, f64);
 
+/// Effect of a filler on the tasks of a standing image.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Effect {
+    pub pressure: f64,
+    /// Lowest level of the image.
+    pub floor: f64,
+}
+
 /// Reading of the headroom of a standing task.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Reading {
@@ -185,7 +200,7 @@
 
 /// Element of a table that grows as images are added.
 fn slot<T: Clone + Default>(table: &mut Vec<T>, image: ImageId) -> &mut T {
-    let at = image.0 as usize;
+    let at = image.index();
     if table.len() <= at {
         table.resize(at + 1, T::default());
     }
@@ -220,8 +235,8 @@
     }
 
     fn estimate(&self, filler: ImageId, standing: ImageId) -> Estimate {
-        let row = self.pairs.get(filler.0 as usize);
-        let pair = row.and_then(|row| row.get(standing.0 as usize).copied().flatten());
+        let row = self.pairs.get(filler.index());
+        let pair = row.and_then(|row| row.get(standing.index()).copied().flatten());
         pair.unwrap_or(Estimate {
             value: DEFAULT_PRESSURE,
             variance: DEFAULT_VARIANCE,
@@ -235,7 +250,7 @@
 
     /// Pressure of `filler` on `standing` to expect of one more placement. A pair that is
     /// not known is tried on a few workers at a time.
-    pub fn placement_pressure(&self, filler: ImageId, standing: ImageId) -> f64 {
+    fn placement_pressure(&self, filler: ImageId, standing: ImageId) -> f64 {
         let pair = self.estimate(filler, standing);
         let trials = self.trials.get(&(filler, standing)).copied();
         if pair.variance > KNOWN_VARIANCE && trials.unwrap_or(0) >= TRIALS_MAX {
@@ -244,6 +259,22 @@
         pair.value
     }
 
+    /// What to expect of one more placement of `filler` beside tasks of each image.
+    pub fn placement_effects(&self, filler: ImageId) -> Vec<Effect> {
+        let images = (0u32..).take(self.image_names.len()).map(ImageId);
+        images
+            .map(|standing| self.placement_effect(filler, standing))
+            .collect()
+    }
+
+    /// What to expect of one more placement of `filler` beside tasks of an image.
+    pub fn placement_effect(&self, filler: ImageId, standing: ImageId) -> Effect {
+        Effect {
+            pressure: self.placement_pressure(filler, standing),
+            floor: self.floor(standing),
+        }
+    }
+
     /// Records the placement of a filler beside tasks of a standing image.
     pub fn add_trial(&mut self, filler: ImageId, standing: ImageId) {
         *self.trials.entry((filler, standing)).or_default() += 1;
@@ -287,7 +318,7 @@
     }
 
     fn image_level(&self, standing: ImageId) -> ImageLevel {
-        let level = self.levels.get(standing.0 as usize).copied().flatten();
+        let level = self.levels.get(standing.index()).copied().flatten();
         level.unwrap_or(DEFAULT_IMAGE_LEVEL)
     }
 
@@ -405,7 +436,7 @@
 
     fn image_name(&self, image: ImageId) -> &str {
         self.image_names
-            .get(image.0 as usize)
+            .get(image.index())
             .map_or("", String::as_str)
     }
 }
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -16,7 +16,7 @@
 //! Inputs: commitments, exact, as the dispatcher makes them; headrooms, health and pace,
 //! as old as the last poll, about a second at most.
 
-use super::headroom::{self, Exposure, HeadroomModel, ImageId, Level};
+use super::headroom::{self, Effect, Exposure, HeadroomModel, ImageId, Level};
 use super::job::{Amount, StepSpec};
 use super::room::Pieces;
 use super::worker::Worker;
@@ -141,12 +141,14 @@
 }
 
 /// Request to place tasks of a step.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct AssignmentRequest<'a> {
     pub step: &'a StepSpec,
     pub image: ImageId,
     /// Harmfulness of a filler, zero for other tasks.
     harmfulness: f64,
+    /// Effects of a filler on the tasks of each image, none for other tasks.
+    effects: Vec<Effect>,
     /// Pieces for short steps, none while enough are left.
     pieces: Option<Pieces>,
     /// Whether a short task leaves the emptiest workers to fillers.
@@ -169,11 +171,22 @@
             } else {
                 0.0
             },
+            effects: if step.filler {
+                model.placement_effects(image)
+            } else {
+                Vec::new()
+            },
             pieces,
             spares_idle,
         }
     }
 
+    /// Records the placement of a filler beside tasks of a standing image.
+    pub fn add_trial(&mut self, model: &mut HeadroomModel, standing: ImageId) {
+        model.add_trial(self.image, standing);
+        self.effects[standing.index()] = model.placement_effect(self.image, standing);
+    }
+
     /// Cost of the pieces for short steps that the task destroys.
     fn piece_cost(&self, room: &Room, weight: f64) -> f64 {
         self.pieces.map_or(0.0, |pieces| {
@@ -207,8 +220,8 @@
             is_excessive: false,
         };
         load.tails.iter().fold(none, |worst, tail| {
-            let added = model.placement_pressure(image, tail.image) * share;
-            let floor = model.floor(tail.image);
+            let Effect { pressure, floor } = self.effects[tail.image.index()];
+            let added = pressure * share;
             let level = tail
                 .level
                 .map_or(floor, |level| headroom::level_ahead(level, floor, ahead_ms));
