dispatch: a step remembers how many of its tasks wait

Each pass counted the waiting tasks of every step that had some, and again for the shares of the accounts: all tasks of all waiting jobs, though few change between two passes. A step now keeps the number until one of its tasks is handed out for a change; its tasks can be changed in no other way.

--- a/crates/verbenahitch/src/dispatch/account/share.rs
+++ b/crates/verbenahitch/src/dispatch/account/share.rs
@@ -14,7 +14,7 @@
 use crate::dispatch::Dispatcher;
 use crate::dispatch::job::{Amount, JobId};
 use crate::dispatch::step_order::StepRank;
-use crate::dispatch::table::Task;
+use crate::dispatch::table::Step;
 use crate::domain::{Millis, Monotonic};
 
 /// Time over which deficits and debts are carried, in milliseconds; about the length of
@@ -170,16 +170,11 @@
             let tasks = rounds
                 .find(|other| other.number == round)
                 .and_then(|round| round.steps.get(step as usize))
-                .map_or(0, |step| {
-                    step.tasks
-                        .iter()
-                        .filter(|task| Task::is_waiting(task))
-                        .count()
-                });
+                .map_or(0, Step::waiting);
             let each = job
                 .step_spec(step)
                 .map_or(Amount::default(), |spec| spec.amount);
-            steps.push((rank, account, job.beyond_rate, each.times(tasks as u64)));
+            steps.push((rank, account, job.beyond_rate, each.times(tasks.into())));
         }
         self.accounts.weigh(total, now);
         for (rank, account, beyond_rate, amount) in steps {
--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -423,7 +423,7 @@
                     continue;
                 }
                 let spec = &job.record.spec.steps[step as usize];
-                let waiting = state.tasks.iter().filter(|task| task.is_waiting()).count() as u64;
+                let waiting = u64::from(state.waiting());
                 left = left.saturating_add(step_order::work_of(spec, waiting));
                 if waiting == 0 || !round.is_ready(spec) {
                     continue;
@@ -451,7 +451,7 @@
                     pool: pool_index(pools, &queue.pool),
                 };
                 // Its other tasks do not precede short steps with the overdue ones.
-                if spec.standing && state.tasks.iter().any(|task| task.is_overdue(now)) {
+                if spec.standing && state.tasks().iter().any(|task| task.is_overdue(now)) {
                     let mut overdue = step.clone();
                     overdue.rank.overdue = true;
                     found.push(overdue);
@@ -560,7 +560,7 @@
             return false;
         }
         let round = job.rounds.iter().find(|round| round.number == step.round);
-        let Some(tasks) = round.map(|round| &round.steps[step.step as usize].tasks) else {
+        let Some(tasks) = round.map(|round| round.steps[step.step as usize].tasks()) else {
             return true;
         };
         let waiting: Vec<(u32, Option<WorkerKey>)> = (0u32..)
@@ -764,7 +764,7 @@
             return;
         }
         state.logged_at = Some(now);
-        let tasks = state.tasks.iter().filter(|task| task.is_waiting());
+        let tasks = state.tasks().iter().filter(|task| task.is_waiting());
         let unplaced = tasks.clone().count();
         let away_ms = tasks.filter_map(|task| task.last_end.age_ms(now)).max();
         let Some(job) = self.jobs.get(&step.job) else {
--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -39,7 +39,7 @@
         let mut tasks = Vec::new();
         for round in &job.rounds {
             for (step, (state, _)) in (0u32..).zip(round.steps.iter().zip(&job.record.spec.steps)) {
-                for (index, task) in (0u32..).zip(&state.tasks) {
+                for (index, task) in (0u32..).zip(state.tasks()) {
                     // Only tasks with an assignment have a record.
                     if task.last_run == 0 {
                         continue;
--- a/crates/verbenahitch/src/dispatch/forecast/backlog.rs
+++ b/crates/verbenahitch/src/dispatch/forecast/backlog.rs
@@ -46,7 +46,7 @@
 }
 
 fn step_work(spec: &StepSpec, state: &Step) -> f64 {
-    let tasks = state.tasks.iter().filter(|task| !task.done);
+    let tasks = state.tasks().iter().filter(|task| !task.done);
     let part = |task: &Task| {
         if task.runs.is_empty() {
             1.0
@@ -93,8 +93,7 @@
                     continue;
                 }
                 work += step_work(spec, state);
-                is_waiting |=
-                    round.is_ready(spec) && state.tasks.iter().any(|task| task.is_waiting());
+                is_waiting |= round.is_ready(spec) && state.waiting() > 0;
             }
         }
         let is_old = job.age_ms(now) >= INTERVAL_MS;
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -329,8 +329,8 @@
         run.tail_ms = entry.measurement;
         let id = run.task.job;
         self.judge_listed(key);
-        if let Some(task) = self.task_mut(entry.task)
-            && !entry.checkpoint.is_empty()
+        if !entry.checkpoint.is_empty()
+            && let Some(task) = self.task_mut(entry.task)
         {
             task.checkpoint.clone_from(&entry.checkpoint);
         }
--- a/crates/verbenahitch/src/dispatch/straggler.rs
+++ b/crates/verbenahitch/src/dispatch/straggler.rs
@@ -64,7 +64,7 @@
                 if spec.standing || spec.gang || spec.filler {
                     continue;
                 }
-                let runs = step.tasks.iter().filter(|task| task.runs.len() == 1);
+                let runs = step.tasks().iter().filter(|task| task.runs.len() == 1);
                 let projections: Vec<Projection> =
                     runs.filter_map(|task| self.project(task.runs[0])).collect();
                 if projections.is_empty() {
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -1,5 +1,6 @@
 //! State that the dispatcher keeps of jobs, their repetitions, steps and tasks.
 
+use std::cell::Cell;
 use std::sync::Arc;
 
 use super::job::{JobRecord, JobSpec, JobState, Queue, StepSpec};
@@ -72,7 +73,9 @@
 /// State of a step in one round.
 #[derive(Clone, Debug)]
 pub(super) struct Step {
-    pub tasks: Vec<Task>,
+    tasks: Vec<Task>,
+    /// Number of waiting tasks, none once a task may have changed.
+    waiting: Cell<Option<u32>>,
     /// Number of tasks that are not done.
     pub remaining: u32,
     /// When the wait of the step was last logged.
@@ -81,6 +84,27 @@
     pub durations: Vec<Millis>,
 }
 
+impl Step {
+    pub fn tasks(&self) -> &[Task] {
+        &self.tasks
+    }
+
+    pub fn task_mut(&mut self, index: u32) -> Option<&mut Task> {
+        self.waiting.set(None);
+        self.tasks.get_mut(index as usize)
+    }
+
+    /// Number of tasks of which a run is to be placed.
+    pub fn waiting(&self) -> u32 {
+        self.waiting.get().unwrap_or_else(|| {
+            let waiting = self.tasks.iter().filter(|task| task.is_waiting());
+            let count = u32::try_from(waiting.count()).unwrap_or(u32::MAX);
+            self.waiting.set(Some(count));
+            count
+        })
+    }
+}
+
 /// One repetition of a job.
 #[derive(Clone, Debug)]
 pub(super) struct Round {
@@ -92,6 +116,7 @@
     pub fn new(number: u32, spec: &JobSpec) -> Self {
         let step = |spec: &StepSpec| Step {
             tasks: vec![Task::default(); spec.count as usize],
+            waiting: Cell::new(None),
             remaining: spec.count,
             logged_at: None,
             durations: Vec::new(),
@@ -272,7 +297,7 @@
 
     /// Task, if its round has begun.
     pub fn task_mut(&mut self, round: u32, step: u32, index: u32) -> Option<&mut Task> {
-        self.step_mut(round, step)?.tasks.get_mut(index as usize)
+        self.step_mut(round, step)?.task_mut(index)
     }
 
     /// Task, if its round has begun.
