--- a/crates/verbenahitch/examples/mass_loss.rs
+++ b/crates/verbenahitch/examples/mass_loss.rs
@@ -1,7 +1,7 @@
 //! Cost of the dispatcher's calls while many workers are lost at once, again and again.
 //!
 //! A simulation in virtual time: a fleet full of standing tasks, short tasks and fillers, with
-//! [`WAITING`] more tasks that wait. Four times a second a seventh of the workers is lost for
+//! more tasks that wait. Four times a second a seventh of the workers is lost for
 //! [`DOWN_MS`], and each comes back at the address of another one, while the store is slow. The
 //! workers and the store are simulated; the dispatcher, its records and its log are the product's.
 //! Costs are processor time of the owner's thread.
@@ -10,7 +10,7 @@
 //! of starts then tells what it achieves. Without one, the digest of the starts tells whether two
 //! builds decide the same.
 //!
-//! Usage: `cargo run --release --example mass_loss -- [WORKERS [SHARE]] >/dev/null`
+//! Usage: `cargo run --release --example mass_loss -- [WORKERS [WAITING [SHARE]]] >/dev/null`
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
@@ -28,7 +28,6 @@
 use verbenahitch::domain::{Millis, Monotonic};
 use verbenahitch::event::{Level, start_queued_logging};
 
-const WAITING: usize = 3_000;
 const LOST_DIVISOR: usize = 7;
 const LOSS_PERIOD_MS: Millis = 250;
 const DOWN_MS: Millis = 240;
@@ -140,6 +139,8 @@
 
 struct Simulation {
     now: Millis,
+    /// Number of waiting tasks.
+    waiting: usize,
     share: Option<f64>,
     owner: Dispatcher,
     servers: Vec<Server>,
@@ -229,7 +230,7 @@
 }
 
 impl Simulation {
-    fn new(workers: usize, share: Option<f64>) -> Self {
+    fn new(workers: usize, waiting: usize, share: Option<f64>) -> Self {
         let bounds = Bounds {
             lease_ms: 5_000,
             lease_max_ms: 6_000,
@@ -239,6 +240,7 @@
         };
         let mut simulation = Self {
             now: 0,
+            waiting,
             share,
             owner: Dispatcher::new(bounds, Monotonic(0)),
             servers: Vec::new(),
@@ -356,7 +358,7 @@
             .filter(|step| step.standing)
             .map(|step| step.count as usize)
             .sum();
-        while self.open_tasks + standing < running + WAITING {
+        while self.open_tasks + standing < running + self.waiting {
             let number = u64::from(self.random.random_bool(0.35));
             let spec = step(number, &mut self.random);
             self.submit(number, spec);
@@ -631,9 +633,12 @@
         }
     }
 
-    fn report(&self, workers: usize) {
+    fn report(&self, workers: usize, waiting: usize) {
         let total: u64 = self.spent_ns;
-        eprintln!("{workers} workers, share {:?}:", self.share);
+        eprintln!(
+            "{workers} workers, {waiting} waiting tasks, share {:?}:",
+            self.share
+        );
         eprintln!(
             "{:<12} {:>8} {:>9} {:>6} {:>9} {:>9} {:>9}",
             "call", "count", "ms", "%", "mean us", "p50 us", "p99 us"
@@ -666,14 +671,16 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
-    let workers = arguments
-        .next()
-        .map_or(540, |text| text.parse().expect("a number"));
+    let mut number = |default| {
+        let text = arguments.next();
+        text.map_or(default, |text| text.parse().expect("a number"))
+    };
+    let (workers, waiting) = (number(540), number(3_000));
     let share = arguments
         .next()
         .map(|text| text.parse().expect("a share of a core"));
     let _log = start_queued_logging("owner", Level::Info, "mass_loss").expect("no logger yet");
-    let mut simulation = Simulation::new(workers, share);
+    let mut simulation = Simulation::new(workers, waiting, share);
     simulation.run();
-    simulation.report(workers);
+    simulation.report(workers, waiting);
 }
