--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -308,13 +308,11 @@
     pub fn of(worker: &Worker) -> Self {
         let capacity = worker.info.capacity;
         let free = worker.free();
-        let over = worker.is_over().then(|| {
-            if worker.committed.memory_mb <= capacity.memory_mb {
-                Misfit::Cpu
-            } else {
-                Misfit::Memory
-            }
-        });
+        let over = match worker.is_over() {
+            true if worker.committed.memory_mb <= capacity.memory_mb => Some(Misfit::Cpu),
+            true => Some(Misfit::Memory),
+            false => None,
+        };
         Self {
             free,
             capacity_milli: capacity.cpu_milli,
