dispatch: suspects that fit nowhere are tried once a step

Each waiting suspect of such a step looked for a worker to be risked among all of them, with the same result.

A suspect that finds no worker now ends the search for its step, as the others need the same and nothing has changed; workers without room are passed over before their risk is weighed.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -156,6 +156,8 @@
     pub trials: Trials,
     /// Tasks of the present step.
     pub per_worker: StepCount,
+    /// Whether a suspect of the present step fits on no worker. None of its others does either.
+    pub is_untriable: bool,
     pub now: Monotonic,
 }
 
@@ -179,6 +181,12 @@
         }
     }
 
+    /// Whether a usable worker is known to have no room for one more task.
+    pub fn has_no_room(&self, worker: WorkerKey, step: &StepSpec) -> bool {
+        let room = self.rooms.get(worker);
+        room.is_some_and(|room| room.fit(step).is_err())
+    }
+
     /// Name of a pool.
     pub fn pool_name(&self, pool: usize) -> &str {
         &self.pools[pool].name
@@ -529,6 +537,7 @@
             is_hold_over: false,
             trials,
             per_worker: StepCount::default(),
+            is_untriable: false,
             now,
         };
         self.count_late_claims(now);
@@ -573,6 +582,7 @@
             return true;
         }
         pass.per_worker.clear();
+        pass.is_untriable = false;
         for run in tasks.iter().flat_map(|task| &task.runs) {
             pass.per_worker.add(self.runs[*run].worker);
         }
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -128,6 +128,9 @@
         request: &AssignmentRequest<'_>,
         pass: &mut AssignPass,
     ) {
+        if pass.is_untriable {
+            return;
+        }
         let Some(task) = self.task(at) else {
             return;
         };
@@ -150,9 +153,10 @@
             let open: Vec<WorkerKey> = open.copied().collect();
             self.least_risk(&open, request, avoid, pass)
         } else {
-            None
+            return;
         };
         let Some(worker) = worker else {
+            pass.is_untriable = true;
             return;
         };
         pass.per_worker.add(worker);
@@ -171,6 +175,9 @@
     ) -> Option<WorkerKey> {
         let mut best: Option<(Risk, WorkerKey)> = None;
         for key in workers.iter().copied() {
+            if pass.has_no_room(key, request.step) {
+                continue;
+            }
             let found = (self.risk_of(key, avoid, pass.now), key);
             let same_step = pass.per_worker.on(key);
             if best.is_none_or(|best| found < best) && self.cost(key, request, same_step).is_ok() {
