--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -6,11 +6,9 @@
 //! with one unexplained crash then share trials. Tasks with several crashes that wider losses
 //! explain are most likely sound, and many: they are only kept apart from each other and from trials.
 
-use slotmap::SecondaryMap;
-
 use std::cmp::Reverse;
 
-use super::super::assign::{AssignPass, Waiting, count_on};
+use super::super::assign::{AssignPass, Waiting};
 use super::super::place::AssignmentRequest;
 use super::super::table::Task;
 use super::{Dispatcher, Millis, Monotonic, TaskId, WorkerKey, is_settled};
@@ -73,7 +71,7 @@
 pub(in crate::dispatch) struct Trials {
     by_worker: HashMap<WorkerKey, Trial>,
     /// Usable workers with a trial, on which nothing else starts.
-    usable: Vec<WorkerKey>,
+    pub usable: Vec<WorkerKey>,
     /// Workers with a young run of a suspect that is kept apart from others only.
     apart: HashSet<WorkerKey>,
     /// Number of workers that may be risked at once.
@@ -181,11 +179,13 @@
     pub(in crate::dispatch) fn start_trial(
         &mut self,
         at: TaskId,
-        pool: &str,
+        pool: usize,
         request: &AssignmentRequest<'_>,
-        per_worker: &mut SecondaryMap<WorkerKey, u32>,
         pass: &mut AssignPass,
     ) {
+        if pass.is_untriable {
+            return;
+        }
         let Some(task) = self.task(at) else {
             return;
         };
@@ -196,53 +196,57 @@
         let is_free =
             isolation == Isolation::Apart || pass.trials.by_worker.len() < pass.trials.limit;
         let worker = if is_free {
-            let mut free = pass.usable.clone();
-            free.retain(|key| !pass.trials.apart.contains(key));
-            self.least_risk(&free, pool, request, avoid, per_worker, pass.now)
+            let is_apart = |key: &&WorkerKey| !pass.trials.apart.contains(*key);
+            let free: Vec<WorkerKey> = pass
+                .in_pool(pool)
+                .iter()
+                .filter(is_apart)
+                .copied()
+                .collect();
+            self.least_risk(&free, request, avoid, pass)
         } else if may_share {
-            let mut open = pass.trials.usable.clone();
             // A worker that may have crashed already proves nothing on those that join.
-            open.retain(|key| {
-                let trial = pass.trials.by_worker.get(key);
-                trial.is_some_and(Trial::admits_more) && !self.workers[*key].may_have_restarted()
-            });
-            self.least_risk(&open, pool, request, avoid, per_worker, pass.now)
+            let is_open = |key: &&WorkerKey| {
+                let trial = pass.trials.by_worker.get(*key);
+                let worker = &self.workers[**key];
+                trial.is_some_and(Trial::admits_more)
+                    && !worker.may_have_restarted()
+                    && worker.info.pool == pass.pool_name(pool)
+            };
+            let open = pass.trials.usable.iter().filter(is_open);
+            let open: Vec<WorkerKey> = open.copied().collect();
+            self.least_risk(&open, request, avoid, pass)
         } else {
-            None
+            return;
         };
         let Some(worker) = worker else {
+            // Those that may only share a trial find no place where others may.
+            pass.is_untriable |= is_free;
             return;
         };
-        per_worker.insert(worker, count_on(per_worker, worker) + 1);
+        pass.per_worker.add(worker);
         self.assign_task(at, worker, pass.now);
         pass.trials.begin(worker, isolation);
-        if isolation == Isolation::Apart {
-            return;
-        }
-        if let Some(index) = pass.usable.iter().position(|key| *key == worker) {
-            pass.usable.remove(index);
-            pass.trials.usable.push(worker);
+        if isolation != Isolation::Apart {
+            pass.take_usable(pool, worker);
         }
     }
 
-    /// Worker of a pool where a task fits and a crash would cost least.
+    /// Worker where a task fits and a crash would cost least.
     fn least_risk(
         &mut self,
         workers: &[WorkerKey],
-        pool: &str,
         request: &AssignmentRequest<'_>,
         avoid: Option<WorkerKey>,
-        per_worker: &SecondaryMap<WorkerKey, u32>,
-        now: Monotonic,
+        pass: &AssignPass,
     ) -> Option<WorkerKey> {
         let mut best: Option<(Risk, WorkerKey)> = None;
         for key in workers.iter().copied() {
-            let worker = &self.workers[key];
-            if worker.info.pool != pool {
+            if pass.has_no_room(key, request.step) {
                 continue;
             }
-            let found = (self.risk_of(key, avoid, now), key);
-            let same_step = count_on(per_worker, key);
+            let found = (self.risk_of(key, avoid, pass.now), key);
+            let same_step = pass.per_worker.on(key);
             if best.is_none_or(|best| found < best) && self.cost(key, request, same_step).is_ok() {
                 best = Some(found);
             }
@@ -252,11 +256,10 @@
 
     fn risk_of(&self, key: WorkerKey, avoid: Option<WorkerKey>, now: Monotonic) -> Risk {
         let worker = &self.workers[key];
-        let runs = worker.runs.iter().map(|key| &self.runs[*key]);
         let session = worker.session.as_ref();
         Risk {
             is_avoided: avoid == Some(key),
-            standing: runs.filter(|run| run.standing).count(),
+            standing: worker.standing,
             is_fresh: session.is_none_or(|session| now.since(session.began_at) < FRESH_MS),
             runs: worker.runs.len(),
         }
