An entry of an earlier incarnation tells of no drain of the present one

After an upkeep of all workers a deadly task was started 18 times.

The entry counts as that of the present incarnation only if it is not known to be older. Failed before: a_deadly_task_is_given_up_after_an_upkeep_of_ all_workers::entries_behind_the_lists.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -35,6 +35,12 @@
     }
 }
 
+/// Whether a worker's entry is not known to be of an earlier incarnation than its last list.
+fn is_entry_present(worker: &Worker) -> bool {
+    let written_by = worker.info.incarnation;
+    written_by == 0 || written_by >= worker.incarnation()
+}
+
 /// Logs a change of a worker's room; one that is known by name only has none.
 fn log_room(worker: &Worker, capacity: Amount) {
     let earlier = worker.info.capacity;
@@ -86,7 +92,9 @@
             self.assign_needed = true;
         }
         worker.info = info;
-        worker.has_drained |= worker.info.draining;
+        // The entry may be of an earlier incarnation, as when the registry is listed again.
+        let is_present = is_entry_present(worker);
+        worker.has_drained |= worker.info.draining && is_present;
         if worker.info.draining {
             self.stop_standing(key);
         }
