No task waits for ever for workers behind a cut

The wait doubles twice at most, to 40 s. Failed before: no_task_waits_for_ever_for_workers_behind_a_cut.

--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -55,6 +55,10 @@
 /// tasks are suspected. Lists come every 0.7 s at the latest.
 const SETTLED_MS: Millis = 500;
 
+/// Number of times that this wait doubles at most. Workers that are cut off but listed may not be
+/// heard for hours.
+const MAX_DOUBLINGS: u32 = 2;
+
 /// Number of runs of a task that are remembered as counted: those of which a start may still be
 /// carried out late.
 const MAX_BLAMED: usize = 8;
@@ -86,9 +90,7 @@
 fn longest_wait_ms(crashes: u32) -> Millis {
     match crashes.checked_sub(WAIT_CRASHES) {
         None => 0,
-        // Nothing starts before it is known how many workers have crashed.
-        Some(_) if crashes >= GIVEN_UP_CRASHES => Millis::MAX,
-        Some(more) => WAIT_MS << more,
+        Some(more) => WAIT_MS << more.min(MAX_DOUBLINGS),
     }
 }
 
