--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -170,6 +170,7 @@
         })
     }
 
+    /// Task, if its round has begun.
     pub(super) fn task(&self, at: TaskId) -> Option<&Task> {
         self.jobs.get(&at.job)?.task(at.round, at.step, at.index)
     }
@@ -196,11 +197,11 @@
         let is_free =
             isolation == Isolation::Apart || pass.trials.by_worker.len() < pass.trials.limit;
         let worker = if is_free {
-            let is_apart = |key: &&WorkerKey| !pass.trials.apart.contains(*key);
+            let has_no_suspect = |key: &&WorkerKey| !pass.trials.apart.contains(*key);
             let free: Vec<WorkerKey> = pass
                 .in_pool(pool)
                 .iter()
-                .filter(is_apart)
+                .filter(has_no_suspect)
                 .copied()
                 .collect();
             self.least_risk(&free, request, avoid, pass)
