A worker has less room after a suspect that is kept apart was placed

Found by reading the joined code: the rooms of a pass are computed once, and suspects that are kept apart leave their worker usable. A later step of the pass could be placed beyond its room, and its start be withdrawn before it was ordered. The room is brought up to date with the placement.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -181,6 +181,11 @@
         }
     }
 
+    /// Takes note of what a worker has left after a placement.
+    pub fn update_room(&mut self, key: WorkerKey, worker: &Worker) {
+        self.rooms.insert(key, Room::of(worker));
+    }
+
     /// Whether a usable worker is known to have no room for one more task.
     pub fn has_no_room(&self, worker: WorkerKey, step: &StepSpec) -> bool {
         let room = self.rooms.get(worker);
@@ -640,7 +645,7 @@
                 self.add_trials(&mut request, worker);
             }
             self.assign_task(task, worker, pass.now);
-            pass.rooms.insert(worker, Room::of(&self.workers[worker]));
+            pass.update_room(worker, &self.workers[worker]);
             left -= 1;
             match self.cost(worker, &request, same_step) {
                 Ok(cost) => candidates.push(Candidate { cost, worker }),
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -227,6 +227,8 @@
         };
         pass.per_worker.add(worker);
         self.assign_task(at, worker, pass.now);
+        // Other tasks may start there too.
+        pass.update_room(worker, &self.workers[worker]);
         pass.trials.begin(worker, isolation);
         if isolation != Isolation::Apart {
             pass.take_usable(pool, worker);
