--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -1,10 +1,11 @@
 //! Registry changes, answers to orders, and ends of runs.
 
 use super::headroom::Level;
+use super::job::add_amount;
 use super::mitigation::PastFiller;
 use super::report::{CallFailure, EndCause, Evidence, GivenUp};
 use super::table::{LastEnd, Task};
-use super::worker::{Run, WorkerInfo, WorkerKey};
+use super::worker::{Listing, Run, WorkerInfo, WorkerKey};
 use super::{
     Amount, Dispatcher, Entry, JobId, JobState, Kind, Millis, Monotonic, Phase, RunKey, StepSpec,
     TaskId, Worker, health, place, room,
@@ -51,7 +52,8 @@
 
 impl Dispatcher {
     /// Applies a new or changed registry entry; a worker is `listed` while it has one.
-    pub fn upsert_worker(&mut self, info: WorkerInfo, now: Monotonic) {
+    pub fn upsert_worker(&mut self, mut info: WorkerInfo, now: Monotonic) {
+        info.capacity = info.capacity.bounded();
         self.forecaster.worker_listed(&info.pool, info.capacity);
         let Some(&key) = self.worker_keys.get(&info.name) else {
             let name = info.name.clone();
@@ -60,9 +62,8 @@
             self.voters.mark_dirty();
             return;
         };
-        self.unlisted.remove(&key);
         let worker = &mut self.workers[key];
-        worker.listed = true;
+        worker.listing = Listing::Listed;
         if info.draining && !worker.info.draining {
             Entry::new(Kind::UpstreamLeaving)
                 .with("worker", &info.name)
@@ -102,20 +103,38 @@
         }
     }
 
+    /// Workers with a registry entry.
+    pub(super) fn listed_workers(&self) -> impl Iterator<Item = &Worker> {
+        let workers = self.workers.values();
+        workers.filter(|worker| worker.listing == Listing::Listed)
+    }
+
     /// Applies the removal of a registry entry.
     pub fn unlist_worker(&mut self, name: &str, now: Monotonic) {
+        self.set_unlisted(name, Listing::Missing(now), "not in the registry");
+    }
+
+    /// Applies a registry entry that cannot be read. The worker is polled as before, so that its
+    /// runs go on, and gets no new ones.
+    pub fn entry_unreadable(&mut self, name: &str) {
+        self.set_unlisted(name, Listing::Unreadable, "its entry cannot be read");
+    }
+
+    fn set_unlisted(&mut self, name: &str, listing: Listing, cause: &'static str) {
         let Some(&key) = self.worker_keys.get(name) else {
             return;
         };
         let worker = &mut self.workers[key];
-        worker.listed = false;
+        let is_known = std::mem::replace(&mut worker.listing, listing) == listing;
+        if is_known {
+            return;
+        }
         if worker.is_vanished() {
             self.voters.mark_dirty();
         }
-        self.unlisted.insert(key, now);
         Entry::new(Kind::WorkerUnreachable)
             .with("worker", name)
-            .with("cause", "not in the registry")
+            .with("cause", cause)
             .emit();
     }
 
@@ -323,8 +342,8 @@
         let state = &mut self.workers[worker];
         state.committed.add(amount);
         state.unsized_runs += u32::from(is_unsized);
-        state.filler_milli += filler_milli;
-        state.short_milli += short_milli;
+        state.filler_milli = add_amount(state.filler_milli, filler_milli);
+        state.short_milli = add_amount(state.short_milli, short_milli);
         if state.runs.is_empty() {
             state.next_poll = state.next_poll.min(now);
         }
@@ -436,7 +455,9 @@
         let is_newly_done = task.done && !was_done;
         task.wants_copy = false;
         let failed = task.failed;
-        let is_exhausted = !is_standing && !task.done && failed >= attempts;
+        // Attempts may have been lowered since the last failure.
+        let has_failed = cause == EndCause::Failed && !task.done;
+        let is_exhausted = has_failed && !is_standing && failed >= attempts;
         let others = if is_newly_done {
             task.runs.clone()
         } else {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -66,6 +66,20 @@
     pub incarnation: u64,
 }
 
+/// What the registry says of a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Listing {
+    /// Nothing yet; records name the worker.
+    #[default]
+    Unknown,
+    /// It has an entry.
+    Listed,
+    /// It has an entry that cannot be read. The last one that could holds for its runs.
+    Unreadable,
+    /// Its entry vanished at this time.
+    Missing(Monotonic),
+}
+
 /// Reading of a worker's clock, from its last answer.
 #[derive(Clone, Copy, Debug)]
 pub struct ClockReading {
@@ -127,7 +141,7 @@
             began_at: clock.at,
             address: Arc::from(""),
             clock,
-            lease_end: clock.clock_ms + lease_ms,
+            lease_end: clock.clock_ms.saturating_add(lease_ms),
             lists_ends: false,
             unacked_ends: Vec::new(),
             last_end: 0,
@@ -138,20 +152,25 @@
     /// Gives a lease that begins now; returns its end on the worker's clock. An incarnation that is
     /// not known may take it for `longest_ms`.
     pub fn give_lease(&mut self, now: Monotonic, lease_ms: Millis, longest_ms: Millis) -> Millis {
-        let begin = self.clock.clock_ms + now.since(self.clock.at);
-        self.lease_end = self.lease_end.max(begin + longest_ms);
-        begin + lease_ms
+        let begin = self.clock_ms(now);
+        self.lease_end = self.lease_end.max(begin.saturating_add(longest_ms));
+        begin.saturating_add(lease_ms)
     }
 
     /// Rest of the longest lease given, in milliseconds.
     pub fn lease_left(&self, now: Monotonic) -> Millis {
-        let clock_ms = self.clock.clock_ms + now.since(self.clock.at);
-        self.lease_end.saturating_sub(clock_ms)
+        self.lease_end.saturating_sub(self.clock_ms(now))
+    }
+
+    /// The worker's clock, by its last reading.
+    fn clock_ms(&self, now: Monotonic) -> Millis {
+        let elapsed = now.since(self.clock.at);
+        self.clock.clock_ms.saturating_add(elapsed)
     }
 
     /// Whether it was given no lease longer than one of `lease_ms` from its last list on.
     pub fn is_bounded(&self, lease_ms: Millis) -> bool {
-        self.lease_end <= self.clock.clock_ms + lease_ms
+        self.lease_end <= self.clock.clock_ms.saturating_add(lease_ms)
     }
 
     /// When all leases that it may have been given have lapsed, even on the slowest clock
@@ -166,7 +185,7 @@
 /// the worker's clock that was up to [`USABLE_AGE_MS`] old.
 pub(super) fn lapse_ms(lease_ms: Millis) -> Millis {
     let drift_ms = on_slowest_clock(USABLE_AGE_MS) - USABLE_AGE_MS;
-    on_slowest_clock(lease_ms + drift_ms) + LAPSE_MARGIN_MS
+    on_slowest_clock(lease_ms.saturating_add(drift_ms)).saturating_add(LAPSE_MARGIN_MS)
 }
 
 /// Longest real time in which a clock advances by `millis`.
@@ -187,8 +206,7 @@
     pub info: WorkerInfo,
     /// Its present incarnation, none before its first list.
     pub session: Option<Session>,
-    /// Whether the registry lists it.
-    pub listed: bool,
+    pub listing: Listing,
     /// Resources of its runs, without the CPU of fillers.
     pub committed: Amount,
     /// CPU of its fillers in thousandths of a core.
@@ -207,6 +225,8 @@
     pub next_poll: Monotonic,
     /// Failed polls in a row.
     pub failed_polls: u32,
+    /// Whether its last lists had rows that cannot be read.
+    pub lists_unread: bool,
     /// What bounded its leases when that was last logged, while it is silent.
     pub logged_bound: Option<LapseBound>,
     /// When a call last failed in a way that a restart would explain.
@@ -238,7 +258,7 @@
         Self {
             has_drained: info.draining,
             info,
-            listed: true,
+            listing: Listing::Listed,
             ..Self::default()
         }
     }
@@ -299,9 +319,9 @@
         starts
     }
 
-    /// Whether it has no entry in the registry and does not answer either.
+    /// Whether it has no entry in the registry that can be read and does not answer either.
     pub fn is_vanished(&self) -> bool {
-        !self.listed && self.failed_polls >= VANISHED_POLLS
+        self.listing != Listing::Listed && self.failed_polls >= VANISHED_POLLS
     }
 
     /// Address at which its present incarnation takes calls, empty if unknown.
--- a/testsuite/tests/testsuite/dispatch/crashes.rs
+++ b/testsuite/tests/testsuite/dispatch/crashes.rs
@@ -242,8 +242,9 @@
     world.run(1_500);
     let id = world.submit(1, "push", job(vec![step(1, 2, 60_000)]));
     for counted in 0..crashes {
-        let begun = world.starts_of(id).len();
+        let (begun, end) = (world.starts_of(id).len(), world.now + 60_000);
         while world.starts_of(id).len() == begun {
+            assert!(world.now < end, "no start: {:?}", world.state(id));
             world.run(5);
         }
         let record = &world.records[&id].record;
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher with simulated workers and a simulated store.
 
+mod attempts;
 mod capacity;
 mod caps;
 mod crash_mixes;
@@ -8,6 +9,8 @@
 mod execution;
 mod incarnations;
 mod load;
+mod odd_entries;
+mod odd_values;
 mod order;
 mod overload;
 mod recovery;
