--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign.rs
@@ -7,13 +7,14 @@
 use slotmap::SecondaryMap;
 
 use super::crash::Trials;
-use super::place::{self, Misfit};
+use super::place::{self, Misfit, Room};
 use super::room::{self, Allowance, Pieces};
 use super::step_order::outlook::{self, Prospect};
 use super::step_order::{self, DeadlineClass, StepRank};
 use super::worker::{Worker, WorkerKey};
 use super::{
-    AccountKey, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, ShareRank, StepSpec, TaskId,
+    AccountKey, Amount, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, ShareRank, StepSpec,
+    TaskId,
 };
 use crate::collections::HashSet;
 
@@ -111,6 +112,8 @@
 #[derive(Debug, Default)]
 struct PoolUse {
     name: String,
+    /// Its usable workers without a trial, in the order of the arena.
+    workers: Vec<WorkerKey>,
     capacity_milli: u64,
     short_milli: u64,
     filler_milli: u64,
@@ -138,8 +141,10 @@
 pub(super) struct AssignPass {
     pub usable: Vec<WorkerKey>,
     pools: Vec<PoolUse>,
-    /// Pools and steps for which no worker had the label and the free resources.
-    unplaced: Vec<(String, StepSpec)>,
+    /// What the usable workers have for further tasks.
+    rooms: SecondaryMap<WorkerKey, Room>,
+    /// Steps for which no worker had the label and the free resources.
+    unplaced: Vec<Unplaced>,
     /// Accounts that met their cap; their later steps must not take what a step waits for.
     capped: HashSet<AccountKey>,
     /// Workers whose short runs make room for an overdue standing task: other steps would take it
@@ -149,19 +154,58 @@
     is_hold_over: bool,
     /// Trials of tasks that may crash their workers; these are not usable.
     pub trials: Trials,
+    /// Tasks of the present step.
+    pub per_worker: StepCount,
+    /// Whether a suspect of the present step fits on no worker. None of its others does either.
+    pub is_untriable: bool,
     pub now: Monotonic,
 }
 
 impl AssignPass {
     /// Whether this pass failed to place a step of the pool that has the same label and
     /// needs as much or less.
-    fn is_unplaceable(&self, pool: &str, step: &StepSpec) -> bool {
-        self.unplaced.iter().any(|(tried, other)| {
-            tried == pool
-                && other.label == step.label
-                && place::committed(other).fits(place::committed(step))
+    fn is_unplaceable(&self, pool: usize, step: &StepSpec) -> bool {
+        let amount = place::committed(step);
+        self.unplaced.iter().any(|tried| {
+            tried.pool == pool && tried.amount.fits(amount) && tried.label == step.label
         })
     }
+
+    /// Takes a worker from the usable ones for a trial in its pool.
+    pub fn take_usable(&mut self, pool: usize, worker: WorkerKey) {
+        let at = self.usable.iter().position(|key| *key == worker);
+        if let Some(at) = at {
+            self.usable.remove(at);
+            self.pools[pool].workers.retain(|key| *key != worker);
+            self.trials.usable.push(worker);
+        }
+    }
+
+    /// Whether a usable worker is known to have no room for one more task.
+    pub fn has_no_room(&self, worker: WorkerKey, step: &StepSpec) -> bool {
+        let room = self.rooms.get(worker);
+        room.is_some_and(|room| room.fit(step).is_err())
+    }
+
+    /// Name of a pool.
+    pub fn pool_name(&self, pool: usize) -> &str {
+        &self.pools[pool].name
+    }
+
+    /// Usable workers of a pool.
+    pub fn in_pool(&self, pool: usize) -> &[WorkerKey] {
+        &self.pools[pool].workers
+    }
+}
+
+/// Step that found no place.
+#[derive(Debug)]
+struct Unplaced {
+    /// Index of its pool.
+    pool: usize,
+    label: String,
+    /// What each of its tasks commits.
+    amount: Amount,
 }
 
 /// Worker on which a task can be placed.
@@ -208,9 +252,36 @@
     Some(first.worker)
 }
 
-/// Number of tasks of a step on a worker.
-pub(super) fn count_on(per_worker: &SecondaryMap<WorkerKey, u32>, worker: WorkerKey) -> u32 {
-    per_worker.get(worker).copied().unwrap_or(0)
+/// Numbers of tasks of a step on the workers. One table serves all steps of a pass: a new one for
+/// each would cost as much as there are workers.
+#[derive(Debug, Default)]
+pub(super) struct StepCount {
+    counts: SecondaryMap<WorkerKey, u32>,
+    /// Workers with an entry.
+    used: Vec<WorkerKey>,
+}
+
+impl StepCount {
+    /// Number of tasks on a worker.
+    pub fn on(&self, worker: WorkerKey) -> u32 {
+        self.counts.get(worker).copied().unwrap_or(0)
+    }
+
+    /// Counts one more task on a worker; returns their number.
+    pub fn add(&mut self, worker: WorkerKey) -> u32 {
+        let count = self.on(worker) + 1;
+        if self.counts.insert(worker, count).is_none() {
+            self.used.push(worker);
+        }
+        count
+    }
+
+    /// Forgets all tasks.
+    fn clear(&mut self) {
+        for worker in self.used.drain(..) {
+            self.counts.remove(worker);
+        }
+    }
 }
 
 /// Numbers of workers on which a task cannot be placed, by reason.
@@ -360,7 +431,7 @@
                     continue;
                 }
                 let spec = &job.record.spec.steps[step as usize];
-                let waiting = state.tasks.iter().filter(|task| task.is_waiting()).count() as u64;
+                let waiting = u64::from(state.waiting());
                 left = left.saturating_add(step_order::work_of(spec, waiting));
                 if waiting == 0 || !round.is_ready(spec) {
                     continue;
@@ -388,7 +459,7 @@
                     pool: pool_index(pools, &queue.pool),
                 };
                 // Its other tasks do not precede short steps with the overdue ones.
-                if spec.standing && state.tasks.iter().any(|task| task.is_overdue(now)) {
+                if spec.standing && state.tasks().iter().any(|task| task.is_overdue(now)) {
                     let mut overdue = step.clone();
                     overdue.rank.overdue = true;
                     found.push(overdue);
@@ -406,9 +477,11 @@
     /// Use of the pools by their usable workers.
     fn pool_uses(&self, usable: &[WorkerKey], now: Monotonic) -> Vec<PoolUse> {
         let mut pools = Vec::new();
-        for worker in usable.iter().map(|key| &self.workers[*key]) {
+        for key in usable {
+            let worker = &self.workers[*key];
             let index = pool_index(&mut pools, &worker.info.pool);
             let pool = &mut pools[index];
+            pool.workers.push(*key);
             pool.capacity_milli += worker.info.capacity.cpu_milli;
             pool.short_milli += worker.short_milli;
             pool.filler_milli += worker.filler_milli;
@@ -418,11 +491,8 @@
                 continue;
             };
             let pieces = demand.pieces(now);
-            let in_pool = usable.iter().map(|key| &self.workers[*key]);
-            pool.pieces_left = in_pool
-                .filter(|worker| worker.info.pool == pool.name)
-                .map(|worker| pieces.count(worker.free()))
-                .sum();
+            let in_pool = pool.workers.iter().map(|key| &self.workers[*key]);
+            pool.pieces_left = in_pool.map(|worker| pieces.count(worker.free())).sum();
             pool.pieces = pieces.are_scarce(pool.pieces_left).then_some(pieces);
         }
         pools
@@ -454,7 +524,11 @@
             pools[step.pool].fillers_late |= is_late;
         }
         self.log_overload(&usable, &pools, now);
+        let rooms = usable
+            .iter()
+            .map(|key| (*key, Room::of(&self.workers[*key])));
         let mut pass = AssignPass {
+            rooms: rooms.collect(),
             usable,
             pools,
             unplaced: Vec::new(),
@@ -462,6 +536,8 @@
             held: HashSet::default(),
             is_hold_over: false,
             trials,
+            per_worker: StepCount::default(),
+            is_untriable: false,
             now,
         };
         self.count_late_claims(now);
@@ -489,11 +565,11 @@
         }
         let spec = &job.record.spec.steps[step.step as usize];
         let may_hold = step.rank.overdue && !pass.is_hold_over;
-        if !spec.filler && !may_hold && pass.is_unplaceable(&self.queue_of(job).pool, spec) {
+        if !spec.filler && !may_hold && pass.is_unplaceable(step.pool, spec) {
             return false;
         }
         let round = job.rounds.iter().find(|round| round.number == step.round);
-        let Some(tasks) = round.map(|round| &round.steps[step.step as usize].tasks) else {
+        let Some(tasks) = round.map(|round| round.steps[step.step as usize].tasks()) else {
             return true;
         };
         let waiting: Vec<(u32, Option<WorkerKey>)> = (0u32..)
@@ -505,25 +581,23 @@
         if waiting.is_empty() {
             return true;
         }
-        let mut per_worker: SecondaryMap<WorkerKey, u32> = SecondaryMap::new();
+        pass.per_worker.clear();
+        pass.is_untriable = false;
         for run in tasks.iter().flat_map(|task| &task.runs) {
-            let worker = self.runs[*run].worker;
-            per_worker.insert(worker, count_on(&per_worker, worker) + 1);
+            pass.per_worker.add(self.runs[*run].worker);
         }
-        let pool = self.queue_of(job).pool.clone();
         let spec = spec.clone();
         let pool_use = &pass.pools[step.pool];
         let spares_idle = pool_use.fillers_late && pool_use.pieces.is_some();
-        let request =
+        let mut request =
             place::AssignmentRequest::new(&mut self.headroom, &spec, pool_use.pieces, spares_idle);
         let (suspects, waiting) = self.split_suspects(step, waiting);
         for task in suspects {
             if self.has_cap_room(step.job, &spec) {
-                self.start_trial(task, &pool, &request, &mut per_worker, pass);
+                self.start_trial(task, step.pool, &request, pass);
             }
         }
-        let (mut candidates, mut misfits) =
-            self.candidates(&pool, &request, &per_worker, step.rank.overdue, pass);
+        let (mut candidates, mut misfits) = self.candidates(step, &request, pass);
         let mut left = waiting.len();
         for (index, avoid) in waiting {
             let worker = loop {
@@ -531,7 +605,7 @@
                     break None;
                 };
                 // Placements of this pass may have used up the trials of a pair of images.
-                let same_step = count_on(&per_worker, worker);
+                let same_step = pass.per_worker.on(worker);
                 match self.cost(worker, &request, same_step) {
                     Err(misfit) if spec.filler => misfits.count(misfit),
                     _ => break Some(worker),
@@ -539,10 +613,14 @@
             };
             let Some(worker) = worker else {
                 if step.rank.overdue && self.has_cap_room(step.job, &spec) {
-                    self.hold_workers(left, &pool, &spec, &per_worker, pass);
+                    self.hold_workers(left, step.pool, &spec, pass);
                 }
-                if !spec.filler && misfits.spread == 0 && !pass.is_unplaceable(&pool, &spec) {
-                    pass.unplaced.push((pool, spec));
+                if !spec.filler && misfits.spread == 0 && !pass.is_unplaceable(step.pool, &spec) {
+                    pass.unplaced.push(Unplaced {
+                        pool: step.pool,
+                        amount: place::committed(&spec),
+                        label: spec.label,
+                    });
                 }
                 self.log_waiting(step, pass, misfits);
                 return false;
@@ -556,13 +634,13 @@
                 self.log_waiting(step, pass, misfits);
                 return true;
             }
-            let same_step = count_on(&per_worker, worker) + 1;
-            per_worker.insert(worker, same_step);
+            let same_step = pass.per_worker.add(worker);
             let task = step.task(index);
             if spec.filler {
-                self.add_trials(&request, worker);
+                self.add_trials(&mut request, worker);
             }
             self.assign_task(task, worker, pass.now);
+            pass.rooms.insert(worker, Room::of(&self.workers[worker]));
             left -= 1;
             match self.cost(worker, &request, same_step) {
                 Ok(cost) => candidates.push(Candidate { cost, worker }),
@@ -574,28 +652,21 @@
 
     /// Holds workers for overdue tasks that fit nowhere: those on which the short runs leave enough
     /// room, the least of which is missing first.
-    fn hold_workers(
-        &self,
-        tasks: usize,
-        pool: &str,
-        spec: &StepSpec,
-        per_worker: &SecondaryMap<WorkerKey, u32>,
-        pass: &mut AssignPass,
-    ) {
+    fn hold_workers(&self, tasks: usize, pool: usize, spec: &StepSpec, pass: &mut AssignPass) {
         let amount = place::committed(spec);
         let makes_room = |key: &WorkerKey| {
             let worker = &self.workers[*key];
             let mut free = worker.free();
             let missing = amount.cpu_milli.saturating_sub(free.cpu_milli);
             free.cpu_milli += worker.short_milli;
-            let is_fit = worker.info.pool == *pool
-                && !worker.is_over()
+            let is_fit = !worker.is_over()
                 && missing > 0
                 && amount.fits(free)
-                && place::allows(worker, spec, count_on(per_worker, *key)).is_ok();
+                && place::allows(worker, spec, pass.per_worker.on(*key)).is_ok();
             (is_fit && !pass.held.contains(key)).then_some((missing, *key))
         };
-        let mut found: Vec<(u64, WorkerKey)> = pass.usable.iter().filter_map(makes_room).collect();
+        let in_pool = pass.in_pool(pool).iter();
+        let mut found: Vec<(u64, WorkerKey)> = in_pool.filter_map(makes_room).collect();
         found.sort_unstable();
         let limit = MAX_HELD.min(pass.usable.len().div_ceil(HELD_DIVISOR));
         let left = limit.saturating_sub(pass.held.len()).min(tasks);
@@ -608,25 +679,31 @@
     /// Workers on which a step can be placed, and the reasons against the others.
     fn candidates(
         &mut self,
-        pool: &str,
+        step: &Waiting,
         request: &place::AssignmentRequest<'_>,
-        per_worker: &SecondaryMap<WorkerKey, u32>,
-        is_overdue: bool,
         pass: &AssignPass,
     ) -> (BinaryHeap<Candidate>, MisfitCounts) {
         let mut misfits = MisfitCounts::default();
-        let mut candidates = Vec::with_capacity(pass.usable.len());
-        for at in 0..pass.usable.len() {
-            let worker = pass.usable[at];
-            if self.workers[worker].info.pool != pool {
-                continue;
-            }
-            // Fillers take no committed CPU.
-            if !request.step.filler && !is_overdue && pass.held.contains(&worker) {
+        let spec = request.step;
+        // Fillers take no committed CPU.
+        let minds_held = !spec.filler && !step.rank.overdue && !pass.held.is_empty();
+        let is_limited = !spec.label.is_empty() || spec.spread > 0;
+        let mut candidates = Vec::new();
+        for worker in pass.in_pool(step.pool).iter().copied() {
+            if minds_held && pass.held.contains(&worker) {
                 misfits.count(Misfit::Held);
                 continue;
             }
-            match self.cost(worker, request, count_on(per_worker, worker)) {
+            let same_step = pass.per_worker.on(worker);
+            let allowed = if is_limited {
+                place::allows(&self.workers[worker], spec, same_step)
+            } else {
+                Ok(())
+            };
+            // Most workers have no room; their states are not looked at.
+            let room = &pass.rooms[worker];
+            let fit = allowed.and_then(|()| room.fit(spec));
+            match fit.and_then(|()| self.cost_of_fit(worker, room, request, same_step)) {
                 Ok(cost) => candidates.push(Candidate { cost, worker }),
                 Err(misfit) => misfits.count(misfit),
             }
@@ -634,7 +711,7 @@
         (BinaryHeap::from(candidates), misfits)
     }
 
-    /// Cost of one more task on a worker; its load is computed and cached if needed.
+    /// Cost of one more task on a worker.
     pub(super) fn cost(
         &mut self,
         key: WorkerKey,
@@ -642,24 +719,42 @@
         same_step: u32,
     ) -> Result<f64, Misfit> {
         let worker = &self.workers[key];
-        place::fit(worker, request.step, same_step)?;
+        place::allows(worker, request.step, same_step)?;
+        let room = Room::of(worker);
+        room.fit(request.step)?;
+        self.cost_of_fit(key, &room, request, same_step)
+    }
+
+    /// [`Self::cost`] on a worker where it fits; its load is computed and cached if needed.
+    fn cost_of_fit(
+        &mut self,
+        key: WorkerKey,
+        room: &Room,
+        request: &place::AssignmentRequest<'_>,
+        same_step: u32,
+    ) -> Result<f64, Misfit> {
+        let rack_cost = if request.step.rack.is_empty() {
+            0.0
+        } else {
+            place::rack_cost(&self.workers[key], request.step)
+        };
         if !request.needs_load() {
-            return Ok(place::plain_cost(worker, request, same_step));
+            return Ok(place::plain_cost(room, rack_cost, request, same_step));
         }
         if !self.cached_loads.contains_key(key) {
             self.cached_loads.insert(key, self.load(key));
         }
         let load = &self.cached_loads[key];
-        place::load_cost(&self.workers[key], load, request, same_step, &self.headroom)
+        place::load_cost(room, rack_cost, load, request, same_step, &self.headroom)
     }
 
     /// Records the placement of a filler beside the standing tasks of a worker.
-    fn add_trials(&mut self, request: &place::AssignmentRequest<'_>, worker: WorkerKey) {
+    fn add_trials(&mut self, request: &mut place::AssignmentRequest<'_>, worker: WorkerKey) {
         let Some(load) = self.cached_loads.get(worker) else {
             return;
         };
         for standing in load.tails.iter().map(|tail| tail.image) {
-            self.headroom.add_trial(request.image, standing);
+            request.add_trial(&mut self.headroom, standing);
         }
     }
 
@@ -679,7 +774,7 @@
             return;
         }
         state.logged_at = Some(now);
-        let tasks = state.tasks.iter().filter(|task| task.is_waiting());
+        let tasks = state.tasks().iter().filter(|task| task.is_waiting());
         let unplaced = tasks.clone().count();
         let away_ms = tasks.filter_map(|task| task.last_end.age_ms(now)).max();
         let Some(job) = self.jobs.get(&step.job) else {
