--- a/crates/verbenahitch/src/dispatch/crash/loss.rs
+++ b/crates/verbenahitch/src/dispatch/crash/loss.rs
@@ -14,7 +14,7 @@
 
 /// Fraction of all workers whose losses within the window are no storm, but one in any fleet. Within
 /// the 1.25 s for which its run is young, a start then meets the loss of its worker by chance in 1
-/// of 50 cases at the most, and in 1 of 25 in a fleet of eight.
+/// of 50 cases at the most, and in 1 of 12 in a fleet of eight.
 const CALM_DIVISOR: usize = 32;
 
 /// How long a loss is kept, in milliseconds: a crash is known when the next incarnation answers,
