Runs are recorded as bounded once they are listed, as before

A successor waits longer for the leases of standing tasks, which weighs more than one uncounted crash of a task that is listed once before its owner is lost.

--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -333,6 +333,7 @@
     }
 
     fn apply_progress(&mut self, key: RunKey, entry: &RunningEntry, now: Monotonic) {
+        self.check_bounded(key, now);
         let run = &mut self.runs[key];
         run.inherited = false;
         run.seen_at = now;
@@ -346,7 +347,6 @@
         run.tail_ms = entry.measurement;
         let id = run.task.job;
         self.judge_listed(key);
-        self.check_bounded(key, now);
         if !entry.checkpoint.is_empty()
             && let Some(task) = self.task_mut(entry.task)
         {
@@ -372,10 +372,8 @@
         // later incarnation.
         let may_start_late = run.unanswered || (run.recorded_in == 0 && !has_settled);
         let is_known = was_bounded && !is_moved;
-        // A successor takes no bounded run for young.
-        let is_ready = run.has_settled && !may_start_late;
-        run.bounded =
-            is_known || (is_ready && session.is_some_and(|session| session.is_bounded(lease_ms)));
+        run.bounded = is_known
+            || (!may_start_late && session.is_some_and(|session| session.is_bounded(lease_ms)));
         let (is_newly, id) = (!was_bounded && run.bounded, run.task.job);
         let is_settled = is_newly && run.standing && self.is_job_bounded(id);
         if is_settled || (was_bounded && is_moved) {
