--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -36,7 +36,7 @@
 pub(super) use trial::Trials;
 
 /// Number of unexplained crashes under a task at which it is given up. A sound task meets each with
-/// a probability of 1 in 50 at the most, see [`loss`].
+/// a probability of 1 in 50 at the most in a fleet of 32 or more workers, see [`loss`].
 const GIVEN_UP_UNEXPLAINED: u32 = 4;
 
 /// Number of crashes under a task at which it is given up, whatever else was lost. The users' rule
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -221,7 +221,7 @@
             return;
         };
         let Some(worker) = worker else {
-            // Those that may only share a trial find no place where others may.
+            // That no trial can be shared does not say that no worker has room.
             pass.is_untriable |= is_free;
             return;
         };
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -102,7 +102,7 @@
             state.incarnation = run.2;
             state.home = Arc::from(home);
             state.bounded = record.bounded.contains(&run.0);
-            // It was listed before; a task that crashes its workers does not get there.
+            // It was listed before, which is less than settled; one that settled cannot be told from it.
             state.has_settled = state.bounded;
             let is_superseded = !is_speculative && Some(run.0) != newest;
             if is_obsolete || is_superseded {
