dispatch: steps that an assignment does not try are logged and measured

Callers of review/5 saw accepted fillers that never start on idle workers. The log told why a step that was tried found no place; of one that no pass tried it said nothing, so that a step without a place and a step without a try looked the same.

The event steps-skipped names, at most once a second, how many steps were left out, how many before them found no place, and which was tried longest ago; the gauges verbenahitch_steps_skipped and verbenahitch_steps_untried_seconds say the same.

Decisions are unchanged.

--- a/crates/verbenahitch/src/dispatch/assign.rs
+++ b/crates/verbenahitch/src/dispatch/assign/mod.rs
@@ -1,11 +1,15 @@
 //! Assignment of waiting tasks to workers.
 
+mod skipped;
+
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 use std::ops::Range;
 
 use slotmap::SecondaryMap;
 
+use skipped::Skipped;
+
 use super::crash::Trials;
 use super::place::{self, Misfit, Room};
 use super::room::{self, Allowance, Pieces};
@@ -54,6 +58,8 @@
     work: u64,
     /// Index of its pool in [`AssignPass::pools`].
     pool: usize,
+    /// Time since a pass last tried to place it, in milliseconds; none before the first pass.
+    untried_ms: Option<Millis>,
 }
 
 impl Waiting {
@@ -85,6 +91,10 @@
     pub ahead: usize,
     /// Standing steps with overdue tasks, which are counted above too.
     pub overdue: usize,
+    /// Steps that the pass did not try, which are counted above too.
+    pub skipped: usize,
+    /// Longest time since one of these was last tried, in milliseconds.
+    pub untried_ms: Millis,
 }
 
 impl StepCounts {
@@ -462,6 +472,7 @@
                     cpu_milli: spec.amount.cpu_milli.saturating_mul(waiting),
                     work: 0,
                     pool: pool_index(pools, &queue.pool),
+                    untried_ms: state.tried_at.map(|at| now.since(at)),
                 };
                 // Its other tasks do not precede short steps with the overdue ones.
                 if spec.standing && state.tasks().iter().any(|task| task.is_overdue(now)) {
@@ -549,16 +560,23 @@
         self.headroom.expire_trials(now);
         let mut unplaced_fillers = 0;
         let mut is_full = false;
-        for step in waiting {
+        let mut skipped = Skipped::default();
+        for (at, step) in waiting.iter().enumerate() {
             if step.filler && unplaced_fillers >= MAX_UNPLACED_FILLERS {
+                if step.untried_ms.is_none() {
+                    self.note_tried(step, now);
+                }
+                skipped.add(at, step.untried_ms.unwrap_or(0));
                 continue;
             }
-            let is_placed = self.assign_step(&step, &mut pass);
+            self.note_tried(step, now);
+            let is_placed = self.assign_step(step, &mut pass);
             is_full |= !is_placed;
             if step.filler && !is_placed {
                 unplaced_fillers += 1;
             }
         }
+        self.log_skipped(skipped, &waiting, unplaced_fillers, now);
         self.accounts.end_pass(is_full, &pass.capped, now);
     }
 
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -140,6 +140,8 @@
     steps_waiting: StepCounts,
     /// Last log line on an overload.
     overload_logged: Option<Monotonic>,
+    /// Last log line on steps that a pass did not try.
+    skipped_logged: Option<Monotonic>,
     forecaster: Forecaster,
     /// Jobs with changes to be written.
     dirty: Vec<JobId>,
@@ -196,6 +198,7 @@
             work_means: HashMap::default(),
             steps_waiting: StepCounts::default(),
             overload_logged: None,
+            skipped_logged: None,
             forecaster: Forecaster::default(),
             dirty: Vec::new(),
             writing: HashMap::default(),
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -89,6 +89,8 @@
     pub remaining: u32,
     /// When the wait of the step was last logged.
     pub logged_at: Option<Monotonic>,
+    /// When a pass last tried to place its tasks, or first saw them wait.
+    pub tried_at: Option<Monotonic>,
     /// Durations of completed runs that were neither resumed nor throttled, in milliseconds.
     pub durations: Vec<Millis>,
 }
@@ -128,6 +130,7 @@
             waiting: Cell::new(None),
             remaining: spec.count,
             logged_at: None,
+            tried_at: None,
             durations: Vec::new(),
         };
         Self {
--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -76,6 +76,15 @@
     set("deferred", waiting.deferred);
     set("late", waiting.late);
     set("no-value", waiting.no_value);
+    set_skipped(waiting);
+}
+
+/// Sets the metrics of waiting steps that the last assignment did not try.
+fn set_skipped(waiting: &StepCounts) {
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    gauge!("verbenahitch_steps_skipped").set(waiting.skipped as f64);
+    let untried = Duration::from_millis(waiting.untried_ms).as_secs_f64();
+    gauge!("verbenahitch_steps_untried_seconds").set(untried);
 }
 
 /// Sets the metrics of client accounts.
