dispatch: fillers that wait in vain no longer cut off those behind them

Cause: after eight fillers without a place a pass skipped all further ones, and each pass takes the same order, so that the same ones were cut off for good. Eight steps of a lost kind are enough, and so is anything else that no worker has: memory, accelerators, a free place by the spread.

Change: a step is known to find no place only if one before it found none and asked for no more of what kept it from workers (label, CPU, memory, accelerators; for harm also image and duration). This holds for fillers and for other steps; a failure beside held workers no longer speaks for overdue steps, which may use these. Beyond eight tried fillers without a place a pass still leaves out those that were tried within the last second.

Why it works: what a step asks for alone decides whether it is left out for good, not its place in the order, and a step that is left out for the cost of trying it is due again after a second.

Test: dispatch::cut_off. All pass now.

--- a/crates/verbenahitch/src/dispatch/assign/mod.rs
+++ b/crates/verbenahitch/src/dispatch/assign/mod.rs
@@ -1,6 +1,7 @@
 //! Assignment of waiting tasks to workers.
 
 mod skipped;
+mod unplaced;
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -9,6 +10,7 @@
 use slotmap::SecondaryMap;
 
 use skipped::Skipped;
+use unplaced::UnplacedSteps;
 
 use super::crash::Trials;
 use super::place::{self, Misfit, Room};
@@ -17,15 +19,18 @@
 use super::step_order::{self, DeadlineClass, StepRank};
 use super::worker::{Worker, WorkerKey};
 use super::{
-    AccountKey, Amount, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, ShareRank, StepSpec,
-    TaskId,
+    AccountKey, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, ShareRank, StepSpec, TaskId,
 };
 use crate::collections::HashSet;
 
-/// Number of filler steps without a place after which a pass skips all further ones:
-/// these are usually as large and less urgent.
+/// Number of fillers that a pass tries without finding a place before it skips the others. Where
+/// room is short, the next ones rarely fit either.
 const MAX_UNPLACED_FILLERS: usize = 8;
 
+/// Time after which a skipped filler is tried again, whatever precedes it, in milliseconds. The
+/// users' rules give a job for which there is room 3 s.
+const SKIP_MAX_MS: Millis = 1_000;
+
 /// Shortest time between two log lines on an overload, in milliseconds.
 const OVERLOAD_PAUSE_MS: Millis = 1_000;
 
@@ -153,8 +158,10 @@
     pools: Vec<PoolUse>,
     /// What the usable workers have for further tasks.
     rooms: SecondaryMap<WorkerKey, Room>,
-    /// Steps for which no worker had the label and the free resources.
-    unplaced: Vec<Unplaced>,
+    /// Steps that found no place.
+    unplaced: UnplacedSteps,
+    /// Number of fillers that were tried and found no place.
+    unplaced_fillers: usize,
     /// Accounts that met their cap; their later steps must not take what a step waits for.
     capped: HashSet<AccountKey>,
     /// Workers whose short runs make room for an overdue standing task: other steps would take it
@@ -172,13 +179,10 @@
 }
 
 impl AssignPass {
-    /// Whether this pass failed to place a step of the pool that has the same label and
-    /// needs as much or less.
-    fn is_unplaceable(&self, pool: usize, step: &StepSpec) -> bool {
-        let amount = place::committed(step);
-        self.unplaced.iter().any(|tried| {
-            tried.pool == pool && tried.amount.fits(amount) && tried.label == step.label
-        })
+    /// Whether the pass leaves out a step.
+    fn skips(&self, step: &Waiting) -> bool {
+        let is_recent = step.untried_ms.is_some_and(|age| age < SKIP_MAX_MS);
+        step.filler && is_recent && self.unplaced_fillers >= MAX_UNPLACED_FILLERS
     }
 
     /// Takes a worker from the usable ones for a trial in its pool.
@@ -213,14 +217,15 @@
     }
 }
 
-/// Step that found no place.
-#[derive(Debug)]
-struct Unplaced {
-    /// Index of its pool.
-    pool: usize,
-    label: String,
-    /// What each of its tasks commits.
-    amount: Amount,
+/// What became of a step in a pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// All of its tasks that may start were placed, or its account is at its cap.
+    Placed,
+    /// Some found no place on a worker.
+    Unplaced,
+    /// It was not tried, see [`MAX_UNPLACED_FILLERS`].
+    Skipped,
 }
 
 /// Worker on which a task can be placed.
@@ -547,7 +552,8 @@
             rooms: rooms.collect(),
             usable,
             pools,
-            unplaced: Vec::new(),
+            unplaced: UnplacedSteps::default(),
+            unplaced_fillers: 0,
             capped: HashSet::default(),
             held: HashSet::default(),
             is_hold_over: false,
@@ -558,42 +564,39 @@
         };
         self.count_late_claims(now);
         self.headroom.expire_trials(now);
-        let mut unplaced_fillers = 0;
         let mut is_full = false;
         let mut skipped = Skipped::default();
         for (at, step) in waiting.iter().enumerate() {
-            if step.filler && unplaced_fillers >= MAX_UNPLACED_FILLERS {
-                if step.untried_ms.is_none() {
-                    self.note_tried(step, now);
+            match self.assign_step(step, &mut pass) {
+                Outcome::Placed => {}
+                Outcome::Unplaced => is_full = true,
+                Outcome::Skipped => {
+                    is_full = true;
+                    skipped.add(at, step.untried_ms.unwrap_or(0));
                 }
-                skipped.add(at, step.untried_ms.unwrap_or(0));
-                continue;
-            }
-            self.note_tried(step, now);
-            let is_placed = self.assign_step(step, &mut pass);
-            is_full |= !is_placed;
-            if step.filler && !is_placed {
-                unplaced_fillers += 1;
             }
         }
-        self.log_skipped(skipped, &waiting, unplaced_fillers, now);
+        self.log_skipped(skipped, &waiting, pass.unplaced_fillers, now);
         self.accounts.end_pass(is_full, &pass.capped, now);
     }
 
-    /// Assigns the waiting tasks of a step; returns false if some found no place on a worker.
-    fn assign_step(&mut self, step: &Waiting, pass: &mut AssignPass) -> bool {
+    /// Assigns the waiting tasks of a step.
+    fn assign_step(&mut self, step: &Waiting, pass: &mut AssignPass) -> Outcome {
         let job = &self.jobs[&step.job];
         if job.account.is_some_and(|key| pass.capped.contains(&key)) {
-            return true;
+            return Outcome::Placed;
         }
         let spec = &job.record.spec.steps[step.step as usize];
         let may_hold = step.rank.overdue && !pass.is_hold_over;
-        if !spec.filler && !may_hold && pass.is_unplaceable(step.pool, spec) {
-            return false;
+        if !may_hold && pass.unplaced.cover(step, spec) {
+            return Outcome::Unplaced;
+        }
+        if pass.skips(step) {
+            return Outcome::Skipped;
         }
         let round = job.rounds.iter().find(|round| round.number == step.round);
         let Some(tasks) = round.map(|round| round.steps[step.step as usize].tasks()) else {
-            return true;
+            return Outcome::Placed;
         };
         let waiting: Vec<(u32, Option<WorkerKey>)> = (0u32..)
             .zip(tasks)
@@ -602,7 +605,7 @@
             .map(|(index, task)| (index, task.avoid))
             .collect();
         if waiting.is_empty() {
-            return true;
+            return Outcome::Placed;
         }
         pass.per_worker.clear();
         pass.is_untriable = false;
@@ -610,6 +613,7 @@
             pass.per_worker.add(self.runs[*run].worker);
         }
         let spec = spec.clone();
+        self.note_tried(step, pass.now);
         let pool_use = &pass.pools[step.pool];
         let spares_idle = pool_use.fillers_late && pool_use.pieces.is_some();
         let mut request =
@@ -638,15 +642,10 @@
                 if step.rank.overdue && self.has_cap_room(step.job, &spec) {
                     self.hold_workers(left, step.pool, &spec, pass);
                 }
-                if !spec.filler && misfits.spread == 0 && !pass.is_unplaceable(step.pool, &spec) {
-                    pass.unplaced.push(Unplaced {
-                        pool: step.pool,
-                        amount: place::committed(&spec),
-                        label: spec.label,
-                    });
-                }
+                pass.unplaced.add(step, &spec, misfits);
+                pass.unplaced_fillers += usize::from(spec.filler);
                 self.log_waiting(step, pass, misfits);
-                return false;
+                return Outcome::Unplaced;
             };
             if !self.has_cap_room(step.job, &spec) {
                 misfits.count(Misfit::Cap);
@@ -655,7 +654,7 @@
                     self.cap_reached(account, spec.amount, pass.now);
                 }
                 self.log_waiting(step, pass, misfits);
-                return true;
+                return Outcome::Placed;
             }
             let same_step = pass.per_worker.add(worker);
             let task = step.task(index);
@@ -670,7 +669,7 @@
                 Err(misfit) => misfits.count(misfit),
             }
         }
-        true
+        Outcome::Placed
     }
 
     /// Holds workers for overdue tasks that fit nowhere: those on which the short runs leave enough
--- a/crates/verbenahitch/src/dispatch/assign/skipped.rs
+++ b/crates/verbenahitch/src/dispatch/assign/skipped.rs
@@ -23,7 +23,7 @@
 }
 
 impl Dispatcher {
-    /// Records that a pass tries a step, or sees it wait for the first time.
+    /// Records that a pass tries a step.
     pub(super) fn note_tried(&mut self, step: &Waiting, now: Monotonic) {
         let job = self.jobs.get_mut(&step.job);
         if let Some(state) = job.and_then(|job| job.step_mut(step.round, step.step)) {
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -89,7 +89,7 @@
     pub remaining: u32,
     /// When the wait of the step was last logged.
     pub logged_at: Option<Monotonic>,
-    /// When a pass last tried to place its tasks, or first saw them wait.
+    /// When a pass last tried to place its tasks.
     pub tried_at: Option<Monotonic>,
     /// Durations of completed runs that were neither resumed nor throttled, in milliseconds.
     pub durations: Vec<Millis>,
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod crash_mixes;
 mod crash_storms;
 mod crashes;
+mod cut_off;
 mod execution;
 mod incarnations;
 mod load;
