dispatch: a filler that only expected harm keeps from workers gets a run

Cause: a filler is kept from a worker where it is expected to slow a standing task too much. What is expected was learned, the next owner inherits it, and it is corrected only by tails beside such a filler. Where it speaks against all workers nothing is placed and nothing is learned, for good.

Change: while less than half of a pool's CPU is committed, a job of which nothing has run for a second gets one run where it is expected to harm least. It starts at the lowest pace, is throttled and not moved by relief, and its pace doubles while the tails beside it are quiet. The event harm-accepted names it with what it was decided by.

Why it works: the job runs, as the users' rules ask for below half of the service; what its tails show corrects the belief; and relief bounds what standing tasks lose, as for each filler.

Test: dispatch::kept_by_harm, three beliefs and truths. On all three fail, nothing of a job runs in 40 s; all pass now, and standing tasks are over their target for less than the users' 4 s each.

--- a/crates/verbenahitch/src/dispatch/assign/mod.rs
+++ b/crates/verbenahitch/src/dispatch/assign/mod.rs
@@ -1,5 +1,6 @@
 //! Assignment of waiting tasks to workers.
 
+mod owed;
 mod skipped;
 mod unplaced;
 
@@ -19,7 +20,8 @@
 use super::step_order::{self, DeadlineClass, StepRank};
 use super::worker::{Worker, WorkerKey};
 use super::{
-    AccountKey, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, ShareRank, StepSpec, TaskId,
+    AccountKey, Dispatcher, Entry, JobId, Kind, Millis, Monotonic, RunKey, ShareRank, StepSpec,
+    TaskId,
 };
 use crate::collections::HashSet;
 
@@ -65,6 +67,10 @@
     pool: usize,
     /// Time since a pass last tried to place it, in milliseconds; none before the first pass.
     untried_ms: Option<Millis>,
+    /// Time since none of its job's tasks runs, in milliseconds.
+    idle_ms: Millis,
+    /// Whether it may slow standing tasks, see [`owed`].
+    owed: bool,
 }
 
 impl Waiting {
@@ -130,6 +136,7 @@
     /// Its usable workers without a trial, in the order of the arena.
     workers: Vec<WorkerKey>,
     capacity_milli: u64,
+    committed_milli: u64,
     short_milli: u64,
     filler_milli: u64,
     /// Number of pieces for short steps that are left.
@@ -443,6 +450,8 @@
         let objective_ms = queue.objective_ms(longest);
         let mean = self.work_means.get(&queue.name);
         let mean = mean.map_or(0.0, |mean| mean.value());
+        let first = found.len();
+        let mut is_idle = true;
         for round in &job.rounds {
             let begin = found.len();
             let mut left: u64 = 0;
@@ -451,6 +460,7 @@
                     continue;
                 }
                 let spec = &job.record.spec.steps[step as usize];
+                is_idle &= state.waiting() == state.remaining;
                 let waiting = u64::from(state.waiting());
                 left = left.saturating_add(step_order::work_of(spec, waiting));
                 if waiting == 0 || !round.is_ready(spec) {
@@ -478,6 +488,8 @@
                     work: 0,
                     pool: pool_index(pools, &queue.pool),
                     untried_ms: state.tried_at.map(|at| now.since(at)),
+                    idle_ms: 0,
+                    owed: false,
                 };
                 // Its other tasks do not precede short steps with the overdue ones.
                 if spec.standing && state.tasks().iter().any(|task| task.is_overdue(now)) {
@@ -493,6 +505,10 @@
                 step.rank.density = density;
             }
         }
+        let idle_ms = job.idle_ms(is_idle && found.len() > first, now);
+        for step in &mut found[first..] {
+            step.idle_ms = idle_ms;
+        }
     }
 
     /// Use of the pools by their usable workers.
@@ -504,6 +520,7 @@
             let pool = &mut pools[index];
             pool.workers.push(*key);
             pool.capacity_milli += worker.info.capacity.cpu_milli;
+            pool.committed_milli += worker.committed.cpu_milli;
             pool.short_milli += worker.short_milli;
             pool.filler_milli += worker.filler_milli;
         }
@@ -532,7 +549,8 @@
             .collect();
         let trials = self.trials(&mut usable);
         let mut pools = self.pool_uses(&usable, now);
-        let waiting = self.waiting_steps(&mut pools, now);
+        let mut waiting = self.waiting_steps(&mut pools, now);
+        owed::mark(&mut waiting, &pools);
         self.steps_waiting = StepCounts::new(&waiting);
         if waiting.is_empty() {
             return;
@@ -625,6 +643,12 @@
             }
         }
         let (mut candidates, mut misfits) = self.candidates(step, &request, pass);
+        if step.owed && candidates.is_empty() && misfits.harm > 0 {
+            if let Some((index, avoid)) = waiting.first().copied() {
+                self.start_despite_harm(step, index, avoid, &mut request, pass, misfits);
+            }
+            return Outcome::Unplaced;
+        }
         let mut left = waiting.len();
         for (index, avoid) in waiting {
             let worker = loop {
@@ -864,13 +888,20 @@
             .emit();
     }
 
-    pub(super) fn assign_task(&mut self, task: TaskId, worker: WorkerKey, now: Monotonic) {
-        let Some(state) = self.task_mut(task) else {
-            return;
-        };
+    /// Assigns a task to a worker; none if its round has not begun.
+    pub(super) fn assign_task(
+        &mut self,
+        task: TaskId,
+        worker: WorkerKey,
+        now: Monotonic,
+    ) -> Option<RunKey> {
+        let state = self.task_mut(task)?;
         state.last_run += 1;
         let number = state.last_run;
         let run = self.insert_run(task, number, worker, now);
+        if let Some(job) = self.jobs.get(&task.job) {
+            job.idle_since.set(None);
+        }
         if let Some(state) = self.task_mut(task) {
             state.runs.push(run);
         }
@@ -881,5 +912,6 @@
             .with("run", number)
             .with("worker", &self.workers[worker].info.name)
             .emit();
+        Some(run)
     }
 }
--- /dev/null
+++ b/crates/verbenahitch/src/dispatch/assign/owed.rs
@@ -0,0 +1,70 @@
+//! Fillers that start although they may slow standing tasks.
+//!
+//! Harm is expected by what was learned, of which an owner inherits a part, and which stays as it is
+//! as long as nothing is placed. A filler that is kept from all workers by it alone could wait for
+//! ever beside idle CPU. While less than half of a pool is committed, a job of which nothing has
+//! run for [`IDLE_MAX_MS`] therefore gets one run where it harms least, at the lowest pace, which
+//! rises as the tails allow it.
+
+use super::{
+    AssignPass, Dispatcher, Entry, Kind, Millis, MisfitCounts, PoolUse, Waiting, cheapest,
+};
+use crate::dispatch::interference::MIN_PACE;
+use crate::dispatch::place::AssignmentRequest;
+use crate::dispatch::worker::WorkerKey;
+
+/// Time without a run after which a job is owed one, in milliseconds. The users' rules give it
+/// 3 s, of which a skipped step may wait one more, see [`super::SKIP_MAX_MS`].
+const IDLE_MAX_MS: Millis = 1_000;
+
+/// Fraction of a pool's CPU below which it owes each job a run, by the users' rules.
+const COMMITTED_DIVISOR: u64 = 2;
+
+/// Marks the steps that may slow standing tasks.
+pub(super) fn mark(waiting: &mut [Waiting], pools: &[PoolUse]) {
+    for step in waiting {
+        let pool = &pools[step.pool];
+        let is_free = pool.committed_milli < pool.capacity_milli / COMMITTED_DIVISOR;
+        step.owed = step.filler && is_free && step.idle_ms >= IDLE_MAX_MS;
+    }
+}
+
+impl Dispatcher {
+    /// Starts a task of a step that only harm keeps from workers.
+    pub(super) fn start_despite_harm(
+        &mut self,
+        step: &Waiting,
+        index: u32,
+        avoid: Option<WorkerKey>,
+        request: &mut AssignmentRequest<'_>,
+        pass: &mut AssignPass,
+        misfits: MisfitCounts,
+    ) {
+        if !self.has_cap_room(step.job, request.step) {
+            return;
+        }
+        request.accept_harm();
+        let (mut candidates, _) = self.candidates(step, request, pass);
+        let Some(worker) = cheapest(&mut candidates, avoid) else {
+            return;
+        };
+        let task = step.task(index);
+        let Some(run) = self.assign_task(task, worker, pass.now) else {
+            return;
+        };
+        let run = &mut self.runs[run];
+        run.expects_harm = true;
+        run.wanted_pace = MIN_PACE;
+        pass.update_room(worker, &self.workers[worker]);
+        let pool = &pass.pools[step.pool];
+        Entry::new(Kind::HarmAccepted)
+            .with_text("task", task)
+            .with("worker", &self.workers[worker].info.name)
+            .with("idle-ms", step.idle_ms)
+            .with("harm", misfits.harm)
+            .with("busy", misfits.busy)
+            .with("committed-milli", pool.committed_milli)
+            .with("cpu-milli", pool.capacity_milli)
+            .emit();
+    }
+}
--- a/crates/verbenahitch/src/dispatch/assign/unplaced.rs
+++ b/crates/verbenahitch/src/dispatch/assign/unplaced.rs
@@ -30,6 +30,7 @@
         self.pool == step.pool
             && self.filler == spec.filler
             && !(self.held && step.rank.overdue)
+            && !(self.effect.is_some() && step.owed)
             && self.amount.fits(spec.amount)
             && self.label.as_ref().is_none_or(|label| *label == spec.label)
             && self.effect.as_ref().is_none_or(|(image, estimate_ms)| {
--- a/crates/verbenahitch/src/dispatch/interference.rs
+++ b/crates/verbenahitch/src/dispatch/interference.rs
@@ -36,7 +36,7 @@
 const OVER_LIMIT_MS: Millis = 1_900;
 
 /// Lowest pace of a filler short of a pause, in percent.
-const MIN_PACE: u8 = 10;
+pub(super) const MIN_PACE: u8 = 10;
 
 /// Highest pace of a throttled filler, in percent.
 const THROTTLED_PACE_MAX: u8 = 60;
@@ -59,6 +59,8 @@
     pub pace: u8,
     pub progress: u8,
     pub checkpoints: bool,
+    /// Whether no other worker was expected to suit it better.
+    pub expects_harm: bool,
 }
 
 impl Filler {
@@ -140,7 +142,8 @@
             break;
         }
         let is_known = loss >= LOSS_MIN;
-        let is_movable = filler.checkpoints || filler.progress < KEEP_PROGRESS;
+        let is_movable =
+            !filler.expects_harm && (filler.checkpoints || filler.progress < KEEP_PROGRESS);
         actions.push(if is_known && is_movable {
             Action::Move(filler.key)
         } else if is_known && needed < loss && filler.pace > MIN_PACE {
@@ -200,11 +203,13 @@
         return Vec::new();
     }
     state.changed_at = Some(now);
-    if expected < 1.0 && filler.checkpoints {
+    if expected < 1.0 && filler.checkpoints && !filler.expects_harm {
         return vec![Action::Move(filler.key)];
     }
     let next = if filler.pace < MIN_PACE {
         MIN_PACE
+    } else if filler.expects_harm {
+        filler.pace.saturating_mul(2).min(100)
     } else {
         100
     };
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -153,6 +153,8 @@
     pieces: Option<Pieces>,
     /// Whether a short task leaves the emptiest workers to fillers.
     spares_idle: bool,
+    /// Whether a filler may slow standing tasks too much.
+    accepts_harm: bool,
 }
 
 impl<'a> AssignmentRequest<'a> {
@@ -178,9 +180,15 @@
             },
             pieces,
             spares_idle,
+            accepts_harm: false,
         }
     }
 
+    /// Accepts that a filler slows standing tasks too much.
+    pub fn accept_harm(&mut self) {
+        self.accepts_harm = true;
+    }
+
     /// Records the placement of a filler beside tasks of a standing image.
     pub fn add_trial(&mut self, model: &mut HeadroomModel, standing: ImageId) {
         model.add_trial(self.image, standing);
@@ -395,7 +403,7 @@
             + packing
             + impact.cost());
     }
-    if impact.is_excessive {
+    if impact.is_excessive && !request.accepts_harm {
         return Err(Misfit::Harm);
     }
     let reserved = if load.tails.is_empty() {
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -209,6 +209,8 @@
     /// State that callers are shown: a final one only once the store holds it.
     pub visible_state: JobState,
     pub has_started: bool,
+    /// Since when none of its tasks runs though some wait, as the last passes saw it.
+    pub idle_since: Cell<Option<Monotonic>>,
     /// Number of changes so far.
     pub version: u64,
     /// Version that the store holds.
@@ -229,6 +231,7 @@
             state: JobState::Queued,
             visible_state: JobState::Queued,
             has_started: false,
+            idle_since: Cell::new(None),
             version: 0,
             stored_version: 0,
             is_dirty: false,
@@ -271,6 +274,13 @@
         self.known_age_ms.saturating_add(now.since(self.known_at))
     }
 
+    /// Time since none of its tasks runs though some wait, in milliseconds.
+    pub fn idle_ms(&self, is_idle: bool, now: Monotonic) -> Millis {
+        let since = is_idle.then(|| self.idle_since.get().unwrap_or(now));
+        self.idle_since.set(since);
+        since.map_or(0, |at| now.since(at))
+    }
+
     /// Number of repetitions.
     pub fn times(&self) -> u32 {
         self.record.spec.repeat.map_or(1, |repeat| repeat.times)
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod cut_off;
 mod execution;
 mod incarnations;
+mod kept_by_harm;
 mod load;
 mod odd_entries;
 mod odd_values;
