dispatch: the memory left for other tasks keeps no filler out for good

Cause: fillers leave half of the memory that belongs to the uncommitted CPU to other tasks. On an idle worker that is half of its memory, so that no larger filler fits on any, whether other tasks come or not: as with harm, an expectation that nothing puts to the test.

Change: the memory left is at most what an idle worker has beyond the filler, and a job that is owed a run (nothing of it has run for a second, less than half of the pool's CPU is committed) is not bound by it. The event of such a start is owed-started, as it no longer speaks of harm alone.

Why it works: an idle worker takes whatever it has the memory for, at once and in parallel; beside other tasks the job gets one run, throttled, as the users' rules ask for below half of the service.

Test: dispatch::kept_out, two cases that fail on (idle workers; a standing task on each) and pass now. load::fillers_leave_memory_for_the_uncommitted_cpu holds as before.

--- a/crates/verbenahitch/src/dispatch/assign/mod.rs
+++ b/crates/verbenahitch/src/dispatch/assign/mod.rs
@@ -69,7 +69,7 @@
     untried_ms: Option<Millis>,
     /// Time since none of its job's tasks runs, in milliseconds.
     idle_ms: Millis,
-    /// Whether it may slow standing tasks, see [`owed`].
+    /// Whether it may take what standing tasks are expected to need, see [`owed`].
     owed: bool,
 }
 
@@ -208,9 +208,9 @@
     }
 
     /// Whether a usable worker is known to have no room for one more task.
-    pub fn has_no_room(&self, worker: WorkerKey, step: &StepSpec) -> bool {
+    pub fn has_no_room(&self, worker: WorkerKey, request: &place::AssignmentRequest<'_>) -> bool {
         let room = self.rooms.get(worker);
-        room.is_some_and(|room| room.fit(step).is_err())
+        room.is_some_and(|room| room.fit(request).is_err())
     }
 
     /// Name of a pool.
@@ -337,6 +337,11 @@
             Misfit::Held => &mut self.held,
         } += 1;
     }
+
+    /// Whether what standing tasks are expected to need keeps a filler from workers.
+    fn has_expected(self) -> bool {
+        self.harm + self.memory > 0
+    }
 }
 
 /// Defers jobs that cannot be in time together. Fillers and other steps use different CPU.
@@ -643,9 +648,9 @@
             }
         }
         let (mut candidates, mut misfits) = self.candidates(step, &request, pass);
-        if step.owed && candidates.is_empty() && misfits.harm > 0 {
+        if step.owed && candidates.is_empty() && misfits.has_expected() {
             if let Some((index, avoid)) = waiting.first().copied() {
-                self.start_despite_harm(step, index, avoid, &mut request, pass, misfits);
+                self.start_owed(step, index, avoid, &mut request, pass, misfits);
             }
             return Outcome::Unplaced;
         }
@@ -748,7 +753,7 @@
             };
             // Most workers have no room; their states are not looked at.
             let room = &pass.rooms[worker];
-            let fit = allowed.and_then(|()| room.fit(spec));
+            let fit = allowed.and_then(|()| room.fit(request));
             match fit.and_then(|()| self.cost_of_fit(worker, room, request, same_step)) {
                 Ok(cost) => candidates.push(Candidate { cost, worker }),
                 Err(misfit) => misfits.count(misfit),
@@ -767,7 +772,7 @@
         let worker = &self.workers[key];
         place::allows(worker, request.step, same_step)?;
         let room = Room::of(worker);
-        room.fit(request.step)?;
+        room.fit(request)?;
         self.cost_of_fit(key, &room, request, same_step)
     }
 
--- a/crates/verbenahitch/src/dispatch/assign/owed.rs
+++ b/crates/verbenahitch/src/dispatch/assign/owed.rs
@@ -1,8 +1,8 @@
-//! Fillers that start although they may slow standing tasks.
+//! Fillers that start although standing tasks may need what they take.
 //!
 //! Harm is expected by what was learned, of which an owner inherits a part, and which stays as it is
-//! as long as nothing is placed. A filler that is kept from all workers by it alone could wait for
-//! ever beside idle CPU. While less than half of a pool is committed, a job of which nothing has
+//! as long as nothing is placed; memory is left for tasks that may never come. A filler that is kept
+//! from all workers by such expectations could wait for ever beside idle CPU. While less than half of a pool is committed, a job of which nothing has
 //! run for [`IDLE_MAX_MS`] therefore gets one run where it harms least, at the lowest pace, which
 //! rises as the tails allow it.
 
@@ -20,7 +20,7 @@
 /// Fraction of a pool's CPU below which it owes each job a run, by the users' rules.
 const COMMITTED_DIVISOR: u64 = 2;
 
-/// Marks the steps that may slow standing tasks.
+/// Marks the steps that may take what standing tasks are expected to need.
 pub(super) fn mark(waiting: &mut [Waiting], pools: &[PoolUse]) {
     for step in waiting {
         let pool = &pools[step.pool];
@@ -30,8 +30,8 @@
 }
 
 impl Dispatcher {
-    /// Starts a task of a step that only harm keeps from workers.
-    pub(super) fn start_despite_harm(
+    /// Starts a task of a step that only expectations keep from workers.
+    pub(super) fn start_owed(
         &mut self,
         step: &Waiting,
         index: u32,
@@ -43,7 +43,7 @@
         if !self.has_cap_room(step.job, request.step) {
             return;
         }
-        request.accept_harm();
+        request.set_owed();
         let (mut candidates, _) = self.candidates(step, request, pass);
         let Some(worker) = cheapest(&mut candidates, avoid) else {
             return;
@@ -57,11 +57,12 @@
         run.wanted_pace = MIN_PACE;
         pass.update_room(worker, &self.workers[worker]);
         let pool = &pass.pools[step.pool];
-        Entry::new(Kind::HarmAccepted)
+        Entry::new(Kind::OwedStarted)
             .with_text("task", task)
             .with("worker", &self.workers[worker].info.name)
             .with("idle-ms", step.idle_ms)
             .with("harm", misfits.harm)
+            .with("no-memory", misfits.memory)
             .with("busy", misfits.busy)
             .with("committed-milli", pool.committed_milli)
             .with("cpu-milli", pool.capacity_milli)
--- a/crates/verbenahitch/src/dispatch/assign/unplaced.rs
+++ b/crates/verbenahitch/src/dispatch/assign/unplaced.rs
@@ -19,6 +19,9 @@
     filler: bool,
     /// Whether workers were held for overdue steps.
     held: bool,
+    /// Whether what standing tasks are expected to need was a reason, which binds no step that is
+    /// owed a run.
+    is_expected: bool,
     label: Option<String>,
     amount: Amount,
     /// Image and estimated duration, which decide what a filler takes from standing tasks.
@@ -30,7 +33,7 @@
         self.pool == step.pool
             && self.filler == spec.filler
             && !(self.held && step.rank.overdue)
-            && !(self.effect.is_some() && step.owed)
+            && !(self.is_expected && step.owed)
             && self.amount.fits(spec.amount)
             && self.label.as_ref().is_none_or(|label| *label == spec.label)
             && self.effect.as_ref().is_none_or(|(image, estimate_ms)| {
@@ -61,6 +64,7 @@
             pool: step.pool,
             filler: spec.filler,
             held: misfits.held > 0,
+            is_expected: misfits.has_expected(),
             label: (misfits.label > 0).then(|| spec.label.clone()),
             amount: Amount {
                 cpu_milli: wants(lacks_cpu, spec.amount.cpu_milli),
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -245,7 +245,7 @@
     ) -> Option<WorkerKey> {
         let mut best: Option<(Risk, WorkerKey)> = None;
         for key in workers.iter().copied() {
-            if pass.has_no_room(key, request.step) {
+            if pass.has_no_room(key, request) {
                 continue;
             }
             let found = (self.risk_of(key, avoid, pass.now), key);
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -153,8 +153,8 @@
     pieces: Option<Pieces>,
     /// Whether a short task leaves the emptiest workers to fillers.
     spares_idle: bool,
-    /// Whether a filler may slow standing tasks too much.
-    accepts_harm: bool,
+    /// Whether a filler may take what standing tasks are expected to need.
+    is_owed: bool,
 }
 
 impl<'a> AssignmentRequest<'a> {
@@ -180,13 +180,13 @@
             },
             pieces,
             spares_idle,
-            accepts_harm: false,
+            is_owed: false,
         }
     }
 
-    /// Accepts that a filler slows standing tasks too much.
-    pub fn accept_harm(&mut self) {
-        self.accepts_harm = true;
+    /// Lets a filler take what standing tasks are expected to need.
+    pub fn set_owed(&mut self) {
+        self.is_owed = true;
     }
 
     /// Records the placement of a filler beside tasks of a standing image.
@@ -306,6 +306,7 @@
     committed_milli: u64,
     /// Idle CPU in thousandths of a core, see [`idle_milli`].
     idle_milli: f64,
+    capacity_mb: u64,
     /// Memory that fillers leave for other tasks, in MB.
     reserve_mb: u64,
     /// Resource of which its runs need more than it has.
@@ -326,6 +327,7 @@
             capacity_milli: capacity.cpu_milli,
             committed_milli: worker.committed.cpu_milli,
             idle_milli: idle_milli(worker),
+            capacity_mb: capacity.memory_mb,
             reserve_mb: reserve_mb(capacity, free),
             over,
         }
@@ -341,7 +343,8 @@
     /// # Errors
     ///
     /// The first resource that does not suffice.
-    pub fn fit(&self, step: &StepSpec) -> Result<(), Misfit> {
+    pub fn fit(&self, request: &AssignmentRequest<'_>) -> Result<(), Misfit> {
+        let step = request.step;
         // What needs nothing of a resource fits into none of it, but not beside too much.
         if let Some(misfit) = self.over {
             return Err(misfit);
@@ -350,7 +353,13 @@
         if amount.cpu_milli > self.free.cpu_milli || amount.gpus > self.free.gpus {
             return Err(Misfit::Cpu);
         }
-        let reserve = if step.filler { self.reserve_mb } else { 0 };
+        let reserve = if step.filler && !request.is_owed {
+            // An idle worker takes any filler that it has the memory for.
+            let most = self.capacity_mb.saturating_sub(amount.memory_mb);
+            self.reserve_mb.min(most)
+        } else {
+            0
+        };
         if amount.memory_mb.saturating_add(reserve) > self.free.memory_mb {
             return Err(Misfit::Memory);
         }
@@ -403,7 +412,7 @@
             + packing
             + impact.cost());
     }
-    if impact.is_excessive && !request.accepts_harm {
+    if impact.is_excessive && !request.is_owed {
         return Err(Misfit::Harm);
     }
     let reserved = if load.tails.is_empty() {
--- a/testsuite/tests/testsuite/dispatch/kept_by_harm.rs
+++ b/testsuite/tests/testsuite/dispatch/kept_out.rs
@@ -1,4 +1,4 @@
-//! Fillers that nothing but the expected harm to standing tasks keeps from all workers.
+//! Fillers that only what standing tasks are expected to need keeps from all workers.
 
 use std::collections::BTreeMap;
 
@@ -77,3 +77,24 @@
         assert_eq!(world.finished.len(), jobs.len());
     }
 }
+
+/// Guards against fillers of more than half of a worker's memory that never start: half of it was
+/// left for tasks that might use the idle CPU.
+#[test_case(0; "idle workers")]
+#[test_case(1; "a standing task on each")]
+fn fillers_of_more_than_half_the_memory_start(standing_tasks: u32) {
+    let mut world = World::new(WORKERS);
+    let step = StepSpec {
+        spread: 1,
+        ..standing(8 * standing_tasks, 2, "weak")
+    };
+    if standing_tasks > 0 {
+        world.submit(1, "push", job(vec![step]));
+    }
+    world.run(2_000);
+    let mut large = filler(1, 2, 1_000, "light");
+    large.amount.memory_mb = 64_000 * 3 / 5;
+    let id = world.submit(100, "batch", job(vec![large]));
+    world.run(IDLE_LIMIT_MS);
+    assert!(!world.starts_of(id).is_empty());
+}
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -10,7 +10,7 @@
 mod cut_off;
 mod execution;
 mod incarnations;
-mod kept_by_harm;
+mod kept_out;
 mod load;
 mod odd_entries;
 mod odd_values;
