dispatch: long tasks are not taken as stalled

Cause: a run without a new percent for 1.5 s counts as stalled, and progress is told in whole percents: a task of more than 150 s takes longer for one.

Change: the limit is at least a tenth of the declared run time and the age of a list. Declared times are short of the actual ones by nine tenths at most, so that a sound run shows a percent in that time. Tasks of up to 3 s are judged as before.

Why it works: the time without progress is compared with what a percent of this task may take.

Test: dispatch::load::long_tasks_are_not_taken_as_stalled, as declared and ten times as long.

--- a/crates/verbenahitch/src/dispatch/straggler.rs
+++ b/crates/verbenahitch/src/dispatch/straggler.rs
@@ -32,6 +32,17 @@
 /// Time that a restart takes, in milliseconds: a stop, a commit and a start.
 const RESTART_MS: Millis = 500;
 
+/// Part of its declared run time in which a run advances by a percent at the least: declared times are
+/// short of the actual ones by nine tenths at most.
+const PERCENT_DIVISOR: Millis = 10;
+
+/// Time without progress after which a run is stalled, in milliseconds. Progress is told in whole
+/// percents, which a long task takes longer for.
+fn stall_limit_ms(estimate_ms: Millis) -> Millis {
+    let percent_ms = estimate_ms / PERCENT_DIVISOR;
+    health::STALL_MS.max(percent_ms.saturating_add(STALL_ANSWER_MS))
+}
+
 /// Projected duration of a run by its progress so far.
 struct Projection {
     key: RunKey,
@@ -147,6 +158,9 @@
             if spec.standing && run.progress == SERVING_PERCENT {
                 continue;
             }
+            if now.since(run.progressed_at) <= stall_limit_ms(spec.estimate_ms) {
+                continue;
+            }
             let (task, worker) = (run.task, run.worker);
             Entry::new(Kind::Evicted)
                 .with_text("task", task)
--- a/testsuite/tests/testsuite/dispatch/load.rs
+++ b/testsuite/tests/testsuite/dispatch/load.rs
@@ -228,6 +228,21 @@
     assert!(world.finished.contains_key(&id));
 }
 
+/// Guards against long tasks that are stopped again and again as stalled, since they take longer for a
+/// percent than a run may be without progress. Their declared time may be a tenth of the actual one.
+#[test_case(240_000, 1.0; "as declared")]
+#[test_case(24_000, 0.1; "ten times as long as declared")]
+fn long_tasks_are_not_taken_as_stalled(estimate_ms: u64, speed: f64) {
+    let mut world = World::new(8);
+    for worker in world.workers.values_mut() {
+        worker.speed = speed;
+    }
+    let id = world.submit(1, "batch", job(vec![step(8, 16, estimate_ms)]));
+    world.run(270_000);
+    assert_eq!(world.starts_of(id).len(), 8);
+    assert!(world.finished.contains_key(&id));
+}
+
 /// A burst of batch work of three times the idle CPU: jobs run in order with all the
 /// CPU that they request, instead of sharing it.
 #[test]
