dispatch: a check over random backlogs beside a lost kind of workers

Looks for the class of the faults before it: over random fleets that lose a kind for good, and backlogs of which a part waits in vain, nothing of a job may be without a run for 3 s while there is room for it twice over and less than half of the CPU is in use, the room that fillers take counted.

--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher with simulated workers and a simulated store.
 
 mod attempts;
+mod backlogs;
 mod capacity;
 mod caps;
 mod crash_bases;
