dispatch: an owed step without a place is counted and logged as any other

Found by reading: a step that is owed a run and finds no place even so was looked at twice in each assignment, without end to the number of such steps, and its wait was not logged. It now counts as tried, so that the limit on tried fillers holds, is logged, and speaks for later steps that are not owed a run.

The field of a run and of a filler is named is_owed as that of the request, since memory may be the reason.

Test: those of dispatch::kept_out, cut_off, load and backlogs pass; the fault is one of cost and has no test that failed before.

--- a/crates/verbenahitch/src/dispatch/assign/mod.rs
+++ b/crates/verbenahitch/src/dispatch/assign/mod.rs
@@ -648,10 +648,12 @@
             }
         }
         let (mut candidates, mut misfits) = self.candidates(step, &request, pass);
-        if step.owed && candidates.is_empty() && misfits.has_expected() {
-            if let Some((index, avoid)) = waiting.first().copied() {
-                self.start_owed(step, index, avoid, &mut request, pass, misfits);
-            }
+        if step.owed
+            && candidates.is_empty()
+            && misfits.has_expected()
+            && let Some((index, avoid)) = waiting.first().copied()
+            && self.start_owed(step, index, avoid, &mut request, pass, misfits)
+        {
             return Outcome::Unplaced;
         }
         let mut left = waiting.len();
--- a/crates/verbenahitch/src/dispatch/assign/owed.rs
+++ b/crates/verbenahitch/src/dispatch/assign/owed.rs
@@ -30,7 +30,8 @@
 }
 
 impl Dispatcher {
-    /// Starts a task of a step that only expectations keep from workers.
+    /// Starts a task of a step that only expectations keep from workers; false if it has no place
+    /// even so.
     pub(super) fn start_owed(
         &mut self,
         step: &Waiting,
@@ -39,21 +40,21 @@
         request: &mut AssignmentRequest<'_>,
         pass: &mut AssignPass,
         misfits: MisfitCounts,
-    ) {
+    ) -> bool {
         if !self.has_cap_room(step.job, request.step) {
-            return;
+            return false;
         }
         request.set_owed();
         let (mut candidates, _) = self.candidates(step, request, pass);
         let Some(worker) = cheapest(&mut candidates, avoid) else {
-            return;
+            return false;
         };
         let task = step.task(index);
         let Some(run) = self.assign_task(task, worker, pass.now) else {
-            return;
+            return false;
         };
         let run = &mut self.runs[run];
-        run.expects_harm = true;
+        run.is_owed = true;
         run.wanted_pace = MIN_PACE;
         pass.update_room(worker, &self.workers[worker]);
         let pool = &pass.pools[step.pool];
@@ -67,5 +68,6 @@
             .with("committed-milli", pool.committed_milli)
             .with("cpu-milli", pool.capacity_milli)
             .emit();
+        true
     }
 }
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -342,7 +342,7 @@
             progressed_at: now,
             pace: 100,
             wanted_pace: 100,
-            expects_harm: false,
+            is_owed: false,
             tail_ms: 0,
             level: Level::new(now),
             level_known: false,
--- a/crates/verbenahitch/src/dispatch/interference.rs
+++ b/crates/verbenahitch/src/dispatch/interference.rs
@@ -60,7 +60,7 @@
     pub progress: u8,
     pub checkpoints: bool,
     /// Whether no other worker was expected to suit it better.
-    pub expects_harm: bool,
+    pub is_owed: bool,
 }
 
 impl Filler {
@@ -142,8 +142,7 @@
             break;
         }
         let is_known = loss >= LOSS_MIN;
-        let is_movable =
-            !filler.expects_harm && (filler.checkpoints || filler.progress < KEEP_PROGRESS);
+        let is_movable = !filler.is_owed && (filler.checkpoints || filler.progress < KEEP_PROGRESS);
         actions.push(if is_known && is_movable {
             Action::Move(filler.key)
         } else if is_known && needed < loss && filler.pace > MIN_PACE {
@@ -203,12 +202,12 @@
         return Vec::new();
     }
     state.changed_at = Some(now);
-    if expected < 1.0 && filler.checkpoints && !filler.expects_harm {
+    if expected < 1.0 && filler.checkpoints && !filler.is_owed {
         return vec![Action::Move(filler.key)];
     }
     let next = if filler.pace < MIN_PACE {
         MIN_PACE
-    } else if filler.expects_harm {
+    } else if filler.is_owed {
         filler.pace.saturating_mul(2).min(100)
     } else {
         100
--- a/crates/verbenahitch/src/dispatch/mitigation.rs
+++ b/crates/verbenahitch/src/dispatch/mitigation.rs
@@ -184,7 +184,7 @@
                 pace: run.wanted_pace,
                 progress: run.progress,
                 checkpoints: self.spec_of(run.task).is_some_and(|spec| spec.checkpoints),
-                expects_harm: run.expects_harm,
+                is_owed: run.is_owed,
             });
         }
         let mut serving = Vec::new();
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -493,8 +493,9 @@
     pub pace: u8,
     /// Percentage of its CPU that it is to be given.
     pub wanted_pace: u8,
-    /// Whether it was placed although it may slow a standing task. It is throttled and not moved.
-    pub expects_harm: bool,
+    /// Whether it was placed although standing tasks may need what it takes. It is throttled and
+    /// not moved.
+    pub is_owed: bool,
     /// Last reported tail latency in milliseconds.
     pub tail_ms: Millis,
     /// Headroom without fillers, for a standing task with a target.
