--- a/crates/verbenahitch/src/dispatch/assign/owed.rs
+++ b/crates/verbenahitch/src/dispatch/assign/owed.rs
@@ -2,9 +2,9 @@
 //!
 //! Harm is expected by what was learned, of which an owner inherits a part, and which stays as it is
 //! as long as nothing is placed; memory is left for tasks that may never come. A filler that is kept
-//! from all workers by such expectations could wait for ever beside idle CPU. While less than half of a pool is committed, a job of which nothing has
-//! run for [`IDLE_MAX_MS`] therefore gets one run where it harms least, at the lowest pace, which
-//! rises as the tails allow it.
+//! from all workers by such expectations could wait for ever beside idle CPU. While less than half of
+//! a pool is committed, a job of which nothing has run for [`IDLE_MAX_MS`] therefore gets one run where
+//! it harms least, at the lowest pace, which rises as the tails allow it.
 
 use super::{
     AssignPass, Dispatcher, Entry, Kind, Millis, MisfitCounts, PoolUse, Waiting, cheapest,
@@ -13,8 +13,8 @@
 use crate::dispatch::place::AssignmentRequest;
 use crate::dispatch::worker::WorkerKey;
 
-/// Time without a run after which a job is owed one, in milliseconds. The users' rules give it
-/// 3 s, of which a skipped step may wait one more, see [`super::SKIP_MAX_MS`].
+/// Time without a run after which a job is owed one, in milliseconds. The users' rules allow 3 s; its
+/// step may be skipped for [`super::SKIP_MAX_MS`] of these as well.
 const IDLE_MAX_MS: Millis = 1_000;
 
 /// Fraction of a pool's CPU below which it owes each job a run, by the users' rules.
--- a/crates/verbenahitch/src/dispatch/assign/unplaced.rs
+++ b/crates/verbenahitch/src/dispatch/assign/unplaced.rs
@@ -1,6 +1,7 @@
 //! Steps that found no place in a pass, and the later ones that therefore find none either.
 //!
-//! Rooms only shrink during a pass. A step has no place if a step that failed before it asked for
+//! Rooms shrink during a pass; the memory that fillers leave may shrink with them, which the next pass
+//! sees. A step has no place if a step that failed before it asked for
 //! no more of all that kept it from a worker: a label if workers lacked it, CPU if workers had too
 //! little, and so on. What kept it from no worker is not compared, so that one entry stands for as
 //! many steps as possible, and a step is never skipped for what only others ask for.
--- a/crates/verbenahitch/src/dispatch/interference.rs
+++ b/crates/verbenahitch/src/dispatch/interference.rs
@@ -59,7 +59,7 @@
     pub pace: u8,
     pub progress: u8,
     pub checkpoints: bool,
-    /// Whether no other worker was expected to suit it better.
+    /// Whether it was placed although it may do harm, as no worker was expected to suit it.
     pub is_owed: bool,
 }
 
