--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -29,7 +29,7 @@
 
 use super::report::{EndCause, Evidence, GivenUp, Report};
 use super::table::Task;
-use super::worker::{Run, WorkerKey};
+use super::worker::{Listing, Run, WorkerKey};
 use super::{Dispatcher, Entry, JobId, Kind, Millis, Monotonic, RunKey, TaskId};
 
 pub(super) use loss::Losses;
@@ -71,6 +71,16 @@
     pub incarnation: u64,
 }
 
+impl LapsedRun {
+    fn of(run: &Run) -> Self {
+        Self {
+            number: run.number,
+            worker: run.worker,
+            incarnation: run.incarnation,
+        }
+    }
+}
+
 /// Whether lists have shown a run for long enough after its start. An order may be carried out
 /// late, so that the time counts from its confirmation.
 fn is_settled(run: &Run) -> bool {
@@ -127,7 +137,9 @@
         now: Monotonic,
     ) {
         match cause {
-            EndCause::Crashed if !is_settled(run) => self.count_crash(run, now),
+            EndCause::Crashed if !is_settled(run) => {
+                self.count_crash(run.task, LapsedRun::of(run), evidence, now);
+            }
             // An earlier owner may know more of a run that was never listed to this one.
             EndCause::Lapsed
                 if evidence == Evidence::Lapse
@@ -135,12 +147,7 @@
                     && !run.inherited
                     && run.begin().is_possible() =>
             {
-                let lapsed = LapsedRun {
-                    number: run.number,
-                    worker: run.worker,
-                    incarnation: run.incarnation,
-                };
-                self.add_lapsed(run.task, lapsed, now);
+                self.add_lapsed(run.task, LapsedRun::of(run), now);
             }
             EndCause::Done => self.acquit(run.task),
             EndCause::Crashed
@@ -152,18 +159,17 @@
         }
     }
 
-    fn count_crash(&mut self, run: &Run, now: Monotonic) {
-        self.count_crash_under(run.task, run.number, run.worker, now);
-    }
-
-    /// Counts a crash of a worker under a task, and gives the task up if it is one too many.
-    fn count_crash_under(&mut self, task: TaskId, number: u32, worker: WorkerKey, now: Monotonic) {
+    /// Counts a crash of a worker under a run of a task, and gives the task up if it is one too many.
+    fn count_crash(&mut self, task: TaskId, run: LapsedRun, evidence: Evidence, now: Monotonic) {
         let job = self.jobs.get(&task.job);
         if job.is_none_or(|job| job.state.is_final()) {
             return;
         }
-        let name = self.workers[worker].info.name.clone();
-        let lost_at = self.workers[worker].lost_at;
+        let LapsedRun { number, worker, .. } = run;
+        let seen = &self.workers[worker];
+        let (name, lost_at, incarnation) =
+            (seen.info.name.clone(), seen.lost_at, seen.incarnation());
+        let (is_listed, answered_at) = (seen.listing == Listing::Listed, seen.answered_at);
         let is_unexplained = lost_at.is_some_and(|at| self.is_calm(at, task.job));
         let Some(state) = self.task_mut(task).filter(|state| !state.done) else {
             return;
@@ -192,6 +198,11 @@
             .with_text("task", task)
             .with("run", number)
             .with("worker", name)
+            .with("evidence", evidence)
+            .with("run-incarnation", run.incarnation)
+            .with("incarnation", incarnation)
+            .with("listed", is_listed)
+            .with("answer-age-ms", answered_at.map(|at| now.since(at)))
             .with("crashes", crashes)
             .with("unexplained", unexplained)
             .with("cause", is_given_up.then_some(GivenUp::Crashes))
@@ -325,23 +336,26 @@
     /// Judges the runs that had lapsed on a worker before it answered: an incarnation that runs on
     /// has not crashed under them.
     pub(super) fn judge_lapsed(&mut self, key: WorkerKey, incarnation: u64, now: Monotonic) {
-        self.close_lapsed(key, now, |run| {
+        self.close_lapsed(key, Evidence::Restart, now, |run| {
             run.incarnation != 0 && incarnation != 0 && run.incarnation != incarnation
         });
     }
 
     /// Counts the crash of a worker under the runs that had lapsed on it before.
-    pub(super) fn blame_lapsed(&mut self, key: WorkerKey, now: Monotonic) {
-        self.close_lapsed(key, now, |_| true);
+    pub(super) fn blame_lapsed(&mut self, key: WorkerKey, evidence: Evidence, now: Monotonic) {
+        self.close_lapsed(key, evidence, now, |_| true);
     }
 
     fn close_lapsed(
         &mut self,
         key: WorkerKey,
+        evidence: Evidence,
         now: Monotonic,
         has_crashed: impl Fn(&LapsedRun) -> bool,
     ) {
-        let has_drained = self.workers[key].has_drained;
+        let worker = &self.workers[key];
+        let has_drained = worker.has_drained;
+        let (mut crashed, mut cleared) = (0_u32, 0_u32);
         for task in std::mem::take(&mut self.workers[key].lapsed_tasks) {
             let Some(state) = self.task_mut(task) else {
                 continue;
@@ -353,9 +367,25 @@
             }
             for run in lapsed {
                 if !has_drained && has_crashed(&run) {
-                    self.count_crash_under(task, run.number, key, now);
+                    crashed += 1;
+                    self.count_crash(task, run, evidence, now);
+                } else {
+                    cleared += 1;
                 }
             }
         }
+        if crashed + cleared == 0 {
+            return;
+        }
+        let worker = &self.workers[key];
+        Entry::new(Kind::LapseJudged)
+            .with("worker", &worker.info.name)
+            .with("evidence", evidence)
+            .with("crashed", crashed)
+            .with("cleared", cleared)
+            .with("incarnation", worker.incarnation())
+            .with("listed", worker.listing == Listing::Listed)
+            .with("lost-ago-ms", worker.lost_at.map(|at| now.since(at)))
+            .emit();
     }
 }
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -328,7 +328,7 @@
     }
 
     fn drop_worker(&mut self, key: WorkerKey, now: Monotonic) {
-        self.blame_lapsed(key, now);
+        self.blame_lapsed(key, Evidence::Lapse, now);
         if let Some(worker) = self.workers.remove(key) {
             self.worker_keys.remove(&worker.info.name);
             self.voters.mark_dirty();
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -264,7 +264,7 @@
             self.end_run(run, EndCause::Lapsed, Evidence::Replaced, "", now);
         }
         if is_home {
-            self.blame_lapsed(key, now);
+            self.blame_lapsed(key, Evidence::Replaced, now);
         }
     }
 
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -66,6 +66,7 @@
     StartRenewed = 216, "start-renewed", Info, "The worker of a start that was not sent yet has restarted; the start is recorded again for it.";
     StepsSkipped = 217, "steps-skipped", Info, "An assignment did not try all waiting steps; at most once a second, with the step that was tried longest ago.";
     OwedStarted = 218, "owed-started", Info, "A filler starts throttled although standing tasks may need what it takes: nothing of its job has run for long, and most of the CPU is free.";
+    LapseJudged = 219, "lapse-judged", Info, "It is known of a worker whose leases had lapsed whether it crashed under its runs.";
     Evicted = 220, "evicted", Info, "A task was ordered to stop, or a copy of a slow task was requested on another worker.";
     Throttled = 221, "throttled", Info, "The CPU share of a task was changed, or the task is to restart on another worker.";
     Pressure = 222, "pressure", Info, "The estimated interference between two profiles or images has changed.";
