--- a/testsuite/tests/testsuite/standin/worker.rs
+++ b/testsuite/tests/testsuite/standin/worker.rs
@@ -1,6 +1,8 @@
 //! Task interface and upstream of the worker stand-in.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use test_case::test_case;
 use verbenahitch::adapter::WorkerClient;
@@ -13,6 +15,15 @@
 
 const LEASE_MS: u64 = 10_000;
 
+/// Last byte of the address of the next stand-in. On a shared address another test may bind the port
+/// of a stand-in that is down.
+static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
+
+fn own_address() -> SocketAddr {
+    let last = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 9, 3, last)), 0)
+}
+
 struct Harness {
     worker: Worker,
     clock: Arc<ManualClock>,
@@ -24,7 +35,7 @@
     async fn new(settings: Settings) -> Self {
         let clock = Arc::new(ManualClock::default());
         clock.advance(1_000);
-        let any_port = "127.9.0.3:0".parse().unwrap();
+        let any_port = own_address();
         let shared = Arc::clone(&clock);
         let worker = Worker::with_clock(any_port, any_port, &[], settings, shared).await;
         let worker = worker.unwrap();
