tests: workers that fall silent and live fail lasting jobs (known red)

Workers that are cut off from the owner and the registry at once, each soon after the start of a task, and that live on: the job is shown as failed after four runs. A deadly task whose workers never return starts too often across changes of owner.

--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod caps;
 mod crash_bases;
 mod crash_mixes;
+mod crash_silence;
 mod crash_storms;
 mod crashes;
 mod cut_off;
