dispatch: silence of a worker is no crash

Cause: a worker that neither answers the owner nor is listed was dropped once its leases had lapsed, and each young run that had lapsed there counted as a crash. A worker that is paused, or cut off from the owner and the store at once, looks just so and lives. When it answered again, nothing took the count back; the fourth failed the job.

Change: a crash is counted only if another incarnation answers under the worker's name, or another worker at the address of the run's incarnation. Until then the lapsed run stays in the record, now with that address, the worker is polled on once a second although it has no entry, and its task avoids it. A successor does the same, also for runs that it never saw listed. A task of a worker that vanished in a calm fleet is still tried apart from others, until the worker answers. What bounds a deadly task whose workers never return are the waits, which now double up to 160 s.

Why it works: no count depends on time any more, so no length of a cut or pause, and no order of entry and answer, makes one. What is counted is a proof that a life has ended.

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -91,10 +91,16 @@
 
     fn homes_of(&self, job: &Job) -> Vec<HomeRecord> {
         let runs = job.runs().filter_map(|key| self.runs.get(key));
-        let known = runs.filter(|run| run.incarnation != 0 && !run.home.is_empty());
-        let mut homes: Vec<(WorkerKey, u64, &str)> = known
-            .map(|run| (run.worker, run.incarnation, &*run.home))
-            .collect();
+        let runs = runs.map(|run| (run.worker, run.incarnation, &*run.home));
+        let tasks = job.rounds.iter().flat_map(|round| &round.steps);
+        let lapsed = tasks
+            .flat_map(|step| step.tasks())
+            .flat_map(|task| &task.lapsed);
+        let lapsed = lapsed.map(|run| (run.worker, run.incarnation, &*run.home));
+        let known = |(worker, incarnation, home): &(WorkerKey, u64, &str)| {
+            self.workers.contains_key(*worker) && *incarnation != 0 && !home.is_empty()
+        };
+        let mut homes: Vec<(WorkerKey, u64, &str)> = runs.chain(lapsed).filter(known).collect();
         homes.sort_unstable();
         homes.dedup();
         let record = |(worker, incarnation, address): (WorkerKey, u64, &str)| {
--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -5,9 +5,9 @@
 //! series, by turns or by the rack, and the tasks on them are sound. The crash of a worker tells only
 //! that one of its young runs may be at fault, if any.
 //!
-//! * *Evidence* of a crash: the worker answers as another incarnation, another worker answers at
-//!   its address, or it is silent past its leases and gone from the registry. The leases of a
-//!   listed worker may lapse behind a cut: its runs count once another incarnation has answered.
+//! * *Evidence* of a crash: the worker answers as another incarnation, or another worker answers at
+//!   its address. Silence is none: a worker that is paused or cut off neither answers nor keeps its
+//!   entry in the registry, and lives. Its runs that lapsed stay open until one of these answers.
 //!   A worker that drained before has left and not crashed.
 //! * *Runs that count*: those that may have begun on the incarnation that crashed and that no list
 //!   has shown [`SETTLED_MS`] after the start, each once. A run whose start was never ordered, or
@@ -15,7 +15,8 @@
 //! * *Unexplained* crashes: those in a fleet that lost next to no other workers at the time, see
 //!   [`loss`].
 //! * *Suspects*: tasks with an unexplained crash, or with [`WAIT_CRASHES`] of any kind. They are
-//!   tried apart, see [`trial`].
+//!   tried apart, see [`trial`]. So are tasks of which a run is open whose worker has vanished, if no
+//!   wider loss explains that; the suspicion ends if the worker answers.
 //! * *Waiting*: from crash number [`WAIT_CRASHES`] on, runs that lapsed included, a task starts again
 //!   only once losses have ceased, or after a wait that doubles with each crash.
 //! * *Giving up*: at unexplained crash number [`GIVEN_UP_UNEXPLAINED`], or at crash number
@@ -27,6 +28,8 @@
 mod loss;
 mod trial;
 
+use std::sync::Arc;
+
 use super::report::{EndCause, Evidence, GivenUp, Report};
 use super::table::Task;
 use super::worker::{Listing, Run, WorkerKey};
@@ -55,20 +58,33 @@
 /// tasks are suspected. Lists come every 0.7 s at the latest.
 const SETTLED_MS: Millis = 500;
 
-/// Number of times that this wait doubles at most. Workers that are cut off but listed may not be
-/// heard for hours.
-const MAX_DOUBLINGS: u32 = 2;
+/// Number of times that this wait doubles at most. Workers that are cut off may not be heard for
+/// hours, those that are lost for good never: their tasks start every 160 s at last.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// Number of runs of a task that are remembered as counted: those of which a start may still be
 /// carried out late.
 const MAX_BLAMED: usize = 8;
 
 /// Run that ended as the leases of its worker lapsed; whether the worker has crashed is not known.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct LapsedRun {
     pub number: u32,
     pub worker: WorkerKey,
     pub incarnation: u64,
+    /// Address at which that incarnation took calls, empty if unknown.
+    pub home: Arc<str>,
+    /// Whether the worker has vanished from the registry too, and no wider loss explains that.
+    pub is_unexplained: bool,
+}
+
+/// What is known of a worker under a lapsed run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Verdict {
+    Crashed,
+    /// The incarnation runs on, or is not known to be another one.
+    Cleared,
+    Open,
 }
 
 impl LapsedRun {
@@ -77,6 +93,8 @@
             number: run.number,
             worker: run.worker,
             incarnation: run.incarnation,
+            home: Arc::clone(&run.home),
+            is_unexplained: false,
         }
     }
 }
@@ -140,11 +158,10 @@
             EndCause::Crashed if !is_settled(run) => {
                 self.count_crash(run.task, LapsedRun::of(run), evidence, now);
             }
-            // An earlier owner may know more of a run that was never listed to this one.
             EndCause::Lapsed
                 if evidence == Evidence::Lapse
                     && !is_settled(run)
-                    && !run.inherited
+                    && !self.workers[run.worker].has_drained
                     && run.begin().is_possible() =>
             {
                 self.add_lapsed(run.task, LapsedRun::of(run), now);
@@ -165,7 +182,7 @@
         if job.is_none_or(|job| job.state.is_final()) {
             return;
         }
-        let LapsedRun { number, worker, .. } = run;
+        let (number, worker) = (run.number, run.worker);
         let seen = &self.workers[worker];
         let (name, lost_at, incarnation) =
             (seen.info.name.clone(), seen.lost_at, seen.incarnation());
@@ -328,22 +345,84 @@
         let Some(state) = self.task_mut(task).filter(|state| is_open && !state.done) else {
             return;
         };
+        let worker = run.worker;
         state.lapsed.push(run);
         state.crashed_at = Some(now);
-        self.workers[run.worker].lapsed_tasks.push(task);
+        state.avoid = Some(worker);
+        self.workers[worker].lapsed_tasks.push(task);
+    }
+
+    /// Whether it is still to be found out if a worker has crashed under runs that lapsed.
+    pub(super) fn has_open_lapses(&mut self, key: WorkerKey) -> bool {
+        while let Some(task) = self.workers[key].lapsed_tasks.last() {
+            let job = self.jobs.get(&task.job);
+            let is_final = job.is_none_or(|job| job.state.is_final());
+            let lapsed = self.task(*task).map(|state| &state.lapsed);
+            let mut lapsed = lapsed.into_iter().flatten();
+            if !is_final && lapsed.any(|run| run.worker == key) {
+                return true;
+            }
+            self.workers[key].lapsed_tasks.pop();
+        }
+        false
+    }
+
+    /// Suspects the tasks of open runs on a worker that neither answers nor is listed, unless a
+    /// wider loss explains it.
+    pub(super) fn suspect_vanished(&mut self, key: WorkerKey, now: Monotonic) {
+        let worker = &mut self.workers[key];
+        if std::mem::replace(&mut worker.has_vanished, true) {
+            return;
+        }
+        let Some(lost_at) = worker.lost_at else {
+            return;
+        };
+        for task in worker.lapsed_tasks.clone() {
+            if !self.is_calm(lost_at, task.job) {
+                continue;
+            }
+            let Some(state) = self.task_mut(task) else {
+                continue;
+            };
+            let lapsed = state.lapsed.iter_mut();
+            for run in lapsed.filter(|run| run.worker == key) {
+                run.is_unexplained = true;
+            }
+            self.suspect(task, now);
+        }
+    }
+
+    /// Ends the suspicion of a task that nothing is left of.
+    fn clear_suspicion(&mut self, task: TaskId) {
+        let is_left = |state: &Task| is_suspect(state.crashes, state.unexplained_losses());
+        if !self.task(task).is_some_and(is_left) {
+            self.assign_needed |= self.suspects.remove(&task).is_some();
+        }
     }
 
     /// Judges the runs that had lapsed on a worker before it answered: an incarnation that runs on
     /// has not crashed under them.
     pub(super) fn judge_lapsed(&mut self, key: WorkerKey, incarnation: u64, now: Monotonic) {
+        self.workers[key].has_vanished = false;
         self.close_lapsed(key, Evidence::Restart, now, |run| {
-            run.incarnation != 0 && incarnation != 0 && run.incarnation != incarnation
+            if run.incarnation != 0 && incarnation != 0 && run.incarnation != incarnation {
+                Verdict::Crashed
+            } else {
+                Verdict::Cleared
+            }
         });
     }
 
-    /// Counts the crash of a worker under the runs that had lapsed on it before.
-    pub(super) fn blame_lapsed(&mut self, key: WorkerKey, evidence: Evidence, now: Monotonic) {
-        self.close_lapsed(key, evidence, now, |_| true);
+    /// Counts the crash of a worker under the runs that had lapsed there, as another one answers at
+    /// the address of their incarnation.
+    pub(super) fn blame_replaced(&mut self, key: WorkerKey, address: &str, now: Monotonic) {
+        self.close_lapsed(key, Evidence::Replaced, now, |run| {
+            if run.incarnation != 0 && *run.home == *address {
+                Verdict::Crashed
+            } else {
+                Verdict::Open
+            }
+        });
     }
 
     fn close_lapsed(
@@ -351,28 +430,44 @@
         key: WorkerKey,
         evidence: Evidence,
         now: Monotonic,
-        has_crashed: impl Fn(&LapsedRun) -> bool,
+        judge: impl Fn(&LapsedRun) -> Verdict,
     ) {
-        let worker = &self.workers[key];
-        let has_drained = worker.has_drained;
+        let has_drained = self.workers[key].has_drained;
         let (mut crashed, mut cleared) = (0_u32, 0_u32);
         for task in std::mem::take(&mut self.workers[key].lapsed_tasks) {
             let Some(state) = self.task_mut(task) else {
                 continue;
             };
-            let is_own = |run: &mut LapsedRun| run.worker == key;
-            let lapsed: Vec<LapsedRun> = state.lapsed.extract_if(.., is_own).collect();
-            if !lapsed.is_empty() {
+            let mut judged = Vec::new();
+            let mut is_open = false;
+            state.lapsed.retain(|run| {
+                if run.worker != key {
+                    return true;
+                }
+                let verdict = judge(run);
+                if verdict == Verdict::Open {
+                    is_open = true;
+                } else {
+                    judged.push((run.clone(), verdict));
+                }
+                verdict == Verdict::Open
+            });
+            let worker = &mut self.workers[key];
+            if is_open && !worker.lapsed_tasks.contains(&task) {
+                worker.lapsed_tasks.push(task);
+            }
+            if !judged.is_empty() {
                 self.mark_dirty(task.job);
             }
-            for run in lapsed {
-                if !has_drained && has_crashed(&run) {
+            for (run, verdict) in judged {
+                if verdict == Verdict::Crashed && !has_drained {
                     crashed += 1;
                     self.count_crash(task, run, evidence, now);
                 } else {
                     cleared += 1;
                 }
             }
+            self.clear_suspicion(task);
         }
         if crashed + cleared == 0 {
             return;
@@ -380,7 +475,7 @@
         let worker = &self.workers[key];
         Entry::new(Kind::LapseJudged)
             .with("worker", &worker.info.name)
-            .with("evidence", evidence)
+            .with("evidence", (crashed > 0).then_some(evidence))
             .with("crashed", crashed)
             .with("cleared", cleared)
             .with("incarnation", worker.incarnation())
--- a/crates/verbenahitch/src/dispatch/crash/trial.rs
+++ b/crates/verbenahitch/src/dispatch/crash/trial.rs
@@ -44,7 +44,7 @@
 
 impl Isolation {
     fn of(task: &Task) -> Self {
-        match task.unexplained {
+        match task.unexplained_losses() {
             0 => Self::Apart,
             1..ALONE_CRASHES => Self::Shared,
             ALONE_CRASHES.. => Self::Alone,
@@ -142,7 +142,7 @@
         let suspects = suspects.into_iter().map(|(index, _)| step.task(index));
         let mut suspects: Vec<TaskId> = suspects.filter(is_idle).collect();
         // The verdict on a task that is nearly given up spares the others of its job their trials.
-        let unexplained = |at: &TaskId| self.task(*at).map_or(0, |task| task.unexplained);
+        let unexplained = |at: &TaskId| self.task(*at).map_or(0, Task::unexplained_losses);
         suspects.sort_by_key(|at| Reverse(unexplained(at)));
         if self.has_lone_trial(step) {
             suspects.clear();
@@ -163,7 +163,7 @@
         let mut alone = tasks
             .into_iter()
             .flatten()
-            .filter(|task| task.unexplained >= ALONE_CRASHES);
+            .filter(|task| task.unexplained_losses() >= ALONE_CRASHES);
         alone.any(|task| {
             let mut runs = task.runs.iter().filter_map(|key| self.runs.get(*key));
             runs.any(|run| !is_settled(run))
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -301,7 +301,8 @@
     }
 
     /// Ends the runs of silent workers whose leases have lapsed, and drops those workers
-    /// that have no entry in the registry.
+    /// that have no entry in the registry. One that may have crashed under a run is asked on: silence
+    /// does not tell.
     fn expire_leases(&mut self, now: Monotonic) {
         self.log_lease_waits(now);
         let lease_ms = self.bounds.lease_ms;
@@ -321,14 +322,18 @@
                 Listing::Listed | Listing::Unreadable => true,
                 Listing::Missing(_) | Listing::Unknown => false,
             };
-            if self.lapsed_at(key) <= now && !has_entry {
-                self.drop_worker(key, now);
+            if self.lapsed_at(key) > now || has_entry {
+                continue;
+            }
+            if self.has_open_lapses(key) {
+                self.suspect_vanished(key, now);
+            } else {
+                self.drop_worker(key);
             }
         }
     }
 
-    fn drop_worker(&mut self, key: WorkerKey, now: Monotonic) {
-        self.blame_lapsed(key, Evidence::Lapse, now);
+    fn drop_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
             self.worker_keys.remove(&worker.info.name);
             self.voters.mark_dirty();
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -28,6 +28,10 @@
 /// Pause after a failed poll, in milliseconds.
 const FAILED_PAUSE_MS: Millis = 150;
 
+/// Pause after a failed poll of a worker that has no runs and is not listed, in milliseconds. It is
+/// asked only whether it has crashed.
+const VANISHED_PAUSE_MS: Millis = 1_000;
+
 /// Rest of a lease from which it is extended although the worker may have restarted, in
 /// milliseconds: orders that fail all the time must not let the runs of a worker lapse that answers
 /// polls.
@@ -218,8 +222,14 @@
             return;
         }
         let worker = &mut self.workers[key];
-        worker.next_poll = now + FAILED_PAUSE_MS;
         worker.failed_polls += 1;
+        let is_idle = worker.is_vanished() && worker.runs.is_empty();
+        let pause = if is_idle {
+            VANISHED_PAUSE_MS
+        } else {
+            FAILED_PAUSE_MS
+        };
+        worker.next_poll = now + pause;
         if worker.failed_polls == 1 {
             Entry::new(Kind::OrderFailed)
                 .with("order", "poll")
@@ -259,13 +269,11 @@
             run.incarnation != 0 && *run.home == *worker.poll_address
         };
         let gone: Vec<RunKey> = worker.runs.iter().filter(is_replaced).copied().collect();
-        let is_home = *worker.home() == *worker.poll_address;
+        let address = worker.poll_address.clone();
         for run in gone {
             self.end_run(run, EndCause::Lapsed, Evidence::Replaced, "", now);
         }
-        if is_home {
-            self.blame_lapsed(key, Evidence::Replaced, now);
-        }
+        self.blame_replaced(key, &address, now);
     }
 
     fn apply_ends(&mut self, key: WorkerKey, report: &Report, now: Monotonic) {
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::crash::{self, LapsedRun};
-use super::report::{HomeRecord, ProgressRecord, TaskRecord};
+use super::report::{HomeRecord, ProgressRecord, RunRecord, TaskRecord};
 use super::table::LastEnd;
 use super::worker::{Listing, WorkerInfo, WorkerKey};
 use super::{Dispatcher, JobId, JobRecord, JobState, Now, Phase, TaskId, Worker};
@@ -77,12 +77,18 @@
         if crash::is_suspect(record.crashes, record.unexplained) {
             self.suspect(at, now);
         }
+        let home_of = |run: &RunRecord| {
+            let is_home = |home: &&HomeRecord| home.0 == run.1 && home.1 == run.2;
+            homes.iter().find(is_home).map_or("", |home| &home.2)
+        };
         for run in record.lapsed {
-            let worker = self.worker_named(&run.1, "");
+            let home = home_of(&run);
             let lapsed = LapsedRun {
                 number: run.0,
-                worker,
+                worker: self.worker_named(&run.1, home),
                 incarnation: run.2,
+                home: Arc::from(home),
+                is_unexplained: false,
             };
             self.add_lapsed(at, lapsed, now);
         }
@@ -91,8 +97,7 @@
         let is_speculative = self.spec_of(at).is_some_and(|spec| spec.speculative);
         let newest = record.runs.iter().map(|run| run.0).max();
         for run in record.runs {
-            let is_home = |home: &&HomeRecord| home.0 == run.1 && home.1 == run.2;
-            let home = homes.iter().find(is_home).map_or("", |home| &home.2);
+            let home = home_of(&run);
             let worker = self.worker_named(&run.1, home);
             let key = self.insert_run(at, run.0, worker, now);
             let state = &mut self.runs[key];
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -63,6 +63,13 @@
 }
 
 impl Task {
+    /// Number of losses of workers under it that no wider loss explains: crashes, and silences that
+    /// may have been some.
+    pub fn unexplained_losses(&self) -> u32 {
+        let open = self.lapsed.iter().filter(|run| run.is_unexplained);
+        self.unexplained + u32::try_from(open.count()).unwrap_or(u32::MAX)
+    }
+
     /// Whether it waits although it ran before, and has for long or since an earlier owner.
     pub fn is_overdue(&self, now: Monotonic) -> bool {
         let is_overdue = match self.last_end {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -238,6 +238,8 @@
     late_starts: Vec<LateStart>,
     /// Tasks of runs whose leases have lapsed since it last answered.
     pub lapsed_tasks: Vec<TaskId>,
+    /// Whether it was neither heard nor listed past its leases, and its open runs are suspected.
+    pub has_vanished: bool,
     /// When it last ceased to answer, or was found restarted.
     pub lost_at: Option<Monotonic>,
     /// Whether its present incarnation has said that it drains.
--- a/testsuite/tests/testsuite/dispatch/crashes.rs
+++ b/testsuite/tests/testsuite/dispatch/crashes.rs
@@ -34,6 +34,12 @@
     ..SOON
 };
 
+/// Likewise, and another worker takes the address.
+const LONG_AWAY_RENAMED: Deadly = Deadly {
+    is_renamed: true,
+    ..LONG_AWAY
+};
+
 fn tasks(count: u32) -> JobSpec {
     job(vec![step(count, 2, 1_000)])
 }
@@ -107,12 +113,14 @@
 #[test_case(Case::new(UNNOTICED); "back before a poll fails")]
 #[test_case(Case::new(RENAMED); "back under a new name")]
 #[test_case(Case::new(LONG_AWAY); "away past the leases")]
+#[test_case(Case::new(LONG_AWAY_RENAMED); "back under a new name past the leases")]
 #[test_case(Case::new(SOON).of(|| job(vec![standing(3, 2, "s")])); "standing")]
 #[test_case(Case::new(SOON).of(|| job(vec![filler(3, 2, 1_000, "f")])); "fillers")]
 #[test_case(Case::new(SOON).of(copies); "copies")]
 #[test_case(Case::new(SOON).with_terms(4_000); "changes of owner")]
 #[test_case(Case::new(AT_ONCE).with_terms(2_500); "more changes of owner")]
 #[test_case(Case::new(LONG_AWAY).with_terms(6_000); "away past the leases, with changes of owner")]
+#[test_case(Case::new(LONG_AWAY_RENAMED).with_terms(6_000); "back under a new name past the leases, with changes of owner")]
 #[test_case(Case::new(SOON).beside(answers_lost); "answers lost")]
 #[test_case(Case::new(SOON).beside(late_orders); "late orders")]
 fn a_task_that_crashes_its_workers_is_given_up(case: Case) {
