--- a/testsuite/tests/testsuite/dispatch/crash_silence.rs
+++ b/testsuite/tests/testsuite/dispatch/crash_silence.rs
@@ -220,3 +220,38 @@
     }
     assert_eq!(world.state(id), Some(JobState::Running));
 }
+
+/// The owner is replaced soon after the crash, and the address cannot be reached before the leases
+/// of the earlier owner have lapsed.
+#[test_case(|_| {}; "one change of owner")]
+#[test_case(World::take_over; "two changes of owner")]
+fn a_crash_behind_a_cut_is_counted_by_the_next_owner(change: fn(&mut World)) {
+    let mut world = World::new(16);
+    world.run(1_500);
+    let id = world.submit(1, "push", job(vec![standing(1, 2, "s")]));
+    while world.starts_of(id).is_empty() {
+        world.run(5);
+    }
+    let name = world.starts_of(id)[0].worker.clone();
+    world.set_cut(&name, true);
+    let how = Deadly {
+        is_renamed: true,
+        down_ms: 3_000,
+        ..NEVER_BACK
+    };
+    world.crash_worker(&name, how);
+    world.run(400);
+    world.take_over();
+    world.run(2_000);
+    change(&mut world);
+    while world.starts_of(id).len() == 1 {
+        world.run(5);
+    }
+    world.set_cut(&name, false);
+    let mut most = 0;
+    for _ in 0..400 {
+        world.run(5);
+        most = most.max(world.records[&id].record.tasks[0].crashes);
+    }
+    assert_eq!(most, 1);
+}
