--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod caps;
 mod crash_bases;
+mod crash_late;
 mod crash_mixes;
 mod crash_silence;
 mod crash_storms;
