dispatch: a late proof explains no loss, and three open runs do not hold a lasting task back

Three living workers in turn that were silent for 25 s, or three that were lost for good, kept a lasting task away for 10.3 and 14.1 s in a calm fleet, and for ever while owners changed every 9 s, as the task waited for a verdict on each lapsed run. A proof that came after the lapse counted as unexplained even if the life had gone on for long, or if the losses around it were forgotten, so that four failed the job.

A task now waits for verdicts from the fourth loss on only, 40 s and more, and a late proof is never unexplained: five are needed.

--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -78,6 +78,14 @@
     pub is_unexplained: bool,
 }
 
+/// What shows that a worker has crashed under a run.
+#[derive(Clone, Copy, Debug)]
+struct Proof {
+    evidence: Evidence,
+    /// Whether it came after the leases had lapsed.
+    is_late: bool,
+}
+
 /// What is known of a worker under a lapsed run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Verdict {
@@ -156,7 +164,11 @@
     ) {
         match cause {
             EndCause::Crashed if !is_settled(run) => {
-                self.count_crash(run.task, LapsedRun::of(run), evidence, now);
+                let proof = Proof {
+                    evidence,
+                    is_late: false,
+                };
+                self.count_crash(run.task, LapsedRun::of(run), proof, now);
             }
             EndCause::Lapsed
                 if evidence == Evidence::Lapse
@@ -177,7 +189,7 @@
     }
 
     /// Counts a crash of a worker under a run of a task, and gives the task up if it is one too many.
-    fn count_crash(&mut self, task: TaskId, run: LapsedRun, evidence: Evidence, now: Monotonic) {
+    fn count_crash(&mut self, task: TaskId, run: LapsedRun, proof: Proof, now: Monotonic) {
         let job = self.jobs.get(&task.job);
         if job.is_none_or(|job| job.state.is_final()) {
             return;
@@ -187,7 +199,9 @@
         let (name, lost_at, incarnation) =
             (seen.info.name.clone(), seen.lost_at, seen.incarnation());
         let (is_listed, answered_at) = (seen.listing == Listing::Listed, seen.answered_at);
-        let is_unexplained = lost_at.is_some_and(|at| self.is_calm(at, task.job));
+        // A life that ended after the leases had lapsed may have ended for another reason.
+        let is_timely = !proof.is_late;
+        let is_unexplained = is_timely && lost_at.is_some_and(|at| self.is_calm(at, task.job));
         let Some(state) = self.task_mut(task).filter(|state| !state.done) else {
             return;
         };
@@ -215,7 +229,8 @@
             .with_text("task", task)
             .with("run", number)
             .with("worker", name)
-            .with("evidence", evidence)
+            .with("evidence", proof.evidence)
+            .with("late", proof.is_late)
             .with("run-incarnation", run.incarnation)
             .with("incarnation", incarnation)
             .with("listed", is_listed)
@@ -261,17 +276,20 @@
         self.losses.is_calm(around, job, self.listed_count)
     }
 
-    /// Whether a task under which workers have crashed waits: until losses have ceased, and until it
-    /// is known of runs that lapsed whether their workers have crashed.
+    /// Whether a task under which workers have crashed waits: until losses have ceased and, from the
+    /// next one on, it is known of runs that lapsed whether their workers have crashed.
     pub(super) fn must_wait(&self, task: &Task, job: JobId, now: Monotonic) -> bool {
         let crashes = task.crashes + u32::try_from(task.lapsed.len()).unwrap_or(u32::MAX);
         let Some(at) = task.crashed_at.filter(|_| crashes >= WAIT_CRASHES) else {
             return false;
         };
         // What was lost before is not known to a new owner.
-        let is_known = task.lapsed.is_empty() && now.since(self.began_at) > loss::WINDOW_MS;
+        let is_open = !task.lapsed.is_empty() && crashes > WAIT_CRASHES;
+        let is_known = !is_open && now.since(self.began_at) > loss::WINDOW_MS;
         let is_calm = is_known && self.is_calm(now, job);
-        !is_calm && now.since(at) < longest_wait_ms(crashes)
+        // A task that nobody can judge waits as after one crash more.
+        let wait_ms = longest_wait_ms(crashes + u32::from(is_open));
+        !is_calm && now.since(at) < wait_ms
     }
 
     /// Makes a task a suspect.
@@ -433,6 +451,10 @@
         judge: impl Fn(&LapsedRun) -> Verdict,
     ) {
         let has_drained = self.workers[key].has_drained;
+        let proof = Proof {
+            evidence,
+            is_late: true,
+        };
         let (mut crashed, mut cleared) = (0_u32, 0_u32);
         for task in std::mem::take(&mut self.workers[key].lapsed_tasks) {
             let Some(state) = self.task_mut(task) else {
@@ -462,7 +484,7 @@
             for (run, verdict) in judged {
                 if verdict == Verdict::Crashed && !has_drained {
                     crashed += 1;
-                    self.count_crash(task, run, evidence, now);
+                    self.count_crash(task, run, proof, now);
                 } else {
                     cleared += 1;
                 }
