dispatch: a step with a label waits for the entry of its worker's incarnation

Cause: a worker answers polls before it has written its entry anew. The labels of the earlier incarnation's entry counted for the next one until then: nothing compared the incarnation in the entry with that of the last list. A start that had been recorded for the earlier incarnation was recorded anew for the next one, and neither label nor pool was looked at again before its order, also when the entry was up to date by then.

Change: a worker is known to have a label only if its entry and its last list name the same incarnation, or one of them names none. Label and pool are looked at again before each start order; a start that no longer fits is given up, and its task placed again.

Why it works: each use of a label, at the placement and at the order, rests on an entry that the incarnation which answers has written. Incarnations are compared for equality, so a clock that was set back changes nothing.

--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -4,7 +4,9 @@
 
 use super::report::{EndCause, Evidence, Order, Start, Target};
 use super::worker::{Listing, Run, WorkerKey};
-use super::{Dispatcher, Entry, Kind, Millis, Monotonic, Now, Phase, RunKey, Worker, health};
+use super::{
+    Dispatcher, Entry, Kind, Millis, Monotonic, Now, Phase, RunKey, Worker, health, place,
+};
 
 /// Maximum age of a worker's last answer for it to be given tasks, in milliseconds.
 /// Longer than a poll with its grace.
@@ -28,6 +30,8 @@
     Unreadable,
     /// The worker's runs need more than it has.
     NoRoom,
+    /// The worker is of another pool, or not known to have the label.
+    Unfit,
 }
 
 impl Dispatcher {
@@ -204,24 +208,39 @@
                 return None;
             }
             let run = &self.runs[key];
-            if worker.incarnation() != run.incarnation {
-                if run.unanswered {
-                    self.blame_start(key);
-                } else {
-                    self.record_again(key);
-                }
+            let is_other = worker.incarnation() != run.incarnation;
+            if is_other && run.unanswered {
+                self.blame_start(key);
                 return None;
             }
             // The worker may have crashed at the start, and be back already.
             if run.unanswered && !worker.has_listed_since(run.unanswered_at) {
                 return None;
             }
+            if !self.is_fit(run) {
+                self.withdraw_start(key, Withdrawal::Unfit, now);
+                return None;
+            }
+            if is_other {
+                self.record_again(key);
+                return None;
+            }
             return self.start_order(key, target, now);
         }
         let wanted = self.runs[key].wanted_pace;
         (wanted != pace && phase == Phase::Live).then_some(Order::Pace(target, wanted))
     }
 
+    /// Whether its worker may still take a start. It may have come back as another kind since the run
+    /// was placed.
+    fn is_fit(&self, run: &Run) -> bool {
+        let worker = &self.workers[run.worker];
+        let queue = self.jobs.get(&run.task.job).map(|job| self.queue_of(job));
+        let spec = self.spec_of(run.task);
+        queue.is_none_or(|queue| queue.pool == worker.info.pool)
+            && spec.is_none_or(|spec| place::has_label(worker, spec))
+    }
+
     /// Records a run anew for the present incarnation of its worker, before it starts there.
     fn record_again(&mut self, key: RunKey) {
         let run = &self.runs[key];
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -265,7 +265,7 @@
 /// Reason for which a task cannot be placed on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Misfit {
-    /// The worker lacks the label.
+    /// The worker is not known to have the label.
     Label,
     /// The worker has as many tasks of the step as the step's spread allows.
     Spread,
@@ -283,13 +283,19 @@
     Held,
 }
 
+/// Whether a worker is known to have the label that a step requires.
+pub(super) fn has_label(worker: &Worker, step: &StepSpec) -> bool {
+    let is_known = || worker.is_described() && worker.info.labels.contains(&step.label);
+    step.label.is_empty() || is_known()
+}
+
 /// Checks the label and the spread of a worker for one more task of `step`.
 ///
 /// # Errors
 ///
 /// The first requirement that the worker does not meet.
 pub(super) fn allows(worker: &Worker, step: &StepSpec, same_step: u32) -> Result<(), Misfit> {
-    if !step.label.is_empty() && !worker.info.labels.contains(&step.label) {
+    if !has_label(worker, step) {
         return Err(Misfit::Label);
     }
     if step.spread > 0 && same_step >= step.spread {
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -355,6 +355,12 @@
             .map_or(0, |session| session.incarnation)
     }
 
+    /// Whether its entry is not known to be of another incarnation than its last list. The next
+    /// incarnation may be of another kind.
+    pub fn is_described(&self) -> bool {
+        !self.is_other(self.info.incarnation)
+    }
+
     /// Whether a list comes from another incarnation than the session in progress. An
     /// incarnation of zero is not known to be another one.
     pub fn is_other(&self, incarnation: u64) -> bool {
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod execution;
 mod incarnations;
 mod kept_out;
+mod kinds;
 mod load;
 mod odd_entries;
 mod odd_values;
--- a/testsuite/tests/testsuite/dispatch/world/registry.rs
+++ b/testsuite/tests/testsuite/dispatch/world/registry.rs
@@ -54,7 +54,7 @@
         self.send_registry();
     }
 
-    pub(super) fn send_registry(&mut self) {
+    pub fn send_registry(&mut self) {
         for worker in self.workers.values().filter(|worker| !worker.unlisted) {
             self.dispatcher
                 .upsert_worker(worker.info.clone(), self.clock().at);
