tests: workers that come back in another pool or with less room (known red)

Cause: the pool and the room of an entry count whatever incarnation wrote it; only labels are bound to the one that answers.

--- a/testsuite/tests/testsuite/dispatch/kinds.rs
+++ b/testsuite/tests/testsuite/dispatch/kinds.rs
@@ -4,7 +4,7 @@
 use verbenahitch::dispatch::{JobId, JobState, StepSpec, WorkerInfo};
 use verbenahitch::domain::Millis;
 
-use super::world::{Started, World, job, step};
+use super::world::{Started, World, cores, job, step};
 
 /// Number of workers.
 const WORKERS: usize = 2;
@@ -61,6 +61,24 @@
     ..RECORDED
 };
 
+/// Steps without a label.
+const POOL: Case = Case {
+    change: other_pool,
+    label: "",
+    ..NOTICED
+};
+
+const ROOM: Case = Case {
+    change: less_room,
+    ..POOL
+};
+
+const RECORDED_ROOM: Case = Case {
+    change: less_room,
+    label: "",
+    ..RECORDED
+};
+
 const RENEWED_POOL: Case = Case {
     change: other_pool,
     label: "",
@@ -75,6 +93,10 @@
     info.pool = "other".to_owned();
 }
 
+fn less_room(info: &mut WorkerInfo) {
+    info.capacity = cores(1);
+}
+
 /// World whose workers are of the kind `a`.
 fn new_world() -> World {
     let mut world = World::new(WORKERS);
@@ -112,6 +134,9 @@
 #[test_case(RECORDED; "another label, beside recorded starts")]
 #[test_case(RENEWED; "another label, known before recorded starts are ordered")]
 #[test_case(RENEWED_POOL; "another pool, known before recorded starts are ordered")]
+#[test_case(POOL; "another pool, without a label")]
+#[test_case(ROOM; "less room, without a label")]
+#[test_case(RECORDED_ROOM; "less room, without a label, beside recorded starts")]
 fn a_worker_of_another_kind_gets_no_tasks_of_its_earlier_one(case: Case) {
     let mut world = new_world();
     world.run(SETTLE_MS);
