dispatch: tasks with open runs wait 26 s from the fourth loss on

The wait of 40 s and 80 s kept a task of five living workers behind a cut from a further start for more than a minute (no_task_waits_for_ever_for_workers_behind_a_cut).

--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -53,13 +53,17 @@
 /// hours.
 const WAIT_MS: Millis = 10_000;
 
+/// As [`WAIT_MS`], while it is not known of runs whether their workers have crashed. Nothing else
+/// bounds a deadly task whose workers never return.
+const OPEN_WAIT_MS: Millis = 13_000;
+
 /// Time after its start for which lists have to show a run until it is no suspect, in
 /// milliseconds. Deadly tasks crash their workers at the start; the longer this is, the more sound
 /// tasks are suspected. Lists come every 0.7 s at the latest.
 const SETTLED_MS: Millis = 500;
 
 /// Number of times that this wait doubles at most. Workers that are cut off may not be heard for
-/// hours, those that are lost for good never: their tasks start every 160 s at last.
+/// hours, those that are lost for good never: their tasks start every 208 s at last.
 const MAX_DOUBLINGS: u32 = 4;
 
 /// Number of runs of a task that are remembered as counted: those of which a start may still be
@@ -122,11 +126,12 @@
     unexplained > 0 || crashes >= WAIT_CRASHES
 }
 
-/// Longest wait of a task until it starts again after a number of crashes, in milliseconds.
-fn longest_wait_ms(crashes: u32) -> Millis {
+/// Longest wait of a task until it starts again after a number of crashes, in milliseconds;
+/// `first_ms` after the first ones that make it wait.
+fn longest_wait_ms(first_ms: Millis, crashes: u32) -> Millis {
     match crashes.checked_sub(WAIT_CRASHES) {
         None => 0,
-        Some(more) => WAIT_MS << more.min(MAX_DOUBLINGS),
+        Some(more) => first_ms << more.min(MAX_DOUBLINGS),
     }
 }
 
@@ -239,7 +244,7 @@
             .with("unexplained", unexplained)
             .with("cause", is_given_up.then_some(GivenUp::Crashes))
             .with("lost-ago-ms", lost_at.map(|at| now.since(at)))
-            .with("longest-wait-ms", longest_wait_ms(crashes))
+            .with("longest-wait-ms", longest_wait_ms(WAIT_MS, crashes))
             .emit();
         if is_suspect(crashes, unexplained) {
             self.suspect(task, now);
@@ -287,9 +292,8 @@
         let is_open = !task.lapsed.is_empty() && crashes > WAIT_CRASHES;
         let is_known = !is_open && now.since(self.began_at) > loss::WINDOW_MS;
         let is_calm = is_known && self.is_calm(now, job);
-        // A task that nobody can judge waits as after one crash more.
-        let wait_ms = longest_wait_ms(crashes + u32::from(is_open));
-        !is_calm && now.since(at) < wait_ms
+        let first_ms = if is_open { OPEN_WAIT_MS } else { WAIT_MS };
+        !is_calm && now.since(at) < longest_wait_ms(first_ms, crashes)
     }
 
     /// Makes a task a suspect.
