dispatch: a run that was listed once has not settled for the next owner

Cause: the record told which runs are bounded, not which have settled. A successor took the former for the latter. A run is bounded from a list on, also one right after its start, so a crash under it counted nothing.

Change: the record names settled runs in a field of its own, `settled`. Every write of the job carries it. Of standing tasks there is a write for it once all runs of the job have settled, one at the most, and none under the next owner. A record of an earlier version names no settled runs: they count as young until lists have shown them for 0.5 s.

Why it works: a crash is left out only if the run is recorded as settled, which only a run is that lists have shown for 0.5 s. What remains: a batch run whose job is not written after it has settled counts as young for the next owner.

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -55,6 +55,11 @@
                             .filter(|run| run.bounded)
                             .map(|run| run.number)
                             .collect(),
+                        settled: runs
+                            .clone()
+                            .filter(|run| run.has_settled)
+                            .map(|run| run.number)
+                            .collect(),
                         crashes: task.crashes,
                         blamed: task.blamed.clone(),
                         unexplained: task.unexplained,
--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -299,14 +299,22 @@
         self.mark_dirty(task.job);
     }
 
-    /// Acquits the task of a run that a list has shown.
+    /// Acquits the task of a run that a list has shown. The store is told of standing tasks, once all
+    /// runs of their job have settled; a write that happens anyway tells it of others.
     pub(super) fn judge_listed(&mut self, key: RunKey) {
         let run = &mut self.runs[key];
-        run.has_settled = is_settled(run);
-        if run.has_settled && !run.stop_wanted {
-            let task = run.task;
+        if !is_settled(run) {
+            return;
+        }
+        let is_newly = !std::mem::replace(&mut run.has_settled, true);
+        let (task, is_wanted) = (run.task, !run.stop_wanted);
+        let is_recorded = is_newly && run.standing;
+        if is_wanted {
             self.acquit(task);
         }
+        if is_recorded && self.all_runs(task.job, |run| run.has_settled) {
+            self.mark_dirty(task.job);
+        }
     }
 
     /// Blames the crash of an earlier incarnation on its runs of which a start got no answer.
--- a/crates/verbenahitch/src/dispatch/polls.rs
+++ b/crates/verbenahitch/src/dispatch/polls.rs
@@ -2,7 +2,7 @@
 //! reads which runs are in progress or have ended.
 
 use super::report::{CallFailure, EndCause, Evidence, Order, Poll, Report, RunningEntry};
-use super::worker::{ClockReading, LATE_START_MS, Session, UnackedEnd, WorkerKey};
+use super::worker::{ClockReading, LATE_START_MS, Run, Session, UnackedEnd, WorkerKey};
 use super::{Dispatcher, JobId, Phase, RunKey, TaskId, health};
 use crate::collections::HashSet;
 use crate::domain::{Millis, Monotonic};
@@ -383,16 +383,17 @@
         run.bounded = is_known
             || (!may_start_late && session.is_some_and(|session| session.is_bounded(lease_ms)));
         let (is_newly, id) = (!was_bounded && run.bounded, run.task.job);
-        let is_settled = is_newly && run.standing && self.is_job_bounded(id);
+        let is_settled = is_newly && run.standing && self.all_runs(id, |run| run.bounded);
         if is_settled || (was_bounded && is_moved) {
             self.mark_dirty(id);
         }
     }
 
-    fn is_job_bounded(&self, id: JobId) -> bool {
+    /// Whether all runs of a job are of a kind.
+    pub(super) fn all_runs(&self, id: JobId, is_so: impl Fn(&Run) -> bool) -> bool {
         let runs = self.jobs.get(&id).map(|job| job.runs());
         let mut runs = runs.into_iter().flatten();
-        runs.all(|run| self.runs.get(run).is_some_and(|run| run.bounded))
+        runs.all(|run| self.runs.get(run).is_some_and(&is_so))
     }
 
     /// Orders a new incarnation to stop the runs of earlier ones of which a start was not
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -107,8 +107,7 @@
             state.incarnation = run.2;
             state.home = Arc::from(home);
             state.bounded = record.bounded.contains(&run.0);
-            // It was listed before, which is less than settled; one that settled cannot be told from it.
-            state.has_settled = state.bounded;
+            state.has_settled = record.settled.contains(&run.0);
             let is_superseded = !is_speculative && Some(run.0) != newest;
             if is_obsolete || is_superseded {
                 self.stop_run(key);
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -293,6 +293,9 @@
     /// Numbers of the runs whose incarnations hold no longer leases than [`VoterRecord`] tells.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub bounded: Vec<u32>,
+    /// Numbers of the runs that lists have shown for long enough to be sound.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub settled: Vec<u32>,
     /// Newest checkpoint of an ended run.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
--- a/testsuite/tests/testsuite/dispatch/crash_bases.rs
+++ b/testsuite/tests/testsuite/dispatch/crash_bases.rs
@@ -3,7 +3,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
-use verbenahitch::dispatch::{EndCause, JobId, JobState, StepSpec};
+use verbenahitch::dispatch::{EndCause, JobId, JobState, StepSpec, TaskRecord};
 use verbenahitch::domain::Millis;
 
 use super::world::{Deadly, Storm, World, job, standing, step};
@@ -391,3 +391,33 @@
     }
     assert_eq!(most, 1);
 }
+
+/// The store takes few writes a second: which standing runs have settled costs one at the most, of
+/// all the job's runs together, and none under the next owner.
+#[test]
+fn a_standing_job_whose_runs_settle_is_written_once() {
+    let mut world = World::new(8);
+    world.run(1_500);
+    let id = world.submit(1, "push", job(vec![standing(16, 4, "s")]));
+    let are_all = |world: &World, is_so: fn(&TaskRecord) -> bool| {
+        let write = world.records.get(&id);
+        write.is_some_and(|write| {
+            let tasks = &write.record.tasks;
+            tasks.len() == 16 && tasks.iter().all(is_so)
+        })
+    };
+    let end = world.now + 10_000;
+    while !are_all(&world, |task| !task.bounded.is_empty()) {
+        assert!(world.now < end, "{:?}", world.records.get(&id));
+        world.run(5);
+    }
+    let bounded = world.records[&id].version;
+    world.run(8_000);
+    assert!(are_all(&world, |task| !task.settled.is_empty()));
+    let settled = world.records[&id].clone();
+    let writes = settled.version - bounded;
+    assert!(writes <= 1, "{writes} changes");
+    world.take_over();
+    world.run(8_000);
+    assert_eq!(world.records[&id], settled);
+}
