dispatch: no job is failed by runs of earlier owners that were never ordered

Cause: a run is recorded before its start is ordered, and the record did not say later whether it was.

Evidence: no_job_is_failed_by_inherited_runs_that_never_began failed in both cases.

Change: each write marks the young runs that may have begun (`begun`). A write is made for it when a worker ceases to answer under such runs, when a start first gets no answer, and beside the order of a suspect's start. A crash under an unmarked run of an earlier owner counts as `unproven`, and a task is given up only with two proven crashes, the number from which on the users' rule allows it.

Measured: both cases pass, and two new ones past the leases, and the crash under a suspect that no owner noticed counts.

Why it works: without an order nothing is proven, so no number of changes of owner fails a job alone. What remains: three unproven crashes and two proven ones fail a job, and a deadly task under which fewer than two of five crashes are proven starts again.

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -45,6 +45,8 @@
                         continue;
                     }
                     let runs = task.runs.iter().filter_map(|key| self.runs.get(*key));
+                    let lapsed = task.lapsed.iter().filter(|run| run.is_ordered);
+                    let lapsed = lapsed.map(|run| run.number);
                     tasks.push(TaskRecord {
                         at: (round.number, step, index),
                         done: task.done,
@@ -55,6 +57,12 @@
                             .filter(|run| run.bounded)
                             .map(|run| run.number)
                             .collect(),
+                        begun: runs
+                            .clone()
+                            .filter(|run| !run.has_settled && run.begin().is_ordered())
+                            .map(|run| run.number)
+                            .chain(lapsed)
+                            .collect(),
                         settled: runs
                             .clone()
                             .filter(|run| run.has_settled)
@@ -63,6 +71,7 @@
                         crashes: task.crashes,
                         blamed: task.blamed.clone(),
                         unexplained: task.unexplained,
+                        unproven: task.unproven,
                         runs: runs
                             .map(|run| {
                                 let worker = &self.workers[run.worker];
--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -12,6 +12,9 @@
 //! * *Runs that count*: those that may have begun on the incarnation that crashed and that no list
 //!   has shown [`SETTLED_MS`] after the start, each once. A run whose start was never ordered, or
 //!   refused, tells nothing of its task. A run that has settled or is done acquits its task.
+//! * *Runs of an earlier owner*: recorded before their start is ordered. A later write marks those
+//!   that may have begun, at the latest when their worker ceases to answer; crashes under others are
+//!   *unproven*, and a task is given up only with [`PROVEN_CRASHES`] that are not.
 //! * *Unexplained* crashes: those in a fleet that lost next to no other workers at the time, see
 //!   [`loss`].
 //! * *Suspects*: tasks with an unexplained crash, or with [`WAIT_CRASHES`] of any kind. They are
@@ -46,6 +49,10 @@
 /// is broken by the third start after the third crash.
 const GIVEN_UP_CRASHES: u32 = 5;
 
+/// Number of crashes under runs known to have been ordered below which no task is given up. The
+/// users' rules allow a job to be failed once two workers have crashed under one of its tasks.
+const PROVEN_CRASHES: u32 = 2;
+
 /// Number of crashes from which on a task waits until losses have ceased.
 const WAIT_CRASHES: u32 = 3;
 
@@ -74,6 +81,8 @@
     pub incarnation: u64,
     /// Address at which that incarnation took calls, empty if unknown.
     pub home: Arc<str>,
+    /// Whether its start is known to have been ordered.
+    pub is_ordered: bool,
     /// Whether the worker has vanished from the registry too, and no wider loss explains that.
     pub is_unexplained: bool,
 }
@@ -94,6 +103,7 @@
             worker: run.worker,
             incarnation: run.incarnation,
             home: Arc::clone(&run.home),
+            is_ordered: run.begin().is_ordered(),
             is_unexplained: false,
         }
     }
@@ -201,11 +211,14 @@
         state.blamed.push(number);
         state.crashes += 1;
         state.unexplained += u32::from(is_unexplained);
+        state.unproven += u32::from(!run.is_ordered);
         state.crashed_at = Some(now);
         // Its next start elsewhere tells whether the worker is at fault.
         state.avoid = Some(worker);
         let (crashes, unexplained) = (state.crashes, state.unexplained);
-        let is_given_up = crashes >= GIVEN_UP_CRASHES || unexplained >= GIVEN_UP_UNEXPLAINED;
+        let proven = crashes - state.unproven.min(crashes);
+        let is_enough = crashes >= GIVEN_UP_CRASHES || unexplained >= GIVEN_UP_UNEXPLAINED;
+        let is_given_up = is_enough && proven >= PROVEN_CRASHES;
         let kind = if is_given_up {
             Kind::TaskGivenUp
         } else {
@@ -222,6 +235,7 @@
             .with("answer-age-ms", answered_at.map(|at| now.since(at)))
             .with("crashes", crashes)
             .with("unexplained", unexplained)
+            .with("proven", proven)
             .with("cause", is_given_up.then_some(GivenUp::Crashes))
             .with("lost-ago-ms", lost_at.map(|at| now.since(at)))
             .with("longest-wait-ms", longest_wait_ms(crashes))
@@ -241,6 +255,12 @@
         let before = worker.lost_at;
         let runs = worker.runs.iter().map(|run| &self.runs[*run]);
         let young = runs.filter(|run| !is_settled(run));
+        let is_unmarked = |run: &&Run| !run.is_marked && run.begin().is_ordered();
+        let unmarked: Vec<JobId> = young
+            .clone()
+            .filter(is_unmarked)
+            .map(|run| run.task.job)
+            .collect();
         let is_on_trial = young
             .clone()
             .any(|run| self.suspects.contains_key(&run.task));
@@ -254,6 +274,19 @@
         if !is_on_trial && !is_leaving && !is_again {
             self.losses.add(now, jobs);
         }
+        // Their records tell a successor which runs may have begun.
+        for job in unmarked {
+            self.mark_dirty(job);
+        }
+    }
+
+    /// Tells the store that a suspect's start is ordered: its worker may crash at once, and this
+    /// owner be lost before it notices.
+    pub(super) fn mark_ordered(&mut self, task: TaskId) {
+        let is_counted = |state: &Task| is_suspect(state.crashes, state.unexplained);
+        if self.task(task).is_some_and(is_counted) {
+            self.mark_dirty(task.job);
+        }
     }
 
     /// Whether next to no workers were lost around a moment but those with young runs of the job.
@@ -293,7 +326,7 @@
             return;
         }
         if let Some(state) = self.task_mut(task) {
-            (state.crashes, state.unexplained) = (0, 0);
+            (state.crashes, state.unexplained, state.unproven) = (0, 0, 0);
             state.lapsed.clear();
         }
         self.mark_dirty(task.job);
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -182,9 +182,13 @@
             }
             Err(CallFailure::Unanswered(_)) => {
                 run.retry_at = now + RESEND_MS;
-                run.unanswered = true;
                 run.unanswered_at = now;
+                let is_first = !std::mem::replace(&mut run.unanswered, true);
                 self.workers[worker].next_poll = now;
+                // The worker may have crashed, which a successor counts under marked runs only.
+                if is_first {
+                    self.mark_dirty(id);
+                }
             }
             Err(failure) => {
                 // This start had no effect; the task is placed again.
@@ -322,6 +326,7 @@
             recorded_in: 0,
             confirmed_at: None,
             inherited: false,
+            is_marked: false,
             stop_wanted: false,
             stopped_at: None,
             in_flight: false,
--- a/crates/verbenahitch/src/dispatch/orders.rs
+++ b/crates/verbenahitch/src/dispatch/orders.rs
@@ -258,6 +258,7 @@
         let run = &mut self.runs[key];
         run.tries += 1;
         run.resumed = !checkpoint.is_empty();
+        self.mark_ordered(target.task);
         Some(Order::Start(Start {
             target,
             payload,
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -63,6 +63,7 @@
         task.crashes = record.crashes;
         task.blamed = record.blamed;
         task.unexplained = record.unexplained;
+        task.unproven = record.unproven;
         task.crashed_at = (record.crashes > 0).then_some(now);
         task.checkpoint = record.checkpoint;
         if record.run > 0 {
@@ -88,6 +89,7 @@
                 worker: self.worker_named(&run.1, home),
                 incarnation: run.2,
                 home: Arc::from(home),
+                is_ordered: record.begun.contains(&run.0),
                 is_unexplained: false,
             };
             self.add_lapsed(at, lapsed, now);
@@ -107,6 +109,7 @@
             state.incarnation = run.2;
             state.home = Arc::from(home);
             state.bounded = record.bounded.contains(&run.0);
+            state.is_marked = record.begun.contains(&run.0);
             state.has_settled = record.settled.contains(&run.0);
             let is_superseded = !is_speculative && Some(run.0) != newest;
             if is_obsolete || is_superseded {
--- a/crates/verbenahitch/src/dispatch/report.rs
+++ b/crates/verbenahitch/src/dispatch/report.rs
@@ -281,6 +281,9 @@
     /// Number of those that no wider loss of workers explains.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub unexplained: u32,
+    /// Number of those under runs that may never have been ordered.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unproven: u32,
     /// Numbers of the runs that were last counted as crashed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub blamed: Vec<u32>,
@@ -293,6 +296,9 @@
     /// Numbers of the runs whose incarnations hold no longer leases than [`VoterRecord`] tells.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub bounded: Vec<u32>,
+    /// Numbers of the runs that may have begun, as far as known at the writing, and have not settled.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub begun: Vec<u32>,
     /// Numbers of the runs that lists have shown for long enough to be sound.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub settled: Vec<u32>,
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -42,6 +42,8 @@
     pub crashes: u32,
     /// Number of those that no wider loss of workers explains.
     pub unexplained: u32,
+    /// Number of those under runs that may never have been ordered.
+    pub unproven: u32,
     /// Numbers of the runs that were last counted as crashed.
     pub blamed: Vec<u32>,
     /// When this owner last counted one, or learned of them.
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -414,8 +414,10 @@
     Unanswered,
     /// The worker confirmed its start or listed it.
     Confirmed,
-    /// An earlier owner recorded it, and no list has shown it since.
+    /// An earlier owner recorded that it may have begun, and no list has shown it since.
     Inherited,
+    /// An earlier owner recorded it, but not that it may have begun, and no list has shown it since.
+    Unknown,
 }
 
 impl Begin {
@@ -423,9 +425,18 @@
     pub fn is_possible(self) -> bool {
         match self {
             Self::Recording | Self::NotOrdered | Self::Refused => false,
-            Self::InFlight | Self::Unanswered | Self::Confirmed | Self::Inherited => true,
+            Self::InFlight
+            | Self::Unanswered
+            | Self::Confirmed
+            | Self::Inherited
+            | Self::Unknown => true,
         }
     }
+
+    /// Whether its start is known to have been ordered, and it may have begun.
+    pub fn is_ordered(self) -> bool {
+        self != Self::Unknown && self.is_possible()
+    }
 }
 
 /// State of a run of a task on a worker.
@@ -455,6 +466,8 @@
     pub confirmed_at: Option<Monotonic>,
     /// Whether it comes from an earlier owner's record and no poll has listed it yet.
     pub inherited: bool,
+    /// Whether that owner recorded that it may have begun.
+    pub is_marked: bool,
     /// Whether it is to be stopped.
     pub stop_wanted: bool,
     /// When the worker confirmed the stop.
@@ -511,7 +524,8 @@
     pub fn begin(&self) -> Begin {
         let is_open = self.unanswered && self.confirmed_at.is_none();
         match self.phase {
-            _ if self.inherited => Begin::Inherited,
+            _ if self.inherited && self.is_marked => Begin::Inherited,
+            _ if self.inherited => Begin::Unknown,
             Phase::Live if !is_open => Begin::Confirmed,
             _ if self.unanswered => Begin::Unanswered,
             Phase::Starting if self.in_flight => Begin::InFlight,
--- a/testsuite/tests/testsuite/dispatch/crash_bases.rs
+++ b/testsuite/tests/testsuite/dispatch/crash_bases.rs
@@ -131,16 +131,15 @@
 }
 
 /// The owner changes while the worker of a recorded run is down: no start was ordered.
-#[test_case(RENAMED; "replaced")]
-#[test_case(SOON_BACK; "restarted")]
-fn no_job_is_failed_by_inherited_runs_that_never_began(how: Deadly) {
+#[test_case(RENAMED, 1_000; "replaced")]
+#[test_case(SOON_BACK, 1_000; "restarted")]
+#[test_case(RENAMED, 9_000; "replaced past the leases")]
+#[test_case(SOON_BACK, 9_000; "restarted past the leases")]
+fn no_job_is_failed_by_inherited_runs_that_never_began(how: Deadly, down_ms: Millis) {
     let mut world = World::new(8);
     world.run(1_500);
     world.commit_ms = 300;
-    let how = Deadly {
-        down_ms: 1_000,
-        ..how
-    };
+    let how = Deadly { down_ms, ..how };
     let fresh = |world: &World| {
         let name = world.recorded_worker(JobId(1))?;
         let worker = &world.workers[&name];
@@ -421,3 +420,31 @@
     world.run(8_000);
     assert_eq!(world.records[&id], settled);
 }
+
+/// The owner is replaced right after the start of a suspect and the crash of its worker, which it has
+/// not noticed.
+#[test]
+fn a_crash_under_a_suspect_is_counted_though_its_owner_was_lost_at_once() {
+    let mut world = World::new(6);
+    world.run(1_500);
+    let id = world.submit(1, "push", job(vec![step(1, 2, 60_000)]));
+    for begun in 0..2 {
+        let end = world.now + 20_000;
+        while world.starts_of(id).len() == begun && world.now < end {
+            world.run(5);
+        }
+        world.run(30);
+        let worker = world.starts_of(id)[begun].worker.clone();
+        world.crash_worker(&worker, deadly(0, 1_000));
+        if begun == 0 {
+            world.run(300);
+        }
+    }
+    world.take_over();
+    let mut most = 0;
+    for _ in 0..1_000 {
+        world.run(5);
+        most = most.max(world.records[&id].record.tasks[0].crashes);
+    }
+    assert_eq!(most, 2);
+}
