dispatch: lasting tasks alone are spared the first wait for a verdict

A deadly batch task whose workers were down for 60 s was started a third time after its third crash, as the wait for verdicts began at the fourth loss for all tasks, and a crash that is known weighed no more than an open one.

--- a/crates/verbenahitch/src/dispatch/assign/mod.rs
+++ b/crates/verbenahitch/src/dispatch/assign/mod.rs
@@ -623,7 +623,8 @@
         };
         let waiting: Vec<(u32, Option<WorkerKey>)> = (0u32..)
             .zip(tasks)
-            .filter(|(_, task)| task.is_waiting() && !self.must_wait(task, step.job, pass.now))
+            .filter(|(_, task)| task.is_waiting())
+            .filter(|(_, task)| !self.must_wait(task, step.job, spec.standing, pass.now))
             .filter(|(_, task)| !step.rank.overdue || task.is_overdue(pass.now))
             .map(|(index, task)| (index, task.avoid))
             .collect();
--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -314,19 +314,30 @@
         self.losses.is_calm(around, job, self.listed_count)
     }
 
-    /// Whether a task under which workers have crashed waits: until losses have ceased and, from the
-    /// next one on, it is known of runs that lapsed whether their workers have crashed.
-    pub(super) fn must_wait(&self, task: &Task, job: JobId, now: Monotonic) -> bool {
+    /// Whether a task under which workers have crashed waits: until losses have ceased, and until it
+    /// is known of runs that lapsed whether their workers have crashed. A standing task waits for
+    /// the latter from the next loss on only: it serves users, and has been away for a lease already.
+    pub(super) fn must_wait(
+        &self,
+        task: &Task,
+        job: JobId,
+        is_standing: bool,
+        now: Monotonic,
+    ) -> bool {
         let crashes = task.crashes + u32::try_from(task.lapsed.len()).unwrap_or(u32::MAX);
         let Some(at) = task.crashed_at.filter(|_| crashes >= WAIT_CRASHES) else {
             return false;
         };
         // What was lost before is not known to a new owner.
-        let is_open = !task.lapsed.is_empty() && crashes > WAIT_CRASHES;
+        let is_first = is_standing && crashes == WAIT_CRASHES;
+        let is_open = !task.lapsed.is_empty() && !is_first;
         let is_known = !is_open && now.since(self.began_at) > loss::WINDOW_MS;
         let is_calm = is_known && self.is_calm(now, job);
         let first_ms = if is_open { OPEN_WAIT_MS } else { WAIT_MS };
-        !is_calm && now.since(at) < longest_wait_ms(first_ms, crashes)
+        // Beside that many crashes an open run most likely is one more.
+        let is_likely = is_open && task.crashes >= WAIT_CRASHES;
+        let wait_ms = longest_wait_ms(first_ms, crashes + u32::from(is_likely));
+        !is_calm && now.since(at) < wait_ms
     }
 
     /// Makes a task a suspect.
