--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -64,15 +64,15 @@
 /// bounds a deadly task whose workers never return.
 const OPEN_WAIT_MS: Millis = 13_000;
 
+/// Number of times that these waits double at most. Workers that are cut off may not be heard for
+/// hours, those that are lost for good never: their tasks start every 208 s at last.
+const MAX_DOUBLINGS: u32 = 4;
+
 /// Time after its start for which lists have to show a run until it is no suspect, in
 /// milliseconds. Deadly tasks crash their workers at the start; the longer this is, the more sound
 /// tasks are suspected. Lists come every 0.7 s at the latest.
 const SETTLED_MS: Millis = 500;
 
-/// Number of times that this wait doubles at most. Workers that are cut off may not be heard for
-/// hours, those that are lost for good never: their tasks start every 208 s at last.
-const MAX_DOUBLINGS: u32 = 4;
-
 /// Number of runs of a task that are remembered as counted: those of which a start may still be
 /// carried out late.
 const MAX_BLAMED: usize = 8;
