--- a/testsuite/tests/testsuite/dispatch/crash_bases.rs
+++ b/testsuite/tests/testsuite/dispatch/crash_bases.rs
@@ -6,7 +6,7 @@
 use verbenahitch::dispatch::{EndCause, JobId, JobState, StepSpec, TaskRecord};
 use verbenahitch::domain::Millis;
 
-use super::world::{Deadly, Storm, World, job, standing, step};
+use super::world::{AWAY_MS, Deadly, Storm, World, job, standing, step};
 
 /// Back at the same address, soon.
 const SOON_BACK: Deadly = Deadly {
@@ -23,10 +23,6 @@
 /// Time within which jobs are well after the last loss, in milliseconds.
 const CALM_MS: Millis = 30_000;
 
-/// Time for which the users let a lasting task be away in a calm fleet, in milliseconds: 6 s, and
-/// 3 s in which nothing of it runs.
-const AWAY_MS: Millis = 9_000;
-
 fn assert_none_failed(world: &World) {
     let failed = world.wrongly_failed();
     assert!(failed.is_empty(), "{failed:#?}");
--- a/testsuite/tests/testsuite/dispatch/crash_late.rs
+++ b/testsuite/tests/testsuite/dispatch/crash_late.rs
@@ -7,19 +7,7 @@
 use verbenahitch::dispatch::{JobId, JobState};
 use verbenahitch::domain::Millis;
 
-use super::world::{Deadly, World, job, standing, step};
-
-/// Time after which the registry drops the entry of a silent worker, in milliseconds.
-const UNLISTED_MS: Millis = 3_000;
-
-/// Time for which the users let a lasting task be away in a calm fleet, in milliseconds.
-const AWAY_MS: Millis = 9_000;
-
-const NEVER_BACK: Deadly = Deadly {
-    delay_ms: None,
-    down_ms: Millis::MAX / 4,
-    is_renamed: false,
-};
+use super::world::{AWAY_MS, Deadly, NEVER_BACK, UNLISTED_MS, World, job, standing, step};
 
 fn most_crashes(world: &World, id: JobId) -> u32 {
     let record = world.records.get(&id);
--- a/testsuite/tests/testsuite/dispatch/crash_silence.rs
+++ b/testsuite/tests/testsuite/dispatch/crash_silence.rs
@@ -5,17 +5,7 @@
 use verbenahitch::dispatch::{JobId, JobState};
 use verbenahitch::domain::Millis;
 
-use super::world::{Deadly, World, job, standing, step};
-
-/// Time after which the registry drops the entry of a silent worker, in milliseconds.
-const UNLISTED_MS: Millis = 3_000;
-
-/// Lost for good.
-const NEVER_BACK: Deadly = Deadly {
-    delay_ms: None,
-    down_ms: Millis::MAX / 4,
-    is_renamed: false,
-};
+use super::world::{Deadly, NEVER_BACK, UNLISTED_MS, World, job, standing, step};
 
 /// Silence of a worker soon after a run has begun there.
 struct Silence {
--- a/testsuite/tests/testsuite/dispatch/kinds.rs
+++ b/testsuite/tests/testsuite/dispatch/kinds.rs
@@ -15,8 +15,7 @@
 /// Time within which all workers have been polled, in milliseconds.
 const SETTLE_MS: Millis = 1_500;
 
-/// Time between writes of a worker's entry, in milliseconds: `heartbeatIntervalMs` of the review's
-/// deployment.
+/// Time between writes of a worker's entry, in milliseconds, as in the review's deployment.
 const HEARTBEAT_MS: Millis = 1_500;
 
 /// Time that the store takes for a commit while starts wait for their records, in milliseconds.
--- a/testsuite/tests/testsuite/dispatch/world/crashes.rs
+++ b/testsuite/tests/testsuite/dispatch/world/crashes.rs
@@ -18,6 +18,13 @@
     pub is_renamed: bool,
 }
 
+/// Lost for good.
+pub const NEVER_BACK: Deadly = Deadly {
+    delay_ms: None,
+    down_ms: Millis::MAX / 4,
+    is_renamed: false,
+};
+
 /// Crash of a worker.
 #[derive(Clone, Debug)]
 pub struct Crash {
--- a/testsuite/tests/testsuite/dispatch/world/jobs.rs
+++ b/testsuite/tests/testsuite/dispatch/world/jobs.rs
@@ -3,6 +3,10 @@
 use verbenahitch::dispatch::{Amount, JobSpec, Queue, StepSpec};
 use verbenahitch::domain::Millis;
 
+/// Time for which the users let a lasting task be away in a calm fleet, in milliseconds: 6 s, and
+/// 3 s in which nothing of it runs.
+pub const AWAY_MS: Millis = 9_000;
+
 /// Target of the tail latency of a standing task, in milliseconds.
 pub const TARGET_MS: Millis = 20;
 
--- a/testsuite/tests/testsuite/dispatch/world/registry.rs
+++ b/testsuite/tests/testsuite/dispatch/world/registry.rs
@@ -1,7 +1,12 @@
 //! Changes of the workers' entries in the registry, and of the zones in service.
 
+use verbenahitch::domain::Millis;
+
 use super::{World, queue};
 
+/// Time after which the registry drops the entry of a silent worker, in milliseconds.
+pub const UNLISTED_MS: Millis = 3_000;
+
 impl World {
     /// Lets a worker announce that it drains.
     pub fn drain_worker(&mut self, name: &str) {
