--- a/crates/verbenahitch/src/dispatch/crash/mod.rs
+++ b/crates/verbenahitch/src/dispatch/crash/mod.rs
@@ -61,7 +61,8 @@
 const WAIT_MS: Millis = 10_000;
 
 /// As [`WAIT_MS`], while it is not known of runs whether their workers have crashed. Nothing else
-/// bounds a deadly task whose workers never return.
+/// bounds a deadly task whose workers never return; a sound one of five silent workers still starts
+/// again within a minute.
 const OPEN_WAIT_MS: Millis = 13_000;
 
 /// Number of times that these waits double at most. Workers that are cut off may not be heard for
@@ -328,9 +329,9 @@
         let Some(at) = task.crashed_at.filter(|_| crashes >= WAIT_CRASHES) else {
             return false;
         };
-        // What was lost before is not known to a new owner.
         let is_first = is_standing && crashes == WAIT_CRASHES;
         let is_open = !task.lapsed.is_empty() && !is_first;
+        // What was lost before is not known to a new owner.
         let is_known = !is_open && now.since(self.began_at) > loss::WINDOW_MS;
         let is_calm = is_known && self.is_calm(now, job);
         let first_ms = if is_open { OPEN_WAIT_MS } else { WAIT_MS };
