--- /dev/null
+++ b/review/standin-2/large_job.rs
@@ -0,0 +1,139 @@
+//! One large submission among small ones.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use crate::http;
+use crate::store::Store;
+use crate::worker::Worker;
+use crate::world::{Host, World};
+use crate::{BROKEN, HELD, NOT_RUN};
+
+const HOSTS: usize = 3;
+const WORKERS: usize = 12;
+
+/// Steps of the large submission, tasks of each, and what each of these needs.
+const STEPS: usize = 3;
+const COUNT: u32 = 10_000;
+const CPU: u32 = 50;
+const MEMORY_MB: u32 = 50;
+
+const PREFIX: &str = "/lohu930/";
+const HOST: &str = "nony24.example";
+
+/// Time between two small submissions, and how long they come.
+const PAUSE: Duration = Duration::from_millis(500);
+const BEFORE: Duration = Duration::from_secs(6);
+const AFTER: Duration = Duration::from_secs(40);
+
+/// `finish_s`, and for how long a submission then has nothing running.
+const FINISH: Duration = Duration::from_secs(14);
+const IDLE: Duration = Duration::from_secs(3);
+
+fn job(number: u64) -> String {
+    format!("5c0e7a21d94b{number:04x}")
+}
+
+fn submit(world: &World, host: &Host, id: &str, body: &str) -> bool {
+    let timeout = Duration::from_secs(3);
+    let answer = http::call(host.callers, "POST", &format!("{PREFIX}{id}"), HOST, body, timeout);
+    let status = answer.map(|answer| answer.0);
+    world.note(&format!("POST {id} at {}: {status:?}", host.name));
+    status == Some(200)
+}
+
+pub fn run(record: &Path, has_trouble: bool) -> u8 {
+    let world = World::new();
+    let folder = std::env::temp_dir().join(format!("drill-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a temporary folder");
+    let code = play(&world, &folder, has_trouble);
+    world.note(match code {
+        BROKEN => "the rule is broken",
+        HELD => "the rule holds",
+        _ => "the case could not run",
+    });
+    world.write(record);
+    if std::env::var("KEEP_LOGS").is_err() {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    code
+}
+
+fn play(world: &World, folder: &Path, has_trouble: bool) -> u8 {
+    let store = Store::new();
+    store.put(
+        "op/config",
+        &format!(
+            "{{\"version\":3,\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\
+             \"pathPrefix\":\"{PREFIX}\",\"service\":\"label-dispatch\",\"priority\":0,\
+             \"maxAttempts\":3,\"stretch\":1.5,\"targetDurationMs\":250}}],\
+             \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
+        ),
+    );
+    let _workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, &store, world)).collect();
+    let host = |at| Host::new(folder, at, 1.0, store.open(at));
+    let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
+    for host in &mut hosts {
+        host.start();
+    }
+    while !hosts.iter().all(Host::is_ready) {
+        if world.began.elapsed() > Duration::from_secs(15) {
+            return NOT_RUN;
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    let small = "{\"specification\":\"600\",\"steps\":[{\"count\":2,\"cpu\":1000,\
+                 \"requestedMemoryMb\":500,\"estimatedMs\":600}]}";
+    let step = format!(
+        "{{\"count\":{COUNT},\"cpu\":{CPU},\"requestedMemoryMb\":{MEMORY_MB},\"estimatedMs\":2000}}"
+    );
+    let steps = vec![step; STEPS].join(",");
+    let large = format!("{{\"specification\":\"2000\",\"steps\":[{steps}]}}");
+    let (began, mut number, mut is_sent) = (Instant::now(), 0, !has_trouble);
+    let mut accepted = Vec::new();
+    while began.elapsed() < BEFORE + AFTER {
+        if !is_sent && began.elapsed() >= BEFORE {
+            is_sent = true;
+            world.note(&format!("a submission of {} bytes: {large}", large.len()));
+            if !submit(world, &hosts[0], &job(0xffff), &large) {
+                world.note("it is not accepted");
+            }
+        }
+        number += 1;
+        if submit(world, &hosts[number as usize % HOSTS], &job(number), small) {
+            accepted.push(job(number));
+        }
+        std::thread::sleep(PAUSE);
+    }
+    world.note("the traffic ends");
+    let ended = Instant::now();
+    let tasks = |id: &String| [format!("{id}.0.0.0"), format!("{id}.0.0.1")];
+    let mut idle: Vec<(String, Option<Instant>)> =
+        accepted.iter().flat_map(tasks).map(|task| (task, None)).collect();
+    let mut broken = 0;
+    while ended.elapsed() < FINISH + IDLE * 3 {
+        std::thread::sleep(Duration::from_millis(100));
+        if ended.elapsed() < FINISH {
+            continue;
+        }
+        for (task, since) in &mut idle {
+            let is_idle = world.runs(task).is_empty();
+            *since = if is_idle { since.or(Some(Instant::now())) } else { None };
+        }
+        let lost = idle.iter().filter(|row| row.1.is_some_and(|at| at.elapsed() >= IDLE));
+        broken = lost.count();
+    }
+    world.note(&format!(
+        "{} small submissions were accepted; {broken} of their {} tasks have not begun {:?} after the traffic",
+        accepted.len(),
+        idle.len(),
+        ended.elapsed()
+    ));
+    let running = world.count_running();
+    world.note(&format!("{running} tasks run on the {WORKERS} workers"));
+    world.note(&format!("keys, refusals for the rate, refusals of large values: {:?}", store.counts()));
+    for host in &hosts {
+        world.note(&format!("memory of {}: {} MB", host.name, host.memory_mb()));
+    }
+    if broken > 0 { BROKEN } else { HELD }
+}
--- /dev/null
+++ b/review/standin-2/worker.rs
@@ -0,0 +1,227 @@
+//! A worker: starts and stops runs, keeps leases, and writes its entry to the store.
+//!
+//! The specification of a task is its run time in milliseconds, or `lasting`.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::http::{self, Answer, Request};
+use crate::json::quote;
+use crate::store::Store;
+use crate::world::World;
+
+pub const CPU: u64 = 16_000;
+pub const MEMORY_MB: u64 = 64_000;
+
+/// Longest lease (`maxHoldMs`).
+pub const MAX_HOLD_MS: u64 = 6_000;
+
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+struct Run {
+    number: u64,
+    since: Instant,
+    duration: Option<Duration>,
+}
+
+struct State {
+    fence: u64,
+    lease_end: u64,
+    runs: BTreeMap<String, Run>,
+    closed: BTreeMap<String, u64>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    last_end: u64,
+}
+
+pub struct Worker {
+    name: String,
+    born: u128,
+    since: Instant,
+    state: Mutex<State>,
+    world: World,
+}
+
+impl Worker {
+    pub fn start(number: usize, store: &Store, world: &World) -> Arc<Self> {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+        let worker = Arc::new(Self {
+            name: format!("i-{number:04}"),
+            born: born.as_millis(),
+            since: Instant::now(),
+            state: Mutex::new(State {
+                fence: 0,
+                lease_end: 0,
+                runs: BTreeMap::new(),
+                closed: BTreeMap::new(),
+                ended: Vec::new(),
+                last_end: 0,
+            }),
+            world: world.clone(),
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let server = Arc::clone(&worker);
+        http::serve(listener, move |request| server.answer(&request));
+        let ticker = Arc::clone(&worker);
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(10));
+                ticker.tick();
+            }
+        });
+        let (beat, store) = (Arc::clone(&worker), store.clone());
+        std::thread::spawn(move || {
+            for sequence in 1.. {
+                beat.report(&store, address, sequence);
+                std::thread::sleep(HEARTBEAT);
+            }
+        });
+        worker
+    }
+
+    fn report(&self, store: &Store, address: SocketAddr, sequence: u64) {
+        let entry = format!(
+            "{{\"service\":\"label-dispatch\",\"address\":\"{address}\",\"zone\":\"kurume\",\
+             \"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\
+             \"sequence\":{sequence},\"labels\":[\"a\",\"r1-1\"],\"born\":{},\
+             \"capacity\":{{\"cpu\":{CPU},\"requestedMemoryMb\":{MEMORY_MB},\"gpu\":0}}}}",
+            self.born
+        );
+        store.put(&format!("servers/{}", self.name), &entry);
+    }
+
+    fn clock(&self) -> u64 {
+        self.since.elapsed().as_millis() as u64
+    }
+
+    fn tick(&self) {
+        let now = self.clock();
+        let mut state = self.state.lock().expect("lock");
+        let is_lapsed = now > state.lease_end;
+        let is_done = |run: &Run| run.duration.is_some_and(|time| run.since.elapsed() >= time);
+        let rows = state.runs.iter().filter_map(|(task, run)| match (is_lapsed, is_done(run)) {
+            (true, _) => Some((task.clone(), "lapsed")),
+            (false, true) => Some((task.clone(), "done")),
+            (false, false) => None,
+        });
+        let ended: Vec<(String, &'static str)> = rows.collect();
+        for (task, how) in ended {
+            self.end(&mut state, &task, how);
+        }
+    }
+
+    fn end(&self, state: &mut State, task: &str, how: &'static str) {
+        let Some(run) = state.runs.remove(task) else {
+            return;
+        };
+        state.last_end += 1;
+        state.ended.push((state.last_end, task.to_owned(), run.number, how));
+        let closed = state.closed.entry(task.to_owned()).or_default();
+        *closed = run.number.max(*closed);
+        self.world.run_ended(task, run.number, &self.name, how);
+    }
+
+    fn extend(&self, state: &mut State, end: u64) {
+        let limit = self.clock() + MAX_HOLD_MS;
+        state.lease_end = state.lease_end.max(end.min(limit));
+    }
+
+    fn answer(&self, request: &Request) -> Answer {
+        if request.instance.as_ref().is_some_and(|name| *name != self.name) {
+            return Some((421, "{}".to_owned()));
+        }
+        let fence = request.body.number("fencingToken").unwrap_or(0);
+        {
+            let mut state = self.state.lock().expect("lock");
+            if fence < state.fence {
+                return Some(self.refusal("fence"));
+            }
+            state.fence = fence;
+        }
+        let ok = Some((200, format!("{{\"clockMs\":{}}}", self.clock())));
+        match request.path.as_str() {
+            "/hold" => Some(self.hold(request)),
+            "/run-start" => match self.start_run(request) {
+                None => ok,
+                Some(reason) => Some(self.refusal(reason)),
+            },
+            "/run-stop" => {
+                let (task, number) = (request.body.text("task"), request.body.number("run"));
+                let number = number.unwrap_or(0);
+                let mut state = self.state.lock().expect("lock");
+                let closed = state.closed.entry(task.to_owned()).or_default();
+                *closed = number.max(*closed);
+                if state.runs.get(task).is_some_and(|run| run.number == number) {
+                    self.end(&mut state, task, "stopped");
+                }
+                ok
+            }
+            "/pace" => ok,
+            _ => Some((400, "{}".to_owned())),
+        }
+    }
+
+    fn refusal(&self, reason: &str) -> (u16, String) {
+        let clock = self.clock();
+        (409, format!("{{\"clockMs\":{clock},\"reason\":\"{reason}\"}}"))
+    }
+
+    fn start_run(&self, request: &Request) -> Option<&'static str> {
+        let body = &request.body;
+        let (task, number) = (body.text("task"), body.number("run").unwrap_or(0));
+        let deadline = body.number("deadlineMs").unwrap_or(0);
+        let mut state = self.state.lock().expect("lock");
+        if deadline <= self.clock() {
+            return Some("late");
+        }
+        self.extend(&mut state, deadline);
+        if state.runs.get(task).is_some_and(|run| run.number == number) {
+            return None;
+        }
+        if state.closed.get(task).is_some_and(|closed| number <= *closed) {
+            return Some("old");
+        }
+        let duration = body.text("specification").parse().ok().map(Duration::from_millis);
+        let run = Run { number, since: Instant::now(), duration };
+        state.runs.insert(task.to_owned(), run);
+        self.world.run_started(task, number, &self.name);
+        None
+    }
+
+    fn hold(&self, request: &Request) -> (u16, String) {
+        {
+            let mut state = self.state.lock().expect("lock");
+            if let Some(end) = request.body.number("deadlineMs") {
+                self.extend(&mut state, end);
+            }
+            let acked = request.body.number("ackedUntil").unwrap_or(0);
+            state.ended.retain(|end| end.0 > acked);
+        }
+        let wait = request.body.number("waitMs").unwrap_or(0).min(2_000);
+        let until = Instant::now() + Duration::from_millis(wait);
+        while Instant::now() < until && self.state.lock().expect("lock").ended.is_empty() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let state = self.state.lock().expect("lock");
+        let running = state.runs.iter().map(|(task, run)| {
+            let percent = run.duration.map_or(100, |time| {
+                let part = run.since.elapsed().as_millis() * 100 / time.as_millis().max(1);
+                part.min(99)
+            });
+            format!("[{},{},\"\",{percent},1]", quote(task), run.number)
+        });
+        let finished = state.ended.iter().take(500).map(|(number, task, run, how)| {
+            format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
+        });
+        let body = format!(
+            "{{\"clockMs\":{},\"born\":{},\"running\":[{}],\"finished\":[{}]}}",
+            self.clock(),
+            self.born,
+            running.collect::<Vec<_>>().join(","),
+            finished.collect::<Vec<_>>().join(",")
+        );
+        (200, body)
+    }
+}
--- /dev/null
+++ b/review/standin-2/world.rs
@@ -0,0 +1,244 @@
+//! What the stand-ins have seen, and the host processes.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicI32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::http;
+
+/// Runs of a task, with the times of their begin and end.
+pub type Runs = Vec<(u64, String, Instant, Option<Instant>)>;
+
+#[derive(Clone)]
+pub struct World {
+    pub began: Instant,
+    seen: Arc<Mutex<Seen>>,
+}
+
+#[derive(Default)]
+struct Seen {
+    lines: Vec<String>,
+    runs: BTreeMap<String, Runs>,
+}
+
+impl World {
+    pub fn new() -> Self {
+        Self { began: Instant::now(), seen: Arc::default() }
+    }
+
+    pub fn note(&self, text: &str) {
+        let line = format!("{:8.3} {text}", self.began.elapsed().as_secs_f64());
+        println!("{line}");
+        self.seen.lock().expect("lock").lines.push(line);
+    }
+
+    fn record(&self, text: String) {
+        let line = format!("{:8.3} {text}", self.began.elapsed().as_secs_f64());
+        self.seen.lock().expect("lock").lines.push(line);
+    }
+
+    pub fn run_started(&self, task: &str, number: u64, worker: &str) {
+        self.record(format!("{worker} starts {task} run {number}"));
+        let mut seen = self.seen.lock().expect("lock");
+        let runs = seen.runs.entry(task.to_owned()).or_default();
+        runs.push((number, worker.to_owned(), Instant::now(), None));
+    }
+
+    pub fn run_ended(&self, task: &str, number: u64, worker: &str, how: &str) {
+        self.record(format!("{worker} ends {task} run {number}: {how}"));
+        let mut seen = self.seen.lock().expect("lock");
+        let runs = seen.runs.entry(task.to_owned()).or_default();
+        let run = runs.iter_mut().find(|run| run.0 == number && run.1 == worker && run.3.is_none());
+        if let Some(run) = run {
+            run.3 = Some(Instant::now());
+        }
+    }
+
+    /// Runs of a task so far.
+    pub fn runs(&self, task: &str) -> Runs {
+        self.seen.lock().expect("lock").runs.get(task).cloned().unwrap_or_default()
+    }
+
+    pub fn is_running(&self, task: &str) -> bool {
+        self.runs(task).iter().any(|run| run.3.is_none())
+    }
+
+    pub fn count_running(&self) -> usize {
+        let seen = self.seen.lock().expect("lock");
+        seen.runs.values().flatten().filter(|run| run.3.is_none()).count()
+    }
+
+    pub fn write(&self, path: &Path) {
+        let text = self.seen.lock().expect("lock").lines.join("\n");
+        std::fs::write(path, text + "\n").expect("the record can be written");
+    }
+}
+
+pub const SIGKILL: i32 = 9;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+
+/// A tenth of a second, for which a host's share of a core is an allowance.
+const TENTH: Duration = Duration::from_millis(100);
+
+unsafe extern "C" {
+    fn kill(id: i32, signal: i32) -> i32;
+}
+
+/// Processor time of all threads of a process, in nanoseconds.
+fn cpu_ns(id: i32) -> u64 {
+    let threads = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
+    let times = threads.filter_map(|thread| {
+        let text = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        text.split_whitespace().next()?.parse::<u64>().ok()
+    });
+    times.sum()
+}
+
+/// Stops a process for the rest of each tenth of a second in which it has used its allowance.
+fn hold_to_share(id: Arc<AtomicI32>, share: f64) {
+    let allowance = (TENTH.as_nanos() as f64 * share) as u64;
+    let (mut known, mut base, mut begin, mut is_stopped) = (0, 0, Instant::now(), false);
+    loop {
+        std::thread::sleep(Duration::from_millis(2));
+        let id = id.load(Ordering::Relaxed);
+        if id == 0 {
+            (known, is_stopped) = (0, false);
+            continue;
+        }
+        if id != known || begin.elapsed() >= TENTH {
+            let used = cpu_ns(id);
+            if is_stopped {
+                unsafe { kill(id, SIGCONT) };
+            }
+            // What was used beyond the allowance is taken off the next one.
+            let over = if id == known { used.saturating_sub(base + allowance) } else { 0 };
+            (known, base, begin, is_stopped) = (id, used - over, Instant::now(), false);
+        }
+        if !is_stopped && cpu_ns(id) >= base + allowance {
+            unsafe { kill(id, SIGSTOP) };
+            is_stopped = true;
+        }
+    }
+}
+
+/// Process of a host, started with the command of the deploy file.
+pub struct Host {
+    pub name: String,
+    pub callers: SocketAddr,
+    readiness: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    /// Its process, zero while there is none.
+    id: Arc<AtomicI32>,
+}
+
+impl Host {
+    /// Writes the settings of a host as `DEPLOY.md` describes them.
+    pub fn new(folder: &Path, number: usize, share: f64, store: SocketAddr) -> Self {
+        let name = format!("frontend-kurume-{}", number + 1);
+        // Ports are free on an address that no other process of this machine uses.
+        let part = std::process::id().to_le_bytes();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 1 + part[0] % 250, part[1], 10 + number as u8));
+        let port = |port| SocketAddr::new(ip, port);
+        for taken in [8161, 8167, 7720, 7721] {
+            TcpListener::bind(port(taken)).expect("a free port");
+        }
+        let text = format!(
+            "nodeName: \"{name}\"\nrole: \"entry\"\nmachineClass: \"frontend\"\nserves:\n  - \"frontend\"\n\
+             ipAddress: \"{ip}\"\nzone: \"kurume\"\nregion: \"kyushu-north\"\nzones:\n  kurume: \"kyushu-north\"\n\
+             listenAddresses:\n  frontend: \"{ip}:8161\"\n  readiness: \"{ip}:8167\"\n  controlPlane: null\n\
+             internalPortRange:\n  - 7720\n  - 7735\nseedNodes: []\nbootstrap: true\ncountsInTolerance: true\n\
+             limits:\n  cpuShare: {share}\n  cpuCores: 1\n  memoryMb: 260\n  fileDescriptors: 4100\n  \
+             linkBandwidthMbps: 1000.0\n  diskMb: 0\ndataDirectory: null\ndiscovery: \"platform\"\nentry: \"virtual_ip\"\n\
+             heartbeatIntervalMs: 1500\nbounds:\n  contactTimeoutMs: 3000\n  acknowledgeTimeoutMs: 4000\n  \
+             drainTimeoutMs: 2000\n  gracePeriodS: 6\n  configurationApplyMs: 2000\n  evacuationMs: 5000\n  \
+             recoveryS: 12\n  maxHoldMs: 6000\n  stopTimeoutMs: 900\n  gangTimeoutMs: 3000\n  cancel_ms: 3000\n  \
+             visible_ms: 3000\n  early_ms: 250\n  finish_s: 14\n  status_s: 120\n  noticeMs: 4500\n  \
+             enforceFencing: true\n  leaseDurationMs: 3000\ncommandMode: \"call\"\nplatform:\n  \
+             address: \"{store}\"\n  form: \"kv\"\n  writesPerS: 400\n  readsPerS: 2000\n  historyS: 20\n  \
+             valueBytes: 1048576\n  minTtlMs: 1000\n"
+        );
+        let settings = folder.join(format!("{name}.yaml"));
+        std::fs::write(&settings, text).expect("the folder can be written to");
+        let id = Arc::new(AtomicI32::new(0));
+        let held = Arc::clone(&id);
+        if share < 1.0 {
+            std::thread::spawn(move || hold_to_share(held, share));
+        }
+        Self {
+            id,
+            log: folder.join(format!("{name}.log")),
+            name,
+            callers: port(8161),
+            readiness: port(8167),
+            settings,
+            child: None,
+        }
+    }
+
+    pub fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let errors = log.try_clone().expect("a log");
+        let child = Command::new("target/release/verbenahitch-platform")
+            .env_clear()
+            .env("PATH", "/usr/bin:/bin")
+            .env("VERBENAHITCH_BOOT", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn();
+        let child = child.expect("the program of the deploy file is built");
+        self.id.store(child.id() as i32, Ordering::Relaxed);
+        self.child = Some(child);
+    }
+
+    pub fn signal(&mut self, signal: i32) {
+        if let Some(child) = &mut self.child {
+            if signal == SIGKILL {
+                self.id.store(0, Ordering::Relaxed);
+            }
+            // Its own child, which was not waited for.
+            unsafe { kill(child.id() as i32, signal) };
+            if signal == SIGKILL {
+                let _ = child.wait();
+                self.child = None;
+            }
+        }
+    }
+
+    /// Whether it has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| child.try_wait().ok().flatten().is_some())
+    }
+
+    /// Resident memory in MB.
+    pub fn memory_mb(&self) -> u64 {
+        let Some(child) = &self.child else {
+            return 0;
+        };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let size = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        size.unwrap_or(0) / 1024
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let timeout = Duration::from_millis(900);
+        let answer = http::call(self.readiness, "GET", "/readiness", "platform", "", timeout);
+        answer.is_some_and(|answer| answer.0 == 200)
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.signal(SIGKILL);
+    }
+}
