--- a/review/standin-2/ended_jobs.rs
+++ b/review/standin-2/ended_jobs.rs
@@ -19,6 +19,10 @@
 const CPU_SHARE: f64 = 0.1;
 
 const HOSTS: usize = 3;
+
+/// Longest lease (`maxHoldMs`), as the site says.
+const MAX_HOLD_MS: u64 = 6_000;
+
 const WORKERS: usize = 6;
 const LASTING: u64 = 4;
 const TASKS: u64 = 3;
@@ -85,7 +89,7 @@
 }
 
 /// Whether a task was away in a way that the rule counts, `since` the end of the disruption.
-fn breaks_rule(runs: &Runs, since: Instant, now: Instant) -> Option<Duration> {
+pub fn breaks_rule(runs: &Runs, since: Instant, now: Instant) -> Option<Duration> {
     let first = runs.first()?.2;
     let mut begin = first;
     for (at, run) in runs.iter().enumerate() {
@@ -129,8 +133,8 @@
              \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         ),
     );
-    let workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, &store, world)).collect();
-    let mut hosts: Vec<Host> = (0..HOSTS).map(|at| Host::new(folder, at, CPU_SHARE, store.open(at))).collect();
+    let workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, MAX_HOLD_MS, &store, world)).collect();
+    let mut hosts: Vec<Host> = (0..HOSTS).map(|at| Host::new(folder, at, CPU_SHARE, MAX_HOLD_MS, store.open(at))).collect();
     for host in &mut hosts {
         host.start();
     }
--- a/review/standin-2/large_job.rs
+++ b/review/standin-2/large_job.rs
@@ -10,6 +10,10 @@
 use crate::{BROKEN, HELD, NOT_RUN};
 
 const HOSTS: usize = 3;
+
+/// Longest lease (`maxHoldMs`), as the site says.
+const MAX_HOLD_MS: u64 = 10_000;
+
 const WORKERS: usize = 12;
 
 /// Steps of the large submission, tasks of each, and what each of these needs.
@@ -70,8 +74,8 @@
              \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         ),
     );
-    let _workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, &store, world)).collect();
-    let host = |at| Host::new(folder, at, 1.0, store.open(at));
+    let _workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, MAX_HOLD_MS, &store, world)).collect();
+    let host = |at| Host::new(folder, at, 1.0, MAX_HOLD_MS, store.open(at));
     let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
     for host in &mut hosts {
         host.start();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -11,6 +11,7 @@
 
 mod ended_jobs;
 mod large_job;
+mod late_start;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -29,6 +30,7 @@
     let scenario: fn(&Path, bool) -> u8 = match scenario.as_str() {
         "ended-jobs" => ended_jobs::run,
         "large-job" => large_job::run,
+        "late-start" => late_start::run,
         other => {
             eprintln!("no scenario {other}");
             return ExitCode::from(NOT_RUN);
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -93,6 +93,13 @@
         state.put(key, &base64(value.as_bytes()), 0);
     }
 
+    /// Removes a key, as at the end of a worker.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.0.lock().expect("lock");
+        state.revision += 1;
+        state.remove(key);
+    }
+
     /// Writes keys with one encoded value, as the system did in earlier hours.
     pub fn put_all(&self, keys: impl Iterator<Item = String>, value: &str) {
         let mut state = self.0.lock().expect("lock");
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -15,8 +16,11 @@
 pub const CPU: u64 = 16_000;
 pub const MEMORY_MB: u64 = 64_000;
 
-/// Longest lease (`maxHoldMs`).
-pub const MAX_HOLD_MS: u64 = 6_000;
+/// How long a call that gets no answer is held.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// When an order that gets no answer is carried out.
+const LATE: Duration = Duration::from_secs(2);
 
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
@@ -40,11 +44,15 @@
     born: u128,
     since: Instant,
     state: Mutex<State>,
+    /// Longest lease (`maxHoldMs`).
+    hold_ms: u64,
+    /// Whether it is lost for good: it neither answers nor works.
+    is_gone: AtomicBool,
     world: World,
 }
 
 impl Worker {
-    pub fn start(number: usize, store: &Store, world: &World) -> Arc<Self> {
+    pub fn start(number: usize, hold_ms: u64, store: &Store, world: &World) -> Arc<Self> {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
         let worker = Arc::new(Self {
             name: format!("i-{number:04}"),
@@ -58,12 +66,35 @@
                 ended: Vec::new(),
                 last_end: 0,
             }),
+            hold_ms,
+            is_gone: AtomicBool::new(false),
             world: world.clone(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let server = Arc::clone(&worker);
-        http::serve(listener, move |request| server.answer(&request));
+        http::serve(listener, move |request| {
+            if server.is_gone.load(Ordering::Relaxed) {
+                std::thread::sleep(SILENCE);
+                return None;
+            }
+            let task = request.body.text("task");
+            if request.path != "/run-start" || !server.world.is_late_order(task) {
+                return server.answer(&request);
+            }
+            server.world.note(&format!(
+                "{} leaves the start of {} unanswered and carries it out in {LATE:?}",
+                server.name,
+                request.body.text("task")
+            ));
+            let late = Arc::clone(&server);
+            std::thread::spawn(move || {
+                std::thread::sleep(LATE);
+                late.answer(&request)
+            });
+            std::thread::sleep(SILENCE);
+            None
+        });
         let ticker = Arc::clone(&worker);
         std::thread::spawn(move || {
             loop {
@@ -74,6 +105,11 @@
         let (beat, store) = (Arc::clone(&worker), store.clone());
         std::thread::spawn(move || {
             for sequence in 1.. {
+                if beat.is_gone.load(Ordering::Relaxed) {
+                    std::thread::sleep(HEARTBEAT * 2);
+                    store.remove(&format!("servers/{}", beat.name));
+                    return;
+                }
                 beat.report(&store, address, sequence);
                 std::thread::sleep(HEARTBEAT);
             }
@@ -81,6 +117,19 @@
         worker
     }
 
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Loses the machine for good, with all that runs on it.
+    pub fn lose(&self) {
+        self.is_gone.store(true, Ordering::Relaxed);
+        let mut state = self.state.lock().expect("lock");
+        for (task, run) in std::mem::take(&mut state.runs) {
+            self.world.run_ended(&task, run.number, &self.name, "gone");
+        }
+    }
+
     fn report(&self, store: &Store, address: SocketAddr, sequence: u64) {
         let entry = format!(
             "{{\"service\":\"label-dispatch\",\"address\":\"{address}\",\"zone\":\"kurume\",\
@@ -124,7 +173,7 @@
     }
 
     fn extend(&self, state: &mut State, end: u64) {
-        let limit = self.clock() + MAX_HOLD_MS;
+        let limit = self.clock() + self.hold_ms;
         state.lease_end = state.lease_end.max(end.min(limit));
     }
 
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -24,6 +24,11 @@
 struct Seen {
     lines: Vec<String>,
     runs: BTreeMap<String, Runs>,
+    /// Start orders so far, and of how many one is carried out late; zero for none.
+    starts: u64,
+    late_each: u64,
+    /// Tasks with such an order.
+    late_tasks: Vec<String>,
 }
 
 impl World {
@@ -42,6 +47,27 @@
         self.seen.lock().expect("lock").lines.push(line);
     }
 
+    /// Has one of so many start orders left unanswered and carried out late; zero for none.
+    pub fn set_late(&self, each: u64) {
+        self.seen.lock().expect("lock").late_each = each;
+    }
+
+    /// Counts a start order; whether it is carried out late.
+    pub fn is_late_order(&self, task: &str) -> bool {
+        let mut seen = self.seen.lock().expect("lock");
+        seen.starts += 1;
+        let is_late = seen.late_each > 0 && seen.starts.is_multiple_of(seen.late_each);
+        if is_late {
+            seen.late_tasks.push(task.to_owned());
+        }
+        is_late
+    }
+
+    /// Tasks of which a start order was carried out late.
+    pub fn late_tasks(&self) -> Vec<String> {
+        self.seen.lock().expect("lock").late_tasks.clone()
+    }
+
     pub fn run_started(&self, task: &str, number: u64, worker: &str) {
         self.record(format!("{worker} starts {task} run {number}"));
         let mut seen = self.seen.lock().expect("lock");
@@ -141,7 +167,7 @@
 
 impl Host {
     /// Writes the settings of a host as `DEPLOY.md` describes them.
-    pub fn new(folder: &Path, number: usize, share: f64, store: SocketAddr) -> Self {
+    pub fn new(folder: &Path, number: usize, share: f64, hold_ms: u64, store: SocketAddr) -> Self {
         let name = format!("frontend-kurume-{}", number + 1);
         // Ports are free on an address that no other process of this machine uses.
         let part = std::process::id().to_le_bytes();
@@ -159,7 +185,7 @@
              linkBandwidthMbps: 1000.0\n  diskMb: 0\ndataDirectory: null\ndiscovery: \"platform\"\nentry: \"virtual_ip\"\n\
              heartbeatIntervalMs: 1500\nbounds:\n  contactTimeoutMs: 3000\n  acknowledgeTimeoutMs: 4000\n  \
              drainTimeoutMs: 2000\n  gracePeriodS: 6\n  configurationApplyMs: 2000\n  evacuationMs: 5000\n  \
-             recoveryS: 12\n  maxHoldMs: 6000\n  stopTimeoutMs: 900\n  gangTimeoutMs: 3000\n  cancel_ms: 3000\n  \
+             recoveryS: 12\n  maxHoldMs: {hold_ms}\n  stopTimeoutMs: 900\n  gangTimeoutMs: 3000\n  cancel_ms: 3000\n  \
              visible_ms: 3000\n  early_ms: 250\n  finish_s: 14\n  status_s: 120\n  noticeMs: 4500\n  \
              enforceFencing: true\n  leaseDurationMs: 3000\ncommandMode: \"call\"\nplatform:\n  \
              address: \"{store}\"\n  form: \"kv\"\n  writesPerS: 400\n  readsPerS: 2000\n  historyS: 20\n  \
