--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,6 +10,7 @@
 mod world;
 
 mod ended_jobs;
+mod gang;
 mod large_job;
 mod late_start;
 
@@ -29,6 +30,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let scenario: fn(&Path, bool) -> u8 = match scenario.as_str() {
         "ended-jobs" => ended_jobs::run,
+        "gang" => gang::run,
         "large-job" => large_job::run,
         "late-start" => late_start::run,
         other => {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -1,6 +1,6 @@
 //! A worker: starts and stops runs, keeps leases, and writes its entry to the store.
 //!
-//! The specification of a task is its run time in milliseconds, or `lasting`.
+//! The specification of a task is its run time in milliseconds, or `lasting`, or `gang N MS`.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -16,6 +16,9 @@
 pub const CPU: u64 = 16_000;
 pub const MEMORY_MB: u64 = 64_000;
 
+/// How long a member waits for the others of its gang (`gangTimeoutMs`).
+const GANG_TIMEOUT: Duration = Duration::from_millis(3_000);
+
 /// How long a call that gets no answer is held.
 const SILENCE: Duration = Duration::from_secs(60);
 
@@ -28,6 +31,8 @@
     number: u64,
     since: Instant,
     duration: Option<Duration>,
+    /// Number of members of its gang, and for how long these work together.
+    gang: Option<(usize, Duration)>,
 }
 
 struct State {
@@ -48,6 +53,8 @@
     hold_ms: u64,
     /// Whether it is lost for good: it neither answers nor works.
     is_gone: AtomicBool,
+    /// Whether its next life has begun.
+    is_back: AtomicBool,
     world: World,
 }
 
@@ -68,6 +75,7 @@
             }),
             hold_ms,
             is_gone: AtomicBool::new(false),
+            is_back: AtomicBool::new(false),
             world: world.clone(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -107,7 +115,10 @@
             for sequence in 1.. {
                 if beat.is_gone.load(Ordering::Relaxed) {
                     std::thread::sleep(HEARTBEAT * 2);
-                    store.remove(&format!("servers/{}", beat.name));
+                    // A next life may hold the entry by then.
+                    if !beat.is_back.load(Ordering::Relaxed) {
+                        store.remove(&format!("servers/{}", beat.name));
+                    }
                     return;
                 }
                 beat.report(&store, address, sequence);
@@ -126,10 +137,16 @@
         self.is_gone.store(true, Ordering::Relaxed);
         let mut state = self.state.lock().expect("lock");
         for (task, run) in std::mem::take(&mut state.runs) {
+            self.world.leave_gang(&task, run.number, "gone");
             self.world.run_ended(&task, run.number, &self.name, "gone");
         }
     }
 
+    /// Takes note that its next life begins.
+    pub fn come_back(&self) {
+        self.is_back.store(true, Ordering::Relaxed);
+    }
+
     fn report(&self, store: &Store, address: SocketAddr, sequence: u64) {
         let entry = format!(
             "{{\"service\":\"label-dispatch\",\"address\":\"{address}\",\"zone\":\"kurume\",\
@@ -153,7 +170,11 @@
         let rows = state.runs.iter().filter_map(|(task, run)| match (is_lapsed, is_done(run)) {
             (true, _) => Some((task.clone(), "lapsed")),
             (false, true) => Some((task.clone(), "done")),
-            (false, false) => None,
+            (false, false) => {
+                let (_, duration) = run.gang?;
+                let end = self.world.gang_end(task, run.number, run.since, duration, GANG_TIMEOUT);
+                end.map(|how| (task.clone(), how))
+            }
         });
         let ended: Vec<(String, &'static str)> = rows.collect();
         for (task, how) in ended {
@@ -169,6 +190,7 @@
         state.ended.push((state.last_end, task.to_owned(), run.number, how));
         let closed = state.closed.entry(task.to_owned()).or_default();
         *closed = run.number.max(*closed);
+        self.world.leave_gang(task, run.number, how);
         self.world.run_ended(task, run.number, &self.name, how);
     }
 
@@ -232,10 +254,18 @@
         if state.closed.get(task).is_some_and(|closed| number <= *closed) {
             return Some("old");
         }
-        let duration = body.text("specification").parse().ok().map(Duration::from_millis);
-        let run = Run { number, since: Instant::now(), duration };
+        let specification = body.text("specification");
+        let duration = specification.parse().ok().map(Duration::from_millis);
+        let gang = specification.strip_prefix("gang ").and_then(|text| {
+            let (count, millis) = text.split_once(' ')?;
+            Some((count.parse().ok()?, Duration::from_millis(millis.parse().ok()?)))
+        });
+        let run = Run { number, since: Instant::now(), duration, gang };
         state.runs.insert(task.to_owned(), run);
         self.world.run_started(task, number, &self.name);
+        if let Some((count, _)) = gang {
+            self.world.join_gang(task, number, count);
+        }
         None
     }
 
@@ -255,8 +285,13 @@
         }
         let state = self.state.lock().expect("lock");
         let running = state.runs.iter().map(|(task, run)| {
-            let percent = run.duration.map_or(100, |time| {
-                let part = run.since.elapsed().as_millis() * 100 / time.as_millis().max(1);
+            // A gang advances while all of its members are present.
+            let (time, worked) = match run.gang {
+                Some((_, time)) => (Some(time), self.world.gang_worked(task, run.number)),
+                None => (run.duration, run.since.elapsed()),
+            };
+            let percent = time.map_or(100, |time| {
+                let part = worked.as_millis() * 100 / time.as_millis().max(1);
                 part.min(99)
             });
             format!("[{},{},\"\",{percent},1]", quote(task), run.number)
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -29,6 +29,26 @@
     late_each: u64,
     /// Tasks with such an order.
     late_tasks: Vec<String>,
+    /// Members of gangs that are present, by step and run.
+    gangs: BTreeMap<(String, u64), Gang>,
+    /// Runs that ended `alone`, and when.
+    alone: Vec<(String, Instant)>,
+}
+
+/// Members of a gang that have the same run.
+#[derive(Default)]
+struct Gang {
+    present: Vec<String>,
+    /// When all were present.
+    complete: Option<Instant>,
+    is_done: bool,
+    /// Whether a member has ended otherwise than with the others.
+    is_broken: bool,
+}
+
+/// Step that a task belongs to.
+fn step_of(task: &str) -> String {
+    task.rsplit_once('.').map_or("", |parts| parts.0).to_owned()
 }
 
 impl World {
@@ -63,6 +83,66 @@
         is_late
     }
 
+    /// Takes note that a member of a gang of so many tasks has started.
+    pub fn join_gang(&self, task: &str, run: u64, count: usize) {
+        let mut seen = self.seen.lock().expect("lock");
+        let gang = seen.gangs.entry((step_of(task), run)).or_default();
+        gang.present.push(task.to_owned());
+        if gang.present.len() == count && !gang.is_broken {
+            gang.complete = Some(Instant::now());
+        }
+    }
+
+    /// How a member that is present since then ends now, if it does.
+    pub fn gang_end(
+        &self,
+        task: &str,
+        run: u64,
+        since: Instant,
+        duration: Duration,
+        timeout: Duration,
+    ) -> Option<&'static str> {
+        let mut seen = self.seen.lock().expect("lock");
+        let gang = seen.gangs.get_mut(&(step_of(task), run))?;
+        if gang.is_done || gang.complete.is_some_and(|at| at.elapsed() >= duration) && !gang.is_broken {
+            gang.is_done = true;
+            return Some("done");
+        }
+        if gang.is_broken && gang.complete.is_some() {
+            return Some("broken");
+        }
+        if gang.complete.is_none() && since.elapsed() >= timeout {
+            seen.alone.push((task.to_owned(), Instant::now()));
+            return Some("alone");
+        }
+        None
+    }
+
+    /// For how long all members of a run have been present.
+    pub fn gang_worked(&self, task: &str, run: u64) -> Duration {
+        let seen = self.seen.lock().expect("lock");
+        let gang = seen.gangs.get(&(step_of(task), run));
+        gang.and_then(|gang| gang.complete).map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// Takes note that a member has ended in some way.
+    pub fn leave_gang(&self, task: &str, run: u64, how: &str) {
+        let mut seen = self.seen.lock().expect("lock");
+        if let Some(gang) = seen.gangs.get_mut(&(step_of(task), run)) {
+            gang.present.retain(|other| other != task);
+            gang.is_broken |= how != "done" && how != "alone";
+        }
+    }
+
+    /// Whether the gang of a step has done its work, and the runs of it that ended `alone` after a
+    /// moment.
+    pub fn gang_state(&self, step: &str, since: Instant) -> (bool, usize) {
+        let seen = self.seen.lock().expect("lock");
+        let is_done = seen.gangs.iter().any(|row| row.0.0 == step && row.1.is_done);
+        let alone = seen.alone.iter().filter(|row| step_of(&row.0) == step && row.1 > since);
+        (is_done, alone.count())
+    }
+
     /// Tasks of which a start order was carried out late.
     pub fn late_tasks(&self) -> Vec<String> {
         self.seen.lock().expect("lock").late_tasks.clone()
