review: case 8, many images stop all dispatching for good

Disruption: none but the traffic; lasting tasks and batch work name 72 and 80 images with digests instead of 5 and 9.

Callers get 200 for submissions that never run. Workers get polls and no start. The platform sees the same transaction, which it refuses for the size of the learned pressures, again and again.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -11,6 +11,7 @@
 
 mod ended_jobs;
 mod gang;
+mod images;
 mod large_job;
 mod late_start;
 
@@ -31,6 +32,7 @@
     let scenario: fn(&Path, bool) -> u8 = match scenario.as_str() {
         "ended-jobs" => ended_jobs::run,
         "gang" => gang::run,
+        "images" => images::run,
         "large-job" => large_job::run,
         "late-start" => late_start::run,
         other => {
