review: case 6, a frozen owner wakes and starts tasks that another has started

Disruption: the host that dispatches stands still for 3.2 s (`node_freeze`); 2 of 16 workers crash for 0.5 s and are back under their names (`srv_crash`).

Workers see run 1 of a task start while run 2 is at work elsewhere: the woken host sends starts that it had ordered before it froze, and a worker that is just back knows no generation number yet.

--- a/review/standin-2/gang.rs
+++ b/review/standin-2/gang.rs
@@ -104,7 +104,6 @@
     }
     world.note("all members run");
     std::thread::sleep(CRASH_AFTER);
-    let _back;
     if has_trouble {
         let home = world.runs(&tasks[0]).last().map(|run| run.1.clone());
         let Some(lost) = workers.iter().find(|worker| Some(worker.name()) == home.as_deref()) else {
@@ -114,8 +113,6 @@
         lost.lose();
         std::thread::sleep(DOWN);
         lost.come_back();
-        let number = workers.iter().position(|worker| worker.name() == lost.name()).unwrap_or(0);
-        _back = Worker::start(number, MAX_HOLD_MS, &store, world);
         world.note(&format!("{} is back under its name", lost.name()));
     }
     let since = Instant::now();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,9 +10,12 @@
 mod world;
 
 mod ended_jobs;
+mod frozen_owner;
 mod gang;
+mod given_up;
 mod images;
 mod large_job;
+mod next_life;
 mod late_start;
 
 use std::path::Path;
@@ -31,9 +34,12 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let scenario: fn(&Path, bool) -> u8 = match scenario.as_str() {
         "ended-jobs" => ended_jobs::run,
+        "frozen-owner" => frozen_owner::run,
         "gang" => gang::run,
+        "given-up" => given_up::run,
         "images" => images::run,
         "large-job" => large_job::run,
+        "next-life" => next_life::run,
         "late-start" => late_start::run,
         other => {
             eprintln!("no scenario {other}");
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -25,6 +25,9 @@
 /// When an order that gets no answer is carried out.
 const LATE: Duration = Duration::from_secs(2);
 
+/// When at the latest.
+const LATEST: Duration = Duration::from_secs(12);
+
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
 struct Run {
@@ -35,6 +38,21 @@
     gang: Option<(usize, Duration)>,
 }
 
+/// Begin of the present life, in milliseconds since 1970 and on the steady clock.
+#[derive(Clone, Copy)]
+struct Life {
+    born: u128,
+    since: Instant,
+}
+
+impl Life {
+    fn new() -> Self {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+        Self { born: born.as_millis(), since: Instant::now() }
+    }
+}
+
+#[derive(Default)]
 struct State {
     fence: u64,
     lease_end: u64,
@@ -46,36 +64,23 @@
 
 pub struct Worker {
     name: String,
-    born: u128,
-    since: Instant,
+    life: Mutex<Life>,
     state: Mutex<State>,
     /// Longest lease (`maxHoldMs`).
     hold_ms: u64,
     /// Whether it is lost for good: it neither answers nor works.
     is_gone: AtomicBool,
-    /// Whether its next life has begun.
-    is_back: AtomicBool,
     world: World,
 }
 
 impl Worker {
     pub fn start(number: usize, hold_ms: u64, store: &Store, world: &World) -> Arc<Self> {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
         let worker = Arc::new(Self {
             name: format!("i-{number:04}"),
-            born: born.as_millis(),
-            since: Instant::now(),
-            state: Mutex::new(State {
-                fence: 0,
-                lease_end: 0,
-                runs: BTreeMap::new(),
-                closed: BTreeMap::new(),
-                ended: Vec::new(),
-                last_end: 0,
-            }),
+            life: Mutex::new(Life::new()),
+            state: Mutex::default(),
             hold_ms,
             is_gone: AtomicBool::new(false),
-            is_back: AtomicBool::new(false),
             world: world.clone(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -95,9 +100,13 @@
                 server.name,
                 request.body.text("task")
             ));
+            server.world.hold_start(&server.name, task);
             let late = Arc::clone(&server);
             std::thread::spawn(move || {
-                std::thread::sleep(LATE);
+                let sent = Instant::now();
+                while sent.elapsed() < LATE || (sent.elapsed() < LATEST && late.is_held(&request)) {
+                    std::thread::sleep(Duration::from_millis(2));
+                }
                 late.answer(&request)
             });
             std::thread::sleep(SILENCE);
@@ -112,16 +121,18 @@
         });
         let (beat, store) = (Arc::clone(&worker), store.clone());
         std::thread::spawn(move || {
+            let mut silent = 0;
             for sequence in 1.. {
                 if beat.is_gone.load(Ordering::Relaxed) {
-                    std::thread::sleep(HEARTBEAT * 2);
-                    // A next life may hold the entry by then.
-                    if !beat.is_back.load(Ordering::Relaxed) {
-                        store.remove(&format!("servers/{}", beat.name));
-                    }
-                    return;
+                    silent += 1;
+                } else {
+                    silent = 0;
+                    beat.report(&store, address, sequence);
+                }
+                // The platform removes an entry after three intervals of silence.
+                if silent == 3 {
+                    store.remove(&format!("servers/{}", beat.name));
                 }
-                beat.report(&store, address, sequence);
                 std::thread::sleep(HEARTBEAT);
             }
         });
@@ -132,6 +143,13 @@
         &self.name
     }
 
+    /// Whether a late start of it waits for the scenario.
+    fn is_held(&self, request: &Request) -> bool {
+        let held = self.world.held_start();
+        let is_it = held.is_some_and(|held| held.0 == self.name && held.1 == request.body.text("task"));
+        is_it && self.world.waits_for_release() && !self.world.is_released()
+    }
+
     /// Loses the machine for good, with all that runs on it.
     pub fn lose(&self) {
         self.is_gone.store(true, Ordering::Relaxed);
@@ -142,9 +160,15 @@
         }
     }
 
-    /// Takes note that its next life begins.
+    /// Begins its next life, under its name and at its address; it knows nothing of before.
     pub fn come_back(&self) {
-        self.is_back.store(true, Ordering::Relaxed);
+        *self.state.lock().expect("lock") = State::default();
+        *self.life.lock().expect("lock") = Life::new();
+        self.is_gone.store(false, Ordering::Relaxed);
+    }
+
+    fn life(&self) -> Life {
+        *self.life.lock().expect("lock")
     }
 
     fn report(&self, store: &Store, address: SocketAddr, sequence: u64) {
@@ -153,13 +177,13 @@
              \"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\
              \"sequence\":{sequence},\"labels\":[\"a\",\"r1-1\"],\"born\":{},\
              \"capacity\":{{\"cpu\":{CPU},\"requestedMemoryMb\":{MEMORY_MB},\"gpu\":0}}}}",
-            self.born
+            self.life().born
         );
         store.put(&format!("servers/{}", self.name), &entry);
     }
 
     fn clock(&self) -> u64 {
-        self.since.elapsed().as_millis() as u64
+        self.life().since.elapsed().as_millis() as u64
     }
 
     fn tick(&self) {
@@ -213,7 +237,7 @@
         }
         let ok = Some((200, format!("{{\"clockMs\":{}}}", self.clock())));
         match request.path.as_str() {
-            "/hold" => Some(self.hold(request)),
+            "/hold" => self.hold(request),
             "/run-start" => match self.start_run(request) {
                 None => ok,
                 Some(reason) => Some(self.refusal(reason)),
@@ -269,7 +293,7 @@
         None
     }
 
-    fn hold(&self, request: &Request) -> (u16, String) {
+    fn hold(&self, request: &Request) -> Answer {
         {
             let mut state = self.state.lock().expect("lock");
             if let Some(end) = request.body.number("deadlineMs") {
@@ -280,9 +304,13 @@
         }
         let wait = request.body.number("waitMs").unwrap_or(0).min(2_000);
         let until = Instant::now() + Duration::from_millis(wait);
+        let born = self.life().born;
         while Instant::now() < until && self.state.lock().expect("lock").ended.is_empty() {
             std::thread::sleep(Duration::from_millis(5));
         }
+        if self.is_gone.load(Ordering::Relaxed) || self.life().born != born {
+            return None;
+        }
         let state = self.state.lock().expect("lock");
         let running = state.runs.iter().map(|(task, run)| {
             // A gang advances while all of its members are present.
@@ -302,10 +330,10 @@
         let body = format!(
             "{{\"clockMs\":{},\"born\":{},\"running\":[{}],\"finished\":[{}]}}",
             self.clock(),
-            self.born,
+            self.life().born,
             running.collect::<Vec<_>>().join(","),
             finished.collect::<Vec<_>>().join(",")
         );
-        (200, body)
+        Some((200, body))
     }
 }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -29,6 +29,10 @@
     late_each: u64,
     /// Tasks with such an order.
     late_tasks: Vec<String>,
+    /// Worker and task of the last such order, and whether it may be carried out.
+    held: Option<(String, String)>,
+    is_released: bool,
+    waits_for_release: bool,
     /// Members of gangs that are present, by step and run.
     gangs: BTreeMap<(String, u64), Gang>,
     /// Runs that ended `alone`, and when.
@@ -83,6 +87,35 @@
         is_late
     }
 
+    /// Takes note of a start order that is carried out late.
+    pub fn hold_start(&self, worker: &str, task: &str) {
+        let mut seen = self.seen.lock().expect("lock");
+        seen.held.get_or_insert((worker.to_owned(), task.to_owned()));
+    }
+
+    /// Worker and task of the first such order.
+    pub fn held_start(&self) -> Option<(String, String)> {
+        self.seen.lock().expect("lock").held.clone()
+    }
+
+    /// Lets it be carried out now.
+    pub fn release_start(&self) {
+        self.seen.lock().expect("lock").is_released = true;
+    }
+
+    /// Has the first such order wait until it is let go, 12 s at the most.
+    pub fn set_waits_for_release(&self) {
+        self.seen.lock().expect("lock").waits_for_release = true;
+    }
+
+    pub fn waits_for_release(&self) -> bool {
+        self.seen.lock().expect("lock").waits_for_release
+    }
+
+    pub fn is_released(&self) -> bool {
+        self.seen.lock().expect("lock").is_released
+    }
+
     /// Takes note that a member of a gang of so many tasks has started.
     pub fn join_gang(&self, task: &str, run: u64, count: usize) {
         let mut seen = self.seen.lock().expect("lock");
@@ -143,6 +176,11 @@
         (is_done, alone.count())
     }
 
+    /// Number of start orders so far.
+    pub fn starts(&self) -> u64 {
+        self.seen.lock().expect("lock").starts
+    }
+
     /// Tasks of which a start order was carried out late.
     pub fn late_tasks(&self) -> Vec<String> {
         self.seen.lock().expect("lock").late_tasks.clone()
@@ -186,8 +224,8 @@
 }
 
 pub const SIGKILL: i32 = 9;
-const SIGCONT: i32 = 18;
-const SIGSTOP: i32 = 19;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 
 /// A tenth of a second, for which a host's share of a core is an allowance.
 const TENTH: Duration = Duration::from_millis(100);
@@ -212,14 +250,15 @@
     let (mut known, mut base, mut begin, mut is_stopped) = (0, 0, Instant::now(), false);
     loop {
         std::thread::sleep(Duration::from_millis(2));
-        let id = id.load(Ordering::Relaxed);
+        let shared = &id;
+        let id = shared.load(Ordering::Relaxed);
         if id == 0 {
             (known, is_stopped) = (0, false);
             continue;
         }
         if id != known || begin.elapsed() >= TENTH {
             let used = cpu_ns(id);
-            if is_stopped {
+            if is_stopped && shared.load(Ordering::Relaxed) == id {
                 unsafe { kill(id, SIGCONT) };
             }
             // What was used beyond the allowance is taken off the next one.
@@ -307,8 +346,11 @@
 
     pub fn signal(&mut self, signal: i32) {
         if let Some(child) = &mut self.child {
-            if signal == SIGKILL {
-                self.id.store(0, Ordering::Relaxed);
+            // A process that is stopped or ended is left alone by what holds it to its share.
+            match signal {
+                SIGKILL | SIGSTOP => self.id.store(0, Ordering::Relaxed),
+                SIGCONT => self.id.store(child.id() as i32, Ordering::Relaxed),
+                _ => {}
             }
             // Its own child, which was not waited for.
             unsafe { kill(child.id() as i32, signal) };
