--- a/review/standin-2/ended_jobs.rs
+++ b/review/standin-2/ended_jobs.rs
@@ -81,7 +81,9 @@
         }
         let left = store.find(&id);
         let rows: Vec<&str> = left.iter().map(|row| row.0.as_str()).collect();
-        world.note(&format!("{id} is completed; its keys in the store: {rows:?}"));
+        world.note(&format!(
+            "{id} is completed; its keys in the store: {rows:?}"
+        ));
         let (key, value) = left.into_iter().next()?;
         return Some((key.strip_suffix(&id)?.to_owned(), value));
     }
@@ -133,12 +135,20 @@
              \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         ),
     );
-    let workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, MAX_HOLD_MS, &store, world)).collect();
-    let mut hosts: Vec<Host> = (0..HOSTS).map(|at| Host::new(folder, at, CPU_SHARE, MAX_HOLD_MS, store.open(at))).collect();
+    let workers: Vec<_> = (0..WORKERS)
+        .map(|at| Worker::start(at, MAX_HOLD_MS, &store, world))
+        .collect();
+    let mut hosts: Vec<Host> = (0..HOSTS)
+        .map(|at| Host::new(folder, at, CPU_SHARE, MAX_HOLD_MS, store.open(at)))
+        .collect();
     for host in &mut hosts {
         host.start();
     }
-    world.note(&format!("{} hosts and {} workers have started", hosts.len(), workers.len()));
+    world.note(&format!(
+        "{} hosts and {} workers have started",
+        hosts.len(),
+        workers.len()
+    ));
     while !hosts.iter().all(Host::is_ready) {
         if world.began.elapsed() > Duration::from_secs(15) {
             return NOT_RUN;
@@ -169,17 +179,25 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     world.note("all lasting tasks run");
-    let count = std::env::var("ENDED").ok().and_then(|text| text.parse().ok()).unwrap_or(ENDED);
+    let count = std::env::var("ENDED")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(ENDED);
     let mut known = 0;
     while known < count {
         let next = count.min(known + STEP);
         // Identifiers that are spread as those of callers are.
         let id = |number: u64| number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        store.put_all((known..next).map(|number| format!("{prefix}{:016x}", id(number))), &value);
+        store.put_all(
+            (known..next).map(|number| format!("{prefix}{:016x}", id(number))),
+            &value,
+        );
         known = next;
         std::thread::sleep(Duration::from_millis(100));
     }
-    world.note(&format!("the store holds {count} jobs more that have ended"));
+    world.note(&format!(
+        "the store holds {count} jobs more that have ended"
+    ));
     let steady = Instant::now();
     let mut number = 100;
     while steady.elapsed() < Duration::from_secs(12) {
@@ -193,15 +211,23 @@
     };
     // The last ones may be at work.
     let served = (101..=number - 4).filter(|id| is_served(*id)).count();
-    world.note(&format!("{served} of {} short jobs before the disruption have run", number - 104));
+    world.note(&format!(
+        "{served} of {} short jobs before the disruption have run",
+        number - 104
+    ));
     let memory: Vec<u64> = hosts.iter().map(Host::memory_mb).collect();
-    world.note(&format!("memory of the hosts in MB: {memory:?}, memoryMb is 260"));
+    world.note(&format!(
+        "memory of the hosts in MB: {memory:?}, memoryMb is 260"
+    ));
     let Some(owner) = store.renewed_by() else {
         return NOT_RUN;
     };
     let mut since = Instant::now();
     if has_trouble {
-        world.note(&format!("SIGKILL of {}, which renewed its lease last", hosts[owner].name));
+        world.note(&format!(
+            "SIGKILL of {}, which renewed its lease last",
+            hosts[owner].name
+        ));
         hosts[owner].signal(SIGKILL);
         std::thread::sleep(DOWN);
         hosts[owner].start();
@@ -218,9 +244,13 @@
             owners.push(renewed);
         }
         for task in &tasks {
-            if let Some(time) = breaks_rule(&world.runs(task), since, now).filter(|_| away.is_none()) {
+            if let Some(time) =
+                breaks_rule(&world.runs(task), since, now).filter(|_| away.is_none())
+            {
                 away = Some(time);
-                world.note(&format!("LOST: {task} is to last and has not run for {time:?}"));
+                world.note(&format!(
+                    "LOST: {task} is to last and has not run for {time:?}"
+                ));
             }
         }
     }
@@ -231,11 +261,20 @@
             let next = runs.get(at + 1).map_or(now, |next| next.2);
             Some(next - run.3?)
         });
-        world.note(&format!("{task}: {} runs, longest away {:?}", runs.len(), longest.max()));
+        world.note(&format!(
+            "{task}: {} runs, longest away {:?}",
+            runs.len(),
+            longest.max()
+        ));
     }
     let memory: Vec<u64> = hosts.iter().map(Host::memory_mb).collect();
-    world.note(&format!("memory of the hosts in MB: {memory:?}; store {:?}", store.counts()));
-    world.note(&format!("hosts that renewed the owner's lease meanwhile, in turn: {owners:?}"));
+    world.note(&format!(
+        "memory of the hosts in MB: {memory:?}; store {:?}",
+        store.counts()
+    ));
+    world.note(&format!(
+        "hosts that renewed the owner's lease meanwhile, in turn: {owners:?}"
+    ));
     if hosts.iter_mut().any(Host::has_ended) {
         world.note("a host has ended by itself");
     }
--- a/review/standin-2/frozen_owner.rs
+++ b/review/standin-2/frozen_owner.rs
@@ -82,8 +82,9 @@
              \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         ),
     );
-    let workers: Vec<Arc<Worker>> =
-        (0..WORKERS).map(|at| Worker::start(at, MAX_HOLD_MS, &store, world)).collect();
+    let workers: Vec<Arc<Worker>> = (0..WORKERS)
+        .map(|at| Worker::start(at, MAX_HOLD_MS, &store, world))
+        .collect();
     let host = |at| Host::new(folder, at, CPU_SHARE, MAX_HOLD_MS, store.open(at));
     let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
     for host in &mut hosts {
@@ -131,7 +132,10 @@
     let frozen = Instant::now();
     if has_trouble {
         hosts[owner].signal(SIGSTOP);
-        world.note(&format!("{} freezes, the first of its starts have arrived", hosts[owner].name));
+        world.note(&format!(
+            "{} freezes, the first of its starts have arrived",
+            hosts[owner].name
+        ));
     }
     for (number, sender) in senders.into_iter().enumerate() {
         let status = sender.join().ok().flatten();
@@ -153,9 +157,14 @@
     for task in &tasks {
         if let Some((first, second)) = overlap(&world.runs(task)) {
             broken += 1;
-            world.note(&format!("TWICE: {task} runs as {first} and {second} at the same time"));
+            world.note(&format!(
+                "TWICE: {task} runs as {first} and {second} at the same time"
+            ));
         }
     }
-    world.note(&format!("{broken} of {} tasks ran twice at the same time", tasks.len()));
+    world.note(&format!(
+        "{broken} of {} tasks ran twice at the same time",
+        tasks.len()
+    ));
     if broken > 0 { BROKEN } else { HELD }
 }
--- a/review/standin-2/gang.rs
+++ b/review/standin-2/gang.rs
@@ -69,7 +69,9 @@
              \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         ),
     );
-    let workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, MAX_HOLD_MS, &store, world)).collect();
+    let workers: Vec<_> = (0..WORKERS)
+        .map(|at| Worker::start(at, MAX_HOLD_MS, &store, world))
+        .collect();
     let host = |at| Host::new(folder, at, 1.0, MAX_HOLD_MS, store.open(at));
     let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
     for host in &mut hosts {
@@ -90,11 +92,16 @@
     let path = format!("{PREFIX}{id}");
     let timeout = Duration::from_secs(3);
     let answer = http::call(hosts[0].callers, "POST", &path, HOST, &gang, timeout);
-    world.note(&format!("POST {id}: {:?}", answer.as_ref().map(|answer| answer.0)));
+    world.note(&format!(
+        "POST {id}: {:?}",
+        answer.as_ref().map(|answer| answer.0)
+    ));
     if answer.is_none_or(|answer| answer.0 != 200) {
         return NOT_RUN;
     }
-    let tasks: Vec<String> = (0..MEMBERS).map(|index| format!("{step}.{index}")).collect();
+    let tasks: Vec<String> = (0..MEMBERS)
+        .map(|index| format!("{step}.{index}"))
+        .collect();
     let began = Instant::now();
     while !tasks.iter().all(|task| world.is_running(task)) {
         if began.elapsed() > Duration::from_secs(10) {
@@ -106,7 +113,10 @@
     std::thread::sleep(CRASH_AFTER);
     if has_trouble {
         let home = world.runs(&tasks[0]).last().map(|run| run.1.clone());
-        let Some(lost) = workers.iter().find(|worker| Some(worker.name()) == home.as_deref()) else {
+        let Some(lost) = workers
+            .iter()
+            .find(|worker| Some(worker.name()) == home.as_deref())
+        else {
             return NOT_RUN;
         };
         world.note(&format!("{} crashes", lost.name()));
@@ -127,8 +137,13 @@
     for task in &tasks {
         let runs = world.runs(task);
         let last = runs.last().map(|run| run.0);
-        world.note(&format!("{task}: {} runs, the last is number {last:?}", runs.len()));
+        world.note(&format!(
+            "{task}: {} runs, the last is number {last:?}",
+            runs.len()
+        ));
     }
-    world.note(&format!("{alone} runs ended alone later than {CALM:?} after the loss"));
+    world.note(&format!(
+        "{alone} runs ended alone later than {CALM:?} after the loss"
+    ));
     if alone > 0 && !is_done { BROKEN } else { HELD }
 }
--- a/review/standin-2/given_up.rs
+++ b/review/standin-2/given_up.rs
@@ -62,7 +62,9 @@
              \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         ),
     );
-    let workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, MAX_HOLD_MS, &store, world)).collect();
+    let workers: Vec<_> = (0..WORKERS)
+        .map(|at| Worker::start(at, MAX_HOLD_MS, &store, world))
+        .collect();
     let host = |at| Host::new(folder, at, 1.0, MAX_HOLD_MS, store.open(at));
     let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
     for host in &mut hosts {
@@ -83,12 +85,17 @@
     let path = format!("{PREFIX}{id}");
     let timeout = Duration::from_secs(3);
     let answer = http::call(hosts[0].callers, "POST", &path, HOST, &lasting, timeout);
-    world.note(&format!("POST {id}: {:?}", answer.as_ref().map(|answer| answer.0)));
+    world.note(&format!(
+        "POST {id}: {:?}",
+        answer.as_ref().map(|answer| answer.0)
+    ));
     if answer.is_none_or(|answer| answer.0 != 200) {
         return NOT_RUN;
     }
     let state = || http::call(hosts[1].callers, "GET", &path, HOST, "", timeout);
-    let tasks: Vec<String> = (0..TASKS).map(|index| format!("{id}.0.0.{index}")).collect();
+    let tasks: Vec<String> = (0..TASKS)
+        .map(|index| format!("{id}.0.0.{index}"))
+        .collect();
     let crashes = if has_trouble { CRASHES } else { 0 };
     let mut known = 0;
     for _ in 0..crashes {
@@ -103,19 +110,28 @@
         known = runs.len();
         std::thread::sleep(YOUNG);
         let home = runs.last().map(|run| run.1.clone());
-        let Some(worker) = workers.iter().find(|worker| Some(worker.name()) == home.as_deref()) else {
+        let Some(worker) = workers
+            .iter()
+            .find(|worker| Some(worker.name()) == home.as_deref())
+        else {
             return NOT_RUN;
         };
         world.note(&format!("{} crashes", worker.name()));
         worker.lose();
         std::thread::sleep(DOWN);
         worker.come_back();
-        world.note(&format!("{} is back; GET {id}: {:?}", worker.name(), state()));
+        world.note(&format!(
+            "{} is back; GET {id}: {:?}",
+            worker.name(),
+            state()
+        ));
     }
     std::thread::sleep(WATCHED);
     let last = state();
     let running = tasks.iter().filter(|task| world.is_running(task)).count();
-    world.note(&format!("GET {id} at the end: {last:?}; {running} of its {TASKS} tasks run"));
+    world.note(&format!(
+        "GET {id} at the end: {last:?}; {running} of its {TASKS} tasks run"
+    ));
     let is_failed = last.is_some_and(|answer| answer.1.contains("failed"));
     if is_failed { BROKEN } else { HELD }
 }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -30,7 +30,9 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let hex = bytes.get(at + 1..at + 3).and_then(|hex| std::str::from_utf8(hex).ok());
+        let hex = bytes
+            .get(at + 1..at + 3)
+            .and_then(|hex| std::str::from_utf8(hex).ok());
         match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             Some(byte) if bytes[at] == b'%' => {
                 out.push(byte);
@@ -95,7 +97,9 @@
         let request = Request {
             method,
             path: path.to_owned(),
-            query: pairs.map(|(key, value)| (key.to_owned(), decode(value))).collect(),
+            query: pairs
+                .map(|(key, value)| (key.to_owned(), decode(value)))
+                .collect(),
             instance: header(&lines, "x-expected-instance"),
             body: json::parse(&body),
         };
@@ -104,7 +108,9 @@
             "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             text.len()
         );
-        writer.write_all(&[head.as_bytes(), text.as_bytes()].concat()).ok()?;
+        writer
+            .write_all(&[head.as_bytes(), text.as_bytes()].concat())
+            .ok()?;
     }
 }
 
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -16,7 +16,10 @@
     pub fn get(&self, name: &str) -> &Json {
         const NULL: &Json = &Json::Null;
         match self {
-            Json::Map(rows) => rows.iter().find(|row| row.0 == name).map_or(NULL, |row| &row.1),
+            Json::Map(rows) => rows
+                .iter()
+                .find(|row| row.0 == name)
+                .map_or(NULL, |row| &row.1),
             _ => NULL,
         }
     }
@@ -179,7 +182,11 @@
         }
         for at in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * at)) as usize & 63];
-            out.push(if at > part.len() { '=' } else { char::from(digit) });
+            out.push(if at > part.len() {
+                '='
+            } else {
+                char::from(digit)
+            });
         }
     }
     out
--- a/review/standin-2/large_job.rs
+++ b/review/standin-2/large_job.rs
@@ -40,7 +40,14 @@
 
 fn submit(world: &World, host: &Host, id: &str, body: &str) -> bool {
     let timeout = Duration::from_secs(3);
-    let answer = http::call(host.callers, "POST", &format!("{PREFIX}{id}"), HOST, body, timeout);
+    let answer = http::call(
+        host.callers,
+        "POST",
+        &format!("{PREFIX}{id}"),
+        HOST,
+        body,
+        timeout,
+    );
     let status = answer.map(|answer| answer.0);
     world.note(&format!("POST {id} at {}: {status:?}", host.name));
     status == Some(200)
@@ -74,7 +81,9 @@
              \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         ),
     );
-    let _workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, MAX_HOLD_MS, &store, world)).collect();
+    let _workers: Vec<_> = (0..WORKERS)
+        .map(|at| Worker::start(at, MAX_HOLD_MS, &store, world))
+        .collect();
     let host = |at| Host::new(folder, at, 1.0, MAX_HOLD_MS, store.open(at));
     let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
     for host in &mut hosts {
@@ -112,8 +121,11 @@
     world.note("the traffic ends");
     let ended = Instant::now();
     let tasks = |id: &String| [format!("{id}.0.0.0"), format!("{id}.0.0.1")];
-    let mut idle: Vec<(String, Option<Instant>)> =
-        accepted.iter().flat_map(tasks).map(|task| (task, None)).collect();
+    let mut idle: Vec<(String, Option<Instant>)> = accepted
+        .iter()
+        .flat_map(tasks)
+        .map(|task| (task, None))
+        .collect();
     let mut broken = 0;
     while ended.elapsed() < FINISH + IDLE * 3 {
         std::thread::sleep(Duration::from_millis(100));
@@ -122,9 +134,15 @@
         }
         for (task, since) in &mut idle {
             let is_idle = world.runs(task).is_empty();
-            *since = if is_idle { since.or(Some(Instant::now())) } else { None };
+            *since = if is_idle {
+                since.or(Some(Instant::now()))
+            } else {
+                None
+            };
         }
-        let lost = idle.iter().filter(|row| row.1.is_some_and(|at| at.elapsed() >= IDLE));
+        let lost = idle
+            .iter()
+            .filter(|row| row.1.is_some_and(|at| at.elapsed() >= IDLE));
         broken = lost.count();
     }
     world.note(&format!(
@@ -135,7 +153,10 @@
     ));
     let running = world.count_running();
     world.note(&format!("{running} tasks run on the {WORKERS} workers"));
-    world.note(&format!("keys, refusals for the rate, refusals of large values: {:?}", store.counts()));
+    world.note(&format!(
+        "keys, refusals for the rate, refusals of large values: {:?}",
+        store.counts()
+    ));
     for host in &hosts {
         world.note(&format!("memory of {}: {} MB", host.name, host.memory_mb()));
     }
--- a/review/standin-2/late_start.rs
+++ b/review/standin-2/late_start.rs
@@ -65,7 +65,9 @@
              \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         ),
     );
-    let workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, MAX_HOLD_MS, &store, world)).collect();
+    let workers: Vec<_> = (0..WORKERS)
+        .map(|at| Worker::start(at, MAX_HOLD_MS, &store, world))
+        .collect();
     let host = |at| Host::new(folder, at, 1.0, MAX_HOLD_MS, store.open(at));
     let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
     for host in &mut hosts {
@@ -90,7 +92,11 @@
         let path = format!("{PREFIX}{}", job(number));
         let timeout = Duration::from_secs(3);
         let answer = http::call(hosts[0].callers, "POST", &path, HOST, &lasting, timeout);
-        world.note(&format!("POST {}: {:?}", job(number), answer.as_ref().map(|answer| answer.0)));
+        world.note(&format!(
+            "POST {}: {:?}",
+            job(number),
+            answer.as_ref().map(|answer| answer.0)
+        ));
         if answer.is_none_or(|answer| answer.0 != 200) {
             return NOT_RUN;
         }
@@ -108,19 +114,30 @@
         return NOT_RUN;
     }
     let late = world.late_tasks();
-    world.note(&format!("all {} lasting tasks run, {} of them started late", tasks.len(), late.len()));
+    world.note(&format!(
+        "all {} lasting tasks run, {} of them started late",
+        tasks.len(),
+        late.len()
+    ));
     let mut since = Instant::now();
     if has_trouble {
         // The worker of a task whose start got no answer: what the seed of a day may pick.
-        let home = late.iter().find_map(|task| world.runs(task).last().map(|run| run.1.clone()));
-        let lost = workers.iter().find(|worker| Some(worker.name()) == home.as_deref());
+        let home = late
+            .iter()
+            .find_map(|task| world.runs(task).last().map(|run| run.1.clone()));
+        let lost = workers
+            .iter()
+            .find(|worker| Some(worker.name()) == home.as_deref());
         let (Some(lost), Some(owner)) = (lost, store.renewed_by()) else {
             return NOT_RUN;
         };
         world.note(&format!("{} is lost for good", lost.name()));
         lost.lose();
         std::thread::sleep(Duration::from_millis(100));
-        world.note(&format!("SIGKILL of {}, which renewed its lease last", hosts[owner].name));
+        world.note(&format!(
+            "SIGKILL of {}, which renewed its lease last",
+            hosts[owner].name
+        ));
         hosts[owner].signal(SIGKILL);
         std::thread::sleep(DOWN);
         hosts[owner].start();
@@ -135,7 +152,9 @@
             let away = breaks_rule(&world.runs(task), since, Instant::now());
             if let Some(away) = away.filter(|_| !broken.contains(task)) {
                 broken.push(task.clone());
-                world.note(&format!("LOST: {task} is to last and has not run for {away:?}"));
+                world.note(&format!(
+                    "LOST: {task} is to last and has not run for {away:?}"
+                ));
             }
         }
     }
@@ -147,7 +166,9 @@
         });
         if let Some(longest) = longest.max() {
             let is_late = late.contains(task);
-            world.note(&format!("{task}, started late: {is_late}, was away for {longest:?}"));
+            world.note(&format!(
+                "{task}, started late: {is_late}, was away for {longest:?}"
+            ));
         }
     }
     if broken.is_empty() { HELD } else { BROKEN }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -15,8 +15,8 @@
 mod given_up;
 mod images;
 mod large_job;
-mod next_life;
 mod late_start;
+mod next_life;
 
 use std::path::Path;
 use std::process::ExitCode;
--- a/review/standin-2/next_life.rs
+++ b/review/standin-2/next_life.rs
@@ -66,7 +66,9 @@
              \"services\":[{{\"name\":\"label-dispatch\",\"enforcesCapacity\":false}}],\"limits\":{{}}}}"
         ),
     );
-    let workers: Vec<_> = (0..WORKERS).map(|at| Worker::start(at, MAX_HOLD_MS, &store, world)).collect();
+    let workers: Vec<_> = (0..WORKERS)
+        .map(|at| Worker::start(at, MAX_HOLD_MS, &store, world))
+        .collect();
     let host = |at| Host::new(folder, at, 1.0, MAX_HOLD_MS, store.open(at));
     let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
     for host in &mut hosts {
@@ -91,7 +93,11 @@
     for number in 0..2 {
         let path = format!("{PREFIX}{}", job(number));
         let answer = http::call(hosts[0].callers, "POST", &path, HOST, &body, timeout);
-        world.note(&format!("POST {}: {:?}", job(number), answer.as_ref().map(|answer| answer.0)));
+        world.note(&format!(
+            "POST {}: {:?}",
+            job(number),
+            answer.as_ref().map(|answer| answer.0)
+        ));
         if answer.is_none_or(|answer| answer.0 != 200) {
             return NOT_RUN;
         }
@@ -119,7 +125,11 @@
             worker.come_back();
             world.note(&format!("{} is back", worker.name()));
         }
-        world.note(&format!("the start of {} is carried out {:?} late", late.1, sent.elapsed()));
+        world.note(&format!(
+            "the start of {} is carried out {:?} late",
+            late.1,
+            sent.elapsed()
+        ));
         world.release_start();
     }
     std::thread::sleep(WATCHED);
@@ -129,7 +139,9 @@
             let task = format!("{}.0.0.{index}", job(number));
             if let Some((first, second)) = overlap(&world.runs(&task)) {
                 broken += 1;
-                world.note(&format!("TWICE: {task} runs as {first} and {second} at the same time"));
+                world.note(&format!(
+                    "TWICE: {task} runs as {first} and {second} at the same time"
+                ));
             }
         }
     }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -113,7 +113,8 @@
     pub fn find(&self, end: &str) -> Vec<(String, String)> {
         let state = self.0.lock().expect("lock");
         let rows = state.items.iter().filter(|row| row.0.ends_with(end));
-        rows.map(|row| (row.0.clone(), row.1.value.clone())).collect()
+        rows.map(|row| (row.0.clone(), row.1.value.clone()))
+            .collect()
     }
 
     /// Host that has renewed a lease last.
@@ -169,10 +170,16 @@
             },
             "/kv-range" => state.range(request),
             "/kv-lease" => {
-                let ttl = request.body.number("ttlMs").unwrap_or(1000).clamp(1000, 600_000);
+                let ttl = request
+                    .body
+                    .number("ttlMs")
+                    .unwrap_or(1000)
+                    .clamp(1000, 600_000);
                 state.revision += 1;
                 let (lease, length) = (state.revision, Duration::from_millis(ttl));
-                state.leases.insert(lease, (Instant::now() + length, length));
+                state
+                    .leases
+                    .insert(lease, (Instant::now() + length, length));
                 (200, format!("{{\"lease\":{lease},\"ttlMs\":{ttl}}}"))
             }
             "/kv-txn" => state.commit(&request.body),
@@ -188,7 +195,9 @@
             {
                 let state = self.0.lock().expect("lock");
                 let first = state.history.partition_point(|row| row.0 <= after);
-                let rows = state.history[first..].iter().filter(|row| row.1.starts_with(prefix));
+                let rows = state.history[first..]
+                    .iter()
+                    .filter(|row| row.1.starts_with(prefix));
                 let events: Vec<String> = rows
                     .map(|(revision, key, item)| match item {
                         Some(item) => entry(key, item),
@@ -224,14 +233,23 @@
     }
 
     fn put(&mut self, key: &str, value: &str, lease: u64) {
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
         if lease > 0 {
             self.leased.entry(lease).or_default().push(key.to_owned());
         }
         let (value, revision) = (value.to_owned(), self.revision);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.items.insert(key.to_owned(), item.clone());
-        self.history.push((self.revision, key.to_owned(), Some(item)));
+        self.history
+            .push((self.revision, key.to_owned(), Some(item)));
     }
 
     fn remove(&mut self, key: &str) {
@@ -288,7 +306,11 @@
             return (412, format!("{{\"items\":[{list}]}}"));
         }
         let size = |row: &Json| row.text("value").len() / 4 * 3;
-        if body.list("putItems").iter().any(|row| size(row) > VALUE_BYTES + 2) {
+        if body
+            .list("putItems")
+            .iter()
+            .any(|row| size(row) > VALUE_BYTES + 2)
+        {
             self.oversized += 1;
             return (400, "{}".to_owned());
         }
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -47,8 +47,13 @@
 
 impl Life {
     fn new() -> Self {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
-        Self { born: born.as_millis(), since: Instant::now() }
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("after 1970");
+        Self {
+            born: born.as_millis(),
+            since: Instant::now(),
+        }
     }
 }
 
@@ -146,7 +151,8 @@
     /// Whether a late start of it waits for the scenario.
     fn is_held(&self, request: &Request) -> bool {
         let held = self.world.held_start();
-        let is_it = held.is_some_and(|held| held.0 == self.name && held.1 == request.body.text("task"));
+        let is_it =
+            held.is_some_and(|held| held.0 == self.name && held.1 == request.body.text("task"));
         is_it && self.world.waits_for_release() && !self.world.is_released()
     }
 
@@ -191,15 +197,20 @@
         let mut state = self.state.lock().expect("lock");
         let is_lapsed = now > state.lease_end;
         let is_done = |run: &Run| run.duration.is_some_and(|time| run.since.elapsed() >= time);
-        let rows = state.runs.iter().filter_map(|(task, run)| match (is_lapsed, is_done(run)) {
-            (true, _) => Some((task.clone(), "lapsed")),
-            (false, true) => Some((task.clone(), "done")),
-            (false, false) => {
-                let (_, duration) = run.gang?;
-                let end = self.world.gang_end(task, run.number, run.since, duration, GANG_TIMEOUT);
-                end.map(|how| (task.clone(), how))
-            }
-        });
+        let rows = state
+            .runs
+            .iter()
+            .filter_map(|(task, run)| match (is_lapsed, is_done(run)) {
+                (true, _) => Some((task.clone(), "lapsed")),
+                (false, true) => Some((task.clone(), "done")),
+                (false, false) => {
+                    let (_, duration) = run.gang?;
+                    let end =
+                        self.world
+                            .gang_end(task, run.number, run.since, duration, GANG_TIMEOUT);
+                    end.map(|how| (task.clone(), how))
+                }
+            });
         let ended: Vec<(String, &'static str)> = rows.collect();
         for (task, how) in ended {
             self.end(&mut state, &task, how);
@@ -211,7 +222,9 @@
             return;
         };
         state.last_end += 1;
-        state.ended.push((state.last_end, task.to_owned(), run.number, how));
+        state
+            .ended
+            .push((state.last_end, task.to_owned(), run.number, how));
         let closed = state.closed.entry(task.to_owned()).or_default();
         *closed = run.number.max(*closed);
         self.world.leave_gang(task, run.number, how);
@@ -224,7 +237,11 @@
     }
 
     fn answer(&self, request: &Request) -> Answer {
-        if request.instance.as_ref().is_some_and(|name| *name != self.name) {
+        if request
+            .instance
+            .as_ref()
+            .is_some_and(|name| *name != self.name)
+        {
             return Some((421, "{}".to_owned()));
         }
         let fence = request.body.number("fencingToken").unwrap_or(0);
@@ -260,7 +277,10 @@
 
     fn refusal(&self, reason: &str) -> (u16, String) {
         let clock = self.clock();
-        (409, format!("{{\"clockMs\":{clock},\"reason\":\"{reason}\"}}"))
+        (
+            409,
+            format!("{{\"clockMs\":{clock},\"reason\":\"{reason}\"}}"),
+        )
     }
 
     fn start_run(&self, request: &Request) -> Option<&'static str> {
@@ -275,16 +295,28 @@
         if state.runs.get(task).is_some_and(|run| run.number == number) {
             return None;
         }
-        if state.closed.get(task).is_some_and(|closed| number <= *closed) {
+        if state
+            .closed
+            .get(task)
+            .is_some_and(|closed| number <= *closed)
+        {
             return Some("old");
         }
         let specification = body.text("specification");
         let duration = specification.parse().ok().map(Duration::from_millis);
         let gang = specification.strip_prefix("gang ").and_then(|text| {
             let (count, millis) = text.split_once(' ')?;
-            Some((count.parse().ok()?, Duration::from_millis(millis.parse().ok()?)))
+            Some((
+                count.parse().ok()?,
+                Duration::from_millis(millis.parse().ok()?),
+            ))
         });
-        let run = Run { number, since: Instant::now(), duration, gang };
+        let run = Run {
+            number,
+            since: Instant::now(),
+            duration,
+            gang,
+        };
         state.runs.insert(task.to_owned(), run);
         self.world.run_started(task, number, &self.name);
         if let Some((count, _)) = gang {
@@ -324,9 +356,13 @@
             });
             format!("[{},{},\"\",{percent},1]", quote(task), run.number)
         });
-        let finished = state.ended.iter().take(500).map(|(number, task, run, how)| {
-            format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
-        });
+        let finished = state
+            .ended
+            .iter()
+            .take(500)
+            .map(|(number, task, run, how)| {
+                format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
+            });
         let body = format!(
             "{{\"clockMs\":{},\"born\":{},\"running\":[{}],\"finished\":[{}]}}",
             self.clock(),
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -57,7 +57,10 @@
 
 impl World {
     pub fn new() -> Self {
-        Self { began: Instant::now(), seen: Arc::default() }
+        Self {
+            began: Instant::now(),
+            seen: Arc::default(),
+        }
     }
 
     pub fn note(&self, text: &str) {
@@ -90,7 +93,8 @@
     /// Takes note of a start order that is carried out late.
     pub fn hold_start(&self, worker: &str, task: &str) {
         let mut seen = self.seen.lock().expect("lock");
-        seen.held.get_or_insert((worker.to_owned(), task.to_owned()));
+        seen.held
+            .get_or_insert((worker.to_owned(), task.to_owned()));
     }
 
     /// Worker and task of the first such order.
@@ -137,7 +141,9 @@
     ) -> Option<&'static str> {
         let mut seen = self.seen.lock().expect("lock");
         let gang = seen.gangs.get_mut(&(step_of(task), run))?;
-        if gang.is_done || gang.complete.is_some_and(|at| at.elapsed() >= duration) && !gang.is_broken {
+        if gang.is_done
+            || gang.complete.is_some_and(|at| at.elapsed() >= duration) && !gang.is_broken
+        {
             gang.is_done = true;
             return Some("done");
         }
@@ -155,7 +161,8 @@
     pub fn gang_worked(&self, task: &str, run: u64) -> Duration {
         let seen = self.seen.lock().expect("lock");
         let gang = seen.gangs.get(&(step_of(task), run));
-        gang.and_then(|gang| gang.complete).map_or(Duration::ZERO, |at| at.elapsed())
+        gang.and_then(|gang| gang.complete)
+            .map_or(Duration::ZERO, |at| at.elapsed())
     }
 
     /// Takes note that a member has ended in some way.
@@ -171,8 +178,14 @@
     /// moment.
     pub fn gang_state(&self, step: &str, since: Instant) -> (bool, usize) {
         let seen = self.seen.lock().expect("lock");
-        let is_done = seen.gangs.iter().any(|row| row.0.0 == step && row.1.is_done);
-        let alone = seen.alone.iter().filter(|row| step_of(&row.0) == step && row.1 > since);
+        let is_done = seen
+            .gangs
+            .iter()
+            .any(|row| row.0.0 == step && row.1.is_done);
+        let alone = seen
+            .alone
+            .iter()
+            .filter(|row| step_of(&row.0) == step && row.1 > since);
         (is_done, alone.count())
     }
 
@@ -197,7 +210,9 @@
         self.record(format!("{worker} ends {task} run {number}: {how}"));
         let mut seen = self.seen.lock().expect("lock");
         let runs = seen.runs.entry(task.to_owned()).or_default();
-        let run = runs.iter_mut().find(|run| run.0 == number && run.1 == worker && run.3.is_none());
+        let run = runs
+            .iter_mut()
+            .find(|run| run.0 == number && run.1 == worker && run.3.is_none());
         if let Some(run) = run {
             run.3 = Some(Instant::now());
         }
@@ -205,7 +220,13 @@
 
     /// Runs of a task so far.
     pub fn runs(&self, task: &str) -> Runs {
-        self.seen.lock().expect("lock").runs.get(task).cloned().unwrap_or_default()
+        self.seen
+            .lock()
+            .expect("lock")
+            .runs
+            .get(task)
+            .cloned()
+            .unwrap_or_default()
     }
 
     pub fn is_running(&self, task: &str) -> bool {
@@ -214,7 +235,11 @@
 
     pub fn count_running(&self) -> usize {
         let seen = self.seen.lock().expect("lock");
-        seen.runs.values().flatten().filter(|run| run.3.is_none()).count()
+        seen.runs
+            .values()
+            .flatten()
+            .filter(|run| run.3.is_none())
+            .count()
     }
 
     pub fn write(&self, path: &Path) {
@@ -236,7 +261,10 @@
 
 /// Processor time of all threads of a process, in nanoseconds.
 fn cpu_ns(id: i32) -> u64 {
-    let threads = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
+    let threads = std::fs::read_dir(format!("/proc/{id}/task"))
+        .into_iter()
+        .flatten()
+        .flatten();
     let times = threads.filter_map(|thread| {
         let text = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
         text.split_whitespace().next()?.parse::<u64>().ok()
@@ -262,7 +290,11 @@
                 unsafe { kill(id, SIGCONT) };
             }
             // What was used beyond the allowance is taken off the next one.
-            let over = if id == known { used.saturating_sub(base + allowance) } else { 0 };
+            let over = if id == known {
+                used.saturating_sub(base + allowance)
+            } else {
+                0
+            };
             (known, base, begin, is_stopped) = (id, used - over, Instant::now(), false);
         }
         if !is_stopped && cpu_ns(id) >= base + allowance {
@@ -290,7 +322,12 @@
         let name = format!("frontend-kurume-{}", number + 1);
         // Ports are free on an address that no other process of this machine uses.
         let part = std::process::id().to_le_bytes();
-        let ip = IpAddr::V4(Ipv4Addr::new(127, 1 + part[0] % 250, part[1], 10 + number as u8));
+        let ip = IpAddr::V4(Ipv4Addr::new(
+            127,
+            1 + part[0] % 250,
+            part[1],
+            10 + number as u8,
+        ));
         let port = |port| SocketAddr::new(ip, port);
         for taken in [8161, 8167, 7720, 7721] {
             TcpListener::bind(port(taken)).expect("a free port");
@@ -329,7 +366,11 @@
     }
 
     pub fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log");
         let errors = log.try_clone().expect("a log");
         let child = Command::new("target/release/verbenahitch-platform")
             .env_clear()
@@ -363,7 +404,9 @@
 
     /// Whether it has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| child.try_wait().ok().flatten().is_some())
+        self.child
+            .as_mut()
+            .is_some_and(|child| child.try_wait().ok().flatten().is_some())
     }
 
     /// Resident memory in MB.
