--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::json::{self, Json};
@@ -73,15 +73,34 @@
     row.next().map(|(_, value)| value.trim().to_owned())
 }
 
+/// Connections that a server has accepted.
+pub type Connections = Arc<Mutex<Vec<TcpStream>>>;
+
+/// Closes connections, as the end of their process does.
+pub fn close(connections: &Connections) {
+    for stream in connections.lock().expect("lock").drain(..) {
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
 /// Serves on a listener until the process ends.
-pub fn serve(listener: TcpListener, handler: impl Fn(Request) -> Answer + Send + Sync + 'static) {
+pub fn serve(
+    listener: TcpListener,
+    handler: impl Fn(Request) -> Answer + Send + Sync + 'static,
+) -> Connections {
     let handler = Arc::new(handler);
+    let connections = Connections::default();
+    let accepted = Arc::clone(&connections);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = Arc::clone(&handler);
+            if let Ok(held) = stream.try_clone() {
+                accepted.lock().expect("lock").push(held);
+            }
             std::thread::spawn(move || connection(stream, &*handler));
         }
     });
+    connections
 }
 
 fn connection(stream: TcpStream, handler: &dyn Fn(Request) -> Answer) -> Option<()> {
--- a/review/standin-2/next_life.rs
+++ b/review/standin-2/next_life.rs
@@ -3,11 +3,10 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use crate::frozen_owner::overlap;
 use crate::http;
 use crate::store::Store;
 use crate::worker::Worker;
-use crate::world::{Host, World};
+use crate::world::{Host, Runs, World};
 use crate::{BROKEN, HELD, NOT_RUN};
 
 const HOSTS: usize = 3;
@@ -38,6 +37,18 @@
     format!("5c0e7a21d94b{number:04x}")
 }
 
+/// Two runs of a task at the same time.
+fn overlap(runs: &Runs) -> Option<(u64, u64)> {
+    for (at, run) in runs.iter().enumerate() {
+        for other in &runs[..at] {
+            if other.3.is_none_or(|end| end > run.2) {
+                return Some((other.0, run.0));
+            }
+        }
+    }
+    None
+}
+
 pub fn run(record: &Path, has_trouble: bool) -> u8 {
     let world = World::new();
     let folder = std::env::temp_dir().join(format!("drill-{}", std::process::id()));
@@ -114,6 +125,8 @@
             std::thread::sleep(Duration::from_millis(2));
         };
         let sent = Instant::now();
+        // No further order is late: the time for which they are is over.
+        world.set_late(0);
         let Some(worker) = workers.iter().find(|worker| worker.name() == late.0) else {
             return NOT_RUN;
         };
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -75,6 +75,8 @@
     hold_ms: u64,
     /// Whether it is lost for good: it neither answers nor works.
     is_gone: AtomicBool,
+    /// Connections of the present life.
+    connections: Mutex<http::Connections>,
     world: World,
 }
 
@@ -86,12 +88,13 @@
             state: Mutex::default(),
             hold_ms,
             is_gone: AtomicBool::new(false),
+            connections: Mutex::default(),
             world: world.clone(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let server = Arc::clone(&worker);
-        http::serve(listener, move |request| {
+        let connections = http::serve(listener, move |request| {
             if server.is_gone.load(Ordering::Relaxed) {
                 std::thread::sleep(SILENCE);
                 return None;
@@ -117,6 +120,7 @@
             std::thread::sleep(SILENCE);
             None
         });
+        *worker.connections.lock().expect("lock") = connections;
         let ticker = Arc::clone(&worker);
         std::thread::spawn(move || {
             loop {
@@ -168,6 +172,8 @@
 
     /// Begins its next life, under its name and at its address; it knows nothing of before.
     pub fn come_back(&self) {
+        // No connection to the earlier life reaches this one.
+        http::close(&self.connections.lock().expect("lock"));
         *self.state.lock().expect("lock") = State::default();
         *self.life.lock().expect("lock") = Life::new();
         self.is_gone.store(false, Ordering::Relaxed);
