owner: a commit that fails names its size and its largest value

Change: event 315 commit-failed with the number of keys, the bytes, the key and the size of the largest value and the time since the first attempt; the gauge verbenahitch_owner_commit_unstored_seconds.

--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -49,6 +49,8 @@
     let outcome = if is_ok { "stored" } else { "failed" };
     counter!("verbenahitch_owner_commits_total", "outcome" => outcome).increment(1);
     histogram!("verbenahitch_owner_commit_seconds").record(took.as_secs_f64());
+    let unstored = if is_ok { Duration::ZERO } else { took };
+    gauge!("verbenahitch_owner_commit_unstored_seconds").set(unstored.as_secs_f64());
 }
 
 /// Sets the metrics of the owner: workers that may be given tasks, active runs, the runs
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -10,6 +10,7 @@
 use crate::domain::Millis;
 use crate::entry::keys::{self, JobEntry};
 use crate::entry::{observe, watcher};
+use crate::event::{Entry, Kind};
 use crate::port::{Clock, KeyValue, KvError, Platform, Put, Transaction};
 
 /// Minimum interval between two writes of the learned pressures between images (see
@@ -131,10 +132,28 @@
                 self.dispatcher.commit_stored(now);
             }
             Err(error) => {
-                log::info!("a commit failed and is sent again: {error}");
+                self.log_failed(&error);
                 self.send_commit(watcher::retry_delay());
             }
         }
         None
     }
+
+    fn log_failed(&self, error: &KvError) {
+        let Some((transaction, since)) = &self.pending_commit else {
+            return;
+        };
+        let largest = transaction.largest();
+        Entry::new(Kind::CommitFailed)
+            .with("puts", transaction.puts.len())
+            .with("bytes", transaction.value_bytes())
+            .with("largest", largest.map(|put| &put.key))
+            .with("largest-bytes", largest.map(|put| put.value.len()))
+            .with(
+                "unstored-ms",
+                u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX),
+            )
+            .with_text("cause", error)
+            .emit();
+    }
 }
--- a/crates/verbenahitch/src/entry/owner/handover.rs
+++ b/crates/verbenahitch/src/entry/owner/handover.rs
@@ -171,7 +171,12 @@
         match kv.commit(transaction).await {
             Ok(_) => return Some(Outcome::HandedOver),
             // This attempt had no effect, such as when the successor has withdrawn.
-            Err(KvError::NoLease | KvError::Refused { .. } | KvError::Compacted) => {
+            Err(
+                KvError::NoLease
+                | KvError::Refused { .. }
+                | KvError::Rejected { .. }
+                | KvError::Compacted,
+            ) => {
                 return may_be_applied.then_some(Outcome::HandedOver);
             }
             Err(KvError::Conflict { items }) => {
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -96,6 +96,7 @@
     PermitLapsed = 312, "permit-lapsed", Warn, "No task may start until the zone is confirmed to be in service.";
     PermitRenewed = 313, "permit-renewed", Info, "Tasks may start again.";
     StateUnread = 314, "state-unread", Warn, "A new owner could not read a part of the stored state.";
+    CommitFailed = 315, "commit-failed", Warn, "The store did not take a commit of the owner, or did not answer it.";
     Declared = 400, "declared", Info, "A newer revision of the declarations is in force.";
     DeclarationsChanged = 401, "declarations-changed", Info, "An operator's change was accepted.";
     DeclarationsRefused = 402, "declarations-refused", Info, "An operator's change was refused.";
--- a/crates/verbenahitch/src/port/kv.rs
+++ b/crates/verbenahitch/src/port/kv.rs
@@ -75,6 +75,18 @@
     pub removes: Vec<String>,
 }
 
+impl Transaction {
+    /// Bytes of all values.
+    pub fn value_bytes(&self) -> usize {
+        self.puts.iter().map(|put| put.value.len()).sum()
+    }
+
+    /// Key with the largest value.
+    pub fn largest(&self) -> Option<&Put> {
+        self.puts.iter().max_by_key(|put| put.value.len())
+    }
+}
+
 /// One key to write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Put {
@@ -106,6 +118,12 @@
         /// Cause.
         cause: String,
     },
+    /// The call took no effect, and would be answered alike if it were sent again as it is.
+    #[snafu(display("the call is rejected as it is: {cause}"))]
+    Rejected {
+        /// Cause.
+        cause: String,
+    },
     /// The call may have taken effect, or may still take effect.
     #[snafu(display("no answer, the call may take effect: {cause}"))]
     Unanswered {
