owner: what the store does not take is left out of the commits, and the rest goes on

Cause: handle_committed sends each commit that failed again as it is, whatever the answer. A commit that the store rejects for its content is rejected again for ever, and as one commit is in flight at a time, all others wait behind it.

Evidence: event commit-failed names learned/headroom as the largest value, with 400 for each attempt; with that value left out the case holds.

Change: a rejected commit (400, 403, 413, 422) is taken back, and its parts (records of jobs, voters, learned pressures) are sent one by one. A part that is rejected alone is left out for 0.5 s, then ever longer up to a minute, and tried alone; event 316 write-held and a gauge name it. A store that refuses one commit for 3 s (503, 429) while it renews the owner's lease is handled alike, with pauses of up to 2 s; a commit of which an attempt got no answer is never taken back, as it may still take effect.

Why it works: nothing that a commit holds depends on the other parts of it, so each can be stored without them, and what is not stored has no effect: its runs are not started and its ends not acknowledged.

--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -14,25 +14,69 @@
         if !self.writing.is_empty() || self.is_fenced {
             return Vec::new();
         }
-        let count = self.dirty.len().min(limit);
-        let ids: Vec<JobId> = self.dirty.drain(..count).collect();
-        let mut writes = Vec::with_capacity(ids.len());
+        let mut ids = Vec::new();
+        let held = &self.held_writes;
+        self.dirty.retain(|id| {
+            let is_taken = ids.len() < limit && !held.contains(id);
+            if is_taken {
+                ids.push(*id);
+            }
+            !is_taken
+        });
+        ids.into_iter()
+            .filter_map(|id| self.begin_write(id))
+            .collect()
+    }
+
+    /// Takes the record of a changed job, also of one that is left out of other writes.
+    pub fn take_write(&mut self, id: JobId) -> Option<Write> {
+        if !self.writing.is_empty() || self.is_fenced {
+            return None;
+        }
+        let at = self.dirty.iter().position(|other| *other == id)?;
+        self.dirty.remove(at);
+        self.begin_write(id)
+    }
+
+    fn begin_write(&mut self, id: JobId) -> Option<Write> {
+        let job = self.jobs.get(&id)?;
+        let write = Write {
+            job: id,
+            version: job.version,
+            record: self.progress_record(job),
+        };
+        self.writing.insert(id, write.version);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.is_dirty = false;
+        }
+        Some(write)
+    }
+
+    /// Marks writes that were taken as not stored: they are to be taken again.
+    pub fn return_writes(&mut self, ids: impl IntoIterator<Item = JobId>) {
+        let mut returned = Vec::new();
         for id in ids {
-            let Some(job) = self.jobs.get(&id) else {
+            if self.writing.remove(&id).is_none() {
                 continue;
-            };
-            let write = Write {
-                job: id,
-                version: job.version,
-                record: self.progress_record(job),
-            };
-            self.writing.insert(id, write.version);
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.is_dirty = false;
             }
-            writes.push(write);
+            if let Some(job) = self.jobs.get_mut(&id)
+                && !job.is_dirty
+            {
+                job.is_dirty = true;
+                returned.push(id);
+            }
+        }
+        // They were taken before those that have changed since.
+        self.dirty.splice(0..0, returned);
+    }
+
+    /// Sets whether [`Self::take_writes`] leaves out a job.
+    pub fn hold_write(&mut self, id: JobId, is_held: bool) {
+        if is_held {
+            self.held_writes.insert(id);
+        } else {
+            self.held_writes.remove(&id);
         }
-        writes
     }
 
     fn progress_record(&self, job: &Job) -> ProgressRecord {
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -147,6 +147,8 @@
     dirty: Vec<JobId>,
     /// Versions of the jobs in the write in progress.
     writing: HashMap<JobId, u64>,
+    /// Jobs that are left out of the writes.
+    held_writes: HashSet<JobId>,
     /// Whether a change may let a waiting task start.
     assign_needed: bool,
     /// Last attempt to assign waiting tasks.
@@ -202,6 +204,7 @@
             forecaster: Forecaster::default(),
             dirty: Vec::new(),
             writing: HashMap::default(),
+            held_writes: HashSet::default(),
             assign_needed: true,
             assigned_at: now,
             checked_at: now,
--- a/crates/verbenahitch/src/dispatch/quorum.rs
+++ b/crates/verbenahitch/src/dispatch/quorum.rs
@@ -162,6 +162,14 @@
         }
     }
 
+    /// Marks the voters last taken as not stored: they are to be taken again.
+    pub fn return_voters(&mut self) {
+        if self.voters.writing.take().is_some() {
+            self.voters.is_dirty = true;
+            self.voters.recorded_at = None;
+        }
+    }
+
     /// Whether leases may be extended and runs started: the store has confirmed the
     /// ownership within `quorum_ms`, or most voters have answered within that time and
     /// the outage is not too long.
--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -53,6 +53,12 @@
     gauge!("verbenahitch_owner_commit_unstored_seconds").set(unstored.as_secs_f64());
 }
 
+/// Sets the number of records that the store does not take.
+pub(super) fn set_held_writes(count: usize) {
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+    gauge!("verbenahitch_owner_writes_held").set(count as f64);
+}
+
 /// Sets the metrics of the owner: workers that may be given tasks, active runs, the runs
 /// that workers have listed without an assignment since the last call, and the waiting
 /// steps.
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -2,12 +2,14 @@
 //! process still being the owner and on no commit by anyone else since this process's
 //! last one.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::driver::Driver;
+use super::isolation::{Part, Verdict};
 use super::{Outcome, OwnerEvent};
 use crate::dispatch::{JobState, VoterRecord, Write};
-use crate::domain::Millis;
+use crate::domain::{Millis, Monotonic};
+use crate::entry::election::LEASE_MS;
 use crate::entry::keys::{self, JobEntry};
 use crate::entry::{observe, watcher};
 use crate::event::{Entry, Kind};
@@ -18,12 +20,95 @@
 /// the commits.
 const PRESSURES_INTERVAL_MS: Millis = 3_000;
 
+/// Largest number of jobs in one commit. With three entries per job, the conditions, the
+/// commit ID, the voters and the learned pressures, they fit into the largest transaction
+/// that the store accepts.
+const MAX_COMMIT_JOBS: usize = 8;
+
+/// Time for which the store refuses a commit while it renews the owner's lease, after which the
+/// commit is in doubt, in milliseconds. A store that is busy takes it before.
+const REFUSED_MS: Millis = 3_000;
+
+/// Commit that has not been stored yet.
+#[derive(Debug)]
+pub(super) struct PendingCommit {
+    transaction: Transaction,
+    parts: Vec<Part>,
+    since: Instant,
+    /// Whether an attempt got no answer, and may still take effect.
+    is_uncertain: bool,
+}
+
+impl PendingCommit {
+    fn age_ms(&self) -> Millis {
+        u64::try_from(self.since.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+/// Adds the record of a job to a transaction.
+fn add_write(transaction: &mut Transaction, write: &Write) {
+    let record = &write.record;
+    let has_ended = record.state.is_final() && record.tasks.iter().all(|task| task.runs.is_empty());
+    if has_ended {
+        let entry = JobEntry::Ended(record.state);
+        let put = Put::persistent(keys::job(write.job), keys::encode(&entry));
+        transaction.puts.push(put);
+        transaction.removes.push(keys::progress(write.job));
+        if record.state == JobState::Cancelled {
+            transaction.removes.push(keys::cancel(write.job));
+        }
+    } else {
+        let put = Put::persistent(keys::progress(write.job), keys::encode(record));
+        transaction.puts.push(put);
+    }
+}
+
 impl<P: Platform> Driver<P> {
-    pub(super) fn build_transaction(
-        &self,
-        writes: &[Write],
-        voters: Option<&VoterRecord>,
-    ) -> Transaction {
+    /// Commit of what has changed, none if nothing has.
+    pub(super) fn next_commit(&mut self, now: Monotonic) -> Option<PendingCommit> {
+        while let Some(part) = self.isolation.next_single(now) {
+            let commit = self.commit_single(part, now);
+            if commit.is_some() {
+                return commit;
+            }
+            self.release(part);
+        }
+        let writes = self.dispatcher.take_writes(MAX_COMMIT_JOBS);
+        let voters = if self.isolation.is_held(Part::Voters) {
+            None
+        } else {
+            self.dispatcher.take_voters(now)
+        };
+        if writes.is_empty() && voters.is_none() {
+            return None;
+        }
+        let mut commit = self.begin_commit(&writes, voters.as_ref());
+        if self.is_review_due(now) && !self.isolation.is_held(Part::Pressures) {
+            self.add_pressures(&mut commit);
+        }
+        Some(commit)
+    }
+
+    /// Commit of one part; none if there is nothing to write of it.
+    fn commit_single(&mut self, part: Part, now: Monotonic) -> Option<PendingCommit> {
+        match part {
+            Part::Job(id) => {
+                let write = self.dispatcher.take_write(id)?;
+                Some(self.begin_commit(&[write], None))
+            }
+            Part::Voters => {
+                let voters = self.dispatcher.take_voters(now)?;
+                Some(self.begin_commit(&[], Some(&voters)))
+            }
+            Part::Pressures => {
+                let mut commit = self.begin_commit(&[], None);
+                self.add_pressures(&mut commit);
+                (!commit.parts.is_empty()).then_some(commit)
+            }
+        }
+    }
+
+    fn begin_commit(&self, writes: &[Write], voters: Option<&VoterRecord>) -> PendingCommit {
         // Identifies this commit if its answer is lost.
         let commit_id = format!("{:016x}", rand::random::<u64>());
         let mut transaction = Transaction {
@@ -37,36 +122,29 @@
             )],
             removes: Vec::new(),
         };
+        let mut parts = Vec::new();
         if let Some(voters) = voters {
             let put = Put::persistent(keys::VOTERS.to_owned(), keys::encode(&voters));
             transaction.puts.push(put);
+            parts.push(Part::Voters);
         }
         for write in writes {
-            let record = &write.record;
-            let has_ended =
-                record.state.is_final() && record.tasks.iter().all(|task| task.runs.is_empty());
-            if has_ended {
-                let entry = JobEntry::Ended(record.state);
-                let put = Put::persistent(keys::job(write.job), keys::encode(&entry));
-                transaction.puts.push(put);
-                transaction.removes.push(keys::progress(write.job));
-                if record.state == JobState::Cancelled {
-                    transaction.removes.push(keys::cancel(write.job));
-                }
-            } else {
-                let put = Put::persistent(keys::progress(write.job), keys::encode(record));
-                transaction.puts.push(put);
-            }
+            add_write(&mut transaction, write);
+            parts.push(Part::Job(write.job));
+        }
+        PendingCommit {
+            transaction,
+            parts,
+            since: Instant::now(),
+            is_uncertain: false,
         }
-        transaction
     }
 
-    /// Adds the learned pressures if they have changed and updates the metrics, at most once
-    /// per [`PRESSURES_INTERVAL_MS`].
-    pub(super) fn add_pressures(&mut self, transaction: &mut Transaction) {
-        let now = self.clock.now();
+    /// Updates the metrics at most once per [`PRESSURES_INTERVAL_MS`]; returns whether that was
+    /// due, and so is a comparison of the learned pressures with the stored ones.
+    fn is_review_due(&mut self, now: Monotonic) -> bool {
         if now.since(self.checked_at) < PRESSURES_INTERVAL_MS {
-            return;
+            return false;
         }
         self.checked_at = now;
         let (workers, runs) = self.dispatcher.counts(now);
@@ -75,20 +153,27 @@
         observe::set_owner_metrics(workers, runs, unassigned, &waiting);
         observe::set_account_metrics(&self.dispatcher.account_statuses());
         observe::record_hindsight(self.dispatcher.take_hindsight());
+        observe::set_held_writes(self.isolation.held_count());
+        true
+    }
+
+    /// Adds the learned pressures if they have changed.
+    fn add_pressures(&mut self, commit: &mut PendingCommit) {
         let learned = self.dispatcher.learned_pressures();
         if learned != self.stored_pressures {
             let put = Put::persistent(keys::PRESSURES.to_owned(), keys::encode(&learned));
-            transaction.puts.push(put);
+            commit.transaction.puts.push(put);
+            commit.parts.push(Part::Pressures);
             self.stored_pressures = learned;
         }
     }
 
-    /// Sends the pending commit after a delay.
+    /// Sends the pending commit, if there is one, after a delay.
     pub(super) fn send_commit(&mut self, delay: Duration) {
-        let Some((transaction, _)) = &self.pending_commit else {
+        let Some(commit) = &self.pending_commit else {
             return;
         };
-        let transaction = transaction.clone();
+        let transaction = commit.transaction.clone();
         let kv = self.shared.platform.kv().clone();
         let sender = self.sender.clone();
         self.calls.spawn_local(async move {
@@ -101,25 +186,17 @@
 
     pub(super) fn handle_committed(&mut self, result: Result<u64, KvError>) -> Option<Outcome> {
         let now = self.clock.now();
-        if let Some((_, since)) = &self.pending_commit {
-            observe::record_commit(result.is_ok(), since.elapsed());
-        }
+        let commit = self.pending_commit.take()?;
+        observe::record_commit(result.is_ok(), commit.since.elapsed());
         match result {
-            Ok(revision) => {
-                self.commit_revision = revision;
-                self.pending_commit = None;
-                self.dispatcher.commit_stored(now);
-            }
+            Ok(revision) => self.commit_stored(&commit, revision, now),
             Err(KvError::Conflict { items }) => {
                 // The conflict may be with an earlier, unanswered attempt of this same commit.
-                let own_id = self
-                    .pending_commit
-                    .as_ref()
-                    .map(|(t, _)| t.puts[0].value.clone());
+                let own_id = &commit.transaction.puts[0].value;
                 let owner = items.iter().find(|item| item.key == keys::OWNER);
                 let last = items.iter().find(|item| item.key == keys::COMMIT);
                 let is_owner = owner.is_some_and(|item| item.revision == self.term.fence);
-                let applied = last.filter(|item| item.bytes().ok() == own_id.as_deref());
+                let applied = last.filter(|item| item.bytes().ok() == Some(own_id));
                 let Some(applied) = applied.filter(|_| is_owner) else {
                     return Some(if owner.is_none() {
                         Outcome::LeaseEnded
@@ -127,32 +204,101 @@
                         Outcome::Superseded
                     });
                 };
-                self.commit_revision = applied.revision;
-                self.pending_commit = None;
-                self.dispatcher.commit_stored(now);
-            }
-            Err(error) => {
-                self.log_failed(&error);
-                self.send_commit(watcher::retry_delay());
+                self.commit_stored(&commit, applied.revision, now);
             }
+            Err(error) => self.commit_failed(commit, &error, now),
         }
         None
     }
 
-    fn log_failed(&self, error: &KvError) {
-        let Some((transaction, since)) = &self.pending_commit else {
+    fn commit_stored(&mut self, commit: &PendingCommit, revision: u64, now: Monotonic) {
+        self.commit_revision = revision;
+        self.dispatcher.commit_stored(now);
+        for part in &commit.parts {
+            self.release(*part);
+        }
+    }
+
+    /// Lets a part take part in commits with others again.
+    fn release(&mut self, part: Part) {
+        if !self.isolation.is_held(part) {
             return;
-        };
-        let largest = transaction.largest();
+        }
+        self.isolation.release(part);
+        if let Part::Job(id) = part {
+            self.dispatcher.hold_write(id, false);
+        }
+    }
+
+    /// Sends a commit again that failed, or leaves out what the store does not take.
+    fn commit_failed(&mut self, mut commit: PendingCommit, error: &KvError, now: Monotonic) {
+        let largest = commit.transaction.largest();
         Entry::new(Kind::CommitFailed)
-            .with("puts", transaction.puts.len())
-            .with("bytes", transaction.value_bytes())
+            .with("puts", commit.transaction.puts.len())
+            .with("bytes", commit.transaction.value_bytes())
             .with("largest", largest.map(|put| &put.key))
             .with("largest-bytes", largest.map(|put| put.value.len()))
-            .with(
-                "unstored-ms",
-                u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX),
-            )
+            .with("unstored-ms", commit.age_ms())
+            .with_text("cause", error)
+            .emit();
+        commit.is_uncertain |= matches!(error, KvError::Unanswered { .. });
+        match self.verdict(&commit, error, now) {
+            Some(verdict) => self.isolate(&commit, verdict, error, now),
+            None => {
+                self.pending_commit = Some(commit);
+                self.send_commit(watcher::retry_delay());
+            }
+        }
+    }
+
+    /// How the store does not take a commit; none if it is to be sent again as it is.
+    fn verdict(&self, commit: &PendingCommit, error: &KvError, now: Monotonic) -> Option<Verdict> {
+        match error {
+            // Earlier attempts were answered alike, or would have been.
+            KvError::Rejected { .. } => Some(Verdict::Rejected),
+            KvError::Refused { .. } => {
+                let is_store_up = now.since(self.renewed_at) < LEASE_MS;
+                let was_held = commit
+                    .parts
+                    .iter()
+                    .any(|part| self.isolation.is_held(*part));
+                let is_in_doubt = was_held || commit.age_ms() >= REFUSED_MS;
+                (is_store_up && is_in_doubt && !commit.is_uncertain).then_some(Verdict::Refused)
+            }
+            KvError::Unanswered { .. }
+            | KvError::Conflict { .. }
+            | KvError::NoLease
+            | KvError::Compacted => None,
+        }
+    }
+
+    /// Takes a commit back that the store does not take: its parts are sent one by one, and one
+    /// that was alone is left out for a while.
+    fn isolate(
+        &mut self,
+        commit: &PendingCommit,
+        verdict: Verdict,
+        error: &KvError,
+        now: Monotonic,
+    ) {
+        for part in &commit.parts {
+            match part {
+                Part::Job(id) => self.dispatcher.return_writes([*id]),
+                Part::Voters => self.dispatcher.return_voters(),
+                Part::Pressures => self.stored_pressures.clear(),
+            }
+        }
+        let pause_ms = self.isolation.note_untaken(&commit.parts, verdict, now);
+        let (Some(pause_ms), [part]) = (pause_ms, commit.parts.as_slice()) else {
+            return;
+        };
+        if let Part::Job(id) = part {
+            self.dispatcher.hold_write(*id, true);
+        }
+        Entry::new(Kind::WriteHeld)
+            .with_text("part", part)
+            .with("bytes", commit.transaction.value_bytes())
+            .with("pause-ms", pause_ms)
             .with_text("cause", error)
             .emit();
     }
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -6,6 +6,8 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
+use super::commit::PendingCommit;
+use super::isolation::Isolation;
 use super::{Outcome, OwnerEvent, Sender, retirement};
 use crate::collections::HashMap;
 use crate::dispatch::{Bounds, Dispatcher, JobId, Now, Order, Pressure, ProgressRecord};
@@ -17,7 +19,7 @@
 use crate::entry::succession::{Capability, LagMeter};
 use crate::entry::watcher::WatchUpdate;
 use crate::event::{Entry, Kind};
-use crate::port::{Clock, Item, KeyValue, KvError, Platform, SystemClock, Transaction};
+use crate::port::{Clock, Item, KeyValue, KvError, Platform, SystemClock};
 
 /// Longest time between two passes, in milliseconds.
 const TICK_MS: Millis = 50;
@@ -37,11 +39,6 @@
 /// the delay of the watch.
 const RELIST_MS: Millis = 2_500;
 
-/// Largest number of jobs in one commit. With three entries per job, the conditions, the
-/// commit ID, the voters and the learned pressures, they fit into the largest transaction
-/// that the store accepts.
-const MAX_COMMIT_JOBS: usize = 8;
-
 /// Longest time that a planned hand-over waits for the commit in flight, in
 /// milliseconds.
 const HANDOVER_TIMEOUT_MS: Millis = 500;
@@ -70,7 +67,11 @@
     pub(super) stored_pressures: Vec<Pressure>,
     /// When the learned pressures were last compared with the stored ones.
     pub(super) checked_at: Monotonic,
-    pub(super) pending_commit: Option<(Transaction, Instant)>,
+    pub(super) pending_commit: Option<PendingCommit>,
+    /// What the store does not take.
+    pub(super) isolation: Isolation,
+    /// When the store last confirmed the ownership.
+    pub(super) renewed_at: Monotonic,
     pub(super) calls: JoinSet<()>,
     /// Begin of the term.
     pub(super) since: Monotonic,
@@ -115,6 +116,8 @@
             worker_names: HashMap::default(),
             commit_revision: commit?.map_or(0, |item| item.revision),
             pending_commit: None,
+            isolation: Isolation::default(),
+            renewed_at: clock.now(),
             stored_pressures: Vec::new(),
             checked_at: clock.now(),
             calls: JoinSet::new(),
@@ -273,7 +276,10 @@
             OwnerEvent::Registry(update) => self.apply_registry(update),
             OwnerEvent::Intake(update) => self.apply_intake(update),
             OwnerEvent::Declared => self.declare(),
-            OwnerEvent::Renewed(sent) => self.dispatcher.confirm_ownership(sent),
+            OwnerEvent::Renewed(sent) => {
+                self.renewed_at = now.at;
+                self.dispatcher.confirm_ownership(sent);
+            }
             OwnerEvent::LeaseEnded => return Some(Outcome::LeaseEnded),
             OwnerEvent::Offered(request) => return self.consider(*request),
             OwnerEvent::Probe(due) => self.record_lag(now.at.since(due)),
@@ -293,14 +299,8 @@
             self.shared.inbox.publish(digest, self.term.fence);
         }
         if self.pending_commit.is_none() {
-            let writes = self.dispatcher.take_writes(MAX_COMMIT_JOBS);
-            let voters = self.dispatcher.take_voters(now.at);
-            if !writes.is_empty() || voters.is_some() {
-                let mut transaction = self.build_transaction(&writes, voters.as_ref());
-                self.add_pressures(&mut transaction);
-                self.pending_commit = Some((transaction, Instant::now()));
-                self.send_commit(Duration::ZERO);
-            }
+            self.pending_commit = self.next_commit(now.at);
+            self.send_commit(Duration::ZERO);
         }
     }
 
--- a/crates/verbenahitch/src/entry/owner/mod.rs
+++ b/crates/verbenahitch/src/entry/owner/mod.rs
@@ -3,6 +3,7 @@
 mod commit;
 mod driver;
 mod handover;
+mod isolation;
 mod retirement;
 mod updates;
 
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -97,6 +97,7 @@
     PermitRenewed = 313, "permit-renewed", Info, "Tasks may start again.";
     StateUnread = 314, "state-unread", Warn, "A new owner could not read a part of the stored state.";
     CommitFailed = 315, "commit-failed", Warn, "The store did not take a commit of the owner, or did not answer it.";
+    WriteHeld = 316, "write-held", Error, "The store does not take a part of what the owner writes; it is left out for a while, the rest goes on.";
     Declared = 400, "declared", Info, "A newer revision of the declarations is in force.";
     DeclarationsChanged = 401, "declarations-changed", Info, "An operator's change was accepted.";
     DeclarationsRefused = 402, "declarations-refused", Info, "An operator's change was refused.";
--- a/testsuite/tests/testsuite/entry/mod.rs
+++ b/testsuite/tests/testsuite/entry/mod.rs
@@ -6,3 +6,5 @@
 mod routes;
 mod succession;
 mod unreadable;
+mod untaken;
+mod world;
--- /dev/null
+++ b/testsuite/tests/testsuite/entry/untaken.rs
@@ -0,0 +1,86 @@
+//! A value that the store does not take must not stop what else the owner writes.
+
+use std::time::Duration;
+
+use test_case::test_case;
+use tokio::task::LocalSet;
+use verbenahitch::dispatch::StepSpec;
+use verbenahitch::entry::IntakeOutcome;
+
+use super::world::{Answer, Untaken, World, step};
+
+/// Time within which the jobs of a test complete.
+const LIMIT: Duration = Duration::from_secs(12);
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Step whose tasks serve until their job is cancelled.
+fn standing() -> StepSpec {
+    StepSpec {
+        standing: true,
+        target_ms: 45,
+        image: "standing".to_owned(),
+        ..step(4)
+    }
+}
+
+fn filler() -> StepSpec {
+    StepSpec {
+        filler: true,
+        image: "filler".to_owned(),
+        ..step(8)
+    }
+}
+
+// Guards against an owner that sends a rejected commit again for good, with all else behind it.
+#[test_case("learned/", Answer::Rejected; "learned pressures rejected")]
+#[test_case("learned/", Answer::Refused; "learned pressures refused for good")]
+#[test_case("quorum/", Answer::Rejected; "voters rejected")]
+#[test_case("quorum/", Answer::Refused; "voters refused for good")]
+#[test_case("progress/00000000000000ff", Answer::Rejected; "record of a job rejected")]
+#[test_case("progress/00000000000000ff", Answer::Refused; "record of a job refused for good")]
+fn a_value_that_the_store_does_not_take_stops_nothing_else(prefix: &str, answer: Answer) {
+    run(async {
+        let world = World::start(4).await;
+        world.kv.set_untaken(Some(Untaken {
+            prefix: prefix.to_owned(),
+            answer,
+        }));
+        assert_eq!(
+            world.submit(1, vec![standing()]).await,
+            IntakeOutcome::Stored
+        );
+        assert_eq!(
+            world.submit(0xff, vec![step(4)]).await,
+            IntakeOutcome::Stored
+        );
+        // Longer than the interval at which learned pressures are written.
+        for id in 2..22 {
+            assert_eq!(
+                world.submit(id, vec![filler(), step(4)]).await,
+                IntakeOutcome::Stored
+            );
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+        for id in 2..22 {
+            assert!(
+                world.completes(id, LIMIT).await,
+                "job {id} does not complete"
+            );
+        }
+        assert!(world.kv.rejected() > 0, "nothing was rejected");
+        // The rejected value is tried again, at ever longer intervals.
+        assert!(world.kv.rejected() < 60, "{}", world.kv.rejected());
+        world.kv.set_untaken(None);
+        assert!(
+            world.completes(0xff, 2 * LIMIT).await,
+            "the job does not complete once its record is taken"
+        );
+    });
+}
--- /dev/null
+++ b/testsuite/tests/testsuite/entry/world.rs
@@ -0,0 +1,467 @@
+//! An entry host over a store in memory and workers without I/O.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::watch;
+use verbenahitch::dispatch::{
+    Amount, CallFailure, EndCause, EndedEntry, JobId, JobRecord, JobSpec, JobState, Poll, Queue,
+    Report, RunningEntry, Start, StepSpec, Target, TaskId, WorkerInfo,
+};
+use verbenahitch::domain::Millis;
+use verbenahitch::entry::accounts::Revocation;
+use verbenahitch::entry::{EntryHost, EntrySettings, Intake, IntakeOutcome, Status};
+use verbenahitch::port::{
+    Change, Directive, Item, KeyValue, KvError, Platform, QueueRoute, Queues, Transaction,
+    Unreadable,
+};
+
+/// Largest value of the store in bytes.
+pub const VALUE_MAX: usize = 1 << 20;
+
+/// Tail of a standing task in milliseconds, alone and beside fillers.
+const TAIL_MS: Millis = 20;
+const SLOWED_TAIL_MS: Millis = 24;
+
+/// What the store does with a transaction that it does not take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Rejected,
+    Refused,
+}
+
+/// Keys that the store does not take, by their prefix.
+#[derive(Clone, Debug)]
+pub struct Untaken {
+    pub prefix: String,
+    pub answer: Answer,
+}
+
+#[derive(Default)]
+struct StoreState {
+    items: RefCell<BTreeMap<String, Item>>,
+    history: RefCell<Vec<(u64, Change)>>,
+    revision: Cell<u64>,
+    untaken: RefCell<Option<Untaken>>,
+    /// Number of transactions that were not taken.
+    rejected: Cell<u32>,
+}
+
+/// Store in memory; clones share it. Its leases end only when they are revoked.
+#[derive(Clone, Default)]
+pub struct MemoryKv(Rc<StoreState>);
+
+impl MemoryKv {
+    pub fn set_untaken(&self, untaken: Option<Untaken>) {
+        self.0.untaken.replace(untaken);
+    }
+
+    pub fn rejected(&self) -> u32 {
+        self.0.rejected.get()
+    }
+
+    pub fn put(&self, key: &str, value: &[u8]) {
+        let revision = self.next_revision();
+        self.write(key, value, revision);
+    }
+
+    fn next_revision(&self) -> u64 {
+        self.0.revision.set(self.0.revision.get() + 1);
+        self.0.revision.get()
+    }
+
+    fn write(&self, key: &str, value: &[u8], revision: u64) {
+        let mut items = self.0.items.borrow_mut();
+        let created = items.get(key).map_or(revision, |item| item.created);
+        let item = Item {
+            key: key.to_owned(),
+            value: Ok(value.to_vec()),
+            revision,
+            created,
+        };
+        items.insert(key.to_owned(), item.clone());
+        let change = Change::Put(item);
+        self.0.history.borrow_mut().push((revision, change));
+    }
+
+    fn changes_after(&self, prefix: &str, after: u64) -> Vec<Change> {
+        let is_below = |change: &Change| match change {
+            Change::Put(item) => item.key.starts_with(prefix),
+            Change::Removed(key) => key.starts_with(prefix),
+        };
+        let history = self.0.history.borrow();
+        let first = history.partition_point(|(revision, _)| *revision <= after);
+        let new = history[first..].iter().map(|(_, change)| change);
+        new.filter(|change| is_below(change)).cloned().collect()
+    }
+
+    fn check(&self, transaction: &Transaction) -> Result<(), KvError> {
+        let puts = &transaction.puts;
+        let untaken = self.0.untaken.borrow();
+        let answer = match untaken.as_ref() {
+            Some(untaken) if puts.iter().any(|put| put.key.starts_with(&untaken.prefix)) => {
+                Some(untaken.answer)
+            }
+            _ if puts.iter().any(|put| put.value.len() > VALUE_MAX) => Some(Answer::Rejected),
+            _ => None,
+        };
+        let Some(answer) = answer else {
+            return Ok(());
+        };
+        self.0.rejected.set(self.0.rejected.get() + 1);
+        let cause = "a value is not taken".to_owned();
+        Err(match answer {
+            Answer::Rejected => KvError::Rejected { cause },
+            Answer::Refused => KvError::Refused { cause },
+        })
+    }
+}
+
+impl KeyValue for MemoryKv {
+    async fn get(&self, key: &str) -> Result<Option<Item>, KvError> {
+        Ok(self.0.items.borrow().get(key).cloned())
+    }
+
+    async fn range(&self, prefix: &str) -> Result<(Vec<Item>, u64), KvError> {
+        let items = self.0.items.borrow();
+        let found = items.values().filter(|item| item.key.starts_with(prefix));
+        Ok((found.cloned().collect(), self.0.revision.get()))
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait_ms: Millis,
+    ) -> Result<(Vec<Change>, u64), KvError> {
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let found = self.changes_after(prefix, after);
+            if !found.is_empty() || Instant::now() >= until {
+                return Ok((found, self.0.revision.get()));
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<u64, KvError> {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        let revision_of = |key: &String| {
+            let items = self.0.items.borrow();
+            items.get(key).map_or(0, |item| item.revision)
+        };
+        let expected = transaction.expected.iter();
+        if expected.clone().any(|(key, at)| revision_of(key) != *at) {
+            let items = self.0.items.borrow();
+            let found = expected.filter_map(|(key, _)| items.get(key));
+            return Err(KvError::Conflict {
+                items: found.cloned().collect(),
+            });
+        }
+        self.check(transaction)?;
+        let revision = self.next_revision();
+        for put in &transaction.puts {
+            self.write(&put.key, &put.value, revision);
+        }
+        for key in &transaction.removes {
+            if self.0.items.borrow_mut().remove(key).is_some() {
+                let change = Change::Removed(key.clone());
+                self.0.history.borrow_mut().push((revision, change));
+            }
+        }
+        Ok(revision)
+    }
+
+    async fn grant(&self, _: Millis) -> Result<u64, KvError> {
+        Ok(1)
+    }
+
+    async fn renew(&self, _: u64) -> Result<(), KvError> {
+        Ok(())
+    }
+
+    async fn revoke(&self, _: u64) -> Result<(), KvError> {
+        Ok(())
+    }
+}
+
+/// A run on a worker.
+struct Work {
+    task: TaskId,
+    run: u32,
+    began: Instant,
+}
+
+#[derive(Default)]
+struct WorkerState {
+    running: Vec<Work>,
+    ended: Vec<EndedEntry>,
+    last_end: u64,
+}
+
+/// Workers by their names, and the store.
+#[derive(Clone)]
+pub struct Fleet {
+    kv: MemoryKv,
+    workers: Rc<RefCell<BTreeMap<String, WorkerState>>>,
+    specs: Rc<RefCell<BTreeMap<JobId, Vec<StepSpec>>>>,
+    began: Instant,
+}
+
+impl Fleet {
+    fn spec(&self, task: TaskId) -> StepSpec {
+        self.specs.borrow()[&task.job][task.step as usize].clone()
+    }
+
+    fn report(&self, worker: &mut WorkerState) -> Report {
+        let done = |work: &Work| {
+            let spec = self.spec(work.task);
+            !spec.standing && work.began.elapsed() >= Duration::from_millis(spec.estimate_ms)
+        };
+        let (ended, running) = std::mem::take(&mut worker.running)
+            .into_iter()
+            .partition::<Vec<_>, _>(done);
+        worker.running = running;
+        for work in ended {
+            worker.last_end += 1;
+            worker.ended.push(EndedEntry {
+                sequence: worker.last_end,
+                task: work.task,
+                run: work.run,
+                cause: EndCause::Done,
+                checkpoint: String::new(),
+            });
+        }
+        let is_filled = worker
+            .running
+            .iter()
+            .any(|work| self.spec(work.task).filler);
+        let tail_ms = if is_filled { SLOWED_TAIL_MS } else { TAIL_MS };
+        let row = |work: &Work| RunningEntry {
+            task: work.task,
+            run: work.run,
+            checkpoint: String::new(),
+            progress_percent: 100,
+            measurement: tail_ms,
+        };
+        Report {
+            incarnation: 1,
+            clock_ms: u64::try_from(self.began.elapsed().as_millis()).unwrap() + 1,
+            running: worker.running.iter().map(row).collect(),
+            ended: worker.ended.clone(),
+            unread: None,
+        }
+    }
+}
+
+impl Platform for Fleet {
+    type Kv = MemoryKv;
+
+    fn kv(&self) -> &MemoryKv {
+        &self.kv
+    }
+
+    fn registry_prefix(&self) -> &'static str {
+        "servers/"
+    }
+
+    fn operator_prefix(&self) -> &'static str {
+        "op/"
+    }
+
+    fn parse_worker(&self, item: &Item) -> Result<WorkerInfo, String> {
+        let name = item.key.trim_start_matches("servers/").to_owned();
+        Ok(WorkerInfo {
+            address: name.clone(),
+            name,
+            pool: "pool".to_owned(),
+            zone: "a".to_owned(),
+            capacity: Amount {
+                cpu_milli: 64_000,
+                memory_mb: 1_000_000,
+                gpus: 0,
+            },
+            incarnation: 1,
+            ..WorkerInfo::default()
+        })
+    }
+
+    fn parse_directive(&self, _: &Item) -> Result<Directive, Unreadable> {
+        Ok(Directive::Queues(Queues {
+            version: 1,
+            routes: vec![QueueRoute {
+                host: "example".to_owned(),
+                prefix: "/".to_owned(),
+                queue: queue(),
+                public: true,
+            }],
+            accounts: None,
+        }))
+    }
+
+    async fn poll(&self, poll: &Poll, _: u64) -> Result<Report, CallFailure> {
+        let until = Instant::now() + Duration::from_millis(poll.wait_ms);
+        loop {
+            {
+                let mut workers = self.workers.borrow_mut();
+                let worker = workers.entry(poll.name.clone()).or_default();
+                worker.ended.retain(|end| end.sequence > poll.acked);
+                let report = self.report(worker);
+                if !report.ended.is_empty() || Instant::now() >= until {
+                    return Ok(report);
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn start(&self, start: &Start, _: u64) -> Result<(), CallFailure> {
+        let target = &start.target;
+        let mut workers = self.workers.borrow_mut();
+        let worker = workers.entry(target.name.clone()).or_default();
+        worker.running.push(Work {
+            task: target.task,
+            run: target.run,
+            began: Instant::now(),
+        });
+        Ok(())
+    }
+
+    async fn stop(&self, target: &Target, _: u64) -> Result<(), CallFailure> {
+        let mut workers = self.workers.borrow_mut();
+        let worker = workers.entry(target.name.clone()).or_default();
+        let count = worker.running.len();
+        worker.running.retain(|work| work.task != target.task);
+        if worker.running.len() < count {
+            worker.last_end += 1;
+            worker.ended.push(EndedEntry {
+                sequence: worker.last_end,
+                task: target.task,
+                run: target.run,
+                cause: EndCause::Stopped,
+                checkpoint: String::new(),
+            });
+        }
+        Ok(())
+    }
+
+    async fn pace(&self, _: &Target, _: u8, _: u64) -> Result<(), CallFailure> {
+        Ok(())
+    }
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: "queue".to_owned(),
+        pool: "pool".to_owned(),
+        priority: 0,
+        attempts: 3,
+        stretch: 1.5,
+        target_ms: 250,
+    }
+}
+
+/// Step of `count` tasks that each take 100 ms.
+pub fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        amount: Amount {
+            cpu_milli: 10,
+            memory_mb: 1,
+            gpus: 0,
+        },
+        estimate_ms: 100,
+        ..StepSpec::default()
+    }
+}
+
+/// One host, which is the owner, with its workers.
+pub struct World {
+    pub kv: MemoryKv,
+    fleet: Fleet,
+    intake: Intake,
+    _stop: watch::Sender<bool>,
+}
+
+impl World {
+    /// Starts a host on the present task set with workers of 64 cores.
+    pub async fn start(workers: u32) -> Self {
+        let kv = MemoryKv::default();
+        let fleet = Fleet {
+            kv: kv.clone(),
+            workers: Rc::default(),
+            specs: Rc::default(),
+            began: Instant::now(),
+        };
+        kv.put("op/config", b"");
+        for worker in 0..workers {
+            kv.put(&format!("servers/worker-{worker}"), b"");
+        }
+        let (stop, stopping) = watch::channel(false);
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let settings = EntrySettings {
+            name: "host".to_owned(),
+            address,
+            share: 1.0,
+            lease_max: 6_000,
+            revocation: Revocation::unbounded(),
+            cap_overshoot: 0.0,
+        };
+        let host = EntryHost::new(fleet.clone(), settings, stopping);
+        let intake = host.intake();
+        tokio::task::spawn_local(host.run());
+        let until = Instant::now() + Duration::from_secs(5);
+        while !intake.is_ready() {
+            assert!(Instant::now() < until, "the host does not become ready");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Self {
+            kv,
+            fleet,
+            intake,
+            _stop: stop,
+        }
+    }
+
+    /// Submits a job of these steps.
+    pub async fn submit(&self, id: u64, steps: Vec<StepSpec>) -> IntakeOutcome {
+        let id = JobId(id);
+        self.fleet.specs.borrow_mut().insert(id, steps.clone());
+        let record = JobRecord {
+            queue: queue(),
+            spec: JobSpec {
+                payload: Arc::from(""),
+                steps,
+                repeat: None,
+            },
+            account: None,
+            accepted_ms: 0,
+        };
+        self.intake.submit(id, record).await
+    }
+
+    /// State of a job.
+    pub async fn state(&self, id: u64) -> Option<JobState> {
+        match self.intake.state(JobId(id)).await {
+            Status::Known(state) => Some(state),
+            Status::Missing | Status::Unavailable => None,
+        }
+    }
+
+    /// Whether a job ends as completed within that time.
+    pub async fn completes(&self, id: u64, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while self.state(id).await != Some(JobState::Completed) {
+            if Instant::now() >= until {
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        true
+    }
+}
