headroom: the model of images and its record have bounds

The record of learned pressures outgrows the largest value of the store after some 4,500 pairs of images named by the digests of their builds, and is never stored again; the model remembers each image that any task ever named, in tables that reach up to the highest number of an image.

Cause: callers choose the names of images, a new one with each build, and nothing is forgotten: neither rows in memory nor in the record, which has no bound in bytes.

Change: the record has at most 64 KiB, the pairs that were observed last first, and names each image once; the earlier form is still read. The model holds at most 16,384 images and 32,768 pairs; those used least recently go first. Names beyond 128 bytes are replaced by their beginning and a digest. Images of tasks that neither fill nor have a target are not remembered; effects on standing images are computed for those that a worker has, not for all.

Why it works: a successor needs what was learned of images that run or come again, and these are the ones observed last; an image that is forgotten begins at the default that each new image has.

--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -1,6 +1,8 @@
 //! Registry changes, answers to orders, and ends of runs.
 
-use super::headroom::Level;
+use slotmap::Key;
+
+use super::headroom::{ImageKey, Level};
 use super::job::add_amount;
 use super::mitigation::PastFiller;
 use super::report::{CallFailure, EndCause, Evidence, GivenUp};
@@ -307,7 +309,11 @@
         } else {
             0
         };
-        let image = self.headroom.image_id(&spec.image);
+        let image = if spec.filler || spec.target_ms > 0 {
+            self.headroom.use_image(&spec.image)
+        } else {
+            ImageKey::null()
+        };
         let claim = self.claim(task.job, &spec);
         self.accounts.hold(claim);
         let key = self.runs.insert(Run {
--- a/crates/verbenahitch/src/dispatch/headroom.rs
+++ b/crates/verbenahitch/src/dispatch/headroom/mod.rs
@@ -19,12 +19,17 @@
 //! Inputs: tail latencies over the last half second, as old as the last poll, and the
 //! shares of the fillers during that time.
 
-use serde::{Deserialize, Serialize};
+mod images;
+mod record;
 
 use crate::collections::HashMap;
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 
+pub(super) use images::{ImageKey, short_name};
+use images::{Images, PAIRS_MAX};
+pub use record::{Pressure, PressureRecord};
+
 /// Pressure that is assumed for a pair before any observation: between that of the pairs
 /// that do not interfere and that of the others, four to ten.
 const DEFAULT_PRESSURE: f64 = 2.0;
@@ -32,6 +37,11 @@
 /// Variance of [`DEFAULT_PRESSURE`].
 const DEFAULT_VARIANCE: f64 = 25.0;
 
+const DEFAULT_ESTIMATE: Estimate = Estimate {
+    value: DEFAULT_PRESSURE,
+    variance: DEFAULT_VARIANCE,
+};
+
 /// Variance of a pressure that an earlier owner learned.
 const RESTORED_VARIANCE: f64 = 1.0;
 
@@ -101,17 +111,6 @@
 /// harmful pair.
 const CAUTIOUS_PRESSURE: f64 = 8.0;
 
-/// Index of an image in the model.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(super) struct ImageId(u32);
-
-impl ImageId {
-    /// Its place in a table of all images.
-    pub fn index(self) -> usize {
-        self.0 as usize
-    }
-}
-
 /// Estimate with its variance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Estimate {
@@ -156,7 +155,7 @@
 }
 
 /// Share of a worker's CPU that fillers of one image used while a tail was measured.
-pub(super) type Exposure = (ImageId, f64);
+pub(super) type Exposure = (ImageKey, f64);
 
 /// Effect of a filler on the tasks of a standing image.
 #[derive(Clone, Copy, Debug)]
@@ -169,22 +168,11 @@
 /// Reading of the headroom of a standing task.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Reading {
-    pub image: ImageId,
+    pub image: ImageKey,
     pub headroom: f64,
     pub level: Level,
 }
 
-/// Learned pressure, as the store keeps it for the next owner.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Pressure(
-    /// Image of the filler.
-    pub String,
-    /// Image of the standing task.
-    pub String,
-    /// Headroom that the filler would take if it used a whole worker.
-    pub f64,
-);
-
 /// Levels of the tasks of a standing image.
 #[derive(Clone, Copy, Debug)]
 struct ImageLevel {
@@ -198,59 +186,41 @@
     floor: DEFAULT_FLOOR,
 };
 
-/// Element of a table that grows as images are added.
-fn slot<T: Clone + Default>(table: &mut Vec<T>, image: ImageId) -> &mut T {
-    let at = image.index();
-    if table.len() <= at {
-        table.resize(at + 1, T::default());
-    }
-    &mut table[at]
-}
-
 /// Learned pressures of filler images on standing images, and lowest levels of the latter.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeadroomModel {
-    image_ids: HashMap<String, ImageId>,
-    image_names: Vec<String>,
-    /// Pressures, by the filler's image and then the standing task's.
-    pairs: Vec<Vec<Option<Estimate>>>,
-    /// Levels of standing images, of those that have been observed without fillers.
-    levels: Vec<Option<ImageLevel>>,
+    images: Images,
     /// Numbers of placements of pairs since their last reading, and when they were last
     /// forgotten.
-    trials: HashMap<(ImageId, ImageId), u32>,
+    trials: HashMap<(ImageKey, ImageKey), u32>,
     trials_at: Monotonic,
 }
 
 impl HeadroomModel {
-    /// Index of `image`, which is added if it is new.
-    pub fn image_id(&mut self, image: &str) -> ImageId {
-        if let Some(id) = self.image_ids.get(image) {
-            return *id;
-        }
-        let id = ImageId(u32::try_from(self.image_ids.len()).unwrap_or(u32::MAX));
-        self.image_ids.insert(image.to_owned(), id);
-        self.image_names.push(image.to_owned());
-        id
+    /// Key of the image of a waiting task.
+    pub fn find_image(&mut self, image: &str) -> ImageKey {
+        self.images.find(image)
+    }
+
+    /// Key of the image of a task that is placed.
+    pub fn use_image(&mut self, image: &str) -> ImageKey {
+        self.images.use_image(image)
     }
 
-    fn estimate(&self, filler: ImageId, standing: ImageId) -> Estimate {
-        let row = self.pairs.get(filler.index());
-        let pair = row.and_then(|row| row.get(standing.index()).copied().flatten());
-        pair.unwrap_or(Estimate {
-            value: DEFAULT_PRESSURE,
-            variance: DEFAULT_VARIANCE,
-        })
+    fn estimate(&self, filler: ImageKey, standing: ImageKey) -> Estimate {
+        self.images
+            .pair(filler, standing)
+            .unwrap_or(DEFAULT_ESTIMATE)
     }
 
     /// Pressure of `filler` on `standing`.
-    pub fn pressure(&self, filler: ImageId, standing: ImageId) -> f64 {
+    pub fn pressure(&self, filler: ImageKey, standing: ImageKey) -> f64 {
         self.estimate(filler, standing).value
     }
 
     /// Pressure of `filler` on `standing` to expect of one more placement. A pair that is
     /// not known is tried on a few workers at a time.
-    fn placement_pressure(&self, filler: ImageId, standing: ImageId) -> f64 {
+    fn placement_pressure(&self, filler: ImageKey, standing: ImageKey) -> f64 {
         let pair = self.estimate(filler, standing);
         let trials = self.trials.get(&(filler, standing)).copied();
         if pair.variance > KNOWN_VARIANCE && trials.unwrap_or(0) >= TRIALS_MAX {
@@ -259,16 +229,8 @@
         pair.value
     }
 
-    /// What to expect of one more placement of `filler` beside tasks of each image.
-    pub fn placement_effects(&self, filler: ImageId) -> Vec<Effect> {
-        let images = (0u32..).take(self.image_names.len()).map(ImageId);
-        images
-            .map(|standing| self.placement_effect(filler, standing))
-            .collect()
-    }
-
     /// What to expect of one more placement of `filler` beside tasks of an image.
-    pub fn placement_effect(&self, filler: ImageId, standing: ImageId) -> Effect {
+    pub fn placement_effect(&self, filler: ImageKey, standing: ImageKey) -> Effect {
         Effect {
             pressure: self.placement_pressure(filler, standing),
             floor: self.floor(standing),
@@ -276,7 +238,7 @@
     }
 
     /// Records the placement of a filler beside tasks of a standing image.
-    pub fn add_trial(&mut self, filler: ImageId, standing: ImageId) {
+    pub fn add_trial(&mut self, filler: ImageKey, standing: ImageKey) {
         *self.trials.entry((filler, standing)).or_default() += 1;
     }
 
@@ -289,7 +251,7 @@
     }
 
     /// Headroom that fillers take from a standing task.
-    pub fn loss(&self, fillers: &[Exposure], standing: ImageId) -> f64 {
+    pub fn loss(&self, fillers: &[Exposure], standing: ImageKey) -> f64 {
         let each = fillers.iter();
         each.map(|(filler, share)| self.pressure(*filler, standing) * share)
             .sum()
@@ -297,55 +259,43 @@
 
     /// Harmfulness of `filler` from zero to one: its mean pressure on the observed
     /// standing images, divided by [`HARMFUL_PRESSURE`].
-    pub fn harmfulness(&self, filler: ImageId) -> f64 {
-        let mut sum = 0.0;
-        let mut count = 0u32;
-        for (standing, level) in (0u32..).zip(&self.levels) {
-            if level.is_some() {
-                sum += self.pressure(filler, ImageId(standing));
-                count += 1;
-            }
-        }
+    pub fn harmfulness(&self, filler: ImageKey) -> f64 {
+        let (known, count) = self.images.row(filler);
         if count == 0 {
             return 0.0;
         }
-        (sum / f64::from(count) / HARMFUL_PRESSURE).min(1.0)
+        let excess: f64 = known.map(|pair| pair.value - DEFAULT_PRESSURE).sum();
+        let mean = DEFAULT_PRESSURE + excess / f64::from(count);
+        (mean / HARMFUL_PRESSURE).min(1.0)
     }
 
     /// Lowest level of a standing image, at its load peaks.
-    pub fn floor(&self, standing: ImageId) -> f64 {
+    pub fn floor(&self, standing: ImageKey) -> f64 {
         self.image_level(standing).floor
     }
 
-    fn image_level(&self, standing: ImageId) -> ImageLevel {
-        let level = self.levels.get(standing.index()).copied().flatten();
-        level.unwrap_or(DEFAULT_IMAGE_LEVEL)
+    fn image_level(&self, standing: ImageKey) -> ImageLevel {
+        self.images.level(standing).unwrap_or(DEFAULT_IMAGE_LEVEL)
     }
 
-    /// Learned pressures.
-    pub fn learned_pressures(&self) -> Vec<Pressure> {
-        let mut learned = Vec::new();
-        for (filler, row) in self.image_names.iter().zip(&self.pairs) {
-            for (standing, pair) in self.image_names.iter().zip(row) {
-                if let Some(pair) = pair {
-                    let value = (pair.value * 100.0).round() / 100.0;
-                    learned.push(Pressure(filler.clone(), standing.clone(), value));
-                }
-            }
-        }
-        learned.sort_by(|a: &Pressure, b| (&a.0, &a.1).cmp(&(&b.0, &b.1)));
-        learned
+    /// Record of the learned pressures that were observed last, of up to `max_bytes`.
+    pub fn record(&self, max_bytes: usize) -> PressureRecord {
+        PressureRecord::new(&self.images.recent_pairs(PAIRS_MAX), max_bytes)
     }
 
     /// Restores pressures that an earlier owner learned.
-    pub fn restore_pressures(&mut self, learned: &[Pressure]) {
-        for Pressure(filler, standing, value) in learned {
-            let (filler, standing) = (self.image_id(filler), self.image_id(standing));
+    pub fn restore(&mut self, record: &PressureRecord) {
+        for (filler, standing, value) in record.pressures() {
+            let mut key = |name: &str| match short_name(name) {
+                Some(short) => self.use_image(&short),
+                None => self.use_image(name),
+            };
+            let (filler, standing) = (key(filler), key(standing));
             let estimate = Estimate {
                 value: value.clamp(0.0, PRESSURE_MAX),
                 variance: RESTORED_VARIANCE,
             };
-            *slot(slot(&mut self.pairs, filler), standing) = Some(estimate);
+            self.images.set_pair(filler, standing, estimate);
         }
     }
 
@@ -355,8 +305,10 @@
         let Some(standing) = readings.first().map(|reading| reading.image) else {
             return;
         };
+        let present = fillers.iter().map(|(image, _)| *image);
+        self.images.touch(present.chain([standing]));
         let loss = self.loss(fillers, standing);
-        let pairs: Vec<(ImageId, f64, Estimate)> = fillers
+        let pairs: Vec<(ImageKey, f64, Estimate)> = fillers
             .iter()
             .map(|&(image, share)| (image, share, self.estimate(image, standing)))
             .collect();
@@ -404,7 +356,7 @@
     }
 
     /// Corrects the mean level and the floor of an image by readings without fillers.
-    fn track_level(&mut self, standing: ImageId, readings: &[Reading]) {
+    fn track_level(&mut self, standing: ImageKey, readings: &[Reading]) {
         let mut level = self.image_level(standing);
         for reading in readings {
             let seen = reading.headroom.min(HEADROOM_MAX);
@@ -417,26 +369,20 @@
             level.floor += (seen - level.floor) * gain;
         }
         level.floor = level.floor.max(FLOOR_MIN);
-        *slot(&mut self.levels, standing) = Some(level);
+        self.images.set_level(standing, level);
     }
 
-    fn set_pressure(&mut self, filler: ImageId, standing: ImageId, corrected: Estimate) {
+    fn set_pressure(&mut self, filler: ImageKey, standing: ImageKey, corrected: Estimate) {
         let was_harmful = self.pressure(filler, standing) >= HARMFUL_PRESSURE;
         self.trials.remove(&(filler, standing));
-        *slot(slot(&mut self.pairs, filler), standing) = Some(corrected);
+        self.images.set_pair(filler, standing, corrected);
         if was_harmful != (corrected.value >= HARMFUL_PRESSURE) {
             Entry::new(Kind::Pressure)
-                .with("filler", self.image_name(filler))
-                .with("standing", self.image_name(standing))
+                .with("filler", self.images.name(filler))
+                .with("standing", self.images.name(standing))
                 .with("pressure", corrected.value)
                 .with("variance", corrected.variance)
                 .emit();
         }
     }
-
-    fn image_name(&self, image: ImageId) -> &str {
-        self.image_names
-            .get(image.index())
-            .map_or("", String::as_str)
-    }
 }
--- a/crates/verbenahitch/src/dispatch/interference.rs
+++ b/crates/verbenahitch/src/dispatch/interference.rs
@@ -9,7 +9,7 @@
 //! Inputs: tail latencies and CPU use over the last half second, as old as the last
 //! poll; learned pressures.
 
-use super::headroom::{HeadroomModel, ImageId};
+use super::headroom::{HeadroomModel, ImageKey};
 use super::worker::RunKey;
 use crate::domain::{Millis, Monotonic};
 
@@ -52,7 +52,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Filler {
     pub key: RunKey,
-    pub image: ImageId,
+    pub image: ImageKey,
     /// Share of the worker's CPU that it uses at full pace.
     pub share: f64,
     /// Percentage of its CPU that it may use.
@@ -69,7 +69,7 @@
     }
 
     /// Headroom that it takes from tasks of an image at its pace.
-    fn loss(&self, model: &HeadroomModel, standing: ImageId) -> f64 {
+    fn loss(&self, model: &HeadroomModel, standing: ImageKey) -> f64 {
         model.pressure(self.image, standing) * self.paced_share()
     }
 }
@@ -77,7 +77,7 @@
 /// Standing task with a target, while it serves.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ServingTask {
-    pub image: ImageId,
+    pub image: ImageKey,
     pub headroom: f64,
 }
 
--- a/crates/verbenahitch/src/dispatch/mitigation.rs
+++ b/crates/verbenahitch/src/dispatch/mitigation.rs
@@ -1,7 +1,7 @@
 //! Interference on a worker: observation of its tails, relief, and the load that
 //! placement takes into account.
 
-use super::headroom::{Exposure, ImageId, Reading};
+use super::headroom::{Exposure, ImageKey, Reading};
 use super::interference::{self, Action, Filler, ServingTask};
 use super::polls::SERVING_PERCENT;
 use super::worker::{Run, Worker, WorkerKey};
@@ -20,7 +20,7 @@
 /// Filler that has ended on a worker.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PastFiller {
-    image: ImageId,
+    image: ImageKey,
     share: f64,
     from: Monotonic,
     until: Monotonic,
@@ -44,7 +44,7 @@
 }
 
 /// Adds a share to that of the same image.
-fn add_exposure(exposures: &mut Vec<Exposure>, image: ImageId, share: f64) {
+fn add_exposure(exposures: &mut Vec<Exposure>, image: ImageKey, share: f64) {
     match exposures.iter_mut().find(|(known, _)| *known == image) {
         Some((_, sum)) => *sum += share,
         None => exposures.push((image, share)),
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -62,7 +62,7 @@
 use forecast::Forecaster;
 pub use forecast::{Digest, Hindsight, PoolLimit, QueueForecast};
 use headroom::HeadroomModel;
-pub use headroom::Pressure;
+pub use headroom::{Pressure, PressureRecord};
 pub use job::{
     Amount, IdError, JobId, JobRecord, JobSpec, JobState, Queue, Repeat, SpecError, StepSpec,
     TaskId,
@@ -253,7 +253,12 @@
         }
     }
 
-    fn insert_job(&mut self, id: JobId, record: JobRecord, now: Now) {
+    fn insert_job(&mut self, id: JobId, mut record: JobRecord, now: Now) {
+        for step in &mut record.spec.steps {
+            if let Some(short) = headroom::short_name(&step.image) {
+                step.image = short;
+            }
+        }
         let account = record.account.as_deref();
         let account = account.map(|name| self.accounts.key(name));
         let mut job = Job::new(record, now);
@@ -379,14 +384,14 @@
             .map_or_else(|| Arc::from(""), |job| Arc::clone(&job.record.spec.payload))
     }
 
-    /// Learned pressures between images.
-    pub fn learned_pressures(&self) -> Vec<Pressure> {
-        self.headroom.learned_pressures()
+    /// Record of the pressures between images that were observed last, of up to `max_bytes`.
+    pub fn pressure_record(&self, max_bytes: usize) -> PressureRecord {
+        self.headroom.record(max_bytes)
     }
 
     /// Restores pressures that an earlier owner learned.
-    pub fn restore_pressures(&mut self, learned: &[Pressure]) {
-        self.headroom.restore_pressures(learned);
+    pub fn restore_pressures(&mut self, record: &PressureRecord) {
+        self.headroom.restore(record);
     }
 
     /// Takes the number of runs that workers have listed without an assignment since the
--- a/crates/verbenahitch/src/dispatch/place.rs
+++ b/crates/verbenahitch/src/dispatch/place.rs
@@ -16,7 +16,11 @@
 //! Inputs: commitments, exact, as the dispatcher makes them; headrooms, health and pace,
 //! as old as the last poll, about a second at most.
 
-use super::headroom::{self, Effect, Exposure, HeadroomModel, ImageId, Level};
+use std::cell::RefCell;
+
+use slotmap::{Key, SecondaryMap};
+
+use super::headroom::{self, Effect, Exposure, HeadroomModel, ImageKey, Level};
 use super::job::{Amount, StepSpec};
 use super::room::Pieces;
 use super::worker::Worker;
@@ -96,7 +100,7 @@
 /// Standing tasks of one image with a target.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Tail {
-    pub image: ImageId,
+    pub image: ImageKey,
     /// Number of the tasks.
     pub count: u32,
     /// Lowest headroom without fillers; none before all tasks have reported any.
@@ -107,7 +111,7 @@
 
 impl Load {
     /// Adds a standing task with a target.
-    pub fn add_tail(&mut self, image: ImageId, level: Option<Level>) {
+    pub fn add_tail(&mut self, image: ImageKey, level: Option<Level>) {
         if let Some(tail) = self.tails.iter_mut().find(|tail| tail.image == image) {
             tail.count += 1;
             tail.level = tail.level.zip(level).map(|(a, b)| a.lower(b));
@@ -144,11 +148,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct AssignmentRequest<'a> {
     pub step: &'a StepSpec,
-    pub image: ImageId,
+    pub image: ImageKey,
     /// Harmfulness of a filler, zero for other tasks.
     harmfulness: f64,
-    /// Effects of a filler on the tasks of each image, none for other tasks.
-    effects: Vec<Effect>,
+    /// Effects of a filler on the tasks of images that it was compared with.
+    effects: RefCell<SecondaryMap<ImageKey, Effect>>,
     /// Pieces for short steps, none while enough are left.
     pieces: Option<Pieces>,
     /// Whether a short task leaves the emptiest workers to fillers.
@@ -164,7 +168,11 @@
         pieces: Option<Pieces>,
         spares_idle: bool,
     ) -> Self {
-        let image = model.image_id(&step.image);
+        let image = if step.filler || step.target_ms > 0 {
+            model.find_image(&step.image)
+        } else {
+            ImageKey::null()
+        };
         Self {
             step,
             image,
@@ -173,11 +181,7 @@
             } else {
                 0.0
             },
-            effects: if step.filler {
-                model.placement_effects(image)
-            } else {
-                Vec::new()
-            },
+            effects: RefCell::default(),
             pieces,
             spares_idle,
             is_owed: false,
@@ -190,9 +194,22 @@
     }
 
     /// Records the placement of a filler beside tasks of a standing image.
-    pub fn add_trial(&mut self, model: &mut HeadroomModel, standing: ImageId) {
+    pub fn add_trial(&mut self, model: &mut HeadroomModel, standing: ImageKey) {
+        if self.image.is_null() {
+            self.image = model.use_image(&self.step.image);
+        }
         model.add_trial(self.image, standing);
-        self.effects[standing.index()] = model.placement_effect(self.image, standing);
+        let effect = model.placement_effect(self.image, standing);
+        self.effects.get_mut().insert(standing, effect);
+    }
+
+    /// Effect of a filler on the tasks of an image.
+    fn effect(&self, model: &HeadroomModel, standing: ImageKey) -> Effect {
+        let compute = || model.placement_effect(self.image, standing);
+        match self.effects.borrow_mut().entry(standing) {
+            Some(entry) => *entry.or_insert_with(compute),
+            None => compute(),
+        }
     }
 
     /// Cost of the pieces for short steps that the task destroys.
@@ -228,7 +245,7 @@
             is_excessive: false,
         };
         load.tails.iter().fold(none, |worst, tail| {
-            let Effect { pressure, floor } = self.effects[tail.image.index()];
+            let Effect { pressure, floor } = self.effect(model, tail.image);
             let added = pressure * share;
             let level = tail
                 .level
@@ -448,7 +465,7 @@
 /// Cost from the images of the standing tasks with a target on the worker. Tasks of
 /// one image are packed together, so that workers without the image remain for fillers
 /// that slow it.
-fn image_cost(load: &Load, image: ImageId) -> f64 {
+fn image_cost(load: &Load, image: ImageKey) -> f64 {
     let count = |is_same: bool| -> u32 {
         let counted = load
             .tails
--- a/crates/verbenahitch/src/dispatch/worker.rs
+++ b/crates/verbenahitch/src/dispatch/worker.rs
@@ -10,7 +10,7 @@
 use slotmap::new_key_type;
 
 use super::Claim;
-use super::headroom::{ImageId, Level};
+use super::headroom::{ImageKey, Level};
 use super::interference::MitigationState;
 use super::job::{Amount, JobId, TaskId};
 use super::mitigation::PastFiller;
@@ -456,7 +456,7 @@
     pub claim: Option<Claim>,
     /// Whether its resources are not known.
     pub is_unsized: bool,
-    pub image: ImageId,
+    pub image: ImageKey,
     /// CPU of a filler in thousandths of a core, zero for other tasks.
     pub filler_milli: u64,
     /// CPU of a short step's run in thousandths of a core, zero for other tasks.
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -7,7 +7,7 @@
 use super::driver::Driver;
 use super::isolation::{Part, Verdict};
 use super::{Outcome, OwnerEvent};
-use crate::dispatch::{JobState, VoterRecord, Write};
+use crate::dispatch::{JobState, PressureRecord, VoterRecord, Write};
 use crate::domain::{Millis, Monotonic};
 use crate::entry::election::LEASE_MS;
 use crate::entry::keys::{self, JobEntry};
@@ -20,6 +20,10 @@
 /// the commits.
 const PRESSURES_INTERVAL_MS: Millis = 3_000;
 
+/// Largest record of the learned pressures in bytes. A thin link carries it in a fraction of the
+/// interval.
+const PRESSURES_MAX_BYTES: usize = 64 * 1024;
+
 /// Largest number of jobs in one commit. With three entries per job, the conditions, the
 /// commit ID, the voters and the learned pressures, they fit into the largest transaction
 /// that the store accepts.
@@ -159,7 +163,7 @@
 
     /// Adds the learned pressures if they have changed.
     fn add_pressures(&mut self, commit: &mut PendingCommit) {
-        let learned = self.dispatcher.learned_pressures();
+        let learned = self.dispatcher.pressure_record(PRESSURES_MAX_BYTES);
         if learned != self.stored_pressures {
             let put = Put::persistent(keys::PRESSURES.to_owned(), keys::encode(&learned));
             commit.transaction.puts.push(put);
@@ -285,7 +289,7 @@
             match part {
                 Part::Job(id) => self.dispatcher.return_writes([*id]),
                 Part::Voters => self.dispatcher.return_voters(),
-                Part::Pressures => self.stored_pressures.clear(),
+                Part::Pressures => self.stored_pressures = PressureRecord::default(),
             }
         }
         let pause_ms = self.isolation.note_untaken(&commit.parts, verdict, now);
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -10,7 +10,7 @@
 use super::isolation::Isolation;
 use super::{Outcome, OwnerEvent, Sender, retirement};
 use crate::collections::HashMap;
-use crate::dispatch::{Bounds, Dispatcher, JobId, Now, Order, Pressure, ProgressRecord};
+use crate::dispatch::{Bounds, Dispatcher, JobId, Now, Order, PressureRecord, ProgressRecord};
 use crate::domain::{Millis, Monotonic};
 use crate::entry::election::Term;
 use crate::entry::host::Shared;
@@ -64,7 +64,7 @@
     /// Worker names by registry key.
     pub(super) worker_names: HashMap<String, String>,
     pub(super) commit_revision: u64,
-    pub(super) stored_pressures: Vec<Pressure>,
+    pub(super) stored_pressures: PressureRecord,
     /// When the learned pressures were last compared with the stored ones.
     pub(super) checked_at: Monotonic,
     pub(super) pending_commit: Option<PendingCommit>,
@@ -118,7 +118,7 @@
             pending_commit: None,
             isolation: Isolation::default(),
             renewed_at: clock.now(),
-            stored_pressures: Vec::new(),
+            stored_pressures: PressureRecord::default(),
             checked_at: clock.now(),
             calls: JoinSet::new(),
             since: clock.now(),
@@ -128,7 +128,7 @@
         };
         // The reading may have taken longer than the lease; only renewals tell.
         driver.dispatcher.confirm_ownership(began);
-        let learned = learned?.and_then(|item| shared.read::<Vec<Pressure>>(&item, Item::decode));
+        let learned = learned?.and_then(|item| shared.read::<PressureRecord>(&item, Item::decode));
         if let Some(learned) = learned {
             driver.dispatcher.restore_pressures(&learned);
         }
--- a/testsuite/tests/testsuite/dispatch/kept_out.rs
+++ b/testsuite/tests/testsuite/dispatch/kept_out.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use test_case::test_case;
-use verbenahitch::dispatch::{JobId, Pressure, StepSpec};
+use verbenahitch::dispatch::{JobId, Pressure, PressureRecord, StepSpec};
 use verbenahitch::domain::Millis;
 
 use super::world::{World, filler, job, standing};
@@ -50,7 +50,9 @@
     let pair = ("heavy".to_owned(), "weak".to_owned());
     world.pressures.insert(pair, case.actual);
     let learned = Pressure("heavy".to_owned(), "weak".to_owned(), case.believed);
-    world.dispatcher.restore_pressures(&[learned]);
+    world
+        .dispatcher
+        .restore_pressures(&PressureRecord::from(vec![learned]));
     for number in 0..2 {
         let step = StepSpec {
             spread: 1,
--- a/testsuite/tests/testsuite/dispatch/load.rs
+++ b/testsuite/tests/testsuite/dispatch/load.rs
@@ -153,6 +153,9 @@
     assert!(over <= 2 * 150, "{over} ms over the target");
 }
 
+/// Room for a record of learned pressures in bytes.
+const RECORD_MAX_BYTES: usize = 65_536;
+
 /// A new owner restores the learned pressures without loss.
 #[test]
 fn learned_pressures_survive_a_change_of_the_owner() {
@@ -165,15 +168,15 @@
         world.submit(100 + wave, "batch", job(vec![filler(2, 2, 1_500, "heavy")]));
         world.run(1_500);
     }
-    let learned = world.dispatcher.learned_pressures();
-    let heavy = learned.iter().find(|pressure| pressure.0 == "heavy");
+    let learned = world.dispatcher.pressure_record(RECORD_MAX_BYTES);
+    let heavy = learned.pressures().find(|pressure| pressure.0 == "heavy");
     assert!(
         heavy.is_some_and(|pressure| pressure.2 > 2.0),
         "{learned:?}"
     );
     world.take_over();
     world.dispatcher.restore_pressures(&learned);
-    assert_eq!(world.dispatcher.learned_pressures(), learned);
+    assert_eq!(world.dispatcher.pressure_record(RECORD_MAX_BYTES), learned);
 }
 
 /// A tenth of the workers slow down by a factor of six but still answer polls; their
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod cut_off;
 mod execution;
+mod images;
 mod incarnations;
 mod kept_out;
 mod kinds;
--- a/testsuite/tests/testsuite/entry/untaken.rs
+++ b/testsuite/tests/testsuite/entry/untaken.rs
@@ -4,10 +4,10 @@
 
 use test_case::test_case;
 use tokio::task::LocalSet;
-use verbenahitch::dispatch::StepSpec;
+use verbenahitch::dispatch::{Pressure, PressureRecord, StepSpec};
 use verbenahitch::entry::IntakeOutcome;
 
-use super::world::{Answer, Untaken, World, step};
+use super::world::{Answer, MemoryKv, Untaken, VALUE_MAX, World, step};
 
 /// Time within which the jobs of a test complete.
 const LIMIT: Duration = Duration::from_secs(12);
@@ -30,10 +30,10 @@
     }
 }
 
-fn filler() -> StepSpec {
+fn filler(build: u64) -> StepSpec {
     StepSpec {
         filler: true,
-        image: "filler".to_owned(),
+        image: format!("filler-{build}"),
         ..step(8)
     }
 }
@@ -63,7 +63,7 @@
         // Longer than the interval at which learned pressures are written.
         for id in 2..22 {
             assert_eq!(
-                world.submit(id, vec![filler(), step(4)]).await,
+                world.submit(id, vec![filler(id), step(4)]).await,
                 IntakeOutcome::Stored
             );
             tokio::time::sleep(Duration::from_millis(250)).await;
@@ -84,3 +84,46 @@
         );
     });
 }
+
+/// Key of the learned pressures.
+const PRESSURES: &str = "learned/headroom";
+
+/// Largest record of the learned pressures in bytes.
+const PRESSURES_MAX_BYTES: usize = 65_536;
+
+// Guards against a table of learned pressures that outgrows the largest value of the store.
+#[test]
+fn learned_pressures_of_many_images_can_be_stored() {
+    run(async {
+        let image = |name: &str, at: usize| format!("registry.example/{name}@sha256:{at:064x}");
+        let pairs = (0..75).flat_map(|filler| (0..75).map(move |standing| (filler, standing)));
+        let mut learned: Vec<Pressure> = pairs
+            .map(|(filler, standing)| {
+                Pressure(image("batch", filler), image("watch", standing), 1.25)
+            })
+            .collect();
+        let mut stored = serde_json::to_vec(&learned).unwrap();
+        while stored.len() > VALUE_MAX {
+            learned.pop();
+            stored = serde_json::to_vec(&learned).unwrap();
+        }
+        let kv = MemoryKv::default();
+        kv.put(PRESSURES, &stored);
+        let world = World::start_with(4, kv).await;
+        let stored_steps = vec![standing()];
+        assert_eq!(world.submit(1, stored_steps).await, IntakeOutcome::Stored);
+        for id in 2..22 {
+            assert_eq!(
+                world.submit(id, vec![filler(id), step(4)]).await,
+                IntakeOutcome::Stored
+            );
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+        assert_eq!(world.kv.rejected(), 0, "a value is too large");
+        let stored = world.kv.value(PRESSURES).unwrap();
+        assert!(stored.len() <= PRESSURES_MAX_BYTES, "{}", stored.len());
+        let record: PressureRecord = serde_json::from_slice(&stored).unwrap();
+        let learned = record.pressures().find(|row| row.0.starts_with("filler-"));
+        assert!(learned.is_some(), "the newest pressures are not stored");
+    });
+}
--- a/testsuite/tests/testsuite/entry/world.rs
+++ b/testsuite/tests/testsuite/entry/world.rs
@@ -59,6 +59,11 @@
         self.0.untaken.replace(untaken);
     }
 
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let items = self.0.items.borrow();
+        items.get(key).and_then(|item| item.value.clone().ok())
+    }
+
     pub fn rejected(&self) -> u32 {
         self.0.rejected.get()
     }
@@ -389,7 +394,11 @@
 impl World {
     /// Starts a host on the present task set with workers of 64 cores.
     pub async fn start(workers: u32) -> Self {
-        let kv = MemoryKv::default();
+        Self::start_with(workers, MemoryKv::default()).await
+    }
+
+    /// As [`Self::start`], over a store that earlier owners have used.
+    pub async fn start_with(workers: u32, kv: MemoryKv) -> Self {
         let fleet = Fleet {
             kv: kv.clone(),
             workers: Rc::default(),
