dispatch: the record of a job of many tasks stays within the largest value of the store

Cause: a job keeps a row for each task that has run, and each run adds to it; nothing bounds the sum, though the number of tasks is known at the submission, and what runs at once is the owner's own choice.

Of other jobs only as many tasks are started at once as their record has room for, by the lengths of the workers' names and addresses. A value that is too large all the same is left out before it is sent. A task that is done keeps no checkpoint in the record. A retiring owner's record that is too large is not written: the next owner waits as after a crash.

Why it works: the parts of a record that grow are rows, runs and lapsed runs. Rows are bounded at the submission, and starts by what the other two leave, so each record that is taken has room.

--- a/crates/verbenahitch/benches/assignment.rs
+++ b/crates/verbenahitch/benches/assignment.rs
@@ -78,6 +78,7 @@
             quorum_ms: 1_500,
             relist_ms: 2_500,
             cap_overshoot: 0.1,
+            record_max: 1 << 20,
         };
         let mut owner = Self {
             dispatcher: Dispatcher::new(bounds, Monotonic(0)),
--- a/crates/verbenahitch/examples/mass_loss.rs
+++ b/crates/verbenahitch/examples/mass_loss.rs
@@ -236,6 +236,7 @@
             lease_max_ms: 6_000,
             quorum_ms: 1_500,
             relist_ms: 2_500,
+            record_max: 1 << 20,
             cap_overshoot: 0.1,
         };
         let mut simulation = Self {
--- a/crates/verbenahitch/src/dispatch/assign/mod.rs
+++ b/crates/verbenahitch/src/dispatch/assign/mod.rs
@@ -621,11 +621,13 @@
         let Some(tasks) = round.map(|round| round.steps[step.step as usize].tasks()) else {
             return Outcome::Placed;
         };
+        let record_room = self.record_room(step.job);
         let waiting: Vec<(u32, Option<WorkerKey>)> = (0u32..)
             .zip(tasks)
             .filter(|(_, task)| task.is_waiting())
             .filter(|(_, task)| !self.must_wait(task, step.job, spec.standing, pass.now))
             .filter(|(_, task)| !step.rank.overdue || task.is_overdue(pass.now))
+            .take(record_room)
             .map(|(index, task)| (index, task.avoid))
             .collect();
         if waiting.is_empty() {
--- a/crates/verbenahitch/src/dispatch/commit.rs
+++ b/crates/verbenahitch/src/dispatch/commit.rs
@@ -135,7 +135,12 @@
                                 Some(RunRecord(run.number, name, run.incarnation))
                             })
                             .collect(),
-                        checkpoint: task.checkpoint.clone(),
+                        // A task that is done does not resume.
+                        checkpoint: if task.done {
+                            String::new()
+                        } else {
+                            task.checkpoint.clone()
+                        },
                     });
                 }
             }
--- a/crates/verbenahitch/src/dispatch/ends.rs
+++ b/crates/verbenahitch/src/dispatch/ends.rs
@@ -62,6 +62,7 @@
     /// Applies a new or changed registry entry; a worker is `listed` while it has one.
     pub fn upsert_worker(&mut self, mut info: WorkerInfo, now: Monotonic) {
         info.capacity = info.capacity.bounded();
+        self.note_names(&info);
         self.forecaster.worker_listed(&info.pool, info.capacity);
         let Some(&key) = self.worker_keys.get(&info.name) else {
             let name = info.name.clone();
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -39,6 +39,7 @@
 mod place;
 mod polls;
 mod quorum;
+pub mod record_size;
 mod recover;
 mod report;
 mod retire;
@@ -77,7 +78,7 @@
 use worker::{Phase, Run, Worker};
 pub use worker::{RunKey, WorkerInfo, WorkerKey};
 
-/// Time bounds that the deployment sets, in milliseconds.
+/// Bounds that the deployment sets; times in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// Length of the lease that each poll gives a worker's tasks.
@@ -91,6 +92,8 @@
     pub relist_ms: Millis,
     /// Part of an account's cap by which late starts may exceed it.
     pub cap_overshoot: f64,
+    /// Largest record of a job's progress, in bytes.
+    pub record_max: usize,
 }
 
 /// Time of an event on both clocks.
@@ -111,6 +114,8 @@
     open_jobs: HashSet<JobId>,
     workers: SlotMap<WorkerKey, Worker>,
     worker_keys: HashMap<String, WorkerKey>,
+    /// Length of the longest name or address of a worker so far.
+    name_bytes: usize,
     runs: SlotMap<RunKey, Run>,
     /// Cached loads of workers; an entry is removed when the worker's load changes.
     cached_loads: SecondaryMap<WorkerKey, place::Load>,
@@ -183,6 +188,7 @@
             open_jobs: HashSet::default(),
             workers: SlotMap::with_key(),
             worker_keys: HashMap::default(),
+            name_bytes: 0,
             runs: SlotMap::with_key(),
             cached_loads: SecondaryMap::new(),
             due_runs: HashSet::default(),
--- a/crates/verbenahitch/src/dispatch/recover.rs
+++ b/crates/verbenahitch/src/dispatch/recover.rs
@@ -140,6 +140,7 @@
 
     /// Adds a worker that the registry does not list.
     pub(super) fn add_unlisted(&mut self, info: WorkerInfo) -> WorkerKey {
+        self.note_names(&info);
         let name = info.name.clone();
         let mut worker = Worker::new(info);
         worker.listing = Listing::Unknown;
--- a/crates/verbenahitch/src/dispatch/table.rs
+++ b/crates/verbenahitch/src/dispatch/table.rs
@@ -7,7 +7,7 @@
 use super::job::{JobRecord, JobSpec, JobState, Queue, StepSpec};
 use super::worker::{RunKey, WorkerKey};
 use super::{AccountKey, Now};
-use super::{room, step_order};
+use super::{record_size, room, step_order};
 use crate::domain::{Millis, Monotonic};
 
 /// When the last run of a task ended.
@@ -204,6 +204,8 @@
     pub critical_paths: Vec<Millis>,
     /// Core-milliseconds of one round by declared run times.
     pub work: u64,
+    /// Bytes of the rows of all tasks in the record of its progress.
+    pub rows_bytes: usize,
     /// Time since its acceptance when this owner learned of it, in milliseconds. It may have
     /// been accepted before the owner's clock began.
     known_age_ms: Millis,
@@ -232,6 +234,7 @@
         let mut job = Self {
             critical_paths: step_order::critical_paths(&record.spec),
             work: work_of(&record.spec),
+            rows_bytes: record_size::rows_bytes(&record.spec),
             known_age_ms: now.wall_ms.saturating_sub(record.accepted_ms),
             known_at: now.at,
             forecast_ms: None,
--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -22,7 +22,7 @@
 use super::observe;
 use super::owner::OwnerEvent;
 use super::refusals::{self, Exclusion, Refusals};
-use crate::dispatch::{JobId, JobRecord, JobState, ProgressRecord};
+use crate::dispatch::{JobId, JobRecord, JobState, ProgressRecord, record_size};
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
 use crate::port::{Item, KeyDigest, KeyValue, KvError, Platform, QueueRoute, boot_now};
@@ -39,6 +39,8 @@
     Stored,
     /// Not stored, and it will not be stored later.
     Refused,
+    /// Not stored: the store cannot hold it, now or later.
+    Unstorable,
     /// Refused since it would have no value left at its end; its caller may return after
     /// this time in milliseconds.
     Deferred(Millis),
@@ -192,11 +194,23 @@
     }
 
     async fn submit(&self, id: JobId, record: JobRecord) -> IntakeOutcome {
-        if let Some(outcome) = self.refuse(id, &record).await {
+        let value_max = self.shared.platform.kv().value_max();
+        let is_storable = record_size::fits(&record.spec, value_max);
+        if is_storable && let Some(outcome) = self.refuse(id, &record).await {
             return outcome;
         }
         let entry = JobEntry::Open(record);
         let bytes = keys::encode(&entry);
+        if !is_storable || bytes.len() > value_max {
+            Entry::new(Kind::JobRefused)
+                .with_text("job", id)
+                .with("cause", "record-size")
+                .with("bytes", bytes.len())
+                .with("value-max", value_max)
+                .emit();
+            observe::record_unstorable();
+            return IntakeOutcome::Unstorable;
+        }
         let refused = Some(keys::refused(id));
         let outcome = self.store(keys::job(id), bytes.clone(), refused).await;
         if outcome == IntakeOutcome::Stored {
--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -113,6 +113,11 @@
         .record(Duration::from_millis(refusal.age_ms).as_secs_f64());
 }
 
+/// Records a job that is refused as the store cannot hold its records.
+pub(super) fn record_unstorable() {
+    counter!("verbenahitch_jobs_refused_total", "cause" => "record-size").increment(1);
+}
+
 /// Records a job that is accepted though the forecast speaks against it.
 pub(super) fn record_unenforced(refusal: &Refusal) {
     counter!("verbenahitch_jobs_without_prospect_total", "cause" => refusal.cause.name())
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -68,8 +68,24 @@
 }
 
 impl<P: Platform> Driver<P> {
-    /// Commit of what has changed, none if nothing has.
+    /// Commit of what has changed, none if nothing has. A value that is too large for the store is
+    /// left out before it is sent.
     pub(super) fn next_commit(&mut self, now: Monotonic) -> Option<PendingCommit> {
+        let value_max = self.shared.platform.kv().value_max();
+        loop {
+            let commit = self.gather(now)?;
+            let largest = commit.transaction.largest();
+            if largest.is_none_or(|put| put.value.len() <= value_max) {
+                return Some(commit);
+            }
+            let error = KvError::Rejected {
+                cause: format!("a value has more than {value_max} bytes"),
+            };
+            self.isolate(&commit, Verdict::Rejected, &error, now);
+        }
+    }
+
+    fn gather(&mut self, now: Monotonic) -> Option<PendingCommit> {
         while let Some(part) = self.isolation.next_single(now) {
             let commit = self.commit_single(part, now);
             if commit.is_some() {
--- a/crates/verbenahitch/src/entry/owner/driver.rs
+++ b/crates/verbenahitch/src/entry/owner/driver.rs
@@ -43,15 +43,16 @@
 /// milliseconds.
 const HANDOVER_TIMEOUT_MS: Millis = 500;
 
-/// Time bounds of an owner where workers grant leases of up to `lease_max_ms` and client accounts
-/// may exceed their caps by the part `cap_overshoot`.
-pub fn worker_bounds(lease_max_ms: Millis, cap_overshoot: f64) -> Bounds {
+/// Bounds of an owner where workers grant leases of up to `lease_max_ms`, client accounts may exceed
+/// their caps by the part `cap_overshoot`, and the store takes values of up to `record_max` bytes.
+pub fn worker_bounds(lease_max_ms: Millis, cap_overshoot: f64, record_max: usize) -> Bounds {
     Bounds {
         lease_ms: WORKER_LEASE_MS.min(lease_max_ms),
         lease_max_ms,
         quorum_ms: QUORUM_MS,
         relist_ms: RELIST_MS,
         cap_overshoot,
+        record_max,
     }
 }
 
@@ -106,7 +107,7 @@
             read("intake", kv.range(keys::INTAKE_PREFIX)),
         );
         let settings = &shared.settings;
-        let bounds = worker_bounds(settings.lease_max, settings.cap_overshoot);
+        let bounds = worker_bounds(settings.lease_max, settings.cap_overshoot, kv.value_max());
         let mut driver = Self {
             shared: Rc::clone(shared),
             term,
--- a/crates/verbenahitch/src/entry/owner/handover.rs
+++ b/crates/verbenahitch/src/entry/owner/handover.rs
@@ -97,14 +97,14 @@
                 (keys::OWNER.to_owned(), self.term.fence),
                 (keys::COMMIT.to_owned(), self.commit_revision),
             ],
-            puts: vec![
-                Put {
-                    key: keys::OWNER.to_owned(),
-                    value: keys::encode(&request.owner),
-                    lease: request.lease,
-                },
-                self.retirement(true),
-            ],
+            puts: [Put {
+                key: keys::OWNER.to_owned(),
+                value: keys::encode(&request.owner),
+                lease: request.lease,
+            }]
+            .into_iter()
+            .chain(self.retirement(true))
+            .collect(),
             removes: vec![keys::SUCCESSOR.to_owned(), keys::SLOW.to_owned()],
         };
         replace_owner(self.shared.platform.kv(), &transaction, self.term.fence).await
--- a/crates/verbenahitch/src/entry/owner/retirement.rs
+++ b/crates/verbenahitch/src/entry/owner/retirement.rs
@@ -22,8 +22,9 @@
 const HISTORY_CALLS: u32 = 4;
 
 impl<P: Platform> Driver<P> {
-    /// Record of this owner, which must make no pass from now on if it is stored.
-    pub(super) fn retirement(&self, handed_over: bool) -> Put {
+    /// Record of this owner, which must make no pass from now on if it is stored; none if it is too
+    /// large for the store. Without it the next owner waits as after a crash.
+    pub(super) fn retirement(&self, handed_over: bool) -> Option<Put> {
         let left = self.dispatcher.retirement(self.clock.now());
         Entry::new(Kind::OwnerRetired)
             .with("fence", self.term.fence)
@@ -35,7 +36,12 @@
             )
             .emit();
         let record = RetiredRecord { handed_over, left };
-        Put::persistent(keys::RETIRED.to_owned(), keys::encode(&record))
+        let put = Put::persistent(keys::RETIRED.to_owned(), keys::encode(&record));
+        if put.value.len() > self.shared.platform.kv().value_max() {
+            log::warn!("the record of the end of the term is too large for the store");
+            return None;
+        }
+        Some(put)
     }
 
     /// Ends the term in the store, with the record of this owner. Without an answer the
@@ -43,7 +49,7 @@
     pub(super) async fn retire(&self) {
         let transaction = Transaction {
             expected: vec![(keys::OWNER.to_owned(), self.term.fence)],
-            puts: vec![self.retirement(false)],
+            puts: self.retirement(false).into_iter().collect(),
             removes: vec![keys::OWNER.to_owned(), keys::SLOW.to_owned()],
         };
         let limit = Duration::from_millis(TIMEOUT_MS);
--- a/crates/verbenahitch/src/entry/refusals.rs
+++ b/crates/verbenahitch/src/entry/refusals.rs
@@ -185,6 +185,10 @@
                 log::warn!("a write may or may not have been applied: {error}");
                 return IntakeOutcome::Unknown;
             }
+            Err(KvError::Rejected { cause }) => {
+                log::warn!("the store rejects {key} as it is: {cause}");
+                return IntakeOutcome::Unstorable;
+            }
             Err(error) => {
                 log::info!("the store refused a write: {error}");
                 return IntakeOutcome::Refused;
--- a/crates/verbenahitch/src/port/kv.rs
+++ b/crates/verbenahitch/src/port/kv.rs
@@ -150,6 +150,9 @@
     reason = "the futures are polled on one thread and need not be Send"
 )]
 pub trait KeyValue: Clone + 'static {
+    /// Largest value that the service takes, in bytes.
+    fn value_max(&self) -> usize;
+
     /// Reads a key.
     ///
     /// # Errors
--- a/testsuite/tests/testsuite/dispatch/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/mod.rs
@@ -21,6 +21,7 @@
 mod odd_values;
 mod order;
 mod overload;
+mod record_sizes;
 mod recovery;
 mod refusals;
 mod room_schedules;
--- a/testsuite/tests/testsuite/dispatch/recovery.rs
+++ b/testsuite/tests/testsuite/dispatch/recovery.rs
@@ -257,7 +257,7 @@
 #[test_case(6_000; "short leases")]
 #[test_case(10_000; "long leases")]
 fn no_bounded_run_is_repeated_while_a_former_owner_extends_its_lease(lease_max_ms: Millis) {
-    let bounds = entry::worker_bounds(lease_max_ms, BOUNDS.cap_overshoot);
+    let bounds = entry::worker_bounds(lease_max_ms, BOUNDS.cap_overshoot, BOUNDS.record_max);
     let mut world = World::with_bounds(12, bounds);
     for worker in world.workers.values_mut() {
         worker.slow_clock = true;
@@ -622,7 +622,7 @@
 #[test_case(LostWorker { lease_max_ms: 10_000, kills: &[0, 4_000], is_busy: false }; "one owner after another")]
 #[test_case(LostWorker { lease_max_ms: 10_000, kills: &[], is_busy: true }; "failed starts")]
 fn a_standing_task_of_a_lost_worker_is_not_away_for_too_long(case: LostWorker) {
-    let bounds = entry::worker_bounds(case.lease_max_ms, BOUNDS.cap_overshoot);
+    let bounds = entry::worker_bounds(case.lease_max_ms, BOUNDS.cap_overshoot, BOUNDS.record_max);
     let mut world = World::with_bounds(5, bounds);
     let id = world.submit(1, "push", job(vec![standing(1, 4, "s")]));
     world.run(3_000);
--- a/testsuite/tests/testsuite/dispatch/world/mod.rs
+++ b/testsuite/tests/testsuite/dispatch/world/mod.rs
@@ -157,6 +157,7 @@
     quorum_ms: 1_500,
     relist_ms: 2_500,
     cap_overshoot: 0.1,
+    record_max: 1 << 20,
 };
 
 impl World {
--- a/testsuite/tests/testsuite/entry/refusals.rs
+++ b/testsuite/tests/testsuite/entry/refusals.rs
@@ -83,6 +83,10 @@
 }
 
 impl KeyValue for FakeKv {
+    fn value_max(&self) -> usize {
+        1 << 20
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Item>, KvError> {
         Ok(self.0.items.borrow().get(key).cloned())
     }
--- a/testsuite/tests/testsuite/entry/untaken.rs
+++ b/testsuite/tests/testsuite/entry/untaken.rs
@@ -127,3 +127,50 @@
         assert!(learned.is_some(), "the newest pressures are not stored");
     });
 }
+
+// Guards against a job whose record outgrows the largest value of the store.
+#[test_case(1, 10_000; "as many tasks as a step may have")]
+#[test_case(20, 600; "many steps")]
+fn a_job_of_many_tasks_stays_storable(steps: usize, count: u32) {
+    run(async {
+        let world = World::start(60).await;
+        // Long enough for all of them to run at once.
+        let long = StepSpec {
+            estimate_ms: 2_000,
+            ..step(count)
+        };
+        assert_eq!(
+            world.submit(0xff, vec![long; steps]).await,
+            IntakeOutcome::Stored
+        );
+        for id in 1..20 {
+            assert_eq!(world.submit(id, vec![step(2)]).await, IntakeOutcome::Stored);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        for id in 1..20 {
+            assert!(world.completes(id, LIMIT).await, "job {id} waits");
+        }
+        assert!(
+            world.completes(0xff, 5 * LIMIT).await,
+            "the large job does not complete"
+        );
+        assert_eq!(world.kv.rejected(), 0, "a value is too large");
+    });
+}
+
+// Guards against a job that is accepted although its record can never be stored.
+#[test_case(3, 10_000; "more tasks than a record has room for")]
+#[test_case(1_000, 10_000; "as many tasks as the limits of steps and tasks allow")]
+fn a_job_that_cannot_be_stored_is_refused_at_once(steps: usize, count: u32) {
+    run(async {
+        let world = World::start(4).await;
+        assert_eq!(
+            world.submit(0xff, vec![step(count); steps]).await,
+            IntakeOutcome::Unstorable
+        );
+        assert_eq!(world.state(0xff).await, None);
+        assert_eq!(world.submit(1, vec![step(2)]).await, IntakeOutcome::Stored);
+        assert!(world.completes(1, LIMIT).await, "a small job waits");
+        assert_eq!(world.kv.rejected(), 0, "a value is too large");
+    });
+}
--- a/testsuite/tests/testsuite/entry/world.rs
+++ b/testsuite/tests/testsuite/entry/world.rs
@@ -22,6 +22,9 @@
 /// Largest value of the store in bytes.
 pub const VALUE_MAX: usize = 1 << 20;
 
+/// Start of all workers in milliseconds since the Unix epoch.
+const INCARNATION: u64 = 1_700_000_000_000;
+
 /// Tail of a standing task in milliseconds, alone and beside fillers.
 const TAIL_MS: Millis = 20;
 const SLOWED_TAIL_MS: Millis = 24;
@@ -126,6 +129,10 @@
 }
 
 impl KeyValue for MemoryKv {
+    fn value_max(&self) -> usize {
+        VALUE_MAX
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Item>, KvError> {
         Ok(self.0.items.borrow().get(key).cloned())
     }
@@ -253,7 +260,7 @@
             measurement: tail_ms,
         };
         Report {
-            incarnation: 1,
+            incarnation: INCARNATION,
             clock_ms: u64::try_from(self.began.elapsed().as_millis()).unwrap() + 1,
             running: worker.running.iter().map(row).collect(),
             ended: worker.ended.clone(),
@@ -289,7 +296,7 @@
                 memory_mb: 1_000_000,
                 gpus: 0,
             },
-            incarnation: 1,
+            incarnation: INCARNATION,
             ..WorkerInfo::default()
         })
     }
@@ -407,7 +414,7 @@
         };
         kv.put("op/config", b"");
         for worker in 0..workers {
-            kv.put(&format!("servers/worker-{worker}"), b"");
+            kv.put(&format!("servers/label-dispatch-worker-{worker:04}"), b"");
         }
         let (stop, stopping) = watch::channel(false);
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
