--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -29,6 +29,10 @@
 /// that the store accepts.
 const MAX_COMMIT_JOBS: usize = 8;
 
+/// Bytes of values from which a commit takes no further jobs: what a thin link carries within the
+/// usual time limit of a call.
+const COMMIT_FULL_BYTES: usize = 256 * 1024;
+
 /// Time for which the store refuses a commit while it renews the owner's lease, after which the
 /// commit is in doubt, in milliseconds. A store that is busy takes it before.
 const REFUSED_MS: Millis = 3_000;
@@ -128,7 +132,9 @@
         }
     }
 
-    fn begin_commit(&self, writes: &[Write], voters: Option<&VoterRecord>) -> PendingCommit {
+    /// Commit of the first of these records that fit into one, and of the voters; the rest is
+    /// returned.
+    fn begin_commit(&mut self, writes: &[Write], voters: Option<&VoterRecord>) -> PendingCommit {
         // Identifies this commit if its answer is lost.
         let commit_id = format!("{:016x}", rand::random::<u64>());
         let mut transaction = Transaction {
@@ -148,7 +154,12 @@
             transaction.puts.push(put);
             parts.push(Part::Voters);
         }
-        for write in writes {
+        for (at, write) in writes.iter().enumerate() {
+            if at > 0 && transaction.value_bytes() >= COMMIT_FULL_BYTES {
+                let rest = writes[at..].iter().map(|write| write.job);
+                self.dispatcher.return_writes(rest);
+                break;
+            }
             add_write(&mut transaction, write);
             parts.push(Part::Job(write.job));
         }
--- a/testsuite/tests/testsuite/entry/untaken.rs
+++ b/testsuite/tests/testsuite/entry/untaken.rs
@@ -174,3 +174,32 @@
         assert_eq!(world.kv.rejected(), 0, "a value is too large");
     });
 }
+
+/// Bytes of a commit that takes no further jobs, and of the record of a job of [`MANY`] tasks.
+const COMMIT_FULL_BYTES: usize = 256 * 1024;
+const RECORD_MAX_BYTES: usize = 400 * 1024;
+
+const MANY: u32 = 3_000;
+
+// Guards against a commit of several large records that a thin link cannot carry in time.
+#[test]
+fn records_of_large_jobs_are_not_all_in_one_commit() {
+    run(async {
+        let world = World::start(60).await;
+        for id in 1..7 {
+            let long = StepSpec {
+                estimate_ms: 1_000,
+                ..step(MANY)
+            };
+            assert_eq!(world.submit(id, vec![long]).await, IntakeOutcome::Stored);
+        }
+        for id in 1..7 {
+            assert!(world.completes(id, 2 * LIMIT).await, "job {id} waits");
+        }
+        let largest = world.kv.largest();
+        assert!(
+            largest < COMMIT_FULL_BYTES + RECORD_MAX_BYTES,
+            "{largest} bytes"
+        );
+    });
+}
--- a/testsuite/tests/testsuite/entry/world.rs
+++ b/testsuite/tests/testsuite/entry/world.rs
@@ -49,6 +49,8 @@
     history: RefCell<Vec<(u64, Change)>>,
     revision: Cell<u64>,
     untaken: RefCell<Option<Untaken>>,
+    /// Bytes of the values of the largest transaction.
+    largest: Cell<usize>,
     /// Number of transactions that were not taken.
     rejected: Cell<u32>,
 }
@@ -67,6 +69,10 @@
         items.get(key).and_then(|item| item.value.clone().ok())
     }
 
+    pub fn largest(&self) -> usize {
+        self.0.largest.get()
+    }
+
     pub fn rejected(&self) -> u32 {
         self.0.rejected.get()
     }
@@ -174,6 +180,8 @@
             });
         }
         self.check(transaction)?;
+        let largest = self.0.largest.get().max(transaction.value_bytes());
+        self.0.largest.set(largest);
         let revision = self.next_revision();
         for put in &transaction.puts {
             self.write(&put.key, &put.value, revision);
