--- a/crates/verbenahitch/src/dispatch/record_size.rs
+++ b/crates/verbenahitch/src/dispatch/record_size.rs
@@ -61,7 +61,9 @@
 /// Whether the record of a job's progress fits into `max_bytes` with few runs at once.
 pub fn fits(spec: &JobSpec, max_bytes: usize) -> bool {
     let run_bytes = RUN_BYTES + LAPSED_BYTES + HOME_BYTES + 4 * NAME_BYTES;
-    rows_bytes(spec).saturating_add(RUNS_MIN * run_bytes) <= max_bytes
+    let rows = rows_bytes(spec);
+    let runs = RUNS_MIN.min(rows / ROW_BYTES);
+    rows.saturating_add(runs * run_bytes) <= max_bytes
 }
 
 /// What the record of a job holds beside the rows.
--- a/crates/verbenahitch/src/entry/owner/commit.rs
+++ b/crates/verbenahitch/src/entry/owner/commit.rs
@@ -190,7 +190,9 @@
 
     /// Adds the learned pressures if they have changed.
     fn add_pressures(&mut self, commit: &mut PendingCommit) {
-        let learned = self.dispatcher.pressure_record(PRESSURES_MAX_BYTES);
+        let value_max = self.shared.platform.kv().value_max();
+        let max_bytes = PRESSURES_MAX_BYTES.min(value_max);
+        let learned = self.dispatcher.pressure_record(max_bytes);
         if learned != self.stored_pressures {
             let put = Put::persistent(keys::PRESSURES.to_owned(), keys::encode(&learned));
             commit.transaction.puts.push(put);
--- a/testsuite/tests/testsuite/entry/mod.rs
+++ b/testsuite/tests/testsuite/entry/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod refusals;
 mod routes;
+mod sizes;
 mod succession;
 mod unreadable;
 mod untaken;
--- a/testsuite/tests/testsuite/entry/untaken.rs
+++ b/testsuite/tests/testsuite/entry/untaken.rs
@@ -3,24 +3,15 @@
 use std::time::Duration;
 
 use test_case::test_case;
-use tokio::task::LocalSet;
 use verbenahitch::dispatch::{Pressure, PressureRecord, StepSpec};
 use verbenahitch::domain::Millis;
 use verbenahitch::entry::IntakeOutcome;
 
-use super::world::{Answer, MemoryKv, Untaken, VALUE_MAX, World, step};
+use super::world::{Answer, MemoryKv, Untaken, VALUE_MAX, World, run, step};
 
 /// Time within which the jobs of a test complete.
 const LIMIT: Duration = Duration::from_secs(12);
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    LocalSet::new().block_on(&runtime, test);
-}
-
 /// Step whose tasks serve until their job is cancelled.
 fn standing() -> StepSpec {
     StepSpec {
@@ -92,6 +83,51 @@
 /// Largest record of the learned pressures in bytes.
 const PRESSURES_MAX_BYTES: usize = 65_536;
 
+/// World over a store, after fillers of new images ran beside standing tasks for some time.
+async fn fill(kv: MemoryKv) -> World {
+    let world = World::start_with(4, kv).await;
+    assert_eq!(
+        world.submit(1, vec![standing()]).await,
+        IntakeOutcome::Stored
+    );
+    for id in 2..22 {
+        assert_eq!(
+            world.submit(id, vec![filler(id), step(4)]).await,
+            IntakeOutcome::Stored
+        );
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    world
+}
+
+// Guards against a record of learned pressures that is within its own bound and not within the
+// store's.
+#[test]
+fn learned_pressures_fit_a_store_of_small_values() {
+    run(async {
+        let value_max = 32 * 1_024;
+        let mut count = value_max / 12;
+        let full = loop {
+            let rows = (0..count)
+                .map(|at| Pressure(format!("f{}", at / 40), format!("s{}", at % 40), 1.25));
+            let rows: Vec<Pressure> = rows.collect();
+            let full = serde_json::to_vec(&PressureRecord::from(rows)).unwrap();
+            if full.len() <= value_max {
+                break full;
+            }
+            count -= 1;
+        };
+        let kv = MemoryKv::default();
+        kv.set_value_max(value_max);
+        kv.put(PRESSURES, &full);
+        let world = fill(kv).await;
+        assert_eq!(world.kv.rejected(), 0, "a value is too large");
+        let stored = world.kv.value(PRESSURES).unwrap();
+        assert!(stored != full, "the newest pressures are not stored");
+        assert!(stored.len() <= value_max, "{}", stored.len());
+    });
+}
+
 // Guards against a table of learned pressures that outgrows the largest value of the store.
 #[test]
 fn learned_pressures_of_many_images_can_be_stored() {
@@ -110,16 +146,7 @@
         }
         let kv = MemoryKv::default();
         kv.put(PRESSURES, &stored);
-        let world = World::start_with(4, kv).await;
-        let stored_steps = vec![standing()];
-        assert_eq!(world.submit(1, stored_steps).await, IntakeOutcome::Stored);
-        for id in 2..22 {
-            assert_eq!(
-                world.submit(id, vec![filler(id), step(4)]).await,
-                IntakeOutcome::Stored
-            );
-            tokio::time::sleep(Duration::from_millis(250)).await;
-        }
+        let world = fill(kv).await;
         assert_eq!(world.kv.rejected(), 0, "a value is too large");
         let stored = world.kv.value(PRESSURES).unwrap();
         assert!(stored.len() <= PRESSURES_MAX_BYTES, "{}", stored.len());
--- a/testsuite/tests/testsuite/entry/world.rs
+++ b/testsuite/tests/testsuite/entry/world.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
+use tokio::task::LocalSet;
 use verbenahitch::dispatch::{
     Amount, CallFailure, EndCause, EndedEntry, JobId, JobRecord, JobSpec, JobState, Poll, Queue,
     Report, RunningEntry, Start, StepSpec, Target, TaskId, WorkerInfo,
@@ -19,9 +20,13 @@
     Unreadable,
 };
 
-/// Largest value of the store in bytes.
+/// Largest value of the store in bytes, unless a test sets another.
 pub const VALUE_MAX: usize = 1 << 20;
 
+/// Largest number of entries of a transaction, and longest key in bytes.
+const ENTRIES_MAX: usize = 32;
+const KEY_MAX: usize = 200;
+
 /// Start of all workers in milliseconds since the Unix epoch.
 const INCARNATION: u64 = 1_700_000_000_000;
 
@@ -49,6 +54,8 @@
     history: RefCell<Vec<(u64, Change)>>,
     revision: Cell<u64>,
     untaken: RefCell<Option<Untaken>>,
+    /// Largest value in bytes, zero for [`VALUE_MAX`].
+    value_max: Cell<usize>,
     /// Bytes of the values of the largest transaction.
     largest: Cell<usize>,
     /// Number of transactions that were not taken.
@@ -60,6 +67,10 @@
 pub struct MemoryKv(Rc<StoreState>);
 
 impl MemoryKv {
+    pub fn set_value_max(&self, bytes: usize) {
+        self.0.value_max.set(bytes);
+    }
+
     pub fn set_untaken(&self, untaken: Option<Untaken>) {
         self.0.untaken.replace(untaken);
     }
@@ -114,12 +125,18 @@
 
     fn check(&self, transaction: &Transaction) -> Result<(), KvError> {
         let puts = &transaction.puts;
+        let entries = transaction.expected.len() + puts.len() + transaction.removes.len();
+        assert!(entries <= ENTRIES_MAX, "{entries} entries");
+        let longest = puts.iter().map(|put| put.key.len()).max();
+        assert!(longest.unwrap_or(0) <= KEY_MAX, "a key is too long");
         let untaken = self.0.untaken.borrow();
         let answer = match untaken.as_ref() {
             Some(untaken) if puts.iter().any(|put| put.key.starts_with(&untaken.prefix)) => {
                 Some(untaken.answer)
             }
-            _ if puts.iter().any(|put| put.value.len() > VALUE_MAX) => Some(Answer::Rejected),
+            _ if puts.iter().any(|put| put.value.len() > self.value_max()) => {
+                Some(Answer::Rejected)
+            }
             _ => None,
         };
         let Some(answer) = answer else {
@@ -136,7 +153,10 @@
 
 impl KeyValue for MemoryKv {
     fn value_max(&self) -> usize {
-        VALUE_MAX
+        match self.0.value_max.get() {
+            0 => VALUE_MAX,
+            bytes => bytes,
+        }
     }
 
     async fn get(&self, key: &str) -> Result<Option<Item>, KvError> {
@@ -398,6 +418,15 @@
     }
 }
 
+/// Runs a test on a task set of its own.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
 /// One host, which is the owner, with its workers.
 pub struct World {
     pub kv: MemoryKv,
@@ -414,6 +443,12 @@
 
     /// As [`Self::start`], over a store that earlier owners have used.
     pub async fn start_with(workers: u32, kv: MemoryKv) -> Self {
+        let name = |worker| format!("label-dispatch-worker-{worker:04}");
+        Self::start_named((0..workers).map(name), kv).await
+    }
+
+    /// As [`Self::start_with`], with workers of these names.
+    pub async fn start_named(names: impl Iterator<Item = String>, kv: MemoryKv) -> Self {
         let fleet = Fleet {
             kv: kv.clone(),
             workers: Rc::default(),
@@ -421,8 +456,8 @@
             began: Instant::now(),
         };
         kv.put("op/config", b"");
-        for worker in 0..workers {
-            kv.put(&format!("servers/label-dispatch-worker-{worker:04}"), b"");
+        for name in names {
+            kv.put(&format!("servers/{name}"), b"");
         }
         let (stop, stopping) = watch::channel(false);
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
