--- a/crates/verbenahitch/src/dispatch/headroom/images.rs
+++ b/crates/verbenahitch/src/dispatch/headroom/images.rs
@@ -11,7 +11,7 @@
 use super::{Estimate, ImageLevel};
 use crate::collections::HashMap;
 
-/// Largest number of images. Twice the runs of the largest fleet that the system is designed for.
+/// Largest number of images: more than tasks run on the largest fleet that the system is designed for.
 pub const IMAGES_MAX: usize = 16_384;
 
 /// Largest number of pairs of images.
--- a/testsuite/tests/testsuite/entry/untaken.rs
+++ b/testsuite/tests/testsuite/entry/untaken.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use test_case::test_case;
-use verbenahitch::dispatch::{Pressure, PressureRecord, StepSpec};
+use verbenahitch::dispatch::{JobSpec, Pressure, PressureRecord, StepSpec, record_size};
 use verbenahitch::domain::Millis;
 use verbenahitch::entry::IntakeOutcome;
 
@@ -44,22 +44,9 @@
             prefix: prefix.to_owned(),
             answer,
         }));
-        assert_eq!(
-            world.submit(1, vec![standing()]).await,
-            IntakeOutcome::Stored
-        );
-        assert_eq!(
-            world.submit(0xff, vec![step(4)]).await,
-            IntakeOutcome::Stored
-        );
-        // Longer than the interval at which learned pressures are written.
-        for id in 2..22 {
-            assert_eq!(
-                world.submit(id, vec![filler(id), step(4)]).await,
-                IntakeOutcome::Stored
-            );
-            tokio::time::sleep(Duration::from_millis(250)).await;
-        }
+        let outcome = world.submit(0xff, vec![step(4)]).await;
+        assert_eq!(outcome, IntakeOutcome::Stored);
+        fill(&world).await;
         for id in 2..22 {
             assert!(
                 world.completes(id, LIMIT).await,
@@ -83,9 +70,9 @@
 /// Largest record of the learned pressures in bytes.
 const PRESSURES_MAX_BYTES: usize = 65_536;
 
-/// World over a store, after fillers of new images ran beside standing tasks for some time.
-async fn fill(kv: MemoryKv) -> World {
-    let world = World::start_with(4, kv).await;
+/// Runs fillers of new images beside standing tasks, longer than the interval at which learned
+/// pressures are written.
+async fn fill(world: &World) {
     assert_eq!(
         world.submit(1, vec![standing()]).await,
         IntakeOutcome::Stored
@@ -97,7 +84,6 @@
         );
         tokio::time::sleep(Duration::from_millis(250)).await;
     }
-    world
 }
 
 // Guards against a record of learned pressures that is within its own bound and not within the
@@ -120,7 +106,8 @@
         let kv = MemoryKv::default();
         kv.set_value_max(value_max);
         kv.put(PRESSURES, &full);
-        let world = fill(kv).await;
+        let world = World::start_with(4, kv).await;
+        fill(&world).await;
         assert_eq!(world.kv.rejected(), 0, "a value is too large");
         let stored = world.kv.value(PRESSURES).unwrap();
         assert!(stored != full, "the newest pressures are not stored");
@@ -146,7 +133,8 @@
         }
         let kv = MemoryKv::default();
         kv.put(PRESSURES, &stored);
-        let world = fill(kv).await;
+        let world = World::start_with(4, kv).await;
+        fill(&world).await;
         assert_eq!(world.kv.rejected(), 0, "a value is too large");
         let stored = world.kv.value(PRESSURES).unwrap();
         assert!(stored.len() <= PRESSURES_MAX_BYTES, "{}", stored.len());
@@ -232,3 +220,34 @@
         );
     });
 }
+
+// Guards against a job of few tasks that a store of small values has room for, and that is refused.
+#[test]
+fn a_small_job_is_accepted_over_a_store_of_small_values() {
+    run(async {
+        let kv = MemoryKv::default();
+        kv.set_value_max(16 * 1_024);
+        let world = World::start_with(4, kv).await;
+        assert_eq!(world.submit(1, vec![step(2)]).await, IntakeOutcome::Stored);
+        assert!(world.completes(1, LIMIT).await, "the job waits");
+        assert_eq!(world.kv.rejected(), 0, "a value is too large");
+    });
+}
+
+/// Tasks of a job by whether they write checkpoints, and whether its record can be stored.
+#[test_case(20_700, false, true; "as many as fit")]
+#[test_case(21_000, false, false; "more than fit")]
+#[test_case(12_500, true, true; "as many as fit with checkpoints")]
+#[test_case(12_700, true, false; "more than fit with checkpoints")]
+fn a_job_is_storable_by_the_number_of_its_tasks(tasks: u32, checkpoints: bool, fits: bool) {
+    let part = StepSpec {
+        checkpoints,
+        ..step(tasks / 3)
+    };
+    let spec = JobSpec {
+        payload: "".into(),
+        steps: vec![part; 3],
+        repeat: None,
+    };
+    assert_eq!(record_size::fits(&spec, VALUE_MAX), fits);
+}
