Tests: crowds of clients that do not behave, against a real process of an entry host

Callers saw: in a trial, clients that the operators do not control ended a process; it ran out of memory. They sent many bodies of legal size and stopped just short of their ends.

A client of the crowd sends a request without an end, or leaves its answers unread, on each listener that can be reached. Memory and descriptors are lowered in the host's settings to 48 MB and 500, so that 600 clients are enough. Checked are bounds that do not depend on the machine's speed: the process lives; its largest resident memory and its largest number of received and unread bytes together stay within the memory of its settings, as the platform counts both; its descriptors stay within theirs; and an ordinary submission, the readiness check and the metrics are answered while the crowd is still connected. One test runs at a time.

Crowd and bounds are fixed from here on.

The clients and the measure of a process are in the stand-ins' crate, as the gateway's tests use them, too.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`platform`] starts several of them, in process or as a separate process.
 
 pub mod command;
+pub mod crowd;
 pub mod demo;
 pub mod fault;
 pub mod history;
