http: listeners serve their connections within limits of memory, descriptors and time

Callers saw: a crowd of clients that sent bodies, chunks or heads and stopped just short of their ends made a process grow by 0.6 MB a connection, until the platform ended it.

Cause: Rocket 0.5 accepts connections itself. It limits neither their number nor their time, hyper's read buffer grows to 400 KiB with the body, and Rocket's copy of the body to twice its size. Answers that are not read, and bytes in receive buffers, came on top.

Change: each listener has a pool that counts its connections and what they hold, before it is read. A connection that needs a place or memory takes it from the one that has waited for its client for the longest time in the middle of a request or an answer; one that is being served is never cut off. hyper serves the connections with small buffers, Rocket's routes are reached by its local client, and handlers take the body by a guard. Bodies are kept in segments of one size, since buffers that grow in one piece left a third of the memory in gaps. Receive buffers have a fixed size. A refused client is read for a moment, so that it sees its answer.

It works since memory is bounded by the sum over connections, not by what each of them may do alone, and since the victim is chosen by what only clients that stall have in common. A refused request was not handed to the store, so a 503 still means that it never runs.

--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -51,6 +51,7 @@
     UpstreamReturned = 111, "upstream-returned", Info, "An upstream gets requests again.";
     UpstreamLeaving = 112, "upstream-leaving", Info, "An upstream or a worker is leaving and gets no new work.";
     ConnectionRetired = 113, "connection-retired", Warn, "The connections to an upstream were replaced after a failure or a lack of progress.";
+    ConnectionsEvicted = 114, "connections-evicted", Warn, "Connections were closed because others needed their place or their memory, or because their clients took too long; at most once a second for each cause.";
     JobAccepted = 200, "job-accepted", Info, "A job was accepted and stored.";
     JobRefused = 201, "job-refused", Info, "A job was refused and not stored.";
     JobFinished = 202, "job-finished", Info, "All tasks of a job have ended.";
--- a/crates/verbenahitch/src/gateway/operators/mod.rs
+++ b/crates/verbenahitch/src/gateway/operators/mod.rs
@@ -17,11 +17,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::http::{Limits, ListenError, Listener};
 
-/// Longest wait for calls in progress at a stop, in seconds.
-const GRACE_S: u32 = 10;
+/// Longest wait for calls in progress at a stop.
+const GRACE: Duration = Duration::from_secs(10);
 
 /// Starts the interface on `address`.
 ///
@@ -36,6 +37,5 @@
         .manage(context)
         .mount("/v1", routes::routes())
         .register("/", routes::catchers());
-    let limits = Limits { grace_s: GRACE_S };
-    Listener::start(address, limits, rocket).await
+    Listener::start("operators", address, Limits::few(GRACE), rocket).await
 }
--- a/crates/verbenahitch/src/gateway/operators/routes.rs
+++ b/crates/verbenahitch/src/gateway/operators/routes.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use rand::Rng;
-use rocket::data::{Data, ToByteUnit};
 use rocket::http::Status;
 use rocket::serde::json::{Json, Value, serde_json};
 use rocket::{Catcher, Request as Call, Route, State};
@@ -19,6 +18,7 @@
 use crate::config::{self, Declarations, ZoneState};
 use crate::domain::{JobSpec, TaskId};
 use crate::event::{Entry, Kind};
+use crate::http::{Body, BodyError};
 use crate::scheduler::{Answer, Request};
 use crate::settings::{SettingsError, parse_declarations};
 
@@ -74,12 +74,12 @@
     Json((*context.current.load()).clone())
 }
 
-#[rocket::put("/declarations?<from>", data = "<body>")]
+#[rocket::put("/declarations?<from>")]
 async fn apply(
     operator: Operator,
     from: Option<u64>,
     context: &State<Arc<ApiContext>>,
-    body: Data<'_>,
+    body: Body,
 ) -> Reply<Confirmed> {
     let missing = || {
         let reason = "the query must give the revision that the change was made from, as ?from=";
@@ -94,12 +94,12 @@
     Ok(Json(confirmed?))
 }
 
-#[rocket::post("/zones/<zone>", data = "<body>")]
+#[rocket::post("/zones/<zone>")]
 async fn set_zone(
     operator: Operator,
     zone: &str,
     context: &State<Arc<ApiContext>>,
-    body: Data<'_>,
+    body: Body,
 ) -> Reply<Confirmed> {
     let request: Order = parse(&read_body(context, body).await?)?;
     let author = author(operator);
@@ -154,11 +154,11 @@
     reply(jobs::ask(context, &job, request).await?)
 }
 
-#[rocket::post("/jobs", data = "<body>")]
+#[rocket::post("/jobs")]
 async fn submit(
     principal: Principal,
     context: &State<Arc<ApiContext>>,
-    body: Data<'_>,
+    body: Body,
 ) -> Reply<Value> {
     let Submission { key, spec } = parse(&read_body(context, body).await?)?;
     let id = jobs::submission_id(&principal, &key)?;
@@ -222,16 +222,14 @@
     }
 }
 
-async fn read_body(context: &ApiContext, body: Data<'_>) -> Result<String, ApiError> {
+async fn read_body(context: &ApiContext, body: Body) -> Result<String, ApiError> {
     let limit = context.settings.gateway.body_limit;
-    let text = body.open(limit.bytes()).into_string().await;
-    let malformed = |error: std::io::Error| ApiError::new(Status::BadRequest, error);
-    let text = text.map_err(malformed)?;
-    if !text.is_complete() {
-        let reason = format!("the body is longer than {limit} bytes");
-        return Err(ApiError::new(Status::PayloadTooLarge, reason));
-    }
-    Ok(text.into_inner())
+    let text = body.read(limit).await.map_err(|error| match error {
+        BodyError::TooLarge { .. } => ApiError::new(Status::PayloadTooLarge, error),
+        BodyError::Evicted => ApiError::new(Status::ServiceUnavailable, error),
+        BodyError::Broken { .. } => ApiError::new(Status::BadRequest, error),
+    })?;
+    String::from_utf8(text).map_err(|error| ApiError::new(Status::BadRequest, error))
 }
 
 fn parse<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, ApiError> {
--- a/crates/verbenahitch/src/http/exporter.rs
+++ b/crates/verbenahitch/src/http/exporter.rs
@@ -9,13 +9,14 @@
 use rocket::http::ContentType;
 use tokio::task::JoinHandle;
 
-use super::listener::{Limits, ListenError, Listener};
+use super::listener::{ListenError, Listener};
+use super::pool::Limits;
 
 /// Interval of the upkeep of the recorder.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Longest time that a stop waits for a scrape in progress, in seconds.
-const GRACE_S: u32 = 1;
+/// Longest time that a stop waits for a scrape in progress.
+const GRACE: Duration = Duration::from_secs(1);
 
 /// Listener that serves `/metrics`.
 #[derive(Debug)]
@@ -48,8 +49,7 @@
         let rocket = rocket::build()
             .manage(install_recorder())
             .mount("/", rocket::routes![scrape]);
-        let limits = Limits { grace_s: GRACE_S };
-        let listener = Listener::start(address, limits, rocket).await?;
+        let listener = Listener::start("metrics", address, Limits::few(GRACE), rocket).await?;
         let upkeep = tokio::spawn(upkeep());
         Ok(Self { listener, upkeep })
     }
--- a/crates/verbenahitch/src/http/mod.rs
+++ b/crates/verbenahitch/src/http/mod.rs
@@ -1,7 +1,20 @@
-//! HTTP listeners that are not on the gateway's request path, and the metrics exporter.
+//! HTTP listeners within limits of memory, descriptors and time, and the metrics exporter.
+//!
+//! Clients may send slowly, stop in the middle of a request, or leave answers unread. Each
+//! listener has a [`pool`](pool) of its own, which counts its connections and what they hold in
+//! memory. Under pressure the pool closes the connections that wait for their client, the oldest
+//! first, and the host goes on serving the others. Requests that are being served are never cut
+//! off.
 
+mod body;
+mod connection;
+mod dispatch;
 mod exporter;
 mod listener;
+mod pool;
+mod stream;
 
+pub use body::{Body, BodyError, Buffer};
 pub use exporter::{Exporter, install_recorder};
-pub use listener::{Limits, ListenError, Listener};
+pub use listener::{ListenError, Listener};
+pub use pool::{HEAD_LIMIT, Limits};
