gateway: callers' and operators' listeners keep to settings of connections and memory

Callers saw: as at the entry hosts, a crowd that stopped short of its ends made the gateway grow until it would end. `concurrency` and the time limits of a body bounded a single request, not the sum.

Change: both are `http::Listener`s now, with `gateway.connections` (2,048, the most requests that may be in progress) and `gateway.memory-limit` (128 MiB). A body takes three times its size while it is served: its own, an attempt's and a hedged attempt's. A sender that stalls in the head, known as unbounded until now, is closed.

The tables of bad requests, outcomes and stops pass unchanged.

--- a/crates/verbenahitch/src/gateway/operators/mod.rs
+++ b/crates/verbenahitch/src/gateway/operators/mod.rs
@@ -33,9 +33,14 @@
     address: SocketAddr,
     context: Arc<ApiContext>,
 ) -> Result<Listener, ListenError> {
+    let limits = Limits {
+        connections: context.settings.gateway.connections,
+        memory: context.settings.gateway.memory_limit,
+        ..Limits::few(GRACE)
+    };
     let rocket = rocket::build()
         .manage(context)
         .mount("/v1", routes::routes())
         .register("/", routes::catchers());
-    Listener::start("operators", address, Limits::few(GRACE), rocket).await
+    Listener::start("operators", address, limits, rocket).await
 }
--- a/crates/verbenahitch/src/gateway/path/callers.rs
+++ b/crates/verbenahitch/src/gateway/path/callers.rs
@@ -1,25 +1,20 @@
 //! The callers' listener.
 //!
-//! Rocket's defaults are replaced where they would cut a request short or alter
-//! an answer: its signal handlers are off, since the daemon decides when to
-//! stop; its grace period comes from the settings; its default header fields
-//! are left out.
+//! Rocket's default header fields are left out, as they would alter an answer.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use rocket::config::{Config, Ident, LogLevel, Shutdown};
-use rocket::fairing::AdHoc;
 use rocket::shield::Shield;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::adapter::Store;
 use crate::config::CurrentDeclarations;
-use crate::domain::Millis;
+use crate::http::{Limits, Listener};
 use crate::port::{Clock, HostRecord};
-use crate::settings::Settings;
+use crate::settings::{GatewaySettings, Settings};
 
 use super::handler;
 use super::shared::Shared;
@@ -28,10 +23,8 @@
 use crate::gateway::idempotency::Idempotency;
 use crate::gateway::route::{probe, refresh};
 
-/// Time for idle connections to close after the last answer, in milliseconds.
-const LINGER_MS: Millis = 20;
-/// Rocket's time limit for closing connections after the grace period, in seconds.
-const MERCY_S: u32 = 1;
+/// Copies of its body that a request holds: its own, and those of an attempt and a hedged one.
+const BODY_COPIES: usize = 3;
 
 /// Dependencies of the request path.
 pub struct Deps {
@@ -59,9 +52,7 @@
 /// The running listener for callers.
 pub struct CallerListener {
     shared: Arc<Shared>,
-    address: SocketAddr,
-    shutdown: rocket::Shutdown,
-    server: JoinHandle<()>,
+    listener: Listener,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -88,46 +79,13 @@
         ));
         refresh::rebuild(&shared, &deps.hosts.borrow(), deps.current.load());
 
-        let (ready, bound) = oneshot::channel();
-        let ready = Mutex::new(Some(ready));
-        let announce = AdHoc::on_liftoff("address", move |rocket| {
-            let address = SocketAddr::new(rocket.config().address, rocket.config().port);
-            if let Some(ready) = ready.lock().ok().and_then(|mut held| held.take()) {
-                let _ = ready.send(address);
-            }
-            Box::pin(async {})
-        });
-        let linger = AdHoc::on_shutdown("linger", |_| {
-            Box::pin(tokio::time::sleep(Duration::from_millis(LINGER_MS)))
-        });
-        let rocket = rocket::custom(config(&shared.settings))
+        let rocket = rocket::build()
             .attach(Shield::new())
-            .attach(announce)
-            .attach(linger)
             .mount("/", handler::routes(&shared))
-            .register("/", handler::catchers())
-            .ignite()
-            .await
-            .map_err(|error| listen(error.kind().to_string()).build())?;
-        let shutdown = rocket.shutdown();
-        let mut server = tokio::spawn(async move {
-            rocket
-                .launch()
-                .await
-                .map(|_| ())
-                .map_err(|error| error.kind().to_string())
-        });
-        let address = tokio::select! {
-            Ok(address) = bound => address,
-            ended = &mut server => {
-                let reason = match ended {
-                    Ok(Err(reason)) => reason,
-                    Ok(Ok(())) => "the listener ended".to_owned(),
-                    Err(error) => error.to_string(),
-                };
-                return listen(reason).fail();
-            }
-        };
+            .register("/", handler::catchers());
+        let limits = limits(&shared.settings.gateway);
+        let listener = Listener::start("callers", wanted, limits, rocket).await;
+        let listener = listener.map_err(|error| listen(error.reason).build())?;
         let follow = refresh::follow(Arc::clone(&shared), deps.hosts, deps.current);
         let queue = admission::run_queue(Arc::clone(&shared), waiters);
         let probe = probe::run(Arc::clone(&shared));
@@ -138,16 +96,14 @@
         ];
         Ok(Self {
             shared,
-            address,
-            shutdown,
-            server: tokio::spawn(finish(server)),
+            listener,
             tasks,
         })
     }
 
     /// Address of the listener.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     /// Refuses new requests from now on and closes connections after their answers.
@@ -170,37 +126,17 @@
         self.stop_accepting();
         let grace = Duration::from_millis(self.shared.settings.gateway.grace_ms);
         let _ = tokio::time::timeout(grace, self.shared.wait_drained()).await;
-        self.shutdown.notify();
-        let _ = self.server.await;
+        self.listener.stop().await;
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
 
-async fn finish(server: JoinHandle<Result<(), String>>) {
-    match server.await {
-        Ok(Ok(())) => {}
-        Ok(Err(reason)) => log::warn!("the callers' listener failed: {reason}"),
-        Err(error) => log::error!("the callers' listener panicked or was cancelled: {error}"),
-    }
-}
-
-fn config(settings: &Settings) -> Config {
-    let grace_s = settings.gateway.grace_ms.div_ceil(1_000);
-    Config {
-        address: settings.gateway.callers.ip(),
-        port: settings.gateway.callers.port(),
-        ident: Ident::none(),
-        ip_header: None,
-        shutdown: Shutdown {
-            ctrlc: false,
-            signals: std::collections::HashSet::new(),
-            grace: u32::try_from(grace_s).unwrap_or(u32::MAX),
-            mercy: MERCY_S,
-            force: false,
-            ..Shutdown::default()
-        },
-        log_level: LogLevel::Off,
-        cli_colors: false,
-        ..Config::release_default()
+fn limits(settings: &GatewaySettings) -> Limits {
+    Limits {
+        grace: Duration::from_millis(settings.grace_ms),
+        connections: settings.connections,
+        memory: settings.memory_limit,
+        head: settings.head_limit as usize,
+        copies: BODY_COPIES,
     }
 }
--- a/crates/verbenahitch/src/gateway/path/handler.rs
+++ b/crates/verbenahitch/src/gateway/path/handler.rs
@@ -22,6 +22,7 @@
 use super::report;
 use super::serve::{self, Call, RequestOutcome};
 use super::shared::{ActiveRequest, Shared};
+use crate::http::Body;
 
 /// Maximum size of a chunk of an answer's body, in bytes.
 const CHUNK_SIZE: usize = 64 << 10;
@@ -69,11 +70,11 @@
 
 #[rocket::async_trait]
 impl route::Handler for RequestHandler {
-    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> route::Outcome<'r> {
+    async fn handle<'r>(&self, request: &'r Request<'_>, _: Data<'r>) -> route::Outcome<'r> {
         let active = self.shared.begin_request();
         let started = Instant::now();
         let given = request.headers().get_one(REQUEST_ID).unwrap_or_default();
-        let (id, kind, outcome) = match prepare(&self.shared, request, data).await {
+        let (id, kind, outcome) = match prepare(&self.shared, request, Body::take(request)).await {
             Ok(call) => {
                 let outcome = serve::serve(&self.shared, &call).await;
                 (call.outgoing.id, call.kind, outcome)
@@ -112,7 +113,7 @@
     }
 }
 
-async fn prepare(shared: &Shared, request: &Request<'_>, data: Data<'_>) -> Result<Call, Refusal> {
+async fn prepare(shared: &Shared, request: &Request<'_>, body: Body) -> Result<Call, Refusal> {
     if shared.is_stopping() {
         return Err(Refusal::new(Cause::Stopping, "this gateway is stopping"));
     }
@@ -139,7 +140,7 @@
         idle_timeout: Duration::from_millis(settings.silence_ms),
         total: Duration::from_millis(allowed),
     };
-    let body = body::read(data, &head, limits).await?;
+    let body = body::read(body, &head, limits).await?;
     check_method_override(request, &body)?;
     let id = head.id.unwrap_or_else(|| shared.new_id());
     let outgoing = Outgoing {
@@ -166,7 +167,8 @@
     })
 }
 
-/// Refuses forms whose `_method` field would make Rocket replace the caller's method.
+/// Refuses forms whose `_method` field web frameworks, such as an upstream's, may take for the
+/// method.
 fn check_method_override(request: &Request<'_>, body: &[u8]) -> Result<(), Refusal> {
     let is_form = request
         .content_type()
--- a/crates/verbenahitch/src/gateway/path/head.rs
+++ b/crates/verbenahitch/src/gateway/path/head.rs
@@ -85,8 +85,8 @@
 
 fn check_framing(request: &Request<'_>, limit: u64) -> Result<Option<u64>, Refusal> {
     // The HTTP library drops a Content-Length that comes with a
-    // Transfer-Encoding, and does not report that a chunked body ended early.
-    // Either leaves the framing ambiguous, so only a Content-Length is accepted.
+    // Transfer-Encoding, which leaves the framing ambiguous, so only a
+    // Content-Length is accepted.
     if request.headers().contains("transfer-encoding") {
         return Err(malformed(
             "Transfer-Encoding is not taken, send a Content-Length",
--- a/crates/verbenahitch/src/settings/schema.rs
+++ b/crates/verbenahitch/src/settings/schema.rs
@@ -106,6 +106,12 @@
     /// Maximum number of requests in progress.
     #[serde(default = "default_concurrency")]
     pub concurrency: usize,
+    /// Maximum number of connections of each listener.
+    #[serde(default = "default_connections")]
+    pub connections: usize,
+    /// Memory for the connections, requests and answers of each listener, in bytes.
+    #[serde(default = "default_memory")]
+    pub memory_limit: usize,
     /// Maximum number of upstreams that this gateway keeps connections to.
     #[serde(default = "default_subset")]
     pub subset: usize,
@@ -201,6 +207,8 @@
     default_head: u32 = 16 << 10;
     default_key: usize = 128;
     default_concurrency: usize = 2_048;
+    default_connections: usize = 2_048;
+    default_memory: usize = 128 << 20;
     default_subset: usize = 60;
     default_retry_percent: u32 = 10;
     default_silence: Millis = 2_000;
--- a/crates/verbenahitch/src/settings/table.rs
+++ b/crates/verbenahitch/src/settings/table.rs
@@ -134,6 +134,18 @@
         "2048",
         "maximum number of requests in progress",
     ),
+    Field::with_default(
+        "connections",
+        integer(1, 65_536),
+        "2048",
+        "maximum number of connections of each listener; beyond it the one that has waited for its client for the longest time is closed",
+    ),
+    Field::with_default(
+        "memory-limit",
+        integer(8 * MIB, 65_536 * MIB),
+        "134217728",
+        "memory for the connections, requests and answers of each listener, in bytes; beyond it likewise",
+    ),
     Field::with_default(
         "subset",
         integer(1, 10_000),
--- a/testsuite/tests/testsuite/session/deployment.rs
+++ b/testsuite/tests/testsuite/session/deployment.rs
@@ -44,9 +44,14 @@
 }
 
 impl Process {
+    /// Identifier of the process.
+    pub(super) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by name, such as `TERM`, `STOP`, `CONT` or `KILL`.
     pub(super) fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
+        let pid = self.id().to_string();
         let status = Command::new("kill").args(["-s", name, &pid]).status();
         assert!(status.is_ok_and(|status| status.success()), "kill {name}");
     }
