--- a/crates/verbenahitch/src/dispatch/job.rs
+++ b/crates/verbenahitch/src/dispatch/job.rs
@@ -13,7 +13,7 @@
 const MAX_TASKS: u32 = 10_000;
 
 /// Maximum number of steps of a job.
-const MAX_STEPS: usize = 1_000;
+pub const MAX_STEPS: usize = 1_000;
 
 /// Identifier of a job, chosen by its caller.
 #[derive(
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -65,8 +65,8 @@
 use headroom::HeadroomModel;
 pub use headroom::{Pressure, PressureRecord};
 pub use job::{
-    Amount, IdError, JobId, JobRecord, JobSpec, JobState, Queue, Repeat, SpecError, StepSpec,
-    TaskId,
+    Amount, IdError, JobId, JobRecord, JobSpec, JobState, MAX_STEPS, Queue, Repeat, SpecError,
+    StepSpec, TaskId,
 };
 use pause::PauseDetector;
 use quorum::Voters;
