http: what a handler holds counts until it ends, also if its client has left

Callers saw: nothing; found on reading the listener again. Handlers go on when their client leaves, as a job may be stored by then. Once the body was read, the connection's end released its place and its memory, while the handler still held the body and its copies. Clients that send a whole body and leave could have more of them at work than the limits allow.

Change: the task of a request keeps the connection's place until it ends.

--- a/crates/standin/src/crowd/member.rs
+++ b/crates/standin/src/crowd/member.rs
@@ -11,6 +11,9 @@
 /// Connections that a client opens, one after the other has been closed.
 const ROUNDS: usize = 2;
 
+/// Connections of [`Shape::Abandon`].
+const ABANDONED: usize = 10;
+
 /// Pause before the next connection.
 const ROUND_DELAY: Duration = Duration::from_millis(100);
 
@@ -43,6 +46,8 @@
     Ahead,
     /// A complete body.
     Complete,
+    /// A complete body on each of many connections, of which each is closed at once.
+    Abandon,
 }
 
 /// Requests that a client sends.
@@ -72,6 +77,14 @@
 }
 
 impl Shape {
+    fn rounds(self) -> usize {
+        if self == Self::Abandon {
+            ABANDONED
+        } else {
+            ROUNDS
+        }
+    }
+
     fn reads_answers(self) -> bool {
         self != Self::Ahead
     }
@@ -81,7 +94,7 @@
     /// Sends on a connection until it is closed, and again on the next one. Counts in `sent` once
     /// the first connection has taken all, or was closed.
     pub async fn run(self, sent: Rc<Cell<usize>>) {
-        for round in 0..ROUNDS {
+        for round in 0..self.shape.rounds() {
             let mut stream = TcpStream::connect(self.target.address).await.ok();
             if let Some(stream) = &mut stream {
                 // The host may close the connection at any time.
@@ -90,8 +103,9 @@
             if round == 0 {
                 sent.set(sent.get() + 1);
             }
-            if let Some(stream) = &mut stream {
-                self.hold(stream).await;
+            match &mut stream {
+                Some(stream) if self.shape != Shape::Abandon => self.hold(stream).await,
+                _ => {}
             }
             tokio::time::sleep(ROUND_DELAY).await;
         }
@@ -117,7 +131,7 @@
                 stream.write_all(self.head(round).as_bytes()).await?;
                 stream.write_all(&body[4 << 10..]).await
             }
-            Shape::Complete => {
+            Shape::Complete | Shape::Abandon => {
                 stream.write_all(self.head(round).as_bytes()).await?;
                 stream.write_all(body).await
             }
--- a/crates/verbenahitch/src/http/connection.rs
+++ b/crates/verbenahitch/src/http/connection.rs
@@ -91,8 +91,13 @@
         slot.begin_body();
     }
     let handled = tokio::spawn({
-        let slot = Arc::clone(&slot);
-        async move { dispatch(&client, peer, request, slot).await }
+        // What a handler holds counts until it ends, also if its client has left.
+        let (slot, held) = (Arc::clone(&slot), Arc::clone(&slot));
+        async move {
+            let response = dispatch(&client, peer, request, slot).await;
+            drop(held);
+            response
+        }
     });
     Box::pin(async move {
         let response = handled.await.map_err(io::Error::other)?;
