--- a/crates/standin/src/crowd/member.rs
+++ b/crates/standin/src/crowd/member.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -23,6 +23,15 @@
 /// Requests that are sent ahead.
 const AHEAD: usize = 2_000;
 
+/// Time after which a crowd that is blocked counts as connected.
+const SETTLE_TIME: Duration = Duration::from_secs(15);
+
+/// Interval between two looks at a crowd that connects.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time for which a process is watched after the crowd has sent what it sends.
+const WATCH_TIME: Duration = Duration::from_secs(2);
+
 /// What a client sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shape {
@@ -66,14 +75,11 @@
 }
 
 /// One client.
-#[derive(Clone, Debug)]
-pub struct Member {
-    /// What it sends.
-    pub shape: Shape,
+struct Member {
+    shape: Shape,
     /// Its number in the crowd.
-    pub number: usize,
-    /// Where it sends it.
-    pub target: Target,
+    number: usize,
+    target: Target,
 }
 
 impl Shape {
@@ -93,7 +99,7 @@
 impl Member {
     /// Sends on a connection until it is closed, and again on the next one. Counts in `sent` once
     /// the first connection has taken all, or was closed.
-    pub async fn run(self, sent: Rc<Cell<usize>>) {
+    async fn run(self, sent: Rc<Cell<usize>>) {
         for round in 0..self.shape.rounds() {
             let mut stream = TcpStream::connect(self.target.address).await.ok();
             if let Some(stream) = &mut stream {
@@ -239,6 +245,26 @@
     }
 }
 
+/// Connects so many clients, which stay until the test ends, and gives the process a moment under
+/// them; returns how many have sent all or were closed.
+pub async fn connect(target: &Target, shape: Shape, count: usize) -> usize {
+    let sent = Rc::new(Cell::new(0));
+    for number in 0..count {
+        let member = Member {
+            shape,
+            number,
+            target: target.clone(),
+        };
+        tokio::task::spawn_local(member.run(Rc::clone(&sent)));
+    }
+    let until = Instant::now() + SETTLE_TIME;
+    while sent.get() < count && Instant::now() < until {
+        tokio::time::sleep(SETTLE_INTERVAL).await;
+    }
+    tokio::time::sleep(WATCH_TIME).await;
+    sent.get()
+}
+
 /// Text in JSON, padded with blanks to `length` bytes.
 pub fn padded(text: &str, length: usize) -> Rc<[u8]> {
     let mut body = vec![b' '; length.saturating_sub(text.len())];
--- a/crates/standin/src/crowd/mod.rs
+++ b/crates/standin/src/crowd/mod.rs
@@ -6,5 +6,5 @@
 mod member;
 mod peaks;
 
-pub use member::{Member, Shape, Target, padded, send_in_pieces};
+pub use member::{Shape, Target, connect, padded, send_in_pieces};
 pub use peaks::Peaks;
--- a/testsuite/tests/crowd/main.rs
+++ b/testsuite/tests/crowd/main.rs
@@ -7,17 +7,16 @@
 #[path = "../testsuite/session/deployment.rs"]
 mod deployment;
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use test_case::test_case;
 use tokio::task::LocalSet;
-use verbenahitch_standin::crowd::{Member, Peaks, Shape, Target, padded, send_in_pieces};
+use verbenahitch_standin::crowd::{Peaks, Shape, Target, connect, padded, send_in_pieces};
 
 use deployment::{Daemon, Deployment, Process, TEAM_TOKEN};
 
@@ -41,12 +40,6 @@
 /// Largest body that the settings allow by default, in bytes.
 const BODY_MAX: usize = 1 << 20;
 
-/// Time after which a crowd that is blocked counts as connected.
-const SETTLE_TIME: Duration = Duration::from_secs(15);
-
-/// Time for which the process is watched after the crowd has sent what it sends.
-const WATCH_TIME: Duration = Duration::from_secs(2);
-
 /// Attempts of an ordinary caller, and the delay between two.
 const ATTEMPTS: usize = 40;
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -178,30 +171,14 @@
         let address = gateway.address(door);
         let peaks = Rc::new(Peaks::new(gateway.process.id(), address.ip()));
         tokio::task::spawn_local(Rc::clone(&peaks).watch());
-        let sent = Rc::new(Cell::new(0));
         let target = gateway.target(door, BODY_SIZE);
-        for number in 0..MEMBERS {
-            let member = Member {
-                shape,
-                number,
-                target: target.clone(),
-            };
-            tokio::task::spawn_local(member.run(Rc::clone(&sent)));
-        }
-        let until = Instant::now() + SETTLE_TIME;
-        while sent.get() < MEMBERS && Instant::now() < until {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-        tokio::time::sleep(WATCH_TIME).await;
+        let sent = connect(&target, shape, MEMBERS).await;
 
         assert!(gateway.is_alive(), "the process has ended");
         gateway.answer().await;
         peaks.sample();
         assert!(gateway.is_alive(), "the process has ended");
-        eprintln!(
-            "{door:?}-{shape:?}: {peaks:?}, {} of {MEMBERS} sent",
-            sent.get()
-        );
+        eprintln!("{door:?}-{shape:?}: {peaks:?}, {sent} of {MEMBERS} sent");
         let memory = peaks.memory();
         assert!(
             memory <= MEMORY_MB << 20,
