--- a/crates/verbenahitch/src/http/exporter.rs
+++ b/crates/verbenahitch/src/http/exporter.rs
@@ -9,8 +9,8 @@
 use rocket::http::ContentType;
 use tokio::task::JoinHandle;
 
+use super::limits::Limits;
 use super::listener::{ListenError, Listener};
-use super::pool::Limits;
 
 /// Interval of the upkeep of the recorder.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
--- a/crates/verbenahitch/src/http/listener.rs
+++ b/crates/verbenahitch/src/http/listener.rs
@@ -14,7 +14,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::connection;
-use super::pool::{CHECK_INTERVAL, Limits, Pool, RECEIVE_BUFFER};
+use super::limits::{Limits, RECEIVE_BUFFER};
+use super::pool::{CHECK_INTERVAL, Pool};
 
 /// Largest number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
--- a/crates/verbenahitch/src/http/mod.rs
+++ b/crates/verbenahitch/src/http/mod.rs
@@ -10,11 +10,12 @@
 mod connection;
 mod dispatch;
 mod exporter;
+mod limits;
 mod listener;
 mod pool;
 mod stream;
 
 pub use body::{Body, BodyError, Buffer};
 pub use exporter::{Exporter, install_recorder};
+pub use limits::Limits;
 pub use listener::{ListenError, Listener};
-pub use pool::{HEAD_LIMIT, Limits};
