--- a/crates/verbenahitch/src/http/mod.rs
+++ b/crates/verbenahitch/src/http/mod.rs
@@ -3,8 +3,8 @@
 //! Clients may send slowly, stop in the middle of a request, or leave answers unread. Each
 //! listener has a pool of its own, which counts its connections and what they hold in
 //! memory. Under pressure the pool closes the connections that wait for their client, the oldest
-//! first, and the host goes on serving the others. Requests that are being served are never cut
-//! off.
+//! first, and the host goes on serving the others. Requests that have arrived whole are never
+//! cut off.
 
 mod body;
 mod connection;
