entry: each decision on a cancel has a log line with its cause

Three hypotheses: the store carries the submission's write out late; the host that took the submission stores it by a further attempt; the owner ignores a stored cancel. The log could not tell them apart: `answered` shows 410, which stands for a cancel that found no job and for one of another account's, and the lines on writes did not name their key.

Event 206 `cancel-decided` names the job and the cause (`stored`, `no-job`, `foreign`, `store-down`, `not-stored`, `unanswered`); lines on writes without an answer name the key.

The cancel reads that there is no job, and nothing orders that reading before the write that is still under way.

--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -286,28 +286,49 @@
     }
 
     async fn cancel(&self, id: JobId, account: Option<&str>) -> IntakeOutcome {
+        let (outcome, cause) = self.decide_cancel(id, account).await;
+        Entry::new(Kind::CancelDecided)
+            .with_text("job", id)
+            .with("cause", cause)
+            .emit();
+        outcome
+    }
+
+    /// Stores a cancel; returns the outcome and its cause.
+    async fn decide_cancel(
+        &self,
+        id: JobId,
+        account: Option<&str>,
+    ) -> (IntakeOutcome, &'static str) {
         if !self.shared.is_store_up() {
-            return IntakeOutcome::Refused;
+            return (IntakeOutcome::Refused, "store-down");
         }
         match self.shared.platform.kv().get(&keys::job(id)).await {
-            Ok(Some(item)) if is_foreign(&item, account) => return IntakeOutcome::Missing,
+            Ok(Some(item)) if is_foreign(&item, account) => {
+                return (IntakeOutcome::Missing, "foreign");
+            }
             Ok(Some(_)) => {}
-            Ok(None) => return IntakeOutcome::Missing,
+            Ok(None) => return (IntakeOutcome::Missing, "no-job"),
             Err(error) => {
                 log::info!("cancel of {id} was refused: {error}");
-                return IntakeOutcome::Refused;
+                return (IntakeOutcome::Refused, "not-stored");
             }
         }
         let outcome = self.store(keys::cancel(id), b"{}".to_vec(), None).await;
         if outcome == IntakeOutcome::Stored && !self.shared.inbox.send(OwnerEvent::Cancelled(id)) {
             let Some(address) = self.owner_address() else {
-                return outcome;
+                return (outcome, "stored");
             };
             if let Err(error) = self.link.notify_cancelled(address, id).await {
                 log::info!("cancel of {id} was not announced: {error}");
             }
         }
-        outcome
+        let cause = match outcome {
+            IntakeOutcome::Stored => "stored",
+            IntakeOutcome::Unknown => "unanswered",
+            _ => "not-stored",
+        };
+        (outcome, cause)
     }
 
     async fn state(&self, id: JobId) -> Status {
--- a/crates/verbenahitch/src/entry/refusals.rs
+++ b/crates/verbenahitch/src/entry/refusals.rs
@@ -178,11 +178,11 @@
                 }
             }
             Err(KvError::Unanswered { cause }) if !was_unanswered => {
-                log::info!("no answer to a write, which is sent again: {cause}");
+                log::info!("no answer to a write of {key}, which is sent again: {cause}");
                 was_unanswered = true;
             }
             Err(error) if was_unanswered => {
-                log::warn!("a write may or may not have been applied: {error}");
+                log::warn!("a write of {key} may or may not have been applied: {error}");
                 return IntakeOutcome::Unknown;
             }
             Err(KvError::Rejected { cause }) => {
