entry: a cancel holds for a job that is stored after it

Cause: a cancel read the job's key, found nothing, and answered 410. Nothing ordered this reading before acceptances that were still under way: at the store, at a host between two attempts, at a paused host, in a copy at another host. The owner keeps cancels that come before their jobs, but this one was never stored.

Change: a cancel is stored under intake/cancel/ID whether or not the job is there, in a transaction that names the job's key as it was read; each acceptance names the cancel's key. The store carries one of the two out first, and the other conflicts with it, whenever it was sent. An acceptance gives way to a cancel for good (410), where a refusal gives way to it. The key of an unknown job is attached to a lease of 150 s; a host stores 20 of these at once and 2 a second, and answers others with 503, which is no ack. A cancel holds for the jobs of its caller's account. Related: a cancel of a job that ends meanwhile is not written any more (its key stayed for good).

The fake stores of the tests carry writes out late; `create` became `acceptance::accept`, and the tests of refusals ask it as before.

--- a/crates/verbenahitch/src/dispatch/account/mod.rs
+++ b/crates/verbenahitch/src/dispatch/account/mod.rs
@@ -18,11 +18,10 @@
 
 use super::job::{Amount, JobId};
 use crate::collections::HashMap;
-use crate::domain::{Millis, Monotonic};
+use crate::domain::{Bucket, Millis, Monotonic};
 
 pub use cap::{InUse, admits};
 pub(super) use ledger::Claim;
-use rate::Bucket;
 pub use share::ShareRank;
 use share::Standing;
 pub use status::AccountStatus;
--- a/crates/verbenahitch/src/dispatch/account/rate.rs
+++ b/crates/verbenahitch/src/dispatch/account/rate.rs
@@ -15,35 +15,6 @@
 /// Smallest number of jobs that may come at once, for accounts with a low rate.
 const BURST_MIN: f64 = 3.0;
 
-/// Token bucket of an account's jobs.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Bucket {
-    /// Tokens missing from a full bucket.
-    missing: f64,
-    /// Wall-clock time of the latest acceptance, in milliseconds since the Unix epoch.
-    filled_ms: Millis,
-}
-
-impl Bucket {
-    /// Takes a token for a job that was accepted at `accepted_ms`; returns false if there is
-    /// none.
-    fn take(&mut self, rate: f64, accepted_ms: Millis) -> bool {
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "durations are far below 2^52 ms"
-        )]
-        let refill = accepted_ms.saturating_sub(self.filled_ms) as f64 / 1_000.0 * rate;
-        self.missing = (self.missing - refill).max(0.0);
-        self.filled_ms = self.filled_ms.max(accepted_ms);
-        let size = (rate * BURST_S).max(BURST_MIN);
-        let has_token = self.missing + 1.0 <= size;
-        if has_token {
-            self.missing += 1.0;
-        }
-        has_token
-    }
-}
-
 impl Accounts {
     /// Adds a job whose rate is yet to be judged.
     pub fn add_job(&mut self, id: JobId, accepted_ms: Millis) {
@@ -64,7 +35,9 @@
                 continue;
             };
             let state = self.accounts.state_mut(account);
-            job.beyond_rate = !state.bucket.take(state.limits.weight, accepted_ms);
+            let rate = state.limits.weight;
+            let size = (rate * BURST_S).max(BURST_MIN);
+            job.beyond_rate = !state.bucket.take(rate, size, accepted_ms);
         }
     }
 }
--- a/crates/verbenahitch/src/dispatch/job.rs
+++ b/crates/verbenahitch/src/dispatch/job.rs
@@ -354,6 +354,12 @@
     pub accepted_ms: Millis,
 }
 
+/// Whether two client accounts are known and differ. A job that anyone could submit has none,
+/// nor has a caller on a public route.
+pub fn are_foreign(one: Option<&str>, other: Option<&str>) -> bool {
+    matches!((one, other), (Some(one), Some(other)) if one != other)
+}
+
 /// State of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/verbenahitch/src/dispatch/mod.rs
+++ b/crates/verbenahitch/src/dispatch/mod.rs
@@ -66,7 +66,7 @@
 pub use headroom::{Pressure, PressureRecord};
 pub use job::{
     Amount, IdError, JobId, JobRecord, JobSpec, JobState, MAX_STEPS, Queue, Repeat, SpecError,
-    StepSpec, TaskId,
+    StepSpec, TaskId, are_foreign,
 };
 use pause::PauseDetector;
 use quorum::Voters;
@@ -128,8 +128,8 @@
     queues: HashMap<String, Queue>,
     accounts: Accounts,
     evacuated: HashSet<String>,
-    /// Cancelled jobs that have not been submitted yet.
-    early_cancels: HashSet<JobId>,
+    /// Cancelled jobs that have not been submitted yet, with the account of the caller.
+    early_cancels: HashMap<JobId, Option<String>>,
     /// Waiting or young tasks under which a worker may have crashed.
     suspects: HashMap<TaskId, Monotonic>,
     /// Recent losses of workers.
@@ -197,7 +197,7 @@
             queues: HashMap::default(),
             accounts: Accounts::default(),
             evacuated: HashSet::default(),
-            early_cancels: HashSet::default(),
+            early_cancels: HashMap::default(),
             suspects: HashMap::default(),
             losses: crash::Losses::default(),
             listed_count: 0,
@@ -254,8 +254,8 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             job.forecast_ms = forecast;
         }
-        if self.early_cancels.remove(&id) {
-            self.cancel(id, now.at);
+        if let Some(account) = self.early_cancels.remove(&id) {
+            self.cancel_for(id, account.as_deref(), now.at);
         }
     }
 
@@ -304,13 +304,20 @@
         self.jobs.insert(id, Job::ended(state, now));
     }
 
-    /// Cancels a job: stops its runs and starts no more of its tasks.
+    /// Cancels a job, whosever it is.
     pub fn cancel(&mut self, id: JobId, now: Monotonic) {
+        self.cancel_for(id, None, now);
+    }
+
+    /// Cancels a job for a caller of `account`: stops its runs and starts no more of its tasks. The
+    /// cancel of an unknown job holds when it is submitted.
+    pub fn cancel_for(&mut self, id: JobId, account: Option<&str>, now: Monotonic) {
         let Some(job) = self.jobs.get_mut(&id) else {
-            self.early_cancels.insert(id);
+            let account = account.map(str::to_owned);
+            self.early_cancels.insert(id, account);
             return;
         };
-        if job.state.is_final() {
+        if job.state.is_final() || are_foreign(job.record.account.as_deref(), account) {
             return;
         }
         job.state = JobState::Cancelled;
@@ -319,6 +326,16 @@
         self.mark_dirty(id);
     }
 
+    /// Forgets the cancel of a job that has not been submitted.
+    pub fn forget_cancel(&mut self, id: JobId) {
+        self.early_cancels.remove(&id);
+    }
+
+    /// Forgets the cancels of all jobs that have not been submitted but those.
+    pub fn retain_cancels(&mut self, listed: &HashSet<JobId>) {
+        self.early_cancels.retain(|id, _| listed.contains(id));
+    }
+
     /// State of a job that callers are shown; none if the job is unknown.
     pub fn state(&self, id: JobId) -> Option<JobState> {
         self.jobs.get(&id).map(|job| job.visible_state)
--- a/crates/verbenahitch/src/domain/mod.rs
+++ b/crates/verbenahitch/src/domain/mod.rs
@@ -4,6 +4,7 @@
 //! from zero. Each task runs on one worker at a time. A job belongs to exactly one
 //! shard, and so do all its tasks.
 
+mod bucket;
 mod job;
 mod key;
 mod profile;
@@ -11,6 +12,7 @@
 mod tasks;
 mod time;
 
+pub use bucket::Bucket;
 pub use job::{JobId, JobRecord, JobSpec, ShardId, TaskId, TaskOutcome};
 pub use key::{JobKey, TaskKey, WorkerKey};
 pub use profile::{Class, Eviction, Profile};
--- a/crates/verbenahitch/src/entry/intake.rs
+++ b/crates/verbenahitch/src/entry/intake.rs
@@ -2,9 +2,10 @@
 //!
 //! Load pattern: bursts, retries of callers that lost an answer, and outages of
 //! the store. A job is accepted by one conditional write, which succeeds once per
-//! identifier. A job that cannot be stored is refused at once, and so is one that would have
-//! no value left at its end ([`admission`](super::admission)). When a write may
-//! have been applied, the outcome is unknown, never refused.
+//! identifier ([`acceptance`](super::acceptance)). A job that cannot be stored is refused at
+//! once, and so is one that would have no value left at its end
+//! ([`admission`](super::admission)). When a write may have been applied, the outcome is
+//! unknown, never refused.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,14 +15,16 @@
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, oneshot};
 
+use super::acceptance::accept;
 use super::accounts::{Admission, Declared, Denial, InForce};
 use super::admission::return_ms;
+use super::cancels::{CancelOutcome, Cancels};
 use super::host::Shared;
 use super::keys::{self, JobEntry};
 use super::link::Link;
 use super::observe;
 use super::owner::OwnerEvent;
-use super::refusals::{self, Exclusion, Refusals};
+use super::refusals::{Exclusion, Refusals};
 use crate::dispatch::{JobId, JobRecord, JobState, ProgressRecord, record_size};
 use crate::domain::{Millis, Monotonic};
 use crate::event::{Entry, Kind};
@@ -48,6 +51,8 @@
     Unknown,
     /// There is no such job.
     Missing,
+    /// Not stored: it was cancelled before.
+    Cancelled,
 }
 
 /// Outcome of a state query.
@@ -158,11 +163,13 @@
 ) {
     let link = Rc::new(Link::default());
     let refusals = Rc::new(Refusals::default());
+    let cancels = Rc::new(Cancels::default());
     while let Some(call) = calls.recv().await {
         let handler = Handler {
             shared: Rc::clone(&shared),
             link: Rc::clone(&link),
             refusals: Rc::clone(&refusals),
+            cancels: Rc::clone(&cancels),
         };
         tokio::task::spawn_local(async move { handler.serve(call).await });
     }
@@ -172,6 +179,7 @@
     shared: Rc<Shared<P>>,
     link: Rc<Link>,
     refusals: Rc<Refusals>,
+    cancels: Rc<Cancels>,
 }
 
 impl<P: Platform> Handler<P> {
@@ -199,6 +207,7 @@
         if is_storable && let Some(outcome) = self.refuse(id, &record).await {
             return outcome;
         }
+        let account = record.account.clone();
         let entry = JobEntry::Open(record);
         let bytes = keys::encode(&entry);
         if !is_storable || bytes.len() > value_max {
@@ -208,11 +217,15 @@
                 .with("bytes", bytes.len())
                 .with("value-max", value_max)
                 .emit();
-            observe::record_unstorable();
+            observe::record_rejection("record-size");
             return IntakeOutcome::Unstorable;
         }
-        let refused = Some(keys::refused(id));
-        let outcome = self.store(keys::job(id), bytes.clone(), refused).await;
+        if !self.shared.is_store_up() {
+            return IntakeOutcome::Refused;
+        }
+        let kv = self.shared.platform.kv();
+        let account = account.as_deref();
+        let outcome = accept(kv, id, bytes.clone(), account).await;
         if outcome == IntakeOutcome::Stored {
             self.announce(id, entry, bytes);
         }
@@ -253,14 +266,6 @@
         Some(IntakeOutcome::Deferred(retry_ms))
     }
 
-    /// Creates a key, unless the store is known to be away.
-    async fn store(&self, key: String, value: Vec<u8>, refused: Option<String>) -> IntakeOutcome {
-        if !self.shared.is_store_up() {
-            return IntakeOutcome::Refused;
-        }
-        refusals::create(self.shared.platform.kv(), key, value, refused).await
-    }
-
     /// Notifies the owner of a job. If this fails, the owner finds the job by its watch.
     fn announce(&self, id: JobId, entry: JobEntry, bytes: Vec<u8>) {
         if let JobEntry::Open(record) = entry
@@ -286,49 +291,26 @@
     }
 
     async fn cancel(&self, id: JobId, account: Option<&str>) -> IntakeOutcome {
-        let (outcome, cause) = self.decide_cancel(id, account).await;
+        let outcome = if self.shared.is_store_up() {
+            let kv = self.shared.platform.kv();
+            self.cancels.cancel(kv, id, account).await
+        } else {
+            CancelOutcome::StoreDown
+        };
         Entry::new(Kind::CancelDecided)
             .with_text("job", id)
-            .with("cause", cause)
+            .with("cause", outcome.name())
             .emit();
-        outcome
-    }
-
-    /// Stores a cancel; returns the outcome and its cause.
-    async fn decide_cancel(
-        &self,
-        id: JobId,
-        account: Option<&str>,
-    ) -> (IntakeOutcome, &'static str) {
-        if !self.shared.is_store_up() {
-            return (IntakeOutcome::Refused, "store-down");
-        }
-        match self.shared.platform.kv().get(&keys::job(id)).await {
-            Ok(Some(item)) if is_foreign(&item, account) => {
-                return (IntakeOutcome::Missing, "foreign");
-            }
-            Ok(Some(_)) => {}
-            Ok(None) => return (IntakeOutcome::Missing, "no-job"),
-            Err(error) => {
-                log::info!("cancel of {id} was refused: {error}");
-                return (IntakeOutcome::Refused, "not-stored");
-            }
-        }
-        let outcome = self.store(keys::cancel(id), b"{}".to_vec(), None).await;
-        if outcome == IntakeOutcome::Stored && !self.shared.inbox.send(OwnerEvent::Cancelled(id)) {
-            let Some(address) = self.owner_address() else {
-                return (outcome, "stored");
-            };
-            if let Err(error) = self.link.notify_cancelled(address, id).await {
-                log::info!("cancel of {id} was not announced: {error}");
-            }
+        observe::record_cancel(outcome.name());
+        // The watch is soon enough for the cancel of an unknown job, which no host accepts.
+        if outcome == CancelOutcome::Stored
+            && !self.shared.inbox.send(OwnerEvent::Cancelled(id))
+            && let Some(address) = self.owner_address()
+            && let Err(error) = self.link.notify_cancelled(address, id).await
+        {
+            log::info!("cancel of {id} was not announced: {error}");
         }
-        let cause = match outcome {
-            IntakeOutcome::Stored => "stored",
-            IntakeOutcome::Unknown => "unanswered",
-            _ => "not-stored",
-        };
-        (outcome, cause)
+        outcome.into()
     }
 
     async fn state(&self, id: JobId) -> Status {
@@ -418,20 +400,3 @@
             .and_then(|owner| owner.record.address.parse().ok())
     }
 }
-
-/// Whether a job's entry names another account than the caller's. Either may be without
-/// one: the caller on a public route, and a job that was accepted there.
-fn is_foreign(item: &Item, caller: Option<&str>) -> bool {
-    match item.decode() {
-        Ok(JobEntry::Open(JobRecord {
-            account: Some(account),
-            ..
-        })) => caller.is_some_and(|caller| caller != account),
-        // The entry of a job that has ended keeps no account, and its cancel does nothing.
-        Ok(JobEntry::Open(_) | JobEntry::Ended(_)) => false,
-        Err(error) => {
-            log::error!("{} cannot be parsed: {error}", item.key);
-            false
-        }
-    }
-}
--- a/crates/verbenahitch/src/entry/keys.rs
+++ b/crates/verbenahitch/src/entry/keys.rs
@@ -15,7 +15,8 @@
 /// Prefix of accepted jobs.
 const JOB_PREFIX: &str = "intake/job/";
 
-/// Prefix of accepted cancels.
+/// Prefix of accepted cancels. The key of a job that the store holds stays until the job has ended
+/// as cancelled, that of an unknown job for the length of its lease.
 const CANCEL_PREFIX: &str = "intake/cancel/";
 
 /// Prefix of the keys that exclude jobs which were refused.
@@ -64,6 +65,31 @@
     Ended(JobState),
 }
 
+/// Value of a cancel's key.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct CancelRecord {
+    /// Account of the caller, none if the cancel holds for jobs of all accounts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<String>,
+}
+
+impl CancelRecord {
+    /// Cancel of a caller of that account.
+    pub fn new(account: Option<&str>) -> Self {
+        Self {
+            account: account.map(str::to_owned),
+        }
+    }
+
+    /// Lets the cancel hold also for the jobs that another one holds for.
+    pub fn join(&mut self, other: &Self) {
+        if self.account != other.account {
+            self.account = None;
+        }
+    }
+}
+
 /// Value of the owner's key.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -126,6 +152,15 @@
     Ok(entry)
 }
 
+/// Reads the record of a cancel. One that cannot be read holds for jobs of all accounts: its
+/// caller was told that it holds.
+pub(super) fn read_cancel(item: &Item) -> CancelRecord {
+    item.decode().unwrap_or_else(|error| {
+        log::warn!("{} cannot be parsed: {error}", item.key);
+        CancelRecord::default()
+    })
+}
+
 /// Reads the progress of a job.
 ///
 /// # Errors
--- a/crates/verbenahitch/src/entry/mod.rs
+++ b/crates/verbenahitch/src/entry/mod.rs
@@ -7,17 +7,21 @@
 //! the state of a job need only the store when the owner does not answer.
 //!
 //! [`intake`] serves callers, [`accounts`] decides who a caller is, [`admission`] decides
-//! which jobs are refused and [`refusals`] makes that final in the store, `election` elects
+//! which jobs are refused and [`refusals`] makes that final in the store, [`acceptance`] stores the
+//! others, [`cancels`] ends them, `election` elects
 //! the owner by the rules in [`succession`], `owner` runs the
 //! [`Dispatcher`](crate::dispatch::Dispatcher), `link` carries calls to the owner. Of entries that
 //! cannot be read, [`unreadable`] bounds the log lines.
 
+pub mod acceptance;
 pub mod accounts;
 pub mod admission;
+pub mod cancels;
 mod election;
 mod host;
 pub mod intake;
 mod keys;
+mod lease;
 mod link;
 pub mod observe;
 mod owner;
--- a/crates/verbenahitch/src/entry/observe.rs
+++ b/crates/verbenahitch/src/entry/observe.rs
@@ -113,9 +113,14 @@
         .record(Duration::from_millis(refusal.age_ms).as_secs_f64());
 }
 
-/// Records a job that is refused as the store cannot hold its records.
-pub(super) fn record_unstorable() {
-    counter!("verbenahitch_jobs_refused_total", "cause" => "record-size").increment(1);
+/// Records what came of a cancel.
+pub(super) fn record_cancel(outcome: &'static str) {
+    counter!("verbenahitch_cancels_total", "outcome" => outcome).increment(1);
+}
+
+/// Records a job that is refused whatever the owner forecasts.
+pub(super) fn record_rejection(cause: &'static str) {
+    counter!("verbenahitch_jobs_refused_total", "cause" => cause).increment(1);
 }
 
 /// Records a job that is accepted though the forecast speaks against it.
--- a/crates/verbenahitch/src/entry/owner/updates.rs
+++ b/crates/verbenahitch/src/entry/owner/updates.rs
@@ -59,31 +59,52 @@
     }
 
     pub(super) fn apply_intake(&mut self, update: WatchUpdate) {
-        let items = match update {
-            WatchUpdate::Listed(items) => items,
-            WatchUpdate::Changes(changes) => changes
-                .into_iter()
-                .filter_map(|change| match change {
-                    Change::Put(item) => Some(item),
-                    // Only the owner removes a key: that of a cancel whose job has ended.
-                    Change::Removed(_) => None,
-                })
-                .collect(),
-            WatchUpdate::Unchanged | WatchUpdate::Unavailable(_) => return,
-        };
-        let now = self.now();
-        for item in &items {
-            match keys::parse_intake(&item.key) {
-                Some(IntakeKey::Job(id)) => {
-                    if self.dispatcher.state(id).is_none()
-                        && let Some(JobEntry::Open(record)) = self.shared.read(item, keys::read_job)
-                    {
-                        self.dispatcher.submit(id, record, now);
+        match update {
+            WatchUpdate::Listed(items) => {
+                let cancels = items
+                    .iter()
+                    .filter_map(|item| match keys::parse_intake(&item.key) {
+                        Some(IntakeKey::Cancel(id)) => Some(id),
+                        Some(IntakeKey::Job(_)) | None => None,
+                    });
+                self.dispatcher.retain_cancels(&cancels.collect());
+                for item in &items {
+                    self.apply_intake_item(item);
+                }
+            }
+            WatchUpdate::Changes(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Put(item) => self.apply_intake_item(&item),
+                        // The key of a cancel goes once its job has ended as cancelled, or with its
+                        // lease.
+                        Change::Removed(key) => {
+                            if let Some(IntakeKey::Cancel(id)) = keys::parse_intake(&key) {
+                                self.dispatcher.forget_cancel(id);
+                            }
+                        }
                     }
                 }
-                Some(IntakeKey::Cancel(id)) => self.dispatcher.cancel(id, now.at),
-                None => {}
             }
+            WatchUpdate::Unchanged | WatchUpdate::Unavailable(_) => {}
+        }
+    }
+
+    fn apply_intake_item(&mut self, item: &Item) {
+        let now = self.now();
+        match keys::parse_intake(&item.key) {
+            Some(IntakeKey::Job(id)) => {
+                if self.dispatcher.state(id).is_none()
+                    && let Some(JobEntry::Open(record)) = self.shared.read(item, keys::read_job)
+                {
+                    self.dispatcher.submit(id, record, now);
+                }
+            }
+            Some(IntakeKey::Cancel(id)) => {
+                let account = keys::read_cancel(item).account;
+                self.dispatcher.cancel_for(id, account.as_deref(), now.at);
+            }
+            None => {}
         }
     }
 }
--- a/crates/verbenahitch/src/entry/refusals.rs
+++ b/crates/verbenahitch/src/entry/refusals.rs
@@ -4,30 +4,23 @@
 //! Load pattern: overload, while answers of the store are lost and writes are carried out
 //! seconds late. An earlier attempt to submit the same job, perhaps at another host, may be
 //! such a write. A refusal therefore creates a key, in one transaction that fails if the job
-//! is stored, and an acceptance names that key's revision. The key is attached to a lease, so
-//! that it goes away by itself.
+//! is stored, and an [acceptance](super::acceptance) names that key's revision. The key is
+//! attached to a lease, so that it goes away by itself.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 
 use super::admission::{self, KnownDigest, Refusal};
-use super::intake::IntakeOutcome;
 use super::keys;
+use super::lease::SharedLease;
 use super::link::{Inbox, SentDigest};
 use crate::dispatch::{JobId, JobRecord};
 use crate::domain::{Millis, Monotonic};
-use crate::port::{Clock, Item, KeyValue, KvError, Put, SystemClock, Transaction};
+use crate::port::{Clock, KeyValue, KvError, Put, SystemClock, Transaction, find};
 
 /// Length of the leases of keys of refused jobs, in milliseconds. Writes are carried out
 /// seconds late at most.
 const LEASE_MS: Millis = 60_000;
 
-/// Age up to which a lease gets further keys, in milliseconds.
-const LEASE_USE_MS: Millis = 30_000;
-
-/// Largest number of times that a write is sent: again after a lost answer, and again if
-/// its job was refused before.
-const STORE_ATTEMPTS: usize = 3;
-
 /// Result of excluding a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exclusion {
@@ -41,12 +34,21 @@
 }
 
 /// What a host needs to refuse jobs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Refusals {
     clock: SystemClock,
     known: RefCell<Option<KnownDigest>>,
-    /// Lease of the keys, with the time of its grant.
-    lease: Cell<Option<(u64, Monotonic)>>,
+    lease: SharedLease,
+}
+
+impl Default for Refusals {
+    fn default() -> Self {
+        Self {
+            clock: SystemClock::default(),
+            known: RefCell::default(),
+            lease: SharedLease::new(LEASE_MS),
+        }
+    }
 }
 
 impl Refusals {
@@ -89,8 +91,12 @@
 
     /// Excludes a job that the store does not hold.
     pub async fn exclude<K: KeyValue>(&self, kv: &K, id: JobId) -> Exclusion {
-        let Some(lease) = self.lease(kv).await else {
-            return Exclusion::Unconfirmed;
+        let lease = match self.lease.get(kv).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                log::info!("no lease for refused jobs, they are accepted: {error}");
+                return Exclusion::Unconfirmed;
+            }
         };
         let wall_ms = self.clock.wall_ms();
         let key = keys::refused(id);
@@ -124,7 +130,7 @@
                 }
                 Err(error) => {
                     if error == KvError::NoLease {
-                        self.lease.set(None);
+                        self.lease.forget();
                     }
                     log::info!("job {id} was not excluded: {error}");
                     return Exclusion::Unconfirmed;
@@ -133,94 +139,4 @@
         }
         Exclusion::Unconfirmed
     }
-
-    async fn lease<K: KeyValue>(&self, kv: &K) -> Option<u64> {
-        let now = self.clock.now();
-        if let Some((lease, since)) = self.lease.get()
-            && now.since(since) <= LEASE_USE_MS
-        {
-            return Some(lease);
-        }
-        match kv.grant(LEASE_MS).await {
-            Ok(lease) => {
-                self.lease.set(Some((lease, now)));
-                Some(lease)
-            }
-            Err(error) => {
-                log::info!("no lease for refused jobs, they are accepted: {error}");
-                None
-            }
-        }
-    }
-}
-
-/// Creates a key. An existing key counts as stored: it is from an earlier attempt. The
-/// key that excludes a `refused` job is removed.
-pub async fn create<K: KeyValue>(
-    kv: &K,
-    key: String,
-    value: Vec<u8>,
-    refused: Option<String>,
-) -> IntakeOutcome {
-    let mut transaction = Transaction {
-        expected: vec![(key.clone(), 0)],
-        puts: vec![Put::persistent(key.clone(), value)],
-        removes: Vec::new(),
-    };
-    transaction.expected.extend(refused.map(|key| (key, 0)));
-    let mut was_unanswered = false;
-    for _ in 0..STORE_ATTEMPTS {
-        match kv.commit(&transaction).await {
-            Ok(_) => return IntakeOutcome::Stored,
-            Err(KvError::Conflict { items }) => {
-                if !expect_refusal(&mut transaction, &items) {
-                    return IntakeOutcome::Stored;
-                }
-            }
-            Err(KvError::Unanswered { cause }) if !was_unanswered => {
-                log::info!("no answer to a write of {key}, which is sent again: {cause}");
-                was_unanswered = true;
-            }
-            Err(error) if was_unanswered => {
-                log::warn!("a write of {key} may or may not have been applied: {error}");
-                return IntakeOutcome::Unknown;
-            }
-            Err(KvError::Rejected { cause }) => {
-                log::warn!("the store rejects {key} as it is: {cause}");
-                return IntakeOutcome::Unstorable;
-            }
-            Err(error) => {
-                log::info!("the store refused a write: {error}");
-                return IntakeOutcome::Refused;
-            }
-        }
-    }
-    log::info!("{key} was refused elsewhere meanwhile");
-    if was_unanswered {
-        IntakeOutcome::Unknown
-    } else {
-        IntakeOutcome::Refused
-    }
-}
-
-/// Lets a transaction expect the key of a refused job as a conflict shows it, or its absence
-/// if its lease has ended meanwhile. False if the transaction's own key exists.
-fn expect_refusal(transaction: &mut Transaction, items: &[Item]) -> bool {
-    let [(key, _), (refused, revision)] = transaction.expected.as_mut_slice() else {
-        return false;
-    };
-    if find(items, key).is_some() {
-        return false;
-    }
-    let item = find(items, refused);
-    *revision = item.map_or(0, |item| item.revision);
-    transaction.removes = item.map(|_| refused.clone()).into_iter().collect();
-    true
-}
-
-/// Item with that key among those of a conflict.
-fn find<'a>(items: &'a [Item], key: &str) -> Option<&'a Item> {
-    items
-        .iter()
-        .find(|item| item.key == key && item.revision > 0)
 }
--- a/crates/verbenahitch/src/event/kind.rs
+++ b/crates/verbenahitch/src/event/kind.rs
@@ -58,7 +58,7 @@
     JobCancelled = 203, "job-cancelled", Info, "A job was cancelled.";
     JobMoved = 204, "job-moved", Info, "A job was handed over to another shard.";
     JobAdopted = 205, "job-adopted", Info, "A job was taken over from another shard.";
-    CancelDecided = 206, "cancel-decided", Info, "A cancel was stored, or why it was not.";
+    CancelDecided = 206, "cancel-decided", Info, "A cancel was decided; the cause says whether it is stored, or why not.";
     Placed = 210, "placed", Info, "A task was assigned to a worker.";
     Waiting = 211, "waiting", Info, "A task waits because it cannot be placed yet.";
     TaskEnded = 212, "task-ended", Info, "A task has ended.";
--- a/crates/verbenahitch/src/port/kv.rs
+++ b/crates/verbenahitch/src/port/kv.rs
@@ -55,6 +55,13 @@
     text
 }
 
+/// Item with that key among those of a conflict; none if it does not exist or cannot be read.
+pub fn find<'a>(items: &'a [Item], key: &str) -> Option<&'a Item> {
+    items
+        .iter()
+        .find(|item| item.key == key && item.revision > 0)
+}
+
 /// One change that a watch reports.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/crates/verbenahitch/src/port/mod.rs
+++ b/crates/verbenahitch/src/port/mod.rs
@@ -13,7 +13,7 @@
 pub use clock::{Clock, ManualClock, SystemClock, boot_now};
 pub use dispatch::{Directive, KeyDigest, KeyedAccount, Platform, QueueRoute, Queues, Unreadable};
 pub use hosts::{HostRecord, HostState};
-pub use kv::{Change, Item, KeyValue, KvError, Put, Transaction, short_cause};
+pub use kv::{Change, Item, KeyValue, KvError, Put, Transaction, find, short_cause};
 pub use store::{Entry, Op, StoreError, TxnOutcome};
 pub use worker::{
     Command, EndKind, Ended, LatencyReport, Refusal, Running, SyncError, SyncReply, SyncRequest,
--- a/testsuite/tests/testsuite/entry/mod.rs
+++ b/testsuite/tests/testsuite/entry/mod.rs
@@ -2,6 +2,8 @@
 
 mod accounts;
 mod admission;
+mod cancel_orders;
+mod cancels;
 mod refusals;
 mod routes;
 mod sizes;
--- a/testsuite/tests/testsuite/entry/refusals.rs
+++ b/testsuite/tests/testsuite/entry/refusals.rs
@@ -8,7 +8,8 @@
 use verbenahitch::dispatch::JobId;
 use verbenahitch::domain::Millis;
 use verbenahitch::entry::IntakeOutcome;
-use verbenahitch::entry::refusals::{Exclusion, Refusals, create};
+use verbenahitch::entry::acceptance;
+use verbenahitch::entry::refusals::{Exclusion, Refusals};
 use verbenahitch::port::{Change, Item, KeyValue, KvError, Transaction};
 
 const ID: JobId = JobId(0xabc);
@@ -139,8 +140,7 @@
 }
 
 async fn accept(kv: &FakeKv) -> IntakeOutcome {
-    let refused = Some(REFUSED.to_owned());
-    create(kv, JOB.to_owned(), b"{}".to_vec(), refused).await
+    acceptance::accept(kv, ID, b"{}".to_vec(), None).await
 }
 
 #[tokio::test]
--- a/testsuite/tests/testsuite/entry/world.rs
+++ b/testsuite/tests/testsuite/entry/world.rs
@@ -1,7 +1,7 @@
 //! An entry host over a store in memory and workers without I/O.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -48,6 +48,17 @@
     pub answer: Answer,
 }
 
+/// What becomes of a transaction that writes a certain key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It gets no answer within `wait`, and is never carried out.
+    Lost { wait: Duration },
+    /// It gets no answer within `wait`, and is carried out `late` after it was sent.
+    Late { wait: Duration, late: Duration },
+    /// It is carried out and answered after `wait`.
+    Held { wait: Duration },
+}
+
 #[derive(Default)]
 struct StoreState {
     items: RefCell<BTreeMap<String, Item>>,
@@ -60,6 +71,10 @@
     largest: Cell<usize>,
     /// Number of transactions that were not taken.
     rejected: Cell<u32>,
+    /// Fates of the next transactions that write a key.
+    fates: RefCell<Option<(String, VecDeque<Fate>)>>,
+    /// Number of transactions that came.
+    commits: Cell<u32>,
 }
 
 /// Store in memory; clones share it. Its leases end only when they are revoked.
@@ -88,11 +103,41 @@
         self.0.rejected.get()
     }
 
+    /// Sets what becomes of the next transactions that write `key`.
+    pub fn set_fates(&self, key: &str, fates: &[Fate]) {
+        let fates = fates.iter().copied().collect();
+        self.0.fates.replace(Some((key.to_owned(), fates)));
+    }
+
+    pub fn commits(&self) -> u32 {
+        self.0.commits.get()
+    }
+
+    fn next_fate(&self, transaction: &Transaction) -> Option<Fate> {
+        let mut fates = self.0.fates.borrow_mut();
+        let (key, fates) = fates.as_mut()?;
+        let writes = transaction.puts.iter().any(|put| put.key == *key);
+        if writes { fates.pop_front() } else { None }
+    }
+
     pub fn put(&self, key: &str, value: &[u8]) {
         let revision = self.next_revision();
         self.write(key, value, revision);
     }
 
+    /// Removes a key, as the end of its lease does.
+    pub fn remove(&self, key: &str) {
+        let revision = self.next_revision();
+        self.remove_at(key, revision);
+    }
+
+    fn remove_at(&self, key: &str, revision: u64) {
+        if self.0.items.borrow_mut().remove(key).is_some() {
+            let change = Change::Removed(key.to_owned());
+            self.0.history.borrow_mut().push((revision, change));
+        }
+    }
+
     fn next_revision(&self) -> u64 {
         self.0.revision.set(self.0.revision.get() + 1);
         self.0.revision.get()
@@ -186,7 +231,46 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<u64, KvError> {
-        tokio::time::sleep(Duration::from_millis(2)).await;
+        self.0.commits.set(self.0.commits.get() + 1);
+        let unanswered = || KvError::Unanswered {
+            cause: "lost".to_owned(),
+        };
+        match self.next_fate(transaction) {
+            None => tokio::time::sleep(Duration::from_millis(2)).await,
+            Some(Fate::Held { wait }) => tokio::time::sleep(wait).await,
+            Some(Fate::Lost { wait }) => {
+                tokio::time::sleep(wait).await;
+                return Err(unanswered());
+            }
+            Some(Fate::Late { wait, late }) => {
+                let (kv, transaction) = (self.clone(), transaction.clone());
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(late).await;
+                    // A late write is not answered.
+                    let _ = kv.apply(&transaction);
+                });
+                tokio::time::sleep(wait).await;
+                return Err(unanswered());
+            }
+        }
+        self.apply(transaction)
+    }
+
+    async fn grant(&self, _: Millis) -> Result<u64, KvError> {
+        Ok(1)
+    }
+
+    async fn renew(&self, _: u64) -> Result<(), KvError> {
+        Ok(())
+    }
+
+    async fn revoke(&self, _: u64) -> Result<(), KvError> {
+        Ok(())
+    }
+}
+
+impl MemoryKv {
+    fn apply(&self, transaction: &Transaction) -> Result<u64, KvError> {
         let revision_of = |key: &String| {
             let items = self.0.items.borrow();
             items.get(key).map_or(0, |item| item.revision)
@@ -207,25 +291,10 @@
             self.write(&put.key, &put.value, revision);
         }
         for key in &transaction.removes {
-            if self.0.items.borrow_mut().remove(key).is_some() {
-                let change = Change::Removed(key.clone());
-                self.0.history.borrow_mut().push((revision, change));
-            }
+            self.remove_at(key, revision);
         }
         Ok(revision)
     }
-
-    async fn grant(&self, _: Millis) -> Result<u64, KvError> {
-        Ok(1)
-    }
-
-    async fn renew(&self, _: u64) -> Result<(), KvError> {
-        Ok(())
-    }
-
-    async fn revoke(&self, _: u64) -> Result<(), KvError> {
-        Ok(())
-    }
 }
 
 /// A run on a worker.
@@ -248,6 +317,8 @@
     kv: MemoryKv,
     workers: Rc<RefCell<BTreeMap<String, WorkerState>>>,
     specs: Rc<RefCell<BTreeMap<JobId, Vec<StepSpec>>>>,
+    /// Jobs of which a task has started.
+    started: Rc<RefCell<BTreeSet<JobId>>>,
     began: Instant,
 }
 
@@ -360,6 +431,7 @@
 
     async fn start(&self, start: &Start, _: u64) -> Result<(), CallFailure> {
         let target = &start.target;
+        self.started.borrow_mut().insert(target.task.job);
         let mut workers = self.workers.borrow_mut();
         let worker = workers.entry(target.name.clone()).or_default();
         worker.running.push(Work {
@@ -404,6 +476,36 @@
     }
 }
 
+fn record(steps: Vec<StepSpec>, account: Option<&str>) -> JobRecord {
+    JobRecord {
+        queue: queue(),
+        spec: JobSpec {
+            payload: Arc::from(""),
+            steps,
+            repeat: None,
+        },
+        account: account.map(str::to_owned),
+        accepted_ms: 0,
+    }
+}
+
+fn encode_open(record: &JobRecord) -> Vec<u8> {
+    serde_json::to_vec(&serde_json::json!({ "open": record })).unwrap()
+}
+
+/// Value of the key of a job of `account`.
+pub fn open_job(account: Option<&str>) -> Vec<u8> {
+    encode_open(&record(vec![step(1)], account))
+}
+
+/// Step of `count` tasks without an end.
+pub fn standing_step(count: u32) -> StepSpec {
+    StepSpec {
+        standing: true,
+        ..step(count)
+    }
+}
+
 /// Step of `count` tasks that each take 100 ms.
 pub fn step(count: u32) -> StepSpec {
     StepSpec {
@@ -453,6 +555,7 @@
             kv: kv.clone(),
             workers: Rc::default(),
             specs: Rc::default(),
+            started: Rc::default(),
             began: Instant::now(),
         };
         kv.put("op/config", b"");
@@ -491,17 +594,34 @@
     pub async fn submit(&self, id: u64, steps: Vec<StepSpec>) -> IntakeOutcome {
         let id = JobId(id);
         self.fleet.specs.borrow_mut().insert(id, steps.clone());
-        let record = JobRecord {
-            queue: queue(),
-            spec: JobSpec {
-                payload: Arc::from(""),
-                steps,
-                repeat: None,
-            },
-            account: None,
-            accepted_ms: 0,
-        };
-        self.intake.submit(id, record).await
+        self.intake.submit(id, record(steps, None)).await
+    }
+
+    /// Stores a job as a late write does that names no other key.
+    pub fn store_unconditionally(&self, id: u64, steps: Vec<StepSpec>) {
+        let id = JobId(id);
+        self.fleet.specs.borrow_mut().insert(id, steps.clone());
+        self.kv.put(
+            &format!("intake/job/{id}"),
+            &encode_open(&record(steps, None)),
+        );
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, id: u64) -> IntakeOutcome {
+        self.intake.cancel(JobId(id), None).await
+    }
+
+    /// Whether a task of a job has started.
+    pub fn has_started(&self, id: u64) -> bool {
+        self.fleet.started.borrow().contains(&JobId(id))
+    }
+
+    /// Whether a worker runs a task of a job.
+    pub fn runs(&self, id: u64) -> bool {
+        let workers = self.fleet.workers.borrow();
+        let mut runs = workers.values().flat_map(|worker| &worker.running);
+        runs.any(|work| work.task.job == JobId(id))
     }
 
     /// State of a job.
