--- a/crates/verbenahitch/benches/assignment.rs
+++ b/crates/verbenahitch/benches/assignment.rs
@@ -1,4 +1,4 @@
-//! Cost of an assignment over a backlog of fillers that find no place:
+//! Cost of an assignment over a backlog of steps that find no place:
 //! `cargo bench -p verbenahitch --bench assignment`.
 //!
 //! The backlog and the fleet are those of the largest deployment that the system is designed for.
@@ -72,6 +72,18 @@
 
 impl Owner {
     fn new(spec: Spec) -> Self {
+        let mut owner = Self::with_workers();
+        for number in 0..BACKLOG {
+            owner.submit(number, vec![spec(number)]);
+        }
+        // All workers have answered, and all jobs are late, after this.
+        for _ in 0..300 {
+            owner.pass();
+        }
+        owner
+    }
+
+    fn with_workers() -> Self {
         let bounds = Bounds {
             lease_ms: 5_000,
             lease_max_ms: 6_000,
@@ -102,27 +114,24 @@
             };
             owner.dispatcher.upsert_worker(info, Monotonic(0));
         }
-        for number in 0..BACKLOG {
-            let record = JobRecord {
-                queue: queue(),
-                spec: JobSpec {
-                    payload: "input".into(),
-                    steps: vec![spec(number)],
-                    repeat: None,
-                },
-                account: None,
-                accepted_ms: 0,
-            };
-            let now = owner.clock();
-            owner.dispatcher.submit(JobId(number), record, now);
-        }
-        // All workers have answered, and all jobs are late, after this.
-        for _ in 0..300 {
-            owner.pass();
-        }
         owner
     }
 
+    fn submit(&mut self, number: u64, steps: Vec<StepSpec>) {
+        let record = JobRecord {
+            queue: queue(),
+            spec: JobSpec {
+                payload: "input".into(),
+                steps,
+                repeat: None,
+            },
+            account: None,
+            accepted_ms: 0,
+        };
+        let now = self.clock();
+        self.dispatcher.submit(JobId(number), record, now);
+    }
+
     fn clock(&self) -> Now {
         Now {
             at: Monotonic(self.now),
@@ -176,6 +185,45 @@
     group.finish();
 }
 
+/// Numbers of steps that no worker can run, in jobs of up to [`JOB_STEPS`].
+const HOPELESS: [u64; 3] = [1_000, 10_000, 60_000];
+const JOB_STEPS: u64 = 1_000;
+
+/// Labels of steps that no worker can run.
+const LABELS: [(&str, fn(u64) -> String); 2] = [
+    ("a label of their own", |at| format!("lost-{at}")),
+    ("one label", |_| "lost".to_owned()),
+];
+
+/// Passes that the growth is measured over. The first ones are left out, in which workers answer.
+const FIRST_PASSES: usize = 10;
+const PASSES: usize = 5;
+
+/// Prints the time of a pass by the number of steps that no worker can run.
+fn hopeless_steps(_: &mut Criterion) {
+    for (name, label) in LABELS {
+        for steps in HOPELESS {
+            let mut owner = Owner::with_workers();
+            for job in 0..steps / JOB_STEPS {
+                let step = |at| StepSpec {
+                    count: 1,
+                    label: label(job * JOB_STEPS + at),
+                    filler: false,
+                    ..step(100, 500)
+                };
+                owner.submit(job, (0..JOB_STEPS).map(step).collect());
+            }
+            for _ in 0..FIRST_PASSES {
+                owner.pass();
+            }
+            let mut passes: Vec<Duration> = (0..PASSES).map(|_| owner.pass()).collect();
+            passes.sort_unstable();
+            let (median, longest) = (passes[PASSES / 2], passes[PASSES - 1]);
+            println!("{steps} steps with {name}: median {median:?}, longest {longest:?}");
+        }
+    }
+}
+
 /// Numbers of images that were named so far.
 const IMAGES: [usize; 3] = [1_000, 10_000, 100_000];
 
@@ -205,5 +253,5 @@
     group.finish();
 }
 
-criterion_group!(benches, assignments, known_images);
+criterion_group!(benches, assignments, known_images, hopeless_steps);
 criterion_main!(benches);
