--- a/crates/verbenahitch/benches/assignment.rs
+++ b/crates/verbenahitch/benches/assignment.rs
@@ -189,8 +189,11 @@
 const HOPELESS: [u64; 3] = [1_000, 10_000, 60_000];
 const JOB_STEPS: u64 = 1_000;
 
+/// Label of a step, by its number.
+type Label = fn(u64) -> String;
+
 /// Labels of steps that no worker can run.
-const LABELS: [(&str, fn(u64) -> String); 2] = [
+const LABELS: [(&str, Label); 2] = [
     ("a label of their own", |at| format!("lost-{at}")),
     ("one label", |_| "lost".to_owned()),
 ];
